Set down the design and the core types

Cause: the project starts; every part needs the same words and interfaces. Conclusion: the parts can be built against these types.

--- /dev/null
+++ b/src/core/time.rs
@@ -0,0 +1,33 @@
+//! Monotonic time of one process.
+//!
+//! Times of different processes are never compared; only durations travel.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// Microseconds since the process started, by its monotonic clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Instant(pub u64);
+
+impl Instant {
+    /// Time since `earlier`; zero if `earlier` is later.
+    pub fn since(self, earlier: Instant) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Instant;
+
+    fn add(self, span: Duration) -> Instant {
+        Instant(self.0.saturating_add(span.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Instant {
+    type Output = Instant;
+
+    fn sub(self, span: Duration) -> Instant {
+        Instant(self.0.saturating_sub(span.as_micros() as u64))
+    }
+}
--- /dev/null
+++ b/src/declare/plan.rs
@@ -0,0 +1,73 @@
+//! The plan: everything that all documents declare, checked and resolved.
+
+use super::job::{self, Job};
+use super::pool::{self, Pool};
+use super::sample::Sample;
+use super::service::{self, Service};
+use super::team::{self, Team};
+use super::zone::{self, Link, Zone};
+use crate::core::cell;
+
+/// Checked declaration with all references resolved to keys.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Plan {
+    /// Region names, indexed by `zone::Region`.
+    pub regions: Vec<String>,
+    /// Zones, indexed by `zone::Key`.
+    pub zones: Vec<Zone>,
+    /// Links between regions.
+    pub links: Vec<Link>,
+    /// Pools, indexed by `pool::Key`.
+    pub pools: Vec<Pool>,
+    /// Teams, indexed by `team::Key`.
+    pub teams: Vec<Team>,
+    /// Services, indexed by `service::Key`.
+    pub services: Vec<Service>,
+    /// Jobs, indexed by `job::Key`.
+    pub jobs: Vec<Job>,
+    /// Sample requests for `local`.
+    pub samples: Vec<Sample>,
+}
+
+impl Plan {
+    /// Zone with identity `id`.
+    pub fn zone(&self, id: zone::Id) -> Option<(zone::Key, &Zone)> {
+        let at = self.zones.iter().position(|zone| zone.id == id)?;
+        Some((zone::Key(at as u16), &self.zones[at]))
+    }
+
+    /// Pool called `name`.
+    pub fn pool(&self, name: &str) -> Option<(pool::Key, &Pool)> {
+        let at = self.pools.iter().position(|pool| pool.name == name)?;
+        Some((pool::Key(at as u16), &self.pools[at]))
+    }
+
+    /// Service with identity `id`.
+    pub fn service(&self, id: service::Id) -> Option<(service::Key, &Service)> {
+        let at = self.services.iter().position(|service| service.id == id)?;
+        Some((service::Key(at as u16), &self.services[at]))
+    }
+
+    /// Job with identity `id`.
+    pub fn job(&self, id: job::Id) -> Option<(job::Key, &Job)> {
+        let at = self.jobs.iter().position(|job| job.id == id)?;
+        Some((job::Key(at as u32), &self.jobs[at]))
+    }
+
+    /// Team behind `key`.
+    pub fn team(&self, key: team::Key) -> &Team {
+        &self.teams[usize::from(key.0)]
+    }
+
+    /// All cells of a zone.
+    pub fn cells(&self, zone: &Zone) -> impl Iterator<Item = cell::Id> + use<> {
+        let id = zone.id;
+        (0..zone.cells).map(move |index| cell::Id { zone: id, index })
+    }
+
+    /// Cell of the worker called `worker` in `zone`: the first one by rendezvous hashing.
+    pub fn cell_of(&self, zone: &Zone, worker: u64) -> cell::Id {
+        let ranked = crate::hash::rendezvous(worker, (0..zone.cells.max(1)).map(u64::from));
+        cell::Id { zone: zone.id, index: ranked[0] as u16 }
+    }
+}
--- /dev/null
+++ b/src/declare/sample.rs
@@ -0,0 +1,16 @@
+//! Sample requests of a file, sent by `local`.
+
+use super::service;
+
+/// A number of equal requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sample {
+    /// Service to call.
+    pub service: service::Key,
+    /// Path below the service name.
+    pub path: String,
+    /// Number of requests.
+    pub requests: u32,
+    /// Size of each request body in bytes.
+    pub body_bytes: u32,
+}
--- /dev/null
+++ b/src/declare/service.rs
@@ -0,0 +1,65 @@
+//! Latency-critical services.
+
+use std::time::Duration;
+
+use super::pool::Filter;
+use super::size::Size;
+use super::team;
+
+/// Index of a service in the plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(pub u16);
+
+/// Stable identity of a service: a hash of its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Id(pub u64);
+
+impl Id {
+    /// Identity of the service called `name`.
+    pub fn of(name: impl AsRef<str>) -> Self {
+        Self(crate::hash::name(name))
+    }
+}
+
+/// A service whose replicas answer requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Service {
+    /// Stable identity.
+    pub id: Id,
+    /// Name, unique over all documents; first segment of its URL.
+    pub name: String,
+    /// Team that owns it.
+    pub team: team::Key,
+    /// Least and most replicas.
+    pub replicas: (u32, u32),
+    /// Size of a replica; one slot.
+    pub size: Size,
+    /// Higher is more important.
+    pub priority: u8,
+    /// Latency that 99% of its requests should stay below.
+    pub latency_target: Duration,
+    /// Time after which a request without a deadline of its own is given up.
+    pub timeout: Duration,
+    /// Requests that one replica serves at once.
+    pub concurrency: u16,
+    /// VMs its replicas may use.
+    pub filter: Filter,
+    /// Routes, longest path first.
+    pub routes: Vec<Route>,
+}
+
+/// A path prefix of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Path prefix below the service name, for example `/quote`.
+    pub path: String,
+    /// Whether a request may be sent again after its answer was lost.
+    pub idempotent: bool,
+}
+
+impl Service {
+    /// Whether a request for `path` may be repeated; a path without a route is not.
+    pub fn is_idempotent(&self, path: &str) -> bool {
+        self.routes.iter().find(|route| path.starts_with(&route.path)).is_some_and(|route| route.idempotent)
+    }
+}
--- /dev/null
+++ b/src/declare/zone.rs
@@ -0,0 +1,50 @@
+//! Regions, availability zones and the links between regions.
+
+use std::time::Duration;
+
+/// Index of a zone in the plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(pub u16);
+
+/// Stable identity of a zone: a hash of its name, the same in every version of the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Id(pub u32);
+
+impl Id {
+    /// Identity of the zone called `name`.
+    pub fn of(name: impl AsRef<str>) -> Self {
+        Self(crate::hash::name(name) as u32)
+    }
+}
+
+/// Index of a region in the plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Region(pub u16);
+
+/// An availability zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Zone {
+    /// Stable identity.
+    pub id: Id,
+    /// Name in files and settings.
+    pub name: String,
+    /// Region it belongs to.
+    pub region: Region,
+    /// Number of cells its workers are divided into.
+    pub cells: u16,
+    /// Number of entry VMs; used by `local` only, since the platform starts them.
+    pub entry_vms: u16,
+    /// Declared as lost for good: its VMs are stopped and its tasks may move.
+    pub retired: bool,
+}
+
+/// A link between two regions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Link {
+    /// The two ends.
+    pub between: (Region, Region),
+    /// Bandwidth each way, in bits per second.
+    pub bits_per_second: u64,
+    /// One-way delay.
+    pub delay: Duration,
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,65 @@
+//! The error type of the library.
+
+use std::io;
+
+use thiserror::Error;
+
+use crate::finding::Finding;
+
+/// Why a command failed.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// Input files have faults; all of them are listed.
+    #[error("{} finding(s):\n{}", .0.len(), join(.0))]
+    Findings(Vec<Finding>),
+    /// Another operator changed the document first.
+    #[error(
+        "conflict: document {document} is at version {found}, not {expected}; read it again and re-apply"
+    )]
+    Conflict {
+        /// Name of the document.
+        document: String,
+        /// Version the operator worked from.
+        expected: u64,
+        /// Version now in force.
+        found: u64,
+    },
+    /// A file or socket could not be used.
+    #[error("{what}: {source}")]
+    Io {
+        /// What was attempted.
+        what: String,
+        /// Cause reported by the operating system.
+        source: io::Error,
+    },
+    /// A call to another process failed.
+    #[error("{what}: {reason}")]
+    Call {
+        /// What was attempted.
+        what: String,
+        /// Why it failed.
+        reason: String,
+    },
+    /// The run finished but did not reach what was declared.
+    #[error("{0}")]
+    Unmet(String),
+}
+
+/// Result with the library's error.
+pub type Result<T> = std::result::Result<T, Error>;
+
+impl Error {
+    /// Wraps an I/O error with the action that failed.
+    pub fn io(what: impl Into<String>, source: io::Error) -> Self {
+        Self::Io { what: what.into(), source }
+    }
+
+    /// Wraps a failed call with its reason.
+    pub fn call(what: impl Into<String>, reason: impl ToString) -> Self {
+        Self::Call { what: what.into(), reason: reason.to_string() }
+    }
+}
+
+fn join(findings: &[Finding]) -> String {
+    findings.iter().map(Finding::to_string).collect::<Vec<_>>().join("\n")
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point of the `nutmegfold` binary.
+fn main() {}
