Check declarations and settings

Cause: operators need one report of all faults before a file is applied. Result: builds; tests are written but not yet run. Conclusion: the tests come next.

--- a/src/declare/check.rs
+++ b/src/declare/check.rs
@@ -1,1 +1,107 @@
 //! Compiles documents into a plan, or lists everything that is wrong with them.
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue, Error};
+
+use super::draft;
+use super::fit;
+use super::home;
+use super::plan::Plan;
+use super::report::{Place, Report};
+use super::resolve;
+use super::table::Table;
+use crate::finding::Finding;
+
+/// The text of one document.
+#[derive(Debug, Clone, Copy)]
+pub struct Source<'a> {
+    /// File or document name, used in findings.
+    pub name: &'a str,
+    /// TOML text.
+    pub text: &'a str,
+    /// Whether the text comes from the store and may carry generated homes.
+    pub stored: bool,
+}
+
+/// Compiles the texts of all documents.
+///
+/// # Errors
+///
+/// All findings over all sources, sorted by file and position. Checks between documents are left out while a document
+/// has syntax errors, since each name it declares would be reported as missing.
+pub fn compile(sources: &[Source<'_>]) -> Result<Plan, Vec<Finding>> {
+    let mut report = Report::default();
+    let mut documents = Vec::new();
+    for (at, source) in sources.iter().enumerate() {
+        let Some(tree) = parse(at, source.text, &mut report) else { continue };
+        documents.push(draft::read(&Table::root(at, tree.get_ref()), source.stored, &mut report));
+    }
+    if documents.len() < sources.len() {
+        return Err(report.finish(sources));
+    }
+    let mut resolved = resolve::resolve(&documents, &mut report);
+    fit::check(&resolved, &documents, &mut report);
+    if report.len() > 0 {
+        return Err(report.finish(sources));
+    }
+    home::fill(&mut resolved.plan);
+    Ok(resolved.plan)
+}
+
+/// Parses a text; on syntax errors, reports all of them.
+pub(crate) fn parse<'a>(source: usize, text: &'a str, report: &mut Report) -> Option<Spanned<DeTable<'a>>> {
+    let (tree, errors) = DeTable::parse_recoverable(text);
+    for error in &errors {
+        let offset = error.span().map_or(0, |span| span.start);
+        let key = nearest_key(text, tree.get_ref(), offset);
+        report.add(&Place { source, offset, key }, syntax_message(error));
+    }
+    errors.is_empty().then_some(tree)
+}
+
+fn syntax_message(error: &Error) -> String {
+    format!("syntax error: {}", error.message().trim().replace('\n', ", "))
+}
+
+/// Path of the last key on the line of `offset`, or of the table above it.
+fn nearest_key(text: &str, tree: &DeTable<'_>, offset: usize) -> String {
+    let end = text.floor_char_boundary(offset);
+    let line_start = text[..end].rfind('\n').map_or(0, |at| at + 1);
+    let mut marks = Vec::new();
+    collect_marks(tree, "", &mut marks);
+    let is_near = |mark: &&Mark| mark.start <= offset && (mark.is_table || mark.start >= line_start);
+    marks
+        .iter()
+        .filter(is_near)
+        .max_by_key(|mark| mark.start)
+        .map(|mark| mark.path.clone())
+        .unwrap_or_default()
+}
+
+/// Start of a key or table.
+struct Mark {
+    start: usize,
+    path: String,
+    is_table: bool,
+}
+
+fn collect_marks(table: &DeTable<'_>, prefix: &str, marks: &mut Vec<Mark>) {
+    for (key, value) in table {
+        let name = key.get_ref();
+        let path = if prefix.is_empty() { name.to_string() } else { format!("{prefix}.{name}") };
+        let is_table = matches!(value.get_ref(), DeValue::Table(_));
+        marks.push(Mark { start: key.span().start, path: path.clone(), is_table });
+        match value.get_ref() {
+            DeValue::Table(inner) => collect_marks(inner, &path, marks),
+            DeValue::Array(array) => {
+                for (at, element) in array.iter().enumerate() {
+                    let DeValue::Table(inner) = element.get_ref() else { continue };
+                    let path = format!("{path}[{at}]");
+                    marks.push(Mark { start: element.span().start, path: path.clone(), is_table: true });
+                    collect_marks(inner, &path, marks);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/declare/resolve.rs
@@ -0,0 +1,361 @@
+//! Joins the documents: finds duplicates, turns names into keys and builds the plan.
+
+use std::collections::BTreeMap;
+
+use super::draft::{self, Document, Item};
+use super::likeness;
+use super::plan::Plan;
+use super::report::{Report, Spot};
+use super::{job, pool, sample, service, team, zone};
+use crate::core::cell;
+
+/// Workers of a cell of a zone that names no number of cells.
+const WORKERS_PER_CELL: u64 = 64;
+
+/// Most items of a kind whose keys have 16 bits.
+const MAX_ITEMS: usize = 1 << 16;
+
+/// A plan in the making. Its items stand in the order of the documents, also those with findings.
+pub(crate) struct Resolved {
+    pub plan: Plan,
+    /// Whether zones and pools are free of findings.
+    pub platform: bool,
+    /// Whether each service is free of findings.
+    pub services: Vec<bool>,
+    /// Whether each job is free of findings.
+    pub jobs: Vec<bool>,
+}
+
+/// Names of one kind with their index.
+struct Names<'a> {
+    kind: &'static str,
+    at: BTreeMap<&'a str, usize>,
+}
+
+impl<'a> Names<'a> {
+    /// Index of a name; a name that is not declared is reported.
+    fn find(&self, name: &Spot<String>, report: &mut Report) -> Option<usize> {
+        // Empty names stand for values that were reported before.
+        if name.value.is_empty() {
+            return None;
+        }
+        let found = self.at.get(name.value.as_str()).copied();
+        if found.is_none() {
+            let hint = likeness::hint(&name.value, self.at.keys().copied());
+            report
+                .add(&name.place, format!("no document declares the {} \"{}\"{hint}", self.kind, name.value));
+        }
+        found
+    }
+
+    /// Index of a name, or the first one when the name was reported.
+    fn key(&self, name: &Spot<String>, report: &mut Report) -> usize {
+        self.find(name, report).unwrap_or_default()
+    }
+}
+
+/// All names.
+struct Index<'a> {
+    regions: Names<'a>,
+    zones: Names<'a>,
+    teams: Names<'a>,
+    services: Names<'a>,
+    racks: Names<'a>,
+}
+
+/// Joins `documents`.
+pub(crate) fn resolve(documents: &[Document], report: &mut Report) -> Resolved {
+    let index = index(documents, report);
+    let mut plan = Plan {
+        regions: all(documents, |d| &d.regions).map(|region| region.body.value.clone()).collect(),
+        teams: all(documents, |d| &d.teams).map(|item| team(&item.body)).collect(),
+        links: links(documents, &index, report),
+        ..Plan::default()
+    };
+    let zones = fill(&mut plan.zones, all(documents, |d| &d.zones), report, |item, report| {
+        zone(item, &index, report)
+    });
+    let pools = fill(&mut plan.pools, all(documents, |d| &d.pools), report, |item, report| {
+        pool(item, &index, report)
+    });
+    let platform = zones.into_iter().chain(pools).all(|sound| sound);
+    fill_cells(&mut plan, documents);
+    let services = fill(&mut plan.services, all(documents, |d| &d.services), report, |item, report| {
+        service(item, &index, report)
+    });
+    let jobs =
+        fill(&mut plan.jobs, all(documents, |d| &d.jobs), report, |item, report| job(item, &index, report));
+    plan.samples = all(documents, |d| &d.samples).map(|item| sample(&item.body, &index, report)).collect();
+    homes(&mut plan, documents, &index, report);
+    Resolved { plan, platform, services, jobs }
+}
+
+/// Items of one kind over all documents.
+fn all<'a, T: 'a>(
+    documents: &'a [Document],
+    kind: impl Fn(&'a Document) -> &'a Vec<Item<T>>,
+) -> impl Iterator<Item = &'a Item<T>> {
+    documents.iter().flat_map(kind)
+}
+
+/// Appends resolved items; returns which of them are free of findings.
+fn fill<'a, D: 'a, T>(
+    list: &mut Vec<T>,
+    items: impl Iterator<Item = &'a Item<D>>,
+    report: &mut Report,
+    resolve: impl Fn(&D, &mut Report) -> T,
+) -> Vec<bool> {
+    let mut sound = Vec::new();
+    for item in items {
+        let before = report.len();
+        list.push(resolve(&item.body, report));
+        sound.push(item.sound && report.len() == before);
+    }
+    sound
+}
+
+fn index<'a>(documents: &'a [Document], report: &mut Report) -> Index<'a> {
+    let documents_by_name = documents.iter().map(|document| &document.name);
+    names("document", documents, documents_by_name, report);
+    names("pool", documents, all(documents, |d| &d.pools).map(|item| &item.body.name), report);
+    let jobs = || all(documents, |d| &d.jobs).map(|item| &item.body.name);
+    names("job", documents, jobs(), report);
+    let job_ids = all(documents, |d| &d.jobs)
+        .map(|item| (&item.body.name, job::Id::of(&item.body.name.value, item.body.run)));
+    identities("job", job_ids, report);
+    let zones = || all(documents, |d| &d.zones).map(|item| &item.body.name);
+    identities("zone", zones().map(|name| (name, zone::Id::of(&name.value))), report);
+    let services = || all(documents, |d| &d.services).map(|item| &item.body.name);
+    identities("service", services().map(|name| (name, service::Id::of(&name.value))), report);
+    clashes(services(), report);
+    let racks = all(documents, |d| &d.pools).flat_map(|item| &item.body.racks);
+    Index {
+        regions: names("region", documents, all(documents, |d| &d.regions).map(|item| &item.body), report),
+        zones: names("zone", documents, zones(), report),
+        teams: names("team", documents, all(documents, |d| &d.teams).map(|item| &item.body.name), report),
+        services: names("service", documents, services(), report),
+        racks: Names { kind: "rack", at: racks.map(|rack| (rack.as_str(), 0)).collect() },
+    }
+}
+
+/// Indexes names and reports those that are declared twice.
+fn names<'a>(
+    kind: &'static str,
+    documents: &[Document],
+    spots: impl Iterator<Item = &'a Spot<String>>,
+    report: &mut Report,
+) -> Names<'a> {
+    let mut first: BTreeMap<&str, &Spot<String>> = BTreeMap::new();
+    let mut at = BTreeMap::new();
+    for (index, spot) in spots.enumerate() {
+        if index == MAX_ITEMS && kind != "job" {
+            report.add(&spot.place, format!("there are more than {MAX_ITEMS} {kind}s"));
+        }
+        if spot.value.is_empty() {
+            continue;
+        }
+        if let Some(other) = first.get(spot.value.as_str()) {
+            let document = &documents[other.place.source].name.value;
+            let other = &other.place.key;
+            let message = format!(
+                "the {kind} \"{}\" is already declared by `{other}` in the document \"{document}\"",
+                spot.value
+            );
+            report.add(&spot.place, message);
+            continue;
+        }
+        first.insert(&spot.value, spot);
+        at.insert(spot.value.as_str(), index);
+    }
+    Names { kind, at }
+}
+
+/// Reports different names with the same identity.
+fn identities<'a, I: Ord>(
+    kind: &str,
+    items: impl Iterator<Item = (&'a Spot<String>, I)>,
+    report: &mut Report,
+) {
+    let mut seen: BTreeMap<I, &str> = BTreeMap::new();
+    for (name, id) in items {
+        let other = *seen.entry(id).or_insert(&name.value);
+        if other != name.value {
+            let message = format!(
+                "the {kind} has the same identity hash as the {kind} \"{other}\"; rename one of them"
+            );
+            report.add(&name.place, message);
+        }
+    }
+}
+
+/// Reports service names that differ only in case, since some callers change the case of a URL.
+fn clashes<'a>(services: impl Iterator<Item = &'a Spot<String>>, report: &mut Report) {
+    let mut seen: BTreeMap<String, &str> = BTreeMap::new();
+    for name in services {
+        let other = *seen.entry(name.value.to_ascii_lowercase()).or_insert(&name.value);
+        if other != name.value {
+            report.add(
+                &name.place,
+                format!("the name differs from the service \"{other}\" only in upper case"),
+            );
+        }
+    }
+}
+
+fn links(documents: &[Document], index: &Index<'_>, report: &mut Report) -> Vec<zone::Link> {
+    let mut links: Vec<zone::Link> = Vec::new();
+    for item in all(documents, |d| &d.links) {
+        let ends: Vec<usize> =
+            item.body.between.iter().filter_map(|region| index.regions.find(region, report)).collect();
+        let [a, b] = ends[..] else { continue };
+        let between = (zone::Region(a.min(b) as u16), zone::Region(a.max(b) as u16));
+        if links.iter().any(|link| link.between == between) {
+            report.add(&item.place, "the link between these regions is already declared");
+        }
+        let draft::platform::Link { bits_per_second, delay, .. } = item.body;
+        links.push(zone::Link { between, bits_per_second, delay });
+    }
+    links
+}
+
+fn zone(draft: &draft::platform::Zone, index: &Index<'_>, report: &mut Report) -> zone::Zone {
+    zone::Zone {
+        id: zone::Id::of(&draft.name.value),
+        name: draft.name.value.clone(),
+        region: zone::Region(index.regions.key(&draft.region, report) as u16),
+        cells: draft.cells.unwrap_or_default(),
+        entry_vms: draft.entry_vms,
+        retired: draft.retired,
+    }
+}
+
+fn pool(draft: &draft::platform::Pool, index: &Index<'_>, report: &mut Report) -> pool::Pool {
+    pool::Pool {
+        name: draft.name.value.clone(),
+        zone: zone::Key(index.zones.key(&draft.zone, report) as u16),
+        racks: draft.racks.clone(),
+        count: draft.count,
+        size: draft.size,
+        connections: draft.connections,
+        labels: draft.labels.clone(),
+    }
+}
+
+/// Gives zones without a number of cells the default.
+fn fill_cells(plan: &mut Plan, documents: &[Document]) {
+    for (at, item) in all(documents, |d| &d.zones).enumerate() {
+        if item.body.cells.is_some() {
+            continue;
+        }
+        let pools = plan.pools.iter().filter(|pool| usize::from(pool.zone.0) == at);
+        let workers: u64 = pools.map(|pool| u64::from(pool.count)).sum();
+        let cells = workers.div_ceil(WORKERS_PER_CELL).max(1);
+        plan.zones[at].cells = u16::try_from(cells).unwrap_or(u16::MAX);
+    }
+}
+
+fn team(draft: &draft::team::Team) -> team::Team {
+    team::Team { name: draft.name.value.clone(), quota: draft.quota, weight: draft.weight }
+}
+
+fn filter(draft: &draft::Filter, index: &Index<'_>, report: &mut Report) -> pool::Filter {
+    let zones = draft.zones.iter().filter_map(|name| index.zones.find(name, report));
+    let zones = zones.map(|at| zone::Key(at as u16)).collect();
+    for rack in &draft.racks {
+        index.racks.find(rack, report);
+    }
+    let racks = draft.racks.iter().map(|rack| rack.value.clone()).collect();
+    pool::Filter { zones, racks, labels: draft.labels.clone() }
+}
+
+fn service(draft: &draft::service::Service, index: &Index<'_>, report: &mut Report) -> service::Service {
+    service::Service {
+        id: service::Id::of(&draft.name.value),
+        name: draft.name.value.clone(),
+        team: team::Key(index.teams.key(&draft.team, report) as u16),
+        replicas: draft.replicas.value,
+        size: draft.demand.size(),
+        priority: draft.priority,
+        latency_target: draft.latency_target,
+        timeout: draft.timeout,
+        concurrency: draft.concurrency,
+        filter: filter(&draft.filter, index, report),
+        routes: draft.routes.clone(),
+    }
+}
+
+fn job(draft: &draft::job::Job, index: &Index<'_>, report: &mut Report) -> job::Job {
+    job::Job {
+        id: job::Id::of(&draft.name.value, draft.run),
+        name: draft.name.value.clone(),
+        run: draft.run,
+        team: team::Key(index.teams.key(&draft.team, report) as u16),
+        tasks: draft.tasks,
+        size: draft.demand.size(),
+        run_time: draft.run_time,
+        deadline: draft.deadline,
+        retries: draft.retries,
+        checkpointable: draft.checkpointable,
+        priority: draft.priority,
+        kind: draft.kind.clone(),
+        filter: filter(&draft.filter, index, report),
+        cancelled: draft.cancelled,
+        homes: Vec::new(),
+    }
+}
+
+fn sample(draft: &draft::sample::Sample, index: &Index<'_>, report: &mut Report) -> sample::Sample {
+    sample::Sample {
+        service: service::Key(index.services.key(&draft.service, report) as u16),
+        path: draft.path.clone(),
+        requests: draft.requests,
+        body_bytes: draft.body_bytes,
+    }
+}
+
+/// Takes over the homes of stored documents.
+fn homes(plan: &mut Plan, documents: &[Document], index: &Index<'_>, report: &mut Report) {
+    let mut first = 0;
+    for document in documents {
+        let labels: BTreeMap<String, usize> =
+            document.jobs.iter().enumerate().map(|(at, job)| (job.body.label(), first + at)).collect();
+        for home in &document.homes {
+            let cells = cells(home, &plan.zones, index, report);
+            match labels.get(&home.job) {
+                Some(at) => plan.jobs[*at].homes = cells,
+                None => report.add(&home.place, "the document has no such job and run"),
+            }
+        }
+        first += document.jobs.len();
+    }
+}
+
+/// Cells of a stored home. A cell that is gone is reported, since its tasks would be lost with it.
+fn cells(
+    home: &draft::home::Home,
+    zones: &[zone::Zone],
+    index: &Index<'_>,
+    report: &mut Report,
+) -> Vec<cell::Id> {
+    let mut cells = Vec::new();
+    for Spot { value: (name, number), place } in &home.cells {
+        let Some(at) = index.zones.at.get(name.as_str()) else {
+            let message = format!(
+                "the job has tasks in zone \"{name}\", which is not declared; keep it with `retired = true`"
+            );
+            report.add(place, message);
+            continue;
+        };
+        let zone = &zones[*at];
+        if *number >= zone.cells {
+            let message = format!(
+                "the job has tasks in cell {number} of zone \"{name}\", which has {} cells; do not lower `cells` \
+                 while the job is declared",
+                zone.cells
+            );
+            report.add(place, message);
+        }
+        cells.push(cell::Id { zone: zone.id, index: *number });
+    }
+    cells
+}
--- /dev/null
+++ b/src/declare/unit.rs
@@ -0,0 +1,115 @@
+//! Quantities with units, such as `60 GB`, `12 ms` or `30 Mbit/s`.
+//!
+//! Numbers are decimal and are computed in integers, so that equal texts give equal values in every process.
+
+use std::time::Duration;
+
+/// Units of one kind of quantity, each with its factor.
+type Units = &'static [(&'static str, u64)];
+
+/// Sizes, in bytes.
+const BYTES: Units = &[
+    ("B", 1),
+    ("KB", 1_000),
+    ("MB", 1_000_000),
+    ("GB", 1_000_000_000),
+    ("TB", 1_000_000_000_000),
+    ("KiB", 1 << 10),
+    ("MiB", 1 << 20),
+    ("GiB", 1 << 30),
+    ("TiB", 1 << 40),
+];
+
+/// Durations, in nanoseconds.
+const NANOSECONDS: Units = &[
+    ("us", 1_000),
+    ("ms", 1_000_000),
+    ("s", 1_000_000_000),
+    ("min", 60_000_000_000),
+    ("h", 3_600_000_000_000),
+    ("d", 86_400_000_000_000),
+];
+
+/// Bandwidths, in bits per second.
+const BITS_PER_SECOND: Units =
+    &[("bit/s", 1), ("kbit/s", 1_000), ("Mbit/s", 1_000_000), ("Gbit/s", 1_000_000_000)];
+
+/// Digits a number may have; more than any useful quantity, and the product with a factor fits 128 bits.
+const MAX_DIGITS: usize = 18;
+
+/// Parses a size, in bytes.
+///
+/// # Errors
+///
+/// A message that says what is expected.
+pub fn bytes(text: &str) -> Result<u64, String> {
+    quantity(text, "a size such as \"60 GB\"", BYTES)
+}
+
+/// Parses a duration.
+///
+/// # Errors
+///
+/// A message that says what is expected.
+pub fn duration(text: &str) -> Result<Duration, String> {
+    quantity(text, "a duration such as \"40 s\"", NANOSECONDS).map(Duration::from_nanos)
+}
+
+/// Parses a bandwidth, in bits per second.
+///
+/// # Errors
+///
+/// A message that says what is expected.
+pub fn bandwidth(text: &str) -> Result<u64, String> {
+    quantity(text, "a bandwidth such as \"30 Mbit/s\"", BITS_PER_SECOND)
+}
+
+fn quantity(text: &str, expected: &str, units: Units) -> Result<u64, String> {
+    let split = text.find(|c: char| !c.is_ascii_digit() && c != '.').unwrap_or(text.len());
+    let (number, unit) = (&text[..split], text[split..].trim_start());
+    let allowed = || units.iter().map(|(unit, _)| *unit).collect::<Vec<_>>().join(", ");
+    let Some((digits, decimals)) = decimal(number) else {
+        return Err(format!("expected {expected}, found \"{text}\"; units: {}", allowed()));
+    };
+    let Some((_, factor)) = units.iter().find(|(name, _)| *name == unit) else {
+        let fault = if unit.is_empty() { "no unit".to_owned() } else { format!("unknown unit `{unit}`") };
+        return Err(format!("{fault} in \"{text}\"; units: {}", allowed()));
+    };
+    let value = u128::from(digits) * u128::from(*factor) / 10_u128.pow(decimals);
+    u64::try_from(value).map_err(|_| format!("\"{text}\" is too large"))
+}
+
+/// Digits of a decimal number without its point, and how many of them follow the point.
+fn decimal(text: &str) -> Option<(u64, u32)> {
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    if whole.is_empty() || fraction.is_empty() || whole.len() + fraction.len() > MAX_DIGITS {
+        return None;
+    }
+    let digits = format!("{whole}{fraction}").parse().ok()?;
+    Some((digits, fraction.len() as u32))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against confusion of decimal and binary units and against rounding of fractions.
+    #[test]
+    fn units_have_their_factors() {
+        assert_eq!(bytes("60 GB"), Ok(60_000_000_000));
+        assert_eq!(bytes("512MiB"), Ok(512 << 20));
+        assert_eq!(duration("0.5 ms"), Ok(Duration::from_micros(500)));
+        assert_eq!(duration("1 min"), Ok(Duration::from_secs(60)));
+        assert_eq!(bandwidth("30 Mbit/s"), Ok(30_000_000));
+    }
+
+    /// Guards against a bare number that would be read in some default unit.
+    #[test]
+    fn faults_list_the_units() {
+        for text in ["60", "60 gb", "", "GB", "-1 GB", "1.2.3 GB", "1e3 GB", ".5 GB"] {
+            let fault = bytes(text).unwrap_err();
+            assert!(fault.contains("KiB, MiB"), "{text}: {fault}");
+        }
+        assert!(bytes("99999999 TB").unwrap_err().contains("too large"));
+    }
+}
--- /dev/null
+++ b/src/declare/value.rs
@@ -0,0 +1,165 @@
+//! Values: functions from a TOML value to a Rust value or a message that says what is expected.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use toml::de::DeValue;
+
+use super::unit;
+
+/// Longest name; names are part of URLs and store keys.
+const MAX_NAME_BYTES: usize = 64;
+
+/// Bytes in a MiB.
+const MIB: u64 = 1 << 20;
+
+/// Reads a text that is not empty.
+pub(crate) fn text(value: &DeValue<'_>) -> Result<String, String> {
+    let Some(text) = value.as_str() else { return Err(mismatch("a string", value)) };
+    if text.is_empty() {
+        return Err("the string is empty".to_owned());
+    }
+    Ok(text.to_owned())
+}
+
+/// Reads a name that can be part of a URL and of a store key.
+pub(crate) fn name(value: &DeValue<'_>) -> Result<String, String> {
+    let name = text(value)?;
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if name.len() > MAX_NAME_BYTES || !name.chars().all(is_allowed) || name.starts_with('.') {
+        return Err(format!(
+            "a name has at most {MAX_NAME_BYTES} letters, digits, `-`, `_` or `.`, and no `.` at its start"
+        ));
+    }
+    Ok(name)
+}
+
+/// Reads a path that starts with `/`.
+pub(crate) fn path(value: &DeValue<'_>) -> Result<String, String> {
+    let path = text(value)?;
+    if !path.starts_with('/') {
+        return Err(format!("the path \"{path}\" does not start with `/`"));
+    }
+    if path.contains(|c: char| c.is_control() || c.is_whitespace() || matches!(c, '?' | '#')) {
+        return Err("a path has no white space, control characters, `?` or `#`".to_owned());
+    }
+    Ok(path)
+}
+
+/// Reads a boolean.
+pub(crate) fn flag(value: &DeValue<'_>) -> Result<bool, String> {
+    value.as_bool().ok_or_else(|| mismatch("true or false", value))
+}
+
+/// Reads a whole number in `range`.
+pub(crate) fn whole<T: Copy + Display + PartialOrd + TryFrom<i64>>(
+    range: RangeInclusive<T>,
+) -> impl Fn(&DeValue<'_>) -> Result<T, String> {
+    move |value| {
+        let Some(integer) = value.as_integer() else { return Err(mismatch("a whole number", value)) };
+        i64::from_str_radix(integer.as_str(), integer.radix())
+            .ok()
+            .and_then(|number| T::try_from(number).ok())
+            .filter(|number| range.contains(number))
+            .ok_or_else(|| format!("{integer} is not allowed; expected {} to {}", range.start(), range.end()))
+    }
+}
+
+/// Reads a number of cores, in thousandths.
+pub(crate) fn millicores(value: &DeValue<'_>) -> Result<u32, String> {
+    let number: f64 = match value {
+        DeValue::Integer(integer) if integer.radix() == 10 => integer.as_str().parse().unwrap_or(f64::NAN),
+        DeValue::Float(float) => float.as_str().parse().unwrap_or(f64::NAN),
+        _ => return Err(mismatch("a number of cores such as 16 or 0.5", value)),
+    };
+    let thousandths = (number * 1000.0).round();
+    if !(1.0..=f64::from(u32::MAX)).contains(&thousandths) {
+        return Err(format!("{number} cores are not possible; expected 0.001 to {}", u32::MAX / 1000));
+    }
+    Ok(thousandths as u32)
+}
+
+/// Reads an amount of memory in MiB, rounded down.
+///
+/// Capacities and demands are rounded alike, so that tasks which add up to a VM in the units of the file fit on it.
+pub(crate) fn memory_mib(value: &DeValue<'_>) -> Result<u32, String> {
+    let bytes = quantity(value, "a size such as \"60 GB\"", unit::bytes)?;
+    match u32::try_from(bytes / MIB) {
+        Ok(0) => Err("memory is smaller than 1 MiB".to_owned()),
+        Ok(mib) => Ok(mib),
+        Err(_) => Err("memory is too large".to_owned()),
+    }
+}
+
+/// Reads a size in bytes below 4 GiB.
+pub(crate) fn bytes(value: &DeValue<'_>) -> Result<u32, String> {
+    let bytes = quantity(value, "a size such as \"2 KB\"", unit::bytes)?;
+    u32::try_from(bytes).map_err(|_| "the size is too large; the most is 4 GiB".to_owned())
+}
+
+/// Reads a size in bytes that is not zero.
+pub(crate) fn some_bytes(value: &DeValue<'_>) -> Result<u32, String> {
+    bytes(value).and_then(|bytes| if bytes == 0 { Err("the size is zero".to_owned()) } else { Ok(bytes) })
+}
+
+/// Reads a duration that is not zero.
+pub(crate) fn duration(value: &DeValue<'_>) -> Result<Duration, String> {
+    let duration = quantity(value, "a duration such as \"40 s\"", unit::duration)?;
+    if duration.is_zero() { Err("the duration is zero".to_owned()) } else { Ok(duration) }
+}
+
+/// Reads a bandwidth in bits per second that is not zero.
+pub(crate) fn bandwidth(value: &DeValue<'_>) -> Result<u64, String> {
+    let bandwidth = quantity(value, "a bandwidth such as \"30 Mbit/s\"", unit::bandwidth)?;
+    if bandwidth == 0 { Err("the bandwidth is zero".to_owned()) } else { Ok(bandwidth) }
+}
+
+/// Reads an IP address with a port; never `None`, which stands for a value that was reported.
+pub(crate) fn address(value: &DeValue<'_>) -> Result<Option<SocketAddr>, String> {
+    let text = text(value)?;
+    let address: SocketAddr = text.parse().map_err(|_| {
+        format!("expected an IP address with a port such as \"127.0.0.1:8080\", found \"{text}\"")
+    })?;
+    Ok(Some(address))
+}
+
+/// Reads an IP address with a port to connect to.
+pub(crate) fn target(value: &DeValue<'_>) -> Result<Option<SocketAddr>, String> {
+    let address = address(value)?;
+    match address {
+        Some(target) if target.port() == 0 || target.ip().is_unspecified() => {
+            Err(format!("{target} is no address to connect to"))
+        }
+        _ => Ok(address),
+    }
+}
+
+/// Message for a value of the wrong type.
+pub(crate) fn mismatch(expected: &str, value: &DeValue<'_>) -> String {
+    let found = match value {
+        DeValue::String(_) => "a string",
+        DeValue::Integer(_) => "a whole number",
+        DeValue::Float(_) => "a decimal number",
+        DeValue::Boolean(_) => "a boolean",
+        DeValue::Datetime(_) => "a date or time",
+        DeValue::Array(_) => "a list",
+        DeValue::Table(_) => "a table",
+    };
+    format!("expected {expected}, found {found}")
+}
+
+/// Parses a quantity; a bare number gets the message that lists the units.
+fn quantity<T>(
+    value: &DeValue<'_>,
+    expected: &str,
+    parse: impl Fn(&str) -> Result<T, String>,
+) -> Result<T, String> {
+    match value {
+        DeValue::String(text) => parse(text),
+        DeValue::Integer(number) => parse(number.as_str()),
+        DeValue::Float(number) => parse(number.as_str()),
+        _ => Err(mismatch(expected, value)),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! Scheduler that colocates latency-critical services and batch tasks.
 //!
-//! Decisions are in [`core`], one reducer over all events. What operators declare is in [`declare`].
+//! Decisions are in [`core`], one reducer over all events. What operators declare is in [`declare`],
+//! and the settings of one entry VM are in [`settings`].
 
 pub mod core;
 pub mod declare;
@@ -8,3 +9,4 @@
 pub mod finding;
 pub mod hash;
 pub mod port;
+pub mod settings;
--- /dev/null
+++ b/src/settings/limit.rs
@@ -0,0 +1,43 @@
+//! Limits on callers.
+
+use std::time::Duration;
+
+use crate::declare::report::Report;
+use crate::declare::table::Table;
+use crate::declare::value;
+
+/// Limits on callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest request body in bytes.
+    pub body_bytes: u32,
+    /// Largest request header in bytes.
+    pub header_bytes: u32,
+    /// Longest time for a request header to arrive.
+    pub header_timeout: Duration,
+    /// Most requests in flight; further ones are refused.
+    pub in_flight: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 8_000_000,
+            header_bytes: 16_000,
+            header_timeout: Duration::from_secs(5),
+            in_flight: 4096,
+        }
+    }
+}
+
+pub(super) fn read(root: &Table<'_>, report: &mut Report) -> Limits {
+    let default = Limits::default();
+    let Some(table) = root.table(report, "limits") else { return default };
+    table.only(report, &["body", "header", "header_timeout", "in_flight"]);
+    Limits {
+        body_bytes: table.or(report, "body", default.body_bytes, value::some_bytes).value,
+        header_bytes: table.or(report, "header", default.header_bytes, value::some_bytes).value,
+        header_timeout: table.or(report, "header_timeout", default.header_timeout, value::duration).value,
+        in_flight: table.or(report, "in_flight", default.in_flight, value::whole(1..=u32::MAX)).value,
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,69 @@
+//! Settings of one entry VM: its name, zone, addresses, log and limits.
+//!
+//! Settings differ between VMs and are read once at the start; what must be equal everywhere is declared instead.
+
+pub mod level;
+pub mod limit;
+pub mod listen;
+pub mod log;
+pub mod platform;
+pub mod tls;
+
+use crate::declare::check::{self, Source};
+use crate::declare::report::Report;
+use crate::declare::table::Table;
+use crate::declare::value;
+use crate::finding::Finding;
+use limit::Limits;
+use listen::Listen;
+use log::Log;
+use platform::Platform;
+use tls::Tls;
+
+/// Settings of one entry VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of the VM, as in the platform's VM list.
+    pub name: String,
+    /// Name of its availability zone.
+    pub zone: String,
+    /// Addresses it listens on.
+    pub listen: Listen,
+    /// Addresses of the platform.
+    pub platform: Platform,
+    /// Files for TLS between entry VMs and towards callers; plain TCP when absent.
+    pub tls: Option<Tls>,
+    /// What is logged, and where.
+    pub log: Log,
+    /// Limits on callers.
+    pub limits: Limits,
+}
+
+/// Parses and checks settings; `file` names them in findings.
+///
+/// # Errors
+///
+/// All findings, sorted by position.
+pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Finding>> {
+    let sources = [Source { name: file, text, stored: false }];
+    let mut report = Report::default();
+    let settings = check::parse(0, text, &mut report)
+        .and_then(|tree| read(&Table::root(0, tree.get_ref()), &mut report));
+    match settings {
+        Some(settings) if report.len() == 0 => Ok(settings),
+        _ => Err(report.finish(&sources)),
+    }
+}
+
+/// Reads all sections; `None` if a required address was reported.
+fn read(root: &Table<'_>, report: &mut Report) -> Option<Settings> {
+    root.only(report, &["name", "zone", "listen", "platform", "tls", "log", "limits"]);
+    let name = root.need(report, "name", value::name).value;
+    let zone = root.need(report, "zone", value::name).value;
+    let listen = listen::read(root, report);
+    let platform = platform::read(root, report);
+    let tls = tls::read(root, report);
+    let log = log::read(root, report);
+    let limits = limit::read(root, report);
+    Some(Settings { name, zone, listen: listen?, platform: platform?, tls, log, limits })
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,46 @@
+//! Settings of one entry VM.
+
+use insta::assert_snapshot;
+use nutmegfold::finding::Finding;
+use nutmegfold::settings::{self, limit::Limits, log::Log};
+
+const EXAMPLE: &str = include_str!("../examples/settings.toml");
+
+fn findings(text: &str) -> String {
+    let findings = settings::parse("settings.toml", text).expect_err("the text has faults");
+    findings.iter().map(Finding::to_string).collect::<Vec<_>>().join("\n")
+}
+
+/// Guards against an example that the binary refuses.
+#[test]
+fn example_has_no_findings() {
+    let settings = settings::parse("settings.toml", EXAMPLE).expect("the example is valid");
+    assert_eq!(settings.listen.peer.to_string(), "127.0.0.1:8082");
+    assert_eq!(settings.limits, Limits::default());
+    assert_eq!(settings.tls, None);
+}
+
+/// Guards against defaults that depend on an empty section being written.
+#[test]
+fn optional_sections_have_defaults() {
+    let short = &EXAMPLE[..EXAMPLE.find("# [tls]").expect("the example shows TLS")];
+    let settings = settings::parse("settings.toml", short).expect("the rest is optional");
+    assert_eq!((settings.log, settings.limits), (Log::default(), Limits::default()));
+}
+
+/// Guards against a report that stops at the first fault.
+#[test]
+fn faulty_settings_give_all_findings() {
+    let faulty = EXAMPLE
+        .replace("\"127.0.0.1:8081\"", "\"localhost:8081\"")
+        .replace("8082", "8080")
+        .replace("127.0.0.1:7070", "0.0.0.0:7070")
+        .replace("listing =", "list =")
+        .replace("\"info\"", "\"loud\"")
+        .replace("\"8 MB\"", "8")
+        .replace("4096", "0")
+        .replace("# key = ", "[tls]\nkey = ");
+    assert_snapshot!(findings(&faulty));
+    assert_snapshot!(findings(""), @"");
+    assert_snapshot!(findings("name = \n[listen\n"), @"");
+}
