Test declarations and settings

Cause: findings must be complete and well placed, and homes must not move. Change: golden files of findings, property tests on damaged files, tests of homes, spread and examples; syntax errors below a broken header name it.

--- a/src/declare/check.rs
+++ b/src/declare/check.rs
@@ -65,10 +65,15 @@
 
 /// Path of the last key on the line of `offset`, or of the table above it.
 fn nearest_key(text: &str, tree: &DeTable<'_>, offset: usize) -> String {
-    let end = text.floor_char_boundary(offset);
-    let line_start = text[..end].rfind('\n').map_or(0, |at| at + 1);
+    let before = &text[..text.floor_char_boundary(offset)];
+    let line_start = before.rfind('\n').map_or(0, |at| at + 1);
     let mut marks = Vec::new();
     collect_marks(tree, "", &mut marks);
+    let header_start = last_header(text, line_start);
+    let is_header_known = header_start == 0 || marks.iter().any(|m| m.is_table && m.start >= header_start);
+    if !is_header_known {
+        return header_name(&text[header_start..]);
+    }
     let is_near = |mark: &&Mark| mark.start <= offset && (mark.is_table || mark.start >= line_start);
     marks
         .iter()
@@ -78,6 +83,23 @@
         .unwrap_or_default()
 }
 
+/// Start of the last table header up to the line at `line_start`, or 0.
+fn last_header(text: &str, line_start: usize) -> usize {
+    let is_header = |at: &usize| {
+        let line = text[*at..].trim_start_matches([' ', '\t']);
+        // Nested lists also start with a bracket, but hold no bare words.
+        line.starts_with('[') && line.trim_start_matches('[').starts_with(|c: char| c.is_ascii_alphabetic())
+    };
+    let mut starts = text[..line_start].rmatch_indices('\n').map(|(at, _)| at + 1);
+    starts.find(is_header).unwrap_or_default()
+}
+
+/// Name in a header that the parser could not read.
+fn header_name(text: &str) -> String {
+    let line = text.lines().next().unwrap_or_default();
+    line.trim_matches(|c: char| matches!(c, '[' | ']') || c.is_whitespace()).to_owned()
+}
+
 /// Start of a key or table.
 struct Mark {
     start: usize,
--- a/src/declare/draft/mod.rs
+++ b/src/declare/draft/mod.rs
@@ -16,8 +16,7 @@
 pub(crate) const HOMES: &str = "homes";
 
 /// Keys of a document.
-const KEYS: [&str; 10] =
-    ["name", "region", "link", "zone", "pool", "team", "service", "job", "sample", HOMES];
+const KEYS: [&str; 9] = ["name", "region", "link", "zone", "pool", "team", "service", "job", "sample"];
 
 /// An item with its place.
 pub(crate) struct Item<T> {
@@ -71,7 +70,7 @@
 
 /// Reads a document; `stored` allows generated homes.
 pub(crate) fn read(root: &Table<'_>, stored: bool, report: &mut Report) -> Document {
-    root.only(report, &KEYS);
+    root.only_except(report, &KEYS, |key| key == HOMES);
     if !stored {
         reject_homes(root, report);
     }
--- a/src/declare/fit.rs
+++ b/src/declare/fit.rs
@@ -131,7 +131,7 @@
             *left = had.checked_sub(amount * min);
             if left.is_none() {
                 let message = format!(
-                    "with this service, the least replicas of all services need more {name} than there is"
+                    "with this service, the least replicas of all services need more {name} than the pools have"
                 );
                 report.add(&replicas.place, message);
             }
--- a/src/declare/home.rs
+++ b/src/declare/home.rs
@@ -23,6 +23,9 @@
 /// Fewest entries of a list of homes for a job with more tasks; shares then differ from capacity by a few percent.
 const MIN_ENTRIES: usize = 16;
 
+/// Tasks for each further entry. A cell holds hundreds of tasks at once, and each entry is stored and kept in memory.
+const TASKS_PER_ENTRY: usize = 32;
+
 /// Appends the homes of the document's jobs to its text.
 ///
 /// `plan` is compiled from `text` and all other documents. Homes of a job and run that are in `previous`, the stored text
@@ -69,11 +72,20 @@
     if cells.is_empty() {
         return Vec::new();
     }
-    let entries = cells.len() * MIN_ENTRIES.div_ceil(cells.len());
-    let counts = sample(&weights, entries.min(job.tasks as usize));
+    let counts = sample(&weights, entries(cells.len(), job.tasks as usize));
     interleave(&cells, &reduce(counts))
 }
 
+/// Length of the list of homes; a multiple of a small number of cells, so that equal cells get equal shares.
+fn entries(cells: usize, tasks: usize) -> usize {
+    let entries = if cells < MIN_ENTRIES {
+        cells * MIN_ENTRIES.div_ceil(cells)
+    } else {
+        (tasks / TASKS_PER_ENTRY).clamp(MIN_ENTRIES, cells)
+    };
+    entries.min(tasks)
+}
+
 fn ranked(rooms: &[Room], job: &Job) -> Vec<(cell::Id, u64)> {
     let all = rooms.iter().flat_map(|room| {
         (0..room.cells).map(move |index| (cell::Id { zone: room.id, index }, room.per_cell))
--- a/src/declare/table.rs
+++ b/src/declare/table.rs
@@ -22,31 +22,47 @@
 
     /// Reports keys that are not in `known`.
     pub fn only(&self, report: &mut Report, known: &[&str]) {
+        self.only_except(report, known, |_| false);
+    }
+
+    /// Reports keys that are not in `known`, except those that are handled elsewhere.
+    pub fn only_except(&self, report: &mut Report, known: &[&str], is_handled: impl Fn(&str) -> bool) {
         for key in self.entries.keys() {
             let name: &str = key.get_ref();
-            if known.contains(&name) {
+            if known.contains(&name) || is_handled(name) {
                 continue;
             }
             let place = self.inside(name, key.span().start);
-            let hint = likeness::hint(name, known.iter().copied());
-            report.add(&place, format!("unknown key{hint}; known keys: {}", known.join(", ")));
+            let mut hint = likeness::hint(name, known.iter().copied());
+            if hint.is_empty() {
+                hint = format!("; known keys: {}", known.join(", "));
+            }
+            report.add(&place, format!("unknown key{hint}"));
         }
     }
 
-    /// Reads a key that must be there; a fault gives the type's default value.
+    /// Reads a key that must be there; `None` when it was reported.
+    pub fn must<T>(
+        &self,
+        report: &mut Report,
+        key: &str,
+        read: impl Fn(&DeValue<'t>) -> Result<T, String>,
+    ) -> Option<Spot<T>> {
+        if !self.entries.contains_key(key) {
+            report.add(&self.place_of(key), "the key is missing");
+        }
+        self.maybe(report, key, read)
+    }
+
+    /// Reads a key that must be there; the type's default value stands for one that was reported.
     pub fn need<T: Default>(
         &self,
         report: &mut Report,
         key: &str,
         read: impl Fn(&DeValue<'t>) -> Result<T, String>,
     ) -> Spot<T> {
-        self.maybe(report, key, read).unwrap_or_else(|| {
-            let place = self.inside(key, self.place.offset);
-            if !self.entries.contains_key(key) {
-                report.add(&place, "the key is missing");
-            }
-            Spot { value: T::default(), place }
-        })
+        self.must(report, key, read)
+            .unwrap_or_else(|| Spot { value: T::default(), place: self.place_of(key) })
     }
 
     /// Reads a key that has a default value.
@@ -57,8 +73,7 @@
         default: T,
         read: impl Fn(&DeValue<'t>) -> Result<T, String>,
     ) -> Spot<T> {
-        self.maybe(report, key, read)
-            .unwrap_or_else(|| Spot { value: default, place: self.inside(key, self.place.offset) })
+        self.maybe(report, key, read).unwrap_or_else(|| Spot { value: default, place: self.place_of(key) })
     }
 
     /// Reads a key that may be absent.
@@ -104,7 +119,7 @@
     /// The table behind a key that must be there.
     pub fn section(&self, report: &mut Report, key: &str) -> Option<Table<'t>> {
         if !self.entries.contains_key(key) {
-            report.add(&self.inside(key, self.place.offset), "the table is missing");
+            report.add(&self.place_of(key), "the table is missing");
         }
         self.table(report, key)
     }
--- a/src/declare/value.rs
+++ b/src/declare/value.rs
@@ -15,6 +15,9 @@
 /// Bytes in a MiB.
 const MIB: u64 = 1 << 20;
 
+/// Difference in thousandths of a core that binary fractions explain.
+const MAX_CORE_ERROR: f64 = 1e-3;
+
 /// Reads a text that is not empty.
 pub(crate) fn text(value: &DeValue<'_>) -> Result<String, String> {
     let Some(text) = value.as_str() else { return Err(mismatch("a string", value)) };
@@ -70,15 +73,20 @@
 /// Reads a number of cores, in thousandths.
 pub(crate) fn millicores(value: &DeValue<'_>) -> Result<u32, String> {
     let number: f64 = match value {
-        DeValue::Integer(integer) if integer.radix() == 10 => integer.as_str().parse().unwrap_or(f64::NAN),
+        DeValue::Integer(integer) => i64::from_str_radix(integer.as_str(), integer.radix())
+            .map_or(f64::INFINITY, |number| number as f64),
         DeValue::Float(float) => float.as_str().parse().unwrap_or(f64::NAN),
         _ => return Err(mismatch("a number of cores such as 16 or 0.5", value)),
     };
-    let thousandths = (number * 1000.0).round();
-    if !(1.0..=f64::from(u32::MAX)).contains(&thousandths) {
+    let thousandths = number * 1000.0;
+    let rounded = thousandths.round();
+    if !(1.0..=f64::from(u32::MAX)).contains(&rounded) {
         return Err(format!("{number} cores are not possible; expected 0.001 to {}", u32::MAX / 1000));
     }
-    Ok(thousandths as u32)
+    if (thousandths - rounded).abs() > MAX_CORE_ERROR {
+        return Err(format!("{number} is not a multiple of 0.001 cores"));
+    }
+    Ok(rounded as u32)
 }
 
 /// Reads an amount of memory in MiB, rounded down.
@@ -116,24 +124,21 @@
     if bandwidth == 0 { Err("the bandwidth is zero".to_owned()) } else { Ok(bandwidth) }
 }
 
-/// Reads an IP address with a port; never `None`, which stands for a value that was reported.
-pub(crate) fn address(value: &DeValue<'_>) -> Result<Option<SocketAddr>, String> {
+/// Reads an IP address with a port.
+pub(crate) fn address(value: &DeValue<'_>) -> Result<SocketAddr, String> {
     let text = text(value)?;
-    let address: SocketAddr = text.parse().map_err(|_| {
+    text.parse().map_err(|_| {
         format!("expected an IP address with a port such as \"127.0.0.1:8080\", found \"{text}\"")
-    })?;
-    Ok(Some(address))
+    })
 }
 
 /// Reads an IP address with a port to connect to.
-pub(crate) fn target(value: &DeValue<'_>) -> Result<Option<SocketAddr>, String> {
-    let address = address(value)?;
-    match address {
-        Some(target) if target.port() == 0 || target.ip().is_unspecified() => {
-            Err(format!("{target} is no address to connect to"))
-        }
-        _ => Ok(address),
+pub(crate) fn target(value: &DeValue<'_>) -> Result<SocketAddr, String> {
+    let target = address(value)?;
+    if target.port() == 0 || target.ip().is_unspecified() {
+        return Err(format!("{target} is no address to connect to"));
     }
+    Ok(target)
 }
 
 /// Message for a value of the wrong type.
--- a/src/settings/listen.rs
+++ b/src/settings/listen.rs
@@ -20,19 +20,20 @@
 pub(super) fn read(root: &Table<'_>, report: &mut Report) -> Option<Listen> {
     let table = root.section(report, "listen")?;
     table.only(report, &["caller", "admin", "peer"]);
-    let caller = table.need(report, "caller", value::address);
-    let admin = table.need(report, "admin", value::address);
-    let peer = table.need(report, "peer", value::address);
-    check_distinct(&[&caller, &admin, &peer], report);
-    Some(Listen { caller: caller.value?, admin: admin.value?, peer: peer.value? })
+    let caller = table.must(report, "caller", value::address);
+    let admin = table.must(report, "admin", value::address);
+    let peer = table.must(report, "peer", value::address);
+    check_distinct([&caller, &admin, &peer].into_iter().flatten(), report);
+    Some(Listen { caller: caller?.value, admin: admin?.value, peer: peer?.value })
 }
 
 /// Reports addresses that are given twice; port 0 asks for any free port.
-fn check_distinct(spots: &[&Spot<Option<SocketAddr>>], report: &mut Report) {
-    for (at, spot) in spots.iter().enumerate() {
-        let Some(address) = spot.value.filter(|address| address.port() != 0) else { continue };
-        if let Some(other) = spots[..at].iter().find(|other| other.value == Some(address)) {
+fn check_distinct<'a>(spots: impl Iterator<Item = &'a Spot<SocketAddr>>, report: &mut Report) {
+    let mut seen: Vec<&Spot<SocketAddr>> = Vec::new();
+    for spot in spots.filter(|spot| spot.value.port() != 0) {
+        if let Some(other) = seen.iter().find(|other| other.value == spot.value) {
             report.add(&spot.place, format!("the address is the same as `{}`", other.place.key));
         }
+        seen.push(spot);
     }
 }
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -18,7 +18,7 @@
 pub(super) fn read(root: &Table<'_>, report: &mut Report) -> Option<Platform> {
     let table = root.section(report, "platform")?;
     table.only(report, &["store", "listing"]);
-    let store = table.need(report, "store", value::target).value;
-    let listing = table.need(report, "listing", value::target).value;
-    Some(Platform { store: store?, listing: listing? })
+    let store = table.must(report, "store", value::target);
+    let listing = table.must(report, "listing", value::target);
+    Some(Platform { store: store?.value, listing: listing?.value })
 }
--- a/tests/declare.rs
+++ b/tests/declare.rs
@@ -7,6 +7,7 @@
 use nutmegfold::declare::{home, service, spread, zone};
 use nutmegfold::finding::Finding;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const PLATFORM: &str = include_str!("declare/platform.toml");
 const WORK: &str = include_str!("declare/work.toml");
@@ -256,7 +257,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(400))]
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        ..ProptestConfig::default()
+    })]
 
     /// Guards against panics and misplaced findings on damaged files, stored ones included.
     #[test]
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -41,6 +41,6 @@
         .replace("4096", "0")
         .replace("# key = ", "[tls]\nkey = ");
     assert_snapshot!(findings(&faulty));
-    assert_snapshot!(findings(""), @"");
-    assert_snapshot!(findings("name = \n[listen\n"), @"");
+    assert_snapshot!(findings(""));
+    assert_snapshot!(findings("name = \n[listen\n"));
 }
