Build the reducer: members, configuration, cells, tasks, requests

Cause: the design needs its decisions in one reducer before ports can be wired. Change: areas for membership, configuration and apply, cell ownership and recovery, the log, worker leases, batch tasks, replicas, placement, grants, routes, exchanges, administration and graceful shutdown.

--- a/src/core/admin.rs
+++ b/src/core/admin.rs
@@ -1,6 +1,14 @@
 //! Operators' commands and their answers.
 
-use super::{cell, member};
+use super::cell::Role;
+use super::effect::Effect;
+use super::journal::Standing;
+use super::member::Health;
+use super::state::{State, record};
+use super::task::Stage;
+use super::trace::Subject;
+use super::{apply, cell, member, place, replica, task, worker};
+use crate::declare::job;
 
 /// Names an operator's call at its port.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -115,3 +123,181 @@
     /// Service replicas running, of those declared.
     pub replicas: (u32, u32),
 }
+
+/// Counters since the start of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Tally {
+    /// Exchanges answered.
+    pub answered: u64,
+    /// Exchanges refused as "not run".
+    pub refused: u64,
+    /// Exchanges with an unknown outcome.
+    pub unknown: u64,
+}
+
+/// Carries out an operator's command.
+pub(crate) fn command(state: &mut State, ticket: Ticket, command: Command, out: &mut Vec<Effect>) {
+    match command {
+        Command::Apply { name, text, base, author, applied_s } => {
+            let draft = apply::Draft { name, text, base, author, applied_s };
+            apply::submit(state, ticket, draft, out);
+        }
+        Command::Status => answer(ticket, Answer::Status(Box::new(status(state))), out),
+        Command::Why { job, index } => answer(ticket, why(state, &job, index), out),
+        Command::Drain { vm } => {
+            let verdict = drain(state, &vm, out);
+            answer(ticket, verdict, out);
+        }
+    }
+}
+
+/// Gives an operator an answer.
+pub(crate) fn answer(ticket: Ticket, answer: Answer, out: &mut Vec<Effect>) {
+    out.push(Effect::Admin { ticket, answer });
+}
+
+/// State of this process.
+pub fn status(state: &State) -> Status {
+    let plan = &state.config.plan;
+    let health = |health: Health| match health {
+        Health::Live => "live",
+        Health::Suspect => "suspect",
+        Health::Leaving => "leaving",
+    };
+    let mut members: Vec<_> = state
+        .members
+        .iter()
+        .map(|m| (m.id, m.name.clone(), health(m.health).to_owned(), m.version))
+        .collect();
+    members.sort_unstable();
+    let mut cells: Vec<Cell> =
+        state.cells.keys().into_iter().filter_map(|key| cell_status(state, key)).collect();
+    cells.sort_unstable_by_key(|cell| cell.id);
+    let documents = &state.config.index.documents;
+    Status {
+        name: state.me.name.clone(),
+        zone: plan.zone(state.me.zone).map(|(_, zone)| zone.name.clone()).unwrap_or_default(),
+        version: state.config.index.version,
+        ready: state.is_ready(),
+        members,
+        cells,
+        in_flight: state.exchanges.len() as u64,
+        answered: state.tally.answered,
+        refused: state.tally.refused,
+        unknown: state.tally.unknown,
+        documents: documents.iter().map(|d| (d.name.clone(), d.version, d.author.clone())).collect(),
+    }
+}
+
+fn cell_status(state: &State, key: cell::Key) -> Option<Cell> {
+    let cell = state.cells.get(key)?;
+    let role = match cell.role {
+        Role::Recovering => "recovering",
+        Role::Caretaker => "caretaker",
+        Role::Owner => "owner",
+    };
+    let held = state.workers.of(cell.id).filter(|(_, worker)| worker.is_held(state.now)).count() as u32;
+    let all = state.workers.of(cell.id).count() as u32;
+    let (id, epoch, tasks) = (cell.id, cell.epoch, task_counts(state, cell));
+    Some(Cell { id, role, epoch, workers: (held, all), tasks, replicas: replica::count(state, key) })
+}
+
+/// Batch tasks by phase: queued, running, unknown, finished, failed, cancelled.
+fn task_counts(state: &State, cell: &cell::Cell) -> [u64; 6] {
+    let mut counts = [0; 6];
+    for task in cell.tasks.values().filter_map(|key| state.tasks.get(*key)) {
+        let at = match (task.standing, task.stage) {
+            (Standing::Queued { .. }, _) => 0,
+            (Standing::Assigned { .. }, Stage::Starting) => 2,
+            (Standing::Assigned { .. }, _) => 1,
+            (Standing::Finished, _) => 3,
+            (Standing::Failed(_), _) => 4,
+            (Standing::Cancelled, _) => 5,
+        };
+        counts[at] += 1;
+    }
+    // Tasks of closed jobs have no entry of their own.
+    for (job, adopted) in cell.jobs.iter().filter(|(_, adopted)| adopted.count == 0) {
+        let declared =
+            state.config.plan.job(*job).map_or(0, |(_, job)| task::home_indices(job, cell.id).count());
+        counts[if adopted.cancelled { 5 } else { 3 }] += declared as u64;
+    }
+    counts
+}
+
+/// Explains where a task stands.
+fn why(state: &State, name: &str, index: u32) -> Answer {
+    let plan = &state.config.plan;
+    let Some(job) = plan.jobs.iter().find(|job| job.name == name) else {
+        return Answer::NotFound(format!("no job {name} is declared"));
+    };
+    if index >= job.tasks {
+        return Answer::NotFound(format!("job {name} has tasks 0 to {}", job.tasks - 1));
+    }
+    let home = job.homes.get(index as usize % job.homes.len().max(1)).copied();
+    let Some((key, cell)) =
+        home.and_then(|home| state.cells.key(home)).and_then(|k| Some((k, state.cells.get(k)?)))
+    else {
+        return Answer::NotFound(format!("the home of task {index} is another entry VM; ask that one"));
+    };
+    let id = task::Id { job: job.id, index };
+    let Some(task) = cell.tasks.get(&id).and_then(|key| state.tasks.get(*key)) else {
+        return Answer::Why(closed_reason(cell, job.id));
+    };
+    Answer::Why(match task.standing {
+        Standing::Queued { .. } => waiting_reason(state, key, job),
+        standing => {
+            format!("{standing:?}, {:?}, attempt {}, {} failure(s)", task.stage, task.attempt, task.failures)
+        }
+    })
+}
+
+fn closed_reason(cell: &cell::Cell, job: job::Id) -> String {
+    match cell.jobs.get(&job) {
+        Some(adopted) if adopted.cancelled => "cancelled".into(),
+        Some(adopted) if adopted.count == 0 => "finished; all tasks of the job in this cell finished".into(),
+        _ => "not adopted yet; the adoption waits for the log".into(),
+    }
+}
+
+/// Counts the workers of a cell by the first reason that keeps the task off them.
+fn waiting_reason(state: &State, key: cell::Key, job: &job::Job) -> String {
+    let Some(cell) = state.cells.get(key) else { return String::new() };
+    if cell.role != Role::Owner {
+        return "queued; the store cannot be reached, and a batch start needs the log".into();
+    }
+    let now = state.now;
+    let plan = &state.config.plan;
+    let mut reasons: Vec<(&str, u32)> = Vec::new();
+    for (_, worker) in state.workers.of(cell.id) {
+        let reason = match worker {
+            w if !place::is_admitted(plan, &job.filter, w) => "not allowed by zones, racks or labels",
+            w if w.leaving || w.absent.is_some() => "leaving",
+            w if !w.is_held(now) => "no control lease",
+            w if !w.takes_batch(now) => "in quarantine",
+            w if !job.size.fits(&w.free()) => "no room",
+            _ => "room: to be placed with the next pass",
+        };
+        match reasons.iter_mut().find(|(known, _)| *known == reason) {
+            Some((_, count)) => *count += 1,
+            None => reasons.push((reason, 1)),
+        }
+    }
+    let listed: Vec<String> =
+        reasons.iter().map(|(reason, count)| format!("{count} worker(s): {reason}")).collect();
+    format!("queued with {} other(s); {}", cell.queue.len().saturating_sub(1), listed.join("; "))
+}
+
+/// Gives a VM no new work: a worker of this zone, or this process.
+fn drain(state: &mut State, vm: &str, out: &mut Vec<Effect>) -> Answer {
+    let id = worker::Id::of(vm);
+    let Some(key) = state.workers.key(id) else {
+        return Answer::NotFound(format!("no worker {vm} is listed in this zone"));
+    };
+    let Some(worker) = state.workers.get_mut(key) else { return Answer::NotFound(vm.to_owned()) };
+    worker.leaving = true;
+    let cell = worker.cell;
+    record(out, Subject::Worker(id), "worker-leaving", "drained by an operator");
+    place::schedule_id(state, cell);
+    Answer::Done
+}
--- a/src/core/control.rs
+++ b/src/core/control.rs
@@ -71,6 +71,8 @@
     pub cell: cell::Id,
     /// Cell epoch.
     pub epoch: u64,
+    /// Instance the call is meant for; another one treats the call as an inquiry. 0 for any.
+    pub instance: u64,
     /// Claim without proof that the epoch is still the newest.
     pub caretaker: bool,
     /// Rises with each call under one lease.
@@ -92,7 +94,7 @@
 pub enum Status {
     /// The caller holds the lease; commands were executed.
     Granted,
-    /// Nothing was changed, since `until_ms` was 0.
+    /// Nothing was changed, since `until_ms` was 0 or the call was meant for another instance.
     Inquiry,
     /// Another holder has the lease; nothing was executed.
     Held,
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -5,11 +5,19 @@
 
 use std::net::SocketAddr;
 
-use slotmap::new_key_type;
+use std::time::Duration;
 
+use slotmap::{SlotMap, new_key_type};
+
+use super::effect::Effect;
+use super::listing::{Kind, Vm};
+use super::peer::Message;
+use super::state::{State, record};
 use super::time::Instant;
+use super::timer::Timer;
+use super::trace::Subject;
 use crate::declare::zone;
-use crate::hash;
+use crate::hash::{self, Map};
 
 new_key_type! {
     /// Key of a member in this process.
@@ -53,8 +61,12 @@
     pub beat: u64,
     /// When the counter last rose.
     pub heard: Instant,
+    /// Since when it has been live without a break.
+    pub live_since: Instant,
     /// Health.
     pub health: Health,
+    /// Whether the VM list names it.
+    pub listed: bool,
     /// Highest configuration version it said it has in force.
     pub version: u64,
 }
@@ -67,3 +79,196 @@
     /// Its heartbeat counter.
     pub beat: u64,
 }
+
+/// This process as a member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// Identity of the instance.
+    pub id: Id,
+    /// Name in the VM list.
+    pub name: String,
+    /// Availability zone.
+    pub zone: zone::Id,
+    /// Heartbeat counter.
+    pub beat: u64,
+}
+
+/// Other members.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    arena: SlotMap<Key, Member>,
+    by_id: Map<Id, Key>,
+}
+
+impl Table {
+    /// All other members.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.arena.values()
+    }
+
+    /// Member with identity `id`.
+    pub fn get(&self, id: Id) -> Option<&Member> {
+        self.arena.get(*self.by_id.get(&id)?)
+    }
+
+    fn get_mut(&mut self, id: Id) -> Option<&mut Member> {
+        self.arena.get_mut(*self.by_id.get(&id)?)
+    }
+
+    fn insert(&mut self, member: Member) {
+        let id = member.id;
+        let key = self.arena.insert(member);
+        self.by_id.insert(id, key);
+    }
+
+    /// Moves every time of last contact forward by `late`.
+    pub(crate) fn forgive(&mut self, late: Duration) {
+        for member in self.arena.values_mut() {
+            member.heard = member.heard + late;
+        }
+    }
+}
+
+/// Live members of this process's zone, without this process.
+pub fn neighbours(state: &State) -> impl Iterator<Item = &Member> {
+    let zone = state.me.zone;
+    state.members.iter().filter(move |member| member.zone == zone && member.health == Health::Live)
+}
+
+/// Ranks this process and its live neighbours for `subject`; the first is responsible.
+pub fn ranked(state: &State, subject: u64) -> Vec<Id> {
+    let me = state.shutdown.is_running().then_some(state.me.id.0);
+    let candidates = neighbours(state).map(|member| member.id.0).chain(me);
+    hash::rendezvous(subject, candidates).into_iter().map(Id).collect()
+}
+
+/// Takes over a reading of the VM list.
+pub(crate) fn listed(state: &mut State, vms: &[Vm], out: &mut Vec<Effect>) {
+    let now = state.now;
+    for member in state.members.arena.values_mut() {
+        member.listed = false;
+    }
+    for vm in vms.iter().filter(|vm| vm.kind == Kind::Entry) {
+        let id = Id::of(&vm.name, vm.instance);
+        if id == state.me.id {
+            continue;
+        }
+        match state.members.get_mut(id) {
+            Some(member) => {
+                member.listed = true;
+                member.address = vm.address;
+                if vm.leaving {
+                    member.health = Health::Leaving;
+                }
+            }
+            None => {
+                record(out, Subject::Member(id), "add-member", format!("{} is listed", vm.name));
+                state.members.insert(member_of(vm, id, now));
+            }
+        }
+    }
+}
+
+fn member_of(vm: &Vm, id: Id, now: Instant) -> Member {
+    Member {
+        id,
+        name: vm.name.clone(),
+        zone: vm.zone,
+        address: vm.address,
+        beat: 0,
+        heard: now,
+        live_since: now,
+        // A VM that was never heard of gets no cells until its first heartbeat.
+        health: if vm.leaving { Health::Leaving } else { Health::Suspect },
+        listed: true,
+        version: 0,
+    }
+}
+
+/// Sends heartbeats and reviews the health of members.
+pub(crate) fn beat(state: &mut State, out: &mut Vec<Effect>) {
+    state.timers.set(state.now + state.tuning.heartbeat, Timer::Heartbeat);
+    review(state, out);
+    state.me.beat += 1;
+    let round = hash::numbers([state.me.id.0, state.me.beat]);
+    let message = Message::Heartbeat {
+        beat: state.me.beat,
+        version: state.config.index.version,
+        others: newest_beats(state),
+    };
+    for address in targets(state, round) {
+        out.push(Effect::Peer { to: address, message: message.clone() });
+    }
+}
+
+/// Members that the heartbeat of this round goes to: some of the own zone, one of another zone.
+fn targets(state: &State, round: u64) -> Vec<SocketAddr> {
+    let pick = |own_zone: bool, count: usize| {
+        let candidates = state
+            .members
+            .iter()
+            .filter(|member| (member.zone == state.me.zone) == own_zone && member.listed)
+            .map(|member| member.id.0);
+        hash::rendezvous(round, candidates).into_iter().take(count)
+    };
+    pick(true, state.tuning.heartbeat_fanout)
+        .chain(pick(false, 1))
+        .filter_map(|id| Some(state.members.get(Id(id))?.address))
+        .collect()
+}
+
+/// Counters of the neighbours that were heard of last, for members that are not reached directly.
+fn newest_beats(state: &State) -> Vec<Beat> {
+    const BEATS: usize = 8;
+    let mut newest: Vec<&Member> = neighbours(state).collect();
+    newest.sort_unstable_by_key(|member| (std::cmp::Reverse(member.heard), member.id));
+    newest.into_iter().take(BEATS).map(|member| Beat { id: member.id, beat: member.beat }).collect()
+}
+
+/// Suspects silent members and removes those that are neither heard of nor listed.
+fn review(state: &mut State, out: &mut Vec<Effect>) {
+    let (now, tuning) = (state.now, state.tuning);
+    for member in state.members.arena.values_mut() {
+        let silence = now.since(member.heard);
+        if member.health == Health::Live && silence > tuning.suspect {
+            member.health = Health::Suspect;
+            let reason = format!("{} was silent for {} ms", member.name, silence.as_millis());
+            record(out, Subject::Member(member.id), "suspect", reason);
+        }
+    }
+    let table = &mut state.members;
+    table.arena.retain(|_, member| member.listed || now.since(member.heard) <= tuning.remove);
+    table.by_id.retain(|_, key| table.arena.contains_key(*key));
+}
+
+/// Takes over a heartbeat and the counters it carries.
+pub(crate) fn heard(state: &mut State, from: Id, beat: u64, version: u64, others: &[Beat]) {
+    let now = state.now;
+    raise(state, from, beat, now);
+    if let Some(member) = state.members.get_mut(from) {
+        member.version = member.version.max(version);
+    }
+    for other in others {
+        raise(state, other.id, other.beat, now);
+    }
+}
+
+fn raise(state: &mut State, id: Id, beat: u64, now: Instant) {
+    let Some(member) = state.members.get_mut(id) else { return };
+    if beat <= member.beat {
+        return;
+    }
+    member.beat = beat;
+    member.heard = now;
+    if member.health == Health::Suspect {
+        member.health = Health::Live;
+        member.live_since = now;
+    }
+}
+
+/// A member said that it leaves.
+pub(crate) fn left(state: &mut State, from: Id, out: &mut Vec<Effect>) {
+    let Some(member) = state.members.get_mut(from) else { return };
+    member.health = Health::Leaving;
+    record(out, Subject::Member(from), "leave", "the member said that it is leaving");
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! over [`State`]; state lives in arenas and is named by small `Copy` keys.
 
 pub mod admin;
+pub mod apply;
 pub mod cell;
 pub mod config;
 pub mod control;
@@ -16,7 +17,13 @@
 pub mod listing;
 pub mod member;
 pub mod peer;
+pub mod place;
+pub mod recovery;
+pub mod replica;
+pub mod route;
 pub mod run;
+pub mod shutdown;
+pub mod state;
 pub mod store;
 pub mod task;
 pub mod time;
@@ -27,30 +34,80 @@
 
 use effect::Effect;
 use event::{Event, Input};
-use time::Instant;
+pub use state::State;
+use timer::Timer;
 
-/// State of one entry VM.
-#[derive(Debug, Clone, Default)]
-pub struct State {
-    /// Time of the input being reduced.
-    pub now: Instant,
-    /// What is due when.
-    pub timers: timer::Queue,
-    /// Times and limits.
-    pub tuning: tuning::Tuning,
+/// Reduces one input: changes `state` and adds what is to be done to `out`.
+pub fn reduce(state: &mut State, input: Input, out: &mut Vec<Effect>) {
+    state.advance(input.at, input.entropy);
+    run_timers(state, out);
+    match input.event {
+        Event::Wake => {}
+        Event::Request(request) => exchange::open(state, request, out),
+        Event::Abandoned(ticket) => exchange::abandon(state, ticket, out),
+        Event::Attempt { exchange, attempt, outcome } => {
+            exchange::attempt_ended(state, exchange, attempt, outcome, out);
+        }
+        Event::Parcel { from, address, message } => receive(state, from, address, message, out),
+        Event::Store { call, reply } => store::answered(state, call, reply, out),
+        Event::Worker { worker, sequence, reply, .. } => {
+            worker::answered(state, worker, sequence, reply, out)
+        }
+        Event::Listing(vms) => {
+            member::listed(state, &vms, out);
+            worker::listed(state, &vms, out);
+        }
+        Event::Admin { ticket, command } => admin::command(state, ticket, command, out),
+        Event::Stop => shutdown::begin(state, out),
+    }
+    worker::flush(state, out);
 }
 
-impl State {
-    /// When the reducer next wants an [`Event::Wake`].
-    pub fn next_due(&self) -> Option<Instant> {
-        self.timers.next_due()
+fn run_timers(state: &mut State, out: &mut Vec<Effect>) {
+    while let Some(timer) = state.timers.pop(state.now) {
+        match timer {
+            Timer::Heartbeat => member::beat(state, out),
+            Timer::ReadIndex => config::poll(state, out),
+            Timer::GrantAsk => grant::ask(state, out),
+            Timer::Ownership => cell::review(state, out),
+            Timer::Renew(worker) => worker::renew(state, worker, out),
+            Timer::Append(cell) => journal::flush(state, cell, out),
+            Timer::Recover(cell) => recovery::step(state, cell, out),
+            Timer::Place(cell) => place::pass(state, cell, out),
+            Timer::Deadline(exchange) => exchange::expire(state, exchange, out),
+            Timer::Apply => apply::retry(state, out),
+            Timer::Shutdown => shutdown::step(state, out),
+        }
     }
 }
 
-/// Reduces one input: changes `state` and adds what is to be done to `out`.
-pub fn reduce(state: &mut State, input: Input, out: &mut Vec<Effect>) {
-    state.now = input.at;
-    if let Event::Stop = input.event {
-        out.push(Effect::Ready(false));
+fn receive(
+    state: &mut State,
+    from: member::Id,
+    address: std::net::SocketAddr,
+    message: peer::Message,
+    out: &mut Vec<Effect>,
+) {
+    use peer::Message;
+    match message {
+        Message::Heartbeat { beat, version, others } => {
+            member::heard(state, from, beat, version, &others);
+            config::heard_version(state, version, address, out);
+        }
+        Message::Leave => member::left(state, from, out),
+        Message::ConfigAsk { have, documents } => config::asked(state, have, &documents, address, out),
+        Message::ConfigOffer { index, documents } => config::offered(state, index, documents, out),
+        Message::GrantAsk { cell, held, asked_us, routes } => {
+            grant::asked(state, grant::Ask { from, address, cell, held, asked_us, routes }, out);
+        }
+        Message::Grant { cell, epoch, slot, asked_us, ttl_ms } => {
+            grant::granted(state, cell, grant::Offer { epoch, slot, asked_us, ttl_ms }, out);
+        }
+        Message::Routes { cell, epoch, version, replicas } => {
+            route::update(state, cell, (epoch, version), &replicas, out);
+        }
+        Message::Handover { cell, epoch, next, snapshot } => {
+            recovery::handed_over(state, cell, epoch, next, snapshot, out);
+        }
     }
 }
--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -49,6 +49,8 @@
     Grant {
         /// The cell.
         cell: cell::Id,
+        /// Epoch of the owner; the grant applies to routes of the same epoch.
+        epoch: u64,
         /// The slot.
         slot: grant::Slot,
         /// `asked_us` of the request.
--- /dev/null
+++ b/src/core/recovery.rs
@@ -0,0 +1,167 @@
+//! Taking over a cell: reading its log, then appending the takeover.
+//!
+//! While the store cannot be reached, the process acts as caretaker: it keeps services and running tasks alive under the
+//! epoch that the workers know, and starts no batch task.
+
+use std::time::Duration;
+
+use super::cell::{self, Role};
+use super::effect::Effect;
+use super::journal::{self, Record, Segment, Snapshot};
+use super::state::{State, record};
+use super::store::{self, Purpose, Reply, Request};
+use super::timer::Timer;
+use super::trace::Subject;
+use super::{place, task};
+
+/// Time without success after which the process acts as caretaker.
+const CARETAKER_AFTER: Duration = Duration::from_secs(1);
+
+/// Begins to act for a cell.
+pub(crate) fn begin(state: &mut State, id: cell::Id, out: &mut Vec<Effect>) {
+    let key = cell::insert(state, id);
+    record(out, Subject::Cell(id), "recover", "this member ranks first for the cell");
+    store::call(state, Purpose::Recovery(key), Request::ReadSnapshot { cell: id }, out);
+}
+
+/// Goes on after a wait.
+pub(crate) fn step(state: &mut State, key: cell::Key, out: &mut Vec<Effect>) {
+    let Some(cell) = state.cells.get(key).filter(|cell| cell.role != Role::Owner) else { return };
+    let (cell, position) = (cell.id, cell.log.next);
+    // Position 0 is where recovery starts, so a snapshot may not have been looked for.
+    let request = match position {
+        0 => Request::ReadSnapshot { cell },
+        _ => Request::ReadSegment { cell, position },
+    };
+    store::call(state, Purpose::Recovery(key), request, out);
+}
+
+/// Takes over an answer of the store.
+pub(crate) fn answered(state: &mut State, key: cell::Key, reply: Reply, out: &mut Vec<Effect>) {
+    let Some(cell) = state.cells.get(key).filter(|cell| cell.role != Role::Owner) else { return };
+    let id = cell.id;
+    match reply {
+        Reply::Snapshot(snapshot) => {
+            load(state, key, snapshot);
+            read_next(state, key, out);
+        }
+        Reply::Segment(segment) => replay(state, key, segment, out),
+        Reply::Missing if cell.log.next == 0 && !cell.is_log_searched() => {
+            mark_searched(state, key);
+            read_next(state, key, out);
+        }
+        Reply::Missing => take_over(state, key),
+        Reply::Corrupt(reason) => {
+            record(out, Subject::Cell(id), "corrupt-log", reason);
+            wait(state, key, out);
+        }
+        _ => wait(state, key, out),
+    }
+}
+
+fn mark_searched(state: &mut State, key: cell::Key) {
+    if let Some(cell) = state.cells.get_mut(key) {
+        cell.snapshot_searched = true;
+    }
+}
+
+fn read_next(state: &mut State, key: cell::Key, out: &mut Vec<Effect>) {
+    let Some(cell) = state.cells.get(key) else { return };
+    let request = Request::ReadSegment { cell: cell.id, position: cell.log.next };
+    store::call(state, Purpose::Recovery(key), request, out);
+}
+
+/// Applies a segment that another owner wrote, and reads the next one.
+pub(crate) fn replay(state: &mut State, key: cell::Key, segment: Segment, out: &mut Vec<Effect>) {
+    for record in segment.records {
+        task::committed(state, key, record, out);
+    }
+    if let Some(cell) = state.cells.get_mut(key) {
+        cell.log.next += 1;
+    }
+    read_next(state, key, out);
+}
+
+/// The log is read to its end: appends the takeover there.
+fn take_over(state: &mut State, key: cell::Key) {
+    let member = state.me.id;
+    let Some(cell) = state.cells.get(key) else { return };
+    let takeover = Record::Takeover { epoch: cell.epoch + 1, member };
+    journal::push(state, key, takeover);
+}
+
+/// The store did not answer: tries again later, as caretaker if this has lasted.
+fn wait(state: &mut State, key: cell::Key, out: &mut Vec<Effect>) {
+    let wait = state.tuning.store_backoff.0 * 5;
+    state.timers.set(state.now + wait, Timer::Recover(key));
+    become_caretaker(state, key, out);
+}
+
+/// Acts as caretaker if recovery has taken too long.
+pub(crate) fn become_caretaker(state: &mut State, key: cell::Key, out: &mut Vec<Effect>) {
+    let now = state.now;
+    let Some(cell) = state.cells.get_mut(key) else { return };
+    if cell.role != Role::Recovering || now.since(cell.since) < CARETAKER_AFTER {
+        return;
+    }
+    cell.role = Role::Caretaker;
+    record(out, Subject::Cell(cell.id), "caretaker", "the store cannot be reached");
+    place::schedule(state, key);
+}
+
+/// The takeover is in the log.
+pub(crate) fn took_over(state: &mut State, key: cell::Key, epoch: u64, out: &mut Vec<Effect>) {
+    let Some(cell) = state.cells.get_mut(key) else { return };
+    cell.role = Role::Owner;
+    let reason = format!("epoch {epoch}, {} task(s), {} job(s)", cell.tasks.len(), cell.jobs.len());
+    record(out, Subject::Cell(cell.id), "take-over", reason);
+    begin_as_owner(state, key);
+}
+
+fn begin_as_owner(state: &mut State, key: cell::Key) {
+    super::worker::owner_changed(state, key);
+    cell::review_jobs(state, key);
+    place::schedule(state, key);
+}
+
+/// The previous owner handed the cell over and never acts under this epoch again.
+pub(crate) fn handed_over(
+    state: &mut State,
+    id: cell::Id,
+    epoch: u64,
+    next: u64,
+    snapshot: Snapshot,
+    out: &mut Vec<Effect>,
+) {
+    if id.zone != state.me.zone || !state.shutdown.is_running() {
+        return;
+    }
+    let key = match state.cells.key(id) {
+        None => cell::insert(state, id),
+        // Nothing was read or appended yet, so the predecessor's facts can be taken over whole.
+        Some(key) if state.cells.get(key).is_some_and(|cell| cell.is_untouched()) => key,
+        Some(_) => return,
+    };
+    load(state, key, snapshot);
+    let Some(cell) = state.cells.get_mut(key) else { return };
+    cell.log.next = next;
+    cell.epoch = epoch;
+    cell.role = Role::Owner;
+    record(out, Subject::Cell(id), "handed-over", format!("epoch {epoch}, position {next}"));
+    begin_as_owner(state, key);
+}
+
+/// Takes over the facts of a snapshot.
+fn load(state: &mut State, key: cell::Key, snapshot: Snapshot) {
+    for adoption in &snapshot.jobs {
+        task::adopt(state, key, *adoption);
+    }
+    for line in &snapshot.lines {
+        task::restore(state, key, line);
+    }
+    if let Some(cell) = state.cells.get_mut(key) {
+        cell.log.next = snapshot.next;
+        cell.epoch = snapshot.epoch;
+        cell.snapshot_searched = true;
+    }
+}
--- /dev/null
+++ b/src/core/shutdown.rs
@@ -0,0 +1,71 @@
+//! Graceful shutdown: the load balancer learns first, cells are handed over at once, and requests in flight finish.
+
+use std::time::Duration;
+
+use super::effect::Effect;
+use super::peer::Message;
+use super::state::{State, record};
+use super::timer::Timer;
+use super::trace::Subject;
+use super::{cell, member, worker};
+
+/// Progress of the shutdown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Not shutting down.
+    Running,
+    /// Not ready any more; callers may still arrive.
+    Draining,
+    /// Stopped listening; requests in flight finish.
+    Finishing,
+}
+
+impl Stage {
+    /// Whether the process is not shutting down.
+    pub fn is_running(self) -> bool {
+        self == Self::Running
+    }
+}
+
+/// Interval between looks at the requests in flight.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Begins the shutdown.
+pub(crate) fn begin(state: &mut State, out: &mut Vec<Effect>) {
+    if !state.shutdown.is_running() {
+        return;
+    }
+    state.shutdown = Stage::Draining;
+    out.push(Effect::Ready(false));
+    record(out, Subject::Process, "shutdown", "asked to stop");
+    let addresses: Vec<_> = member::neighbours(state).map(|member| member.address).collect();
+    out.extend(addresses.into_iter().map(|to| Effect::Peer { to, message: Message::Leave }));
+    for key in state.cells.keys() {
+        let Some(id) = state.cells.get(key).map(|cell| cell.id) else { continue };
+        match member::ranked(state, id.number()).first() {
+            Some(successor) => cell::hand_over(state, key, *successor, out),
+            None => {
+                worker::release_all(state, id, out);
+                cell::depose(state, key, "the last member of the zone stops", out);
+            }
+        }
+    }
+    state.timers.set(state.now + state.tuning.drain_wait, Timer::Shutdown);
+}
+
+/// Goes on with the shutdown.
+pub(crate) fn step(state: &mut State, out: &mut Vec<Effect>) {
+    match state.shutdown {
+        Stage::Running => {}
+        Stage::Draining => {
+            state.shutdown = Stage::Finishing;
+            out.push(Effect::StopListening);
+            state.timers.set(state.now + STEP, Timer::Shutdown);
+        }
+        Stage::Finishing if state.exchanges.is_empty() => {
+            record(out, Subject::Process, "exit", "no request is in flight");
+            out.push(Effect::Exit);
+        }
+        Stage::Finishing => state.timers.set(state.now + STEP, Timer::Shutdown),
+    }
+}
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -2,10 +2,13 @@
 //!
 //! The store port owns the key names and encodings.
 
-use super::cell;
 use super::config::Index;
+use super::effect::Effect;
 use super::journal::{Segment, Snapshot};
+use super::state::State;
+use super::{apply, cell, config, journal, recovery};
 use crate::declare::zone;
+use crate::hash::Map;
 
 /// Number of a call, unique in the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
@@ -115,3 +118,55 @@
     /// The call may have taken effect: time-out or a lost connection.
     Unknown,
 }
+
+/// What a call in flight is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// Polling the configuration index.
+    Poll,
+    /// Fetching a document that a new index names.
+    Document(u64),
+    /// A step of an apply.
+    Apply,
+    /// A step of a cell's recovery.
+    Recovery(cell::Key),
+    /// An append to a cell's log, or looking at what stands there.
+    Journal(cell::Key),
+    /// A snapshot of a cell's log; nothing waits for it.
+    Snapshot,
+}
+
+/// Calls in flight.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    last: Call,
+    pending: Map<Call, Purpose>,
+}
+
+impl Table {
+    /// Whether a call with this purpose is in flight.
+    pub fn is_pending(&self, purpose: Purpose) -> bool {
+        self.pending.values().any(|pending| *pending == purpose)
+    }
+}
+
+/// Calls the store.
+pub(crate) fn call(state: &mut State, purpose: Purpose, request: Request, out: &mut Vec<Effect>) {
+    state.store.last.0 += 1;
+    let call = state.store.last;
+    state.store.pending.insert(call, purpose);
+    out.push(Effect::Store { call, request });
+}
+
+/// Hands an answer to the area that asked.
+pub(crate) fn answered(state: &mut State, call: Call, reply: Reply, out: &mut Vec<Effect>) {
+    let Some(purpose) = state.store.pending.remove(&call) else { return };
+    match purpose {
+        Purpose::Poll => config::polled(state, reply, out),
+        Purpose::Document(hash) => config::document_read(state, hash, reply, out),
+        Purpose::Apply => apply::answered(state, reply, out),
+        Purpose::Recovery(cell) => recovery::answered(state, cell, reply, out),
+        Purpose::Journal(cell) => journal::answered(state, cell, reply, out),
+        Purpose::Snapshot => {}
+    }
+}
--- a/src/core/timer.rs
+++ b/src/core/timer.rs
@@ -23,10 +23,14 @@
     Renew(worker::Key),
     /// Append waiting records to the log of a cell.
     Append(cell::Key),
+    /// Go on with the recovery of a cell after a wait.
+    Recover(cell::Key),
     /// Place queued tasks of a cell and look for tasks that can be taken as stopped.
     Place(cell::Key),
     /// Deadline of an exchange.
     Deadline(exchange::Key),
+    /// Go on with the apply in progress after a wait.
+    Apply,
     /// A step of the graceful shutdown.
     Shutdown,
 }
