Identify a process by its run, not by its VM instance

Cause: a restarted process on the same VM would reuse the identity, heartbeat counter and sequence numbers of the earlier run, and be refused as repeated. Change: a process draws its identity at the start; peers learn it from its messages and keep the highest one for an address. Conclusion: a restarted process is another member, as the design asks.

--- a/src/core/exchange.rs
+++ b/src/core/exchange.rs
@@ -347,7 +347,8 @@
         let candidates = state
             .members
             .iter()
-            .filter(|member| member.listed && member.health != Health::Leaving && accept(member))
+            .filter(|member| member.listed && member.health != Health::Leaving && member.id.0 != 0)
+            .filter(|member| accept(member))
             .map(|member| member.id.0);
         let first = *crate::hash::rendezvous(seed, candidates).first()?;
         state.members.get(member::Id(first)).map(|member| member.address)
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -1,13 +1,14 @@
 //! Members: the entry VMs of this system.
 //!
-//! The platform's VM list names the candidates; heartbeats say who is alive. Heartbeats go to a fixed number of members,
+//! The platform's VM list names the candidates by address; heartbeats say who is alive there. A process draws a new
+//! identity at each start, so that a restarted one is another member. Heartbeats go to a fixed number of members,
 //! so traffic does not grow with the zone, and carry the newest counters of others, so that news spreads anyway.
 
 use std::net::SocketAddr;
 
 use std::time::Duration;
 
-use slotmap::{SlotMap, new_key_type};
+use slotmap::{Key as _, KeyData, SlotMap, new_key_type};
 
 use super::effect::Effect;
 use super::listing::{Kind, Vm};
@@ -24,14 +25,15 @@
     pub struct Key;
 }
 
-/// Identity of one instance of an entry VM; a restarted VM is another member.
+/// Identity of one run of an entry VM's process; a restarted one is another member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Id(pub u64);
 
 impl Id {
-    /// Identity of instance `instance` of the VM called `name`.
-    pub fn of(name: impl AsRef<str>, instance: u64) -> Self {
-        Self(hash::numbers([hash::name(name), instance]))
+    /// Identity for a process that starts at `unix_ms`; later starts at one address have higher numbers.
+    pub fn fresh(unix_ms: u64, entropy: u64) -> Self {
+        const RANDOM_BITS: u32 = 20;
+        Self(unix_ms << RANDOM_BITS | entropy >> (u64::BITS - RANDOM_BITS))
     }
 }
 
@@ -49,7 +51,7 @@
 /// An entry VM.
 #[derive(Debug, Clone)]
 pub struct Member {
-    /// Identity of the instance.
+    /// Identity; zero until the first message.
     pub id: Id,
     /// Name in the VM list.
     pub name: String,
@@ -83,12 +85,14 @@
 /// This process as a member.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Identity {
-    /// Identity of the instance.
+    /// Identity of this run.
     pub id: Id,
     /// Name in the VM list.
     pub name: String,
     /// Availability zone.
     pub zone: zone::Id,
+    /// Address for peers, as in the VM list.
+    pub address: SocketAddr,
     /// Heartbeat counter.
     pub beat: u64,
 }
@@ -115,10 +119,8 @@
         self.arena.get_mut(*self.by_id.get(&id)?)
     }
 
-    fn insert(&mut self, member: Member) {
-        let id = member.id;
-        let key = self.arena.insert(member);
-        self.by_id.insert(id, key);
+    fn at(&mut self, address: SocketAddr) -> Option<(Key, &mut Member)> {
+        self.arena.iter_mut().find(|(_, member)| member.address == address)
     }
 
     /// Moves every time of last contact forward by `late`.
@@ -148,30 +150,26 @@
     for member in state.members.arena.values_mut() {
         member.listed = false;
     }
-    for vm in vms.iter().filter(|vm| vm.kind == Kind::Entry) {
-        let id = Id::of(&vm.name, vm.instance);
-        if id == state.me.id {
-            continue;
-        }
-        match state.members.get_mut(id) {
-            Some(member) => {
+    let own = state.me.address;
+    for vm in vms.iter().filter(|vm| vm.kind == Kind::Entry && vm.address != own) {
+        match state.members.at(vm.address) {
+            Some((_, member)) => {
                 member.listed = true;
-                member.address = vm.address;
                 if vm.leaving {
                     member.health = Health::Leaving;
                 }
             }
             None => {
-                record(out, Subject::Member(id), "add-member", format!("{} is listed", vm.name));
-                state.members.insert(member_of(vm, id, now));
+                record(out, Subject::Process, "add-member", format!("{} is listed", vm.name));
+                state.members.arena.insert(member_of(vm, now));
             }
         }
     }
 }
 
-fn member_of(vm: &Vm, id: Id, now: Instant) -> Member {
+fn member_of(vm: &Vm, now: Instant) -> Member {
     Member {
-        id,
+        id: Id(0),
         name: vm.name.clone(),
         zone: vm.zone,
         address: vm.address,
@@ -185,6 +183,23 @@
     }
 }
 
+/// Learns the identity of the process at an address from a message it sent.
+///
+/// A message of an earlier run can arrive late; the higher identity is the later run.
+pub(crate) fn introduce(state: &mut State, from: Id, address: SocketAddr, out: &mut Vec<Effect>) {
+    let table = &mut state.members;
+    let Some((key, member)) = table.at(address) else { return };
+    if from <= member.id {
+        return;
+    }
+    let earlier = member.id;
+    let reason = format!("{} runs at {address}, after {:x}", member.name, earlier.0);
+    *member = Member { id: from, beat: 0, health: Health::Suspect, version: 0, ..member.clone() };
+    table.by_id.remove(&earlier);
+    table.by_id.insert(from, key);
+    record(out, Subject::Member(from), "meet-member", reason);
+}
+
 /// Sends heartbeats and reviews the health of members.
 pub(crate) fn beat(state: &mut State, out: &mut Vec<Effect>) {
     state.timers.set(state.now + state.tuning.heartbeat, Timer::Heartbeat);
@@ -206,14 +221,15 @@
     let pick = |own_zone: bool, count: usize| {
         let candidates = state
             .members
+            .arena
             .iter()
-            .filter(|member| (member.zone == state.me.zone) == own_zone && member.listed)
-            .map(|member| member.id.0);
+            .filter(|(_, member)| (member.zone == state.me.zone) == own_zone && member.listed)
+            .map(|(key, _)| key.data().as_ffi());
         hash::rendezvous(round, candidates).into_iter().take(count)
     };
     pick(true, state.tuning.heartbeat_fanout)
         .chain(pick(false, 1))
-        .filter_map(|id| Some(state.members.get(Id(id))?.address))
+        .filter_map(|key| Some(state.members.arena.get(KeyData::from_ffi(key).into())?.address))
         .collect()
 }
 
@@ -255,7 +271,7 @@
 
 fn raise(state: &mut State, id: Id, beat: u64, now: Instant) {
     let Some(member) = state.members.get_mut(id) else { return };
-    if beat <= member.beat {
+    if beat <= member.beat || member.health == Health::Leaving {
         return;
     }
     member.beat = beat;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -89,6 +89,7 @@
     out: &mut Vec<Effect>,
 ) {
     use peer::Message;
+    member::introduce(state, from, address, out);
     match message {
         Message::Heartbeat { beat, version, others } => {
             member::heard(state, from, beat, version, &others);
