--- a/src/core/journal.rs
+++ b/src/core/journal.rs
@@ -91,6 +91,13 @@
     pub records: Vec<Record>,
 }
 
+impl Segment {
+    /// Whether a member becomes the owner in it.
+    pub fn has_takeover(&self) -> bool {
+        self.records.iter().any(|record| matches!(record, Record::Takeover { .. }))
+    }
+}
+
 /// State of one task in a snapshot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Line {
@@ -153,6 +160,9 @@
     pub jobs: Vec<Adoption>,
     /// Tasks that are not simply queued for the first time.
     pub lines: Vec<Line>,
+    /// Positions of takeovers. Their segments are never deleted: a former owner, however late, appends at the position
+    /// where it was succeeded, and must find that position taken.
+    pub takeovers: Vec<u64>,
 }
 
 /// Most records in one segment; keeps a segment far below the store's limit of 1 MB a value.
@@ -177,6 +187,8 @@
     not_before: Instant,
     backoff: Duration,
     since_snapshot: u64,
+    /// Positions of the newest takeovers.
+    pub takeovers: Vec<u64>,
 }
 
 impl Log {
@@ -191,6 +203,15 @@
     }
 }
 
+/// Notes that the segment at the next position of the log holds a takeover.
+pub(crate) fn note_takeover(log: &mut Log) {
+    /// About 50 days of takeovers at the planned rate of replacements; a process is never paused for that long.
+    const KEPT: usize = 1000;
+    log.takeovers.push(log.next);
+    let surplus = log.takeovers.len().saturating_sub(KEPT);
+    log.takeovers.drain(..surplus);
+}
+
 /// Adds a record, to be appended with the next segment.
 pub(crate) fn push(state: &mut State, key: cell::Key, record: Record) {
     let Some(cell) = state.cells.get_mut(key) else { return };
@@ -289,6 +310,9 @@
 fn commit(state: &mut State, key: cell::Key, out: &mut Vec<Effect>) {
     let Some(cell) = state.cells.get_mut(key) else { return };
     let Some(flight) = cell.log.flight.take() else { return };
+    if flight.segment.has_takeover() {
+        note_takeover(&mut cell.log);
+    }
     cell.log.next += 1;
     cell.log.backoff = Duration::ZERO;
     cell.log.since_snapshot += 1;
@@ -338,5 +362,6 @@
         cell.tasks.values().filter_map(|task| state.tasks.get(*task)?.line()).collect();
     jobs.sort_unstable();
     lines.sort_unstable_by_key(|line| line.task);
-    Snapshot { next: cell.log.next, epoch: cell.epoch, jobs, lines }
+    let takeovers = cell.log.takeovers.clone();
+    Snapshot { next: cell.log.next, epoch: cell.epoch, jobs, lines, takeovers }
 }
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -73,6 +73,9 @@
 
 /// Applies a segment that another owner wrote, and reads the next one.
 pub(crate) fn replay(state: &mut State, key: cell::Key, segment: Segment, out: &mut Vec<Effect>) {
+    if let Some(cell) = state.cells.get_mut(key).filter(|_| segment.has_takeover()) {
+        journal::note_takeover(&mut cell.log);
+    }
     for record in segment.records {
         task::committed(state, key, record, out);
     }
@@ -162,6 +165,7 @@
     if let Some(cell) = state.cells.get_mut(key) {
         cell.log.next = snapshot.next;
         cell.epoch = snapshot.epoch;
+        cell.log.takeovers = snapshot.takeovers;
         cell.snapshot_searched = true;
     }
 }
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -46,7 +46,8 @@
         /// Cell.
         cell: cell::Id,
     },
-    /// Write a snapshot, then the head hint, then delete the segments before it.
+    /// Write a snapshot, then the head hint, then delete the segments before the previous snapshot, except those at
+    /// the snapshot's takeover positions.
     WriteSnapshot {
         /// Cell.
         cell: cell::Id,
