--- a/src/error.rs
+++ b/src/error.rs
@@ -45,6 +45,36 @@
     Unmet(String),
 }
 
+/// Why a stored or received value cannot be decoded.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Decode {
+    /// The bytes are cut short or are no message of this kind.
+    #[error("malformed or truncated value: {0}")]
+    Malformed(#[from] prost::DecodeError),
+    /// Another release wrote it.
+    #[error("format version {found}, expected {expected}")]
+    Format {
+        /// Version of the value.
+        found: u32,
+        /// Version of this release.
+        expected: u32,
+    },
+    /// The value holds something else than expected.
+    #[error("value of kind {found}, expected kind {expected}")]
+    Kind {
+        /// Kind of the value.
+        found: u32,
+        /// Kind asked for.
+        expected: u32,
+    },
+    /// The content was changed after it was written.
+    #[error("checksum does not match the content")]
+    Checksum,
+    /// A required field is absent or out of range.
+    #[error("field {0} is absent or out of range")]
+    Field(&'static str),
+}
+
 /// Result with the library's error.
 pub type Result<T> = std::result::Result<T, Error>;
 
--- /dev/null
+++ b/src/wire/store.rs
@@ -0,0 +1,198 @@
+//! Key names of the store, its HTTP messages, and the encodings of values that are no part of a log.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use prost::Message;
+use serde::{Deserialize, Serialize};
+
+use super::envelope::{self, Kind};
+use crate::core::cell;
+use crate::core::config::{Document, Index};
+use crate::error::Decode;
+
+/// Path below which keys are found.
+pub const KEYS: &str = "/v1/kv/";
+
+/// Answer to a read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Revision of the key; it rises with each write to the store.
+    pub revision: u64,
+    /// Value in base64, since JSON cannot hold arbitrary bytes.
+    value: String,
+}
+
+impl Entry {
+    /// Entry with `value`.
+    pub fn new(revision: u64, value: impl AsRef<[u8]>) -> Self {
+        Self { revision, value: STANDARD.encode(value) }
+    }
+
+    /// The value.
+    ///
+    /// # Errors
+    ///
+    /// The text is no base64.
+    pub fn value(&self) -> Result<Vec<u8>, Decode> {
+        STANDARD.decode(&self.value).map_err(|_| Decode::Field("value"))
+    }
+}
+
+/// Answer to a write, and to a write refused since the key had another revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Revision of the key now; 0 if it does not exist.
+    pub revision: u64,
+}
+
+/// Key of the configuration index.
+pub fn index_key() -> String {
+    "config/index".into()
+}
+
+/// Key of a document's content.
+pub fn document_key(hash: u64) -> String {
+    format!("config/document/{hash:016x}")
+}
+
+/// Key of a segment.
+pub fn segment_key(cell: cell::Id, position: u64) -> String {
+    format!("{}/log/{position:020}", prefix(cell))
+}
+
+/// Key of a snapshot.
+pub fn snapshot_key(cell: cell::Id, next: u64) -> String {
+    format!("{}/snapshot/{next:020}", prefix(cell))
+}
+
+/// Key of the head hint.
+pub fn head_key(cell: cell::Id) -> String {
+    format!("{}/head", prefix(cell))
+}
+
+/// The zone's number rather than its name: names may hold characters with a meaning in a path.
+fn prefix(cell: cell::Id) -> String {
+    format!("cell/{:08x}/{}", cell.zone.0, cell.index)
+}
+
+/// Head hint of a cell.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Head {
+    /// First position that the newest snapshot does not include; names that snapshot.
+    #[prost(uint64, tag = "1")]
+    pub newest: u64,
+    /// The same for the snapshot before it, which is used if the newest is damaged.
+    #[prost(uint64, optional, tag = "2")]
+    pub previous: Option<u64>,
+    /// All segments before this position were deleted.
+    #[prost(uint64, tag = "3")]
+    pub swept: u64,
+}
+
+/// Bytes of a head hint.
+pub fn encode_head(head: &Head) -> Vec<u8> {
+    envelope::seal(Kind::Head, head.encode_to_vec())
+}
+
+/// Head hint in `bytes`.
+///
+/// # Errors
+///
+/// Damaged bytes or another format version.
+pub fn decode_head(bytes: impl AsRef<[u8]>) -> Result<Head, Decode> {
+    Ok(Head::decode(envelope::open(Kind::Head, bytes)?.as_slice())?)
+}
+
+/// Bytes of a document's text.
+pub fn encode_document(text: impl Into<String>) -> Vec<u8> {
+    envelope::seal(Kind::Document, text.into().into_bytes())
+}
+
+/// Text of a document in `bytes`.
+///
+/// # Errors
+///
+/// Damaged bytes, another format version, or text that is not UTF-8.
+pub fn decode_document(bytes: impl AsRef<[u8]>) -> Result<String, Decode> {
+    String::from_utf8(envelope::open(Kind::Document, bytes)?).map_err(|_| Decode::Field("text"))
+}
+
+/// Bytes of the configuration index.
+pub fn encode_index(index: &Index) -> Vec<u8> {
+    let documents = index.documents.iter().map(|document| DocumentMessage {
+        name: document.name.clone(),
+        version: document.version,
+        hash: document.hash,
+        author: document.author.clone(),
+        applied_s: document.applied_s,
+    });
+    let message =
+        IndexMessage { version: index.version, write_id: index.write_id, documents: documents.collect() };
+    envelope::seal(Kind::Index, message.encode_to_vec())
+}
+
+/// Configuration index in `bytes`.
+///
+/// # Errors
+///
+/// Damaged bytes or another format version.
+pub fn decode_index(bytes: impl AsRef<[u8]>) -> Result<Index, Decode> {
+    let message = IndexMessage::decode(envelope::open(Kind::Index, bytes)?.as_slice())?;
+    let documents = message.documents.into_iter().map(|document| Document {
+        name: document.name,
+        version: document.version,
+        hash: document.hash,
+        author: document.author,
+        applied_s: document.applied_s,
+    });
+    Ok(Index { version: message.version, write_id: message.write_id, documents: documents.collect() })
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct IndexMessage {
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    #[prost(fixed64, tag = "2")]
+    write_id: u64,
+    #[prost(message, repeated, tag = "3")]
+    documents: Vec<DocumentMessage>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct DocumentMessage {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(uint64, tag = "2")]
+    version: u64,
+    #[prost(fixed64, tag = "3")]
+    hash: u64,
+    #[prost(string, tag = "4")]
+    author: String,
+    #[prost(uint64, tag = "5")]
+    applied_s: u64,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::declare::zone;
+
+    /// Guards against a change of key names, after which a new release would not find the log of the old one.
+    #[test]
+    fn keys_are_stable() {
+        let cell = cell::Id { zone: zone::Id(0x1a2b_3c4d), index: 0 };
+        assert_eq!(segment_key(cell, 17), "cell/1a2b3c4d/0/log/00000000000000000017");
+        assert_eq!(snapshot_key(cell, 64), "cell/1a2b3c4d/0/snapshot/00000000000000000064");
+        assert_eq!(head_key(cell), "cell/1a2b3c4d/0/head");
+        assert_eq!(document_key(255), "config/document/00000000000000ff");
+    }
+
+    /// Guards against a field of the index that is lost on its way through the store.
+    #[test]
+    fn index_survives_the_round_trip() {
+        let document =
+            Document { name: "jobs".into(), version: 3, hash: 7, author: "ana".into(), applied_s: 1 };
+        let index = Index { version: 4, write_id: 9, documents: vec![document] };
+        assert_eq!(decode_index(encode_index(&index)), Ok(index));
+    }
+}
