--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod finding;
 pub mod hash;
 pub mod port;
+pub mod standin;
 pub mod wire;
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -2,6 +2,11 @@
 //!
 //! A port makes no decision. It sends what it learns through the [`Inbox`].
 
+mod http;
+pub mod listing;
+pub mod store;
+pub mod worker;
+
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
 use crate::core::event::Event;
--- /dev/null
+++ b/src/port/store.rs
@@ -0,0 +1,214 @@
+//! Calls to the platform's store.
+//!
+//! A write whose answer is lost is reported as unknown; the reducer sends it again and recognises its write id.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::rt;
+use awc::Client;
+use awc::http::StatusCode;
+use serde::de::DeserializeOwned;
+
+use super::Inbox;
+use super::http::{self, Answer, Fault};
+use crate::core::cell;
+use crate::core::event::Event;
+use crate::core::journal::Snapshot;
+use crate::core::store::{Call, Reply, Request};
+use crate::error::Decode;
+use crate::wire::{journal, store as wire};
+
+/// Deletes share the store's write rate with appends, so a sweep is spread over about a second.
+const SWEEP_PACE: Duration = Duration::from_millis(20);
+/// Times that a head hint is written again after another process, or an earlier sweep, changed it.
+const HEAD_TRIES: usize = 3;
+
+/// Sends calls to the store from the arbiter it was created on.
+#[derive(Clone)]
+pub struct Port {
+    client: Client,
+    base: String,
+    timeout: Duration,
+    inbox: Inbox,
+}
+
+impl Port {
+    /// A port to the store at `address`; `timeout` is the longest wait for one HTTP answer.
+    pub fn new(address: SocketAddr, timeout: Duration, inbox: Inbox) -> Self {
+        let base = format!("http://{address}{}", wire::KEYS);
+        Self { client: http::client(timeout), base, timeout, inbox }
+    }
+
+    /// Starts a call; the answer arrives as [`Event::Store`].
+    pub fn call(&self, call: Call, request: Request) {
+        let port = self.clone();
+        rt::spawn(async move {
+            let (Ok(reply) | Err(reply)) = port.execute(request).await;
+            port.inbox.send(Event::Store { call, reply });
+        });
+    }
+
+    /// Both sides are replies: the error side ends a call of several steps.
+    async fn execute(&self, request: Request) -> Result<Reply, Reply> {
+        match request {
+            Request::ReadIndex { newer_than } => {
+                let (revision, value) = self.get(wire::index_key(), newer_than).await?;
+                let index = wire::decode_index(value).map_err(corrupt)?;
+                Ok(Reply::Index { revision, index })
+            }
+            Request::WriteIndex { expect, index } => {
+                self.put(wire::index_key(), Some(expect), wire::encode_index(&index)).await
+            }
+            Request::ReadDocument { hash } => {
+                let (_, value) = self.get(wire::document_key(hash), 0).await?;
+                Ok(Reply::Document(wire::decode_document(value).map_err(corrupt)?))
+            }
+            Request::WriteDocument { hash, text } => {
+                self.put(wire::document_key(hash), None, wire::encode_document(text)).await
+            }
+            Request::ReadSnapshot { cell } => self.read_snapshot(cell).await,
+            Request::WriteSnapshot { cell, snapshot } => self.write_snapshot(cell, snapshot).await,
+            Request::ReadSegment { cell, position } => {
+                let (_, value) = self.get(wire::segment_key(cell, position), 0).await?;
+                Ok(Reply::Segment(journal::decode_segment(value).map_err(corrupt)?))
+            }
+            Request::Append { cell, position, segment } => {
+                let key = wire::segment_key(cell, position);
+                self.put(key, Some(0), journal::encode_segment(&segment)).await
+            }
+        }
+    }
+
+    async fn read_snapshot(&self, cell: cell::Id) -> Result<Reply, Reply> {
+        let (_, value) = self.get(wire::head_key(cell), 0).await?;
+        let head = wire::decode_head(value).map_err(corrupt)?;
+        let newest = match self.snapshot(cell, head.newest).await {
+            Err(fault @ (Reply::Corrupt(_) | Reply::Missing)) => fault,
+            result => return result,
+        };
+        log::error!("snapshot {} of cell {cell:?} cannot be used: {newest:?}", head.newest);
+        let Some(previous) = head.previous else {
+            return Err(Reply::Corrupt(format!("snapshot {}: {newest:?}", head.newest)));
+        };
+        match self.snapshot(cell, previous).await {
+            Err(Reply::Missing) => Err(Reply::Corrupt(format!("snapshots {} and {previous}", head.newest))),
+            result => result,
+        }
+    }
+
+    async fn snapshot(&self, cell: cell::Id, next: u64) -> Result<Reply, Reply> {
+        let (_, value) = self.get(wire::snapshot_key(cell, next), 0).await?;
+        Ok(Reply::Snapshot(journal::decode_snapshot(value).map_err(corrupt)?))
+    }
+
+    /// The call is answered once the head is written; older values are deleted afterwards.
+    async fn write_snapshot(&self, cell: cell::Id, snapshot: Snapshot) -> Result<Reply, Reply> {
+        let value = journal::encode_snapshot(&snapshot);
+        self.put(wire::snapshot_key(cell, snapshot.next), None, value).await?;
+        for _ in 0..HEAD_TRIES {
+            let (expect, before) = match self.get(wire::head_key(cell), 0).await {
+                Ok((revision, value)) => (revision, Some(wire::decode_head(value).map_err(corrupt)?)),
+                Err(Reply::Missing) => (0, None),
+                Err(fault) => return Err(fault),
+            };
+            let Some(head) = wire::Head::follow(before, snapshot.next) else { return Err(Reply::Conflict) };
+            match self.put(wire::head_key(cell), Some(expect), wire::encode_head(&head)).await {
+                Err(Reply::Conflict) => continue,
+                Err(fault) => return Err(fault),
+                Ok(reply) => {
+                    if let Reply::Written { revision } = reply {
+                        let port = self.clone();
+                        rt::spawn(async move { port.sweep(cell, head, revision).await });
+                    }
+                    return Ok(reply);
+                }
+            }
+        }
+        Err(Reply::Conflict)
+    }
+
+    /// Deletes what neither of the two snapshots needs. What a failure leaves is deleted after the next snapshot.
+    async fn sweep(&self, cell: cell::Id, head: wire::Head, revision: u64) {
+        let needed = head.previous.unwrap_or(0);
+        let segments = (head.swept..needed).map(|position| wire::segment_key(cell, position));
+        let snapshots = head.stale.map(|next| wire::snapshot_key(cell, next));
+        for key in segments.chain(snapshots) {
+            if let Err(reply) = self.delete(&key).await {
+                log::info!("sweep of cell {cell:?} stopped at {key}: {reply:?}");
+                return;
+            }
+            rt::time::sleep(SWEEP_PACE).await;
+        }
+        let swept = wire::Head { swept: head.swept.max(needed), stale: None, ..head };
+        if swept != head
+            && let Err(reply) =
+                self.put(wire::head_key(cell), Some(revision), wire::encode_head(&swept)).await
+        {
+            log::info!("sweep of cell {cell:?} was not recorded: {reply:?}");
+        }
+    }
+
+    async fn get(&self, key: String, newer_than: u64) -> Result<(u64, Vec<u8>), Reply> {
+        let url = format!("{}{key}?newer_than={newer_than}", self.base);
+        let answer = self.receive(self.client.get(url).send()).await?;
+        match answer.status {
+            StatusCode::OK => {
+                let entry: wire::Entry = parse(&answer)?;
+                Ok((entry.revision, entry.value().map_err(corrupt)?))
+            }
+            StatusCode::NO_CONTENT => Err(Reply::Unchanged),
+            StatusCode::NOT_FOUND => Err(Reply::Missing),
+            status => Err(refusal(status)),
+        }
+    }
+
+    async fn put(&self, key: String, expect: Option<u64>, value: Vec<u8>) -> Result<Reply, Reply> {
+        let query = expect.map(|revision| format!("?expect={revision}")).unwrap_or_default();
+        let url = format!("{}{key}{query}", self.base);
+        let answer = self.receive(self.client.put(url).send_body(value)).await?;
+        match answer.status {
+            StatusCode::OK => {
+                let stamp: wire::Stamp = parse(&answer)?;
+                Ok(Reply::Written { revision: stamp.revision })
+            }
+            StatusCode::CONFLICT => Err(Reply::Conflict),
+            status => Err(refusal(status)),
+        }
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), Reply> {
+        let answer = self.receive(self.client.delete(format!("{}{key}", self.base)).send()).await?;
+        match answer.status {
+            StatusCode::NO_CONTENT | StatusCode::NOT_FOUND => Ok(()),
+            status => Err(refusal(status)),
+        }
+    }
+
+    async fn receive(&self, request: awc::SendClientRequest) -> Result<Answer, Reply> {
+        http::receive(request, self.timeout).await.map_err(|fault| match fault {
+            Fault::NotWritten => Reply::Refused,
+            Fault::Lost => Reply::Unknown,
+        })
+    }
+}
+
+/// The store answers these before it executes a call.
+fn refusal(status: StatusCode) -> Reply {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Reply::Refused,
+        StatusCode::PAYLOAD_TOO_LARGE => {
+            log::error!("value over the store's limit");
+            Reply::Refused
+        }
+        _ => Reply::Unknown,
+    }
+}
+
+fn parse<T: DeserializeOwned>(answer: &Answer) -> Result<T, Reply> {
+    serde_json::from_slice(&answer.body).map_err(|_| Reply::Unknown)
+}
+
+fn corrupt(error: Decode) -> Reply {
+    Reply::Corrupt(error.to_string())
+}
--- /dev/null
+++ b/src/port/worker.rs
@@ -0,0 +1,71 @@
+//! Calls to the control interface of workers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::rt;
+use awc::Client;
+use awc::http::StatusCode;
+
+use super::http::{self, Fault, Timed};
+use super::{Clock, Inbox};
+use crate::core::event::Event;
+use crate::core::time::Instant;
+use crate::core::{control, worker};
+use crate::wire::control as wire;
+
+/// Sends control calls from the arbiter it was created on.
+#[derive(Clone)]
+pub struct Port {
+    client: Client,
+    timeout: Duration,
+    clock: Clock,
+    inbox: Inbox,
+}
+
+impl Port {
+    /// A port that waits for an answer for `timeout`, in addition to the wait that a call asks for.
+    pub fn new(timeout: Duration, clock: Clock, inbox: Inbox) -> Self {
+        Self { client: http::client(timeout), timeout, clock, inbox }
+    }
+
+    /// Starts a call; the answer, or its absence, arrives as [`Event::Worker`].
+    ///
+    /// After `not_after` nothing is written any more, and the call is reported as unsent.
+    pub fn call(&self, key: worker::Key, address: SocketAddr, call: control::Call, not_after: Instant) {
+        let port = self.clone();
+        rt::spawn(async move {
+            let sequence = call.sequence;
+            let result = port.execute(address, call, not_after).await;
+            let unsent = matches!(result, Err(Fault::NotWritten));
+            port.inbox.send(Event::Worker { worker: key, sequence, reply: result.ok(), unsent });
+        });
+    }
+
+    async fn execute(
+        &self,
+        address: SocketAddr,
+        call: control::Call,
+        not_after: Instant,
+    ) -> Result<control::Reply, Fault> {
+        let timeout = self.timeout + Duration::from_millis(call.wait_ms);
+        let body = serde_json::to_vec(&wire::Call::from(call)).map_err(|_| Fault::NotWritten)?;
+        // Spares the connection; the body checks again right before it is written.
+        if self.clock.now() > not_after {
+            return Err(Fault::NotWritten);
+        }
+        let request = self.client.post(format!("http://{address}{}", wire::PATH));
+        let request = request.content_type("application/json");
+        let answer =
+            http::receive(request.send_body(Timed::new(body, self.clock, not_after)), timeout).await?;
+        if answer.status != StatusCode::OK {
+            log::warn!("worker at {address} answered a control call with {}", answer.status);
+            return Err(Fault::Lost);
+        }
+        let reply: wire::Reply = serde_json::from_slice(&answer.body).map_err(|error| {
+            log::warn!("worker at {address} sent an unreadable reply: {error}");
+            Fault::Lost
+        })?;
+        Ok(reply.into())
+    }
+}
--- /dev/null
+++ b/src/standin/listing.rs
@@ -0,0 +1,169 @@
+//! Stand-in of the platform's VM list, which lags behind the actual state.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use actix_web::HttpResponse;
+use actix_web::web::{self, Data, ServiceConfig};
+
+use super::{lock, server};
+use crate::error::Result;
+use crate::wire::listing::{State, Vm};
+
+/// State of the list. Time is in milliseconds of the stand-in's own clock.
+#[derive(Debug, Clone, Default)]
+pub struct List {
+    actual: Vec<Vm>,
+    shown: Vec<Vm>,
+    /// States that are not shown yet, with the time from which they are.
+    pending: VecDeque<(u64, Vec<Vm>)>,
+    lag_ms: u64,
+}
+
+impl List {
+    /// An empty list that shows a change after `lag_ms`.
+    pub fn new(lag_ms: u64) -> Self {
+        Self { lag_ms, ..Self::default() }
+    }
+
+    /// Changes the actual state.
+    pub fn change(&mut self, now_ms: u64, change: impl FnOnce(&mut Vec<Vm>)) {
+        change(&mut self.actual);
+        self.pending.push_back((now_ms + self.lag_ms, self.actual.clone()));
+    }
+
+    /// What the list shows at `now_ms`.
+    pub fn read(&mut self, now_ms: u64) -> &[Vm] {
+        while let Some((_, vms)) = self.pending.pop_front_if(|(from_ms, _)| *from_ms <= now_ms) {
+            self.shown = vms;
+        }
+        &self.shown
+    }
+}
+
+/// Running list; it stops when this is dropped.
+#[derive(Debug)]
+pub struct Front {
+    handle: Handle,
+    guard: server::Guard,
+}
+
+/// Access to a running list.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    list: Mutex<List>,
+    outage: Mutex<bool>,
+    start: Instant,
+}
+
+impl Front {
+    /// Serves an empty list at `address`; port 0 picks a free port.
+    ///
+    /// # Errors
+    ///
+    /// The address is in use or not local.
+    pub fn start(address: SocketAddr, lag: Duration) -> Result<Self> {
+        let list = Mutex::new(List::new(lag.as_millis() as u64));
+        let shared = Arc::new(Shared { list, outage: Mutex::new(false), start: Instant::now() });
+        let handle = Handle { shared };
+        let data = Data::new(handle.clone());
+        let routes = move |config: &mut ServiceConfig| {
+            config.app_data(data.clone()).route("/v1/vms", web::get().to(get));
+        };
+        let guard = server::serve(server::bind([address])?, routes, || ())?;
+        Ok(Self { handle, guard })
+    }
+
+    /// Address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.guard.address()
+    }
+
+    /// Access to the list.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+}
+
+impl Handle {
+    /// Adds a VM, or replaces the one of the same name.
+    pub fn put(&self, vm: Vm) {
+        self.change(|vms| match vms.iter_mut().find(|known| known.name == vm.name) {
+            Some(known) => *known = vm,
+            None => vms.push(vm),
+        });
+    }
+
+    /// Removes a VM.
+    pub fn remove(&self, name: impl AsRef<str>) {
+        self.change(|vms| vms.retain(|vm| vm.name != name.as_ref()));
+    }
+
+    /// Marks a VM as leaving.
+    pub fn leave(&self, name: impl AsRef<str>) {
+        self.change(|vms| {
+            for vm in vms.iter_mut().filter(|vm| vm.name == name.as_ref()) {
+                vm.state = State::Leaving;
+            }
+        });
+    }
+
+    /// Changes the actual state.
+    pub fn change(&self, change: impl FnOnce(&mut Vec<Vm>)) {
+        lock(&self.shared.list).change(self.now_ms(), change);
+    }
+
+    /// Begins or ends an outage, in which every call is answered with 503.
+    pub fn set_outage(&self, outage: bool) {
+        *lock(&self.shared.outage) = outage;
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.shared.start.elapsed().as_millis() as u64
+    }
+}
+
+async fn get(handle: Data<Handle>) -> HttpResponse {
+    if *lock(&handle.shared.outage) {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let now_ms = handle.now_ms();
+    HttpResponse::Ok().json(lock(&handle.shared.list).read(now_ms))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::wire::listing::Kind;
+
+    fn vm(name: &str) -> Vm {
+        Vm {
+            name: name.into(),
+            instance: 1,
+            kind: Kind::Worker,
+            zone: "z".into(),
+            rack: "r".into(),
+            pool: "p".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            state: State::Live,
+        }
+    }
+
+    /// Guards against a list that shows changes at once, which hides faults of the members' views.
+    #[test]
+    fn changes_are_shown_late_and_in_order() {
+        let mut list = List::new(100);
+        list.change(0, |vms| vms.push(vm("a")));
+        list.change(50, |vms| vms.push(vm("b")));
+        assert!(list.read(99).is_empty());
+        assert_eq!(list.read(100).len(), 1);
+        assert_eq!(list.read(150).len(), 2);
+    }
+}
--- /dev/null
+++ b/src/standin/server.rs
@@ -0,0 +1,131 @@
+//! HTTP server of a stand-in, in a thread of its own.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use actix_web::body::{BodySize, MessageBody};
+use actix_web::dev::ServerHandle;
+use actix_web::rt::System;
+use actix_web::web::{Bytes, PayloadConfig, ServiceConfig};
+use actix_web::{App, HttpResponse, HttpServer};
+
+use crate::error::{Error, Result};
+
+/// Longer than the callers keep an idle connection, so that it is the caller that closes it.
+const KEEP_ALIVE: Duration = Duration::from_secs(120);
+/// Largest request body in bytes.
+const BODY_LIMIT: usize = 16 << 20;
+
+/// Running server; it stops when this is dropped.
+#[derive(Debug)]
+pub struct Guard {
+    addresses: Vec<SocketAddr>,
+    handle: ServerHandle,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Guard {
+    /// Addresses it listens on, in the order given at the start.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// First address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.addresses[0]
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        // The command is sent at once; the future only waits for the end, as `join` does.
+        drop(self.handle.stop(false));
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            log::warn!("stand-in server thread panicked");
+        }
+    }
+}
+
+/// Sockets bound to `addresses`; port 0 picks a free port.
+///
+/// # Errors
+///
+/// An address is in use or not local.
+pub fn bind(addresses: impl IntoIterator<Item = SocketAddr>) -> Result<Vec<TcpListener>> {
+    let bind = |address| {
+        TcpListener::bind(address).map_err(|error| Error::io(format!("listen on {address}"), error))
+    };
+    addresses.into_iter().map(bind).collect()
+}
+
+/// Serves `routes` on all `listeners` with one thread; `background` is called in that thread at the start.
+///
+/// # Errors
+///
+/// The server cannot use a listener.
+pub fn serve(
+    listeners: Vec<TcpListener>,
+    routes: impl Fn(&mut ServiceConfig) + Clone + Send + 'static,
+    background: impl FnOnce() + Send + 'static,
+) -> Result<Guard> {
+    let local = |listener: &TcpListener| listener.local_addr();
+    let addresses: io::Result<Vec<SocketAddr>> = listeners.iter().map(local).collect();
+    let addresses = addresses.map_err(|error| Error::io("read a listening address", error))?;
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let thread = std::thread::spawn(move || {
+        System::new().block_on(async move {
+            let server = match start(listeners, routes) {
+                Ok(server) => server,
+                Err(error) => return drop(sender.send(Err(error))),
+            };
+            background();
+            drop(sender.send(Ok(server.handle())));
+            if let Err(error) = server.await {
+                log::error!("stand-in server: {error}");
+            }
+        });
+    });
+    let started = receiver.recv().map_err(|error| Error::call("start a stand-in", error))?;
+    let handle = started.map_err(|error| Error::io("start a stand-in", error))?;
+    Ok(Guard { addresses, handle, thread: Some(thread) })
+}
+
+fn start(
+    listeners: Vec<TcpListener>,
+    routes: impl Fn(&mut ServiceConfig) + Clone + Send + 'static,
+) -> io::Result<actix_web::dev::Server> {
+    let app = move || {
+        App::new().app_data(PayloadConfig::new(BODY_LIMIT)).configure(|config| routes.clone()(config))
+    };
+    let mut server = HttpServer::new(app).workers(1).keep_alive(KEEP_ALIVE).disable_signals();
+    for listener in listeners {
+        server = server.listen(listener)?;
+    }
+    Ok(server.run())
+}
+
+/// Answer that breaks off: a status and a declared length, then a closed connection.
+pub(crate) fn cut_off() -> HttpResponse {
+    HttpResponse::Ok().body(Cut)
+}
+
+/// Body that fails before its first byte.
+struct Cut;
+
+impl MessageBody for Cut {
+    type Error = io::Error;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(64)
+    }
+
+    fn poll_next(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into())))
+    }
+}
--- /dev/null
+++ b/src/standin/store/mod.rs
@@ -0,0 +1,381 @@
+//! Stand-in of the platform's key-value store.
+//!
+//! [`Store`] is the reducer; [`front`] serves it over HTTP. Time is in milliseconds of the stand-in's own clock.
+
+pub mod bucket;
+pub mod front;
+
+use serde::{Deserialize, Serialize};
+
+use crate::hash::Map;
+use bucket::Bucket;
+
+/// Largest value in bytes.
+pub const VALUE_LIMIT: usize = 1 << 20;
+
+/// Limits of a store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Writes and deletes per second.
+    pub writes_per_s: u32,
+    /// Reads and watches per second.
+    pub reads_per_s: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { writes_per_s: 400, reads_per_s: 2000 }
+    }
+}
+
+/// Faults that can be set while the store runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Mode {
+    /// Answer every call with 503.
+    pub outage: bool,
+    /// Time before each answer in milliseconds.
+    pub delay_ms: u64,
+    /// Number of writes whose answer is still to be lost after they took effect.
+    pub lose_answers: u32,
+    /// Read the value before the last write.
+    pub stale_reads: bool,
+}
+
+/// Calls by kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Counts {
+    /// Reads that were answered.
+    pub reads: u64,
+    /// Writes that took effect.
+    pub writes: u64,
+    /// Writes refused since the key had another revision.
+    pub conflicts: u64,
+    /// Deletes.
+    pub deletes: u64,
+    /// Watches; a waiting watch counts as one.
+    pub watches: u64,
+    /// Lease grants and renewals.
+    pub leases: u64,
+    /// Calls over the rate.
+    pub over_rate: u64,
+    /// Calls during an outage.
+    pub in_outage: u64,
+    /// Answers lost.
+    pub answers_lost: u64,
+}
+
+/// A call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Call {
+    /// Read a key if its revision is above `newer_than`.
+    Get {
+        /// The key.
+        key: String,
+        /// Revision already known.
+        newer_than: u64,
+    },
+    /// Write a key.
+    Put {
+        /// The key.
+        key: String,
+        /// Revision it must have, 0 for absent; `None` writes always.
+        expect: Option<u64>,
+        /// Lease that the key ends with.
+        lease: Option<u64>,
+        /// New value.
+        value: Vec<u8>,
+    },
+    /// Remove a key.
+    Delete {
+        /// The key.
+        key: String,
+    },
+    /// Look whether the revision of a key is above `newer_than`, as the first or a later step of a watch.
+    Watch {
+        /// The key.
+        key: String,
+        /// Revision already known.
+        newer_than: u64,
+        /// Whether this is the first step, which is the one that counts.
+        first: bool,
+    },
+    /// Grant a lease.
+    Grant {
+        /// Length in milliseconds.
+        ttl_ms: u64,
+    },
+    /// Renew a lease by its length.
+    Renew {
+        /// The lease.
+        lease: u64,
+    },
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The value of a key.
+    Value {
+        /// Its revision.
+        revision: u64,
+        /// The value.
+        value: Vec<u8>,
+    },
+    /// The revision is not above the one given.
+    Unchanged,
+    /// No such key or lease.
+    Missing,
+    /// The write took effect.
+    Written {
+        /// New revision.
+        revision: u64,
+    },
+    /// The key has another revision.
+    Conflict {
+        /// Its revision; 0 if it does not exist.
+        revision: u64,
+    },
+    /// The key does not exist any more.
+    Deleted,
+    /// Lease granted or renewed.
+    Lease {
+        /// The lease.
+        lease: u64,
+    },
+    /// The value is over the limit.
+    TooLarge,
+    /// Over the rate.
+    OverRate,
+    /// The store is out.
+    Outage,
+    /// The write took effect, and the caller must get no answer.
+    Lost,
+}
+
+#[derive(Debug, Clone)]
+struct Cell {
+    revision: u64,
+    value: Vec<u8>,
+    lease: Option<u64>,
+    /// State before the last write, for stale reads.
+    before: Option<(u64, Vec<u8>)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    ttl_ms: u64,
+    until_ms: u64,
+}
+
+/// State of the store.
+#[derive(Debug, Clone)]
+pub struct Store {
+    cells: Map<String, Cell>,
+    leases: Map<u64, Lease>,
+    revision: u64,
+    reads: Bucket,
+    writes: Bucket,
+    /// Faults in force.
+    pub mode: Mode,
+    counts: Counts,
+}
+
+impl Store {
+    /// An empty store.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            cells: Map::default(),
+            leases: Map::default(),
+            revision: 0,
+            reads: Bucket::new(limits.reads_per_s),
+            writes: Bucket::new(limits.writes_per_s),
+            mode: Mode::default(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Calls so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Changes a stored value in place, as a fault of the medium would; false if there is no such key.
+    pub fn damage(&mut self, key: impl AsRef<str>, change: impl FnOnce(&mut Vec<u8>)) -> bool {
+        let Some(cell) = self.cells.get_mut(key.as_ref()) else { return false };
+        change(&mut cell.value);
+        true
+    }
+
+    /// Keys in order.
+    pub fn keys(&self) -> Vec<String> {
+        let mut keys: Vec<String> = self.cells.keys().cloned().collect();
+        keys.sort_unstable();
+        keys
+    }
+
+    /// Executes one call at time `now_ms`.
+    pub fn call(&mut self, call: Call, now_ms: u64) -> Answer {
+        if self.mode.outage {
+            self.counts.in_outage += 1;
+            return Answer::Outage;
+        }
+        if !self.take_token(&call, now_ms) {
+            self.counts.over_rate += 1;
+            return Answer::OverRate;
+        }
+        self.end_leases(now_ms);
+        match call {
+            Call::Get { key, newer_than } => {
+                self.counts.reads += 1;
+                self.read(&key, newer_than)
+            }
+            Call::Put { key, expect, lease, value } => {
+                let answer = self.put(key, expect, lease, value);
+                self.lose(answer)
+            }
+            Call::Delete { key } => {
+                self.counts.deletes += 1;
+                let removed = self.cells.remove(&key);
+                self.lose(if removed.is_some() { Answer::Deleted } else { Answer::Missing })
+            }
+            Call::Watch { key, newer_than, first } => {
+                self.counts.watches += u64::from(first);
+                self.read(&key, newer_than)
+            }
+            Call::Grant { ttl_ms } => {
+                self.counts.leases += 1;
+                self.revision += 1;
+                self.leases.insert(self.revision, Lease { ttl_ms, until_ms: now_ms + ttl_ms });
+                Answer::Lease { lease: self.revision }
+            }
+            Call::Renew { lease } => {
+                self.counts.leases += 1;
+                let Some(held) = self.leases.get_mut(&lease) else { return Answer::Missing };
+                held.until_ms = now_ms + held.ttl_ms;
+                Answer::Lease { lease }
+            }
+        }
+    }
+
+    fn take_token(&mut self, call: &Call, now_ms: u64) -> bool {
+        match call {
+            Call::Watch { first: false, .. } => true,
+            Call::Get { .. } | Call::Watch { .. } => self.reads.take(now_ms),
+            Call::Put { .. } | Call::Delete { .. } | Call::Grant { .. } | Call::Renew { .. } => {
+                self.writes.take(now_ms)
+            }
+        }
+    }
+
+    fn read(&self, key: &str, newer_than: u64) -> Answer {
+        let Some(cell) = self.cells.get(key) else { return Answer::Missing };
+        let (revision, value) = match &cell.before {
+            _ if !self.mode.stale_reads => (cell.revision, &cell.value),
+            Some((revision, value)) => (*revision, value),
+            None => return Answer::Missing,
+        };
+        if revision <= newer_than {
+            return Answer::Unchanged;
+        }
+        Answer::Value { revision, value: value.clone() }
+    }
+
+    fn put(&mut self, key: String, expect: Option<u64>, lease: Option<u64>, value: Vec<u8>) -> Answer {
+        if value.len() > VALUE_LIMIT {
+            return Answer::TooLarge;
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Answer::Missing;
+        }
+        let revision = self.cells.get(&key).map_or(0, |cell| cell.revision);
+        if expect.is_some_and(|expect| expect != revision) {
+            self.counts.conflicts += 1;
+            return Answer::Conflict { revision };
+        }
+        self.counts.writes += 1;
+        self.revision += 1;
+        let before = self.cells.remove(&key).map(|cell| (cell.revision, cell.value));
+        self.cells.insert(key, Cell { revision: self.revision, value, lease, before });
+        Answer::Written { revision: self.revision }
+    }
+
+    fn lose(&mut self, answer: Answer) -> Answer {
+        let took_effect = matches!(answer, Answer::Written { .. } | Answer::Deleted);
+        if !took_effect || self.mode.lose_answers == 0 {
+            return answer;
+        }
+        self.mode.lose_answers -= 1;
+        self.counts.answers_lost += 1;
+        Answer::Lost
+    }
+
+    fn end_leases(&mut self, now_ms: u64) {
+        let count = self.leases.len();
+        self.leases.retain(|_, lease| lease.until_ms > now_ms);
+        if self.leases.len() < count {
+            let leases = &self.leases;
+            self.cells.retain(|_, cell| cell.lease.is_none_or(|lease| leases.contains_key(&lease)));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn put(store: &mut Store, expect: Option<u64>, value: &[u8]) -> Answer {
+        store.call(Call::Put { key: "k".into(), expect, lease: None, value: value.to_vec() }, 0)
+    }
+
+    fn get(store: &mut Store, now_ms: u64) -> Answer {
+        store.call(Call::Get { key: "k".into(), newer_than: 0 }, now_ms)
+    }
+
+    /// Guards against two writers that both believe that their write took effect.
+    #[test]
+    fn compare_and_swap_lets_one_writer_through() {
+        let mut store = Store::new(Limits::default());
+        assert_eq!(put(&mut store, Some(0), b"a"), Answer::Written { revision: 1 });
+        assert_eq!(put(&mut store, Some(0), b"b"), Answer::Conflict { revision: 1 });
+        assert_eq!(put(&mut store, Some(1), b"c"), Answer::Written { revision: 2 });
+        store.mode.stale_reads = true;
+        assert_eq!(get(&mut store, 0), Answer::Value { revision: 1, value: b"a".to_vec() });
+    }
+
+    /// Guards against a lost answer to a write that did not take effect, or that took effect twice.
+    #[test]
+    fn lost_answer_comes_after_the_write() {
+        let mut store = Store::new(Limits::default());
+        store.mode.lose_answers = 1;
+        assert_eq!(put(&mut store, Some(0), b"a"), Answer::Lost);
+        assert_eq!(put(&mut store, Some(0), b"a"), Answer::Conflict { revision: 1 });
+        assert_eq!(get(&mut store, 0), Answer::Value { revision: 1, value: b"a".to_vec() });
+    }
+
+    /// Guards against a store without the limits that the design has to respect.
+    #[test]
+    fn rates_sizes_and_outages_are_refused() {
+        let mut store = Store::new(Limits { writes_per_s: 2, reads_per_s: 1 });
+        assert_eq!(put(&mut store, None, &vec![0; VALUE_LIMIT + 1]), Answer::TooLarge);
+        assert_eq!(put(&mut store, None, b"a"), Answer::Written { revision: 1 });
+        assert_eq!(put(&mut store, None, b"b"), Answer::OverRate);
+        assert!(matches!(get(&mut store, 0), Answer::Value { .. }));
+        assert_eq!(get(&mut store, 500), Answer::OverRate);
+        assert!(matches!(get(&mut store, 1000), Answer::Value { .. }));
+        store.mode.outage = true;
+        assert_eq!(get(&mut store, 5000), Answer::Outage);
+    }
+
+    /// Guards against keys that outlive their lease.
+    #[test]
+    fn keys_end_with_their_lease() {
+        let mut store = Store::new(Limits::default());
+        let Answer::Lease { lease } = store.call(Call::Grant { ttl_ms: 100 }, 0) else { panic!("no lease") };
+        let call = Call::Put { key: "k".into(), expect: None, lease: Some(lease), value: vec![1] };
+        assert!(matches!(store.call(call, 0), Answer::Written { .. }));
+        assert_eq!(store.call(Call::Renew { lease }, 90), Answer::Lease { lease });
+        assert!(matches!(get(&mut store, 189), Answer::Value { .. }));
+        assert_eq!(get(&mut store, 190), Answer::Missing);
+        assert_eq!(store.call(Call::Renew { lease }, 190), Answer::Missing);
+    }
+}
--- /dev/null
+++ b/src/standin/worker/lease.rs
@@ -0,0 +1,189 @@
+//! Arbiter of a worker's control lease.
+//!
+//! See "Cells, ownership and fencing" in the design page. Times are in the worker's clock.
+
+use crate::core::control::{Call, Status};
+use crate::core::{cell, member};
+use crate::hash::Map;
+
+/// Time that batch tasks are kept under caretaker leases, from the end of the last lease of a full owner.
+pub const CARETAKER_LIMIT_MS: u64 = 60_000;
+
+/// Who holds a lease, and on whose behalf.
+pub type Holder = (member::Id, cell::Id);
+
+/// The control lease.
+#[derive(Debug, Clone, Default)]
+pub struct Lease {
+    epoch: u64,
+    holder: Option<Holder>,
+    caretaker: bool,
+    until_ms: u64,
+    full_until_ms: u64,
+    /// Last sequence number of each holder under this epoch. A former holder's number is kept, so that its delayed calls
+    /// stay refused after it gave the lease up.
+    sequences: Map<Holder, u64>,
+}
+
+impl Lease {
+    /// Judges a call at `now_ms`, and changes the lease if it is granted.
+    ///
+    /// A call whose `until_ms` has passed comes too late to be executed under the lease it asks for. It is answered like
+    /// an inquiry, since it changes nothing and its sender has to look at the clock again.
+    pub fn claim(&mut self, call: &Call, now_ms: u64) -> Status {
+        let status = self.judge(call, now_ms);
+        if status == Status::Granted {
+            self.grant(call, now_ms);
+        }
+        status
+    }
+
+    fn judge(&self, call: &Call, now_ms: u64) -> Status {
+        let holder = (call.holder, call.cell);
+        if call.until_ms == 0 {
+            return Status::Inquiry;
+        }
+        if call.epoch < self.epoch {
+            return Status::Stale;
+        }
+        if call.epoch == self.epoch {
+            if self.holder(now_ms).is_some_and(|current| current != holder) {
+                return Status::Held;
+            }
+            if self.sequences.get(&holder).is_some_and(|last| call.sequence <= *last) {
+                return Status::Repeated;
+            }
+        }
+        if call.until_ms <= now_ms { Status::Inquiry } else { Status::Granted }
+    }
+
+    fn grant(&mut self, call: &Call, now_ms: u64) {
+        let holder = (call.holder, call.cell);
+        if call.epoch > self.epoch {
+            self.sequences.clear();
+        }
+        let renewed = call.epoch == self.epoch && self.holder(now_ms) == Some(holder);
+        self.until_ms = if renewed { self.until_ms.max(call.until_ms) } else { call.until_ms };
+        self.epoch = call.epoch;
+        self.holder = Some(holder);
+        self.caretaker = call.caretaker;
+        self.sequences.insert(holder, call.sequence);
+        if !call.caretaker {
+            self.full_until_ms = self.until_ms;
+        }
+    }
+
+    /// Gives the lease up. Batch tasks keep running until it would have ended, so that a successor can renew them.
+    pub fn release(&mut self) {
+        self.holder = None;
+    }
+
+    /// Holder of a lease that did not lapse.
+    pub fn holder(&self, now_ms: u64) -> Option<Holder> {
+        self.holder.filter(|_| self.until_ms > now_ms)
+    }
+
+    /// End of the current lease; 0 when there is none.
+    pub fn until_ms(&self, now_ms: u64) -> u64 {
+        self.holder(now_ms).map_or(0, |_| self.until_ms)
+    }
+
+    /// Highest epoch granted.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Last sequence number of `holder` under the current epoch.
+    pub fn sequence(&self, holder: Holder) -> u64 {
+        self.sequences.get(&holder).copied().unwrap_or(0)
+    }
+
+    /// Whether the current holder is a caretaker.
+    pub fn is_caretaker(&self) -> bool {
+        self.caretaker
+    }
+
+    /// When batch tasks have to stop.
+    pub fn batch_until_ms(&self) -> u64 {
+        if !self.caretaker {
+            return self.until_ms;
+        }
+        self.until_ms.min(self.full_until_ms.saturating_add(CARETAKER_LIMIT_MS))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::declare::zone;
+
+    fn call(holder: u64, epoch: u64, sequence: u64, until_ms: u64) -> Call {
+        Call {
+            holder: member::Id(holder),
+            cell: cell::Id { zone: zone::Id(1), index: 0 },
+            epoch,
+            caretaker: false,
+            sequence,
+            until_ms,
+            release: false,
+            wait_ms: 0,
+            acknowledge: vec![],
+            commands: vec![],
+        }
+    }
+
+    /// Guards against two holders at once, each of which could give the worker's last slot away.
+    #[test]
+    fn one_holder_at_a_time() {
+        let mut lease = Lease::default();
+        assert_eq!(lease.claim(&call(1, 1, 1, 100), 0), Status::Granted);
+        assert_eq!(lease.claim(&call(2, 1, 1, 100), 50), Status::Held);
+        assert_eq!(lease.claim(&call(2, 1, 1, 200), 100), Status::Granted);
+        assert_eq!(lease.claim(&call(1, 1, 2, 200), 150), Status::Held);
+        assert_eq!(lease.claim(&call(3, 2, 1, 200), 150), Status::Granted);
+        assert_eq!(lease.claim(&call(2, 1, 2, 300), 160), Status::Stale);
+        assert_eq!(lease.claim(&call(2, 1, 2, 300), 400), Status::Stale);
+    }
+
+    /// Guards against commands executed again, or out of order, when calls overtake each other.
+    #[test]
+    fn sequence_rises() {
+        let mut lease = Lease::default();
+        assert_eq!(lease.claim(&call(1, 1, 5, 100), 0), Status::Granted);
+        assert_eq!(lease.claim(&call(1, 1, 5, 100), 1), Status::Repeated);
+        assert_eq!(lease.claim(&call(1, 1, 4, 100), 1), Status::Repeated);
+        lease.release();
+        assert_eq!(lease.claim(&call(2, 1, 1, 100), 2), Status::Granted);
+        lease.release();
+        assert_eq!(lease.claim(&call(1, 1, 4, 100), 3), Status::Repeated);
+        assert_eq!(lease.claim(&call(1, 1, 6, 100), 3), Status::Granted);
+        assert_eq!(lease.claim(&call(1, 2, 1, 100), 4), Status::Granted);
+    }
+
+    /// Guards against a renewal that was delayed on its way and extends the lease past its sender's belief.
+    #[test]
+    fn late_renewal_extends_nothing() {
+        let mut lease = Lease::default();
+        assert_eq!(lease.claim(&call(1, 1, 1, 100), 0), Status::Granted);
+        assert_eq!(lease.claim(&call(1, 1, 2, 90), 50), Status::Granted);
+        assert_eq!(lease.until_ms(50), 100);
+        assert_eq!(lease.claim(&call(1, 1, 3, 120), 130), Status::Inquiry);
+        assert_eq!(lease.holder(130), None);
+        assert_eq!(lease.claim(&call(2, 9, 1, 0), 130), Status::Inquiry);
+        assert_eq!(lease.epoch(), 1);
+    }
+
+    /// Guards against batch tasks that caretakers keep for ever, while an owner takes them as stopped.
+    #[test]
+    fn caretakers_keep_batch_tasks_for_a_limited_time() {
+        let mut lease = Lease::default();
+        let caretaker = |sequence, until_ms| Call { caretaker: true, ..call(1, 1, sequence, until_ms) };
+        assert_eq!(lease.claim(&call(1, 1, 1, 100), 0), Status::Granted);
+        assert_eq!(lease.claim(&caretaker(2, 5_000), 50), Status::Granted);
+        assert_eq!(lease.batch_until_ms(), 5_000);
+        assert_eq!(lease.claim(&caretaker(3, 70_000), 4_000), Status::Granted);
+        assert_eq!(lease.batch_until_ms(), 100 + CARETAKER_LIMIT_MS);
+        assert_eq!(lease.claim(&call(1, 1, 4, 70_000), 5_000), Status::Granted);
+        assert_eq!(lease.batch_until_ms(), 70_000);
+    }
+}
--- a/src/wire/store.rs
+++ b/src/wire/store.rs
@@ -87,6 +87,23 @@
     /// All segments before this position were deleted.
     #[prost(uint64, tag = "3")]
     pub swept: u64,
+    /// A snapshot that is no longer needed and may not have been deleted yet.
+    #[prost(uint64, optional, tag = "4")]
+    pub stale: Option<u64>,
+}
+
+impl Head {
+    /// Head after the snapshot `newest` was written; `None` if there is a newer one.
+    pub fn follow(before: Option<Head>, newest: u64) -> Option<Head> {
+        match before {
+            None => Some(Head { newest, ..Head::default() }),
+            Some(head) if head.newest == newest => Some(head),
+            Some(head) if head.newest > newest => None,
+            Some(head) => {
+                Some(Head { newest, previous: Some(head.newest), stale: head.previous, swept: head.swept })
+            }
+        }
+    }
 }
 
 /// Bytes of a head hint.
--- /dev/null
+++ b/tests/standin.rs
@@ -0,0 +1,297 @@
+//! Ports against the stand-ins over HTTP on loopback.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use nutmegfold::core::control::{Call as Control, Command, Outcome, Start, Status, Work};
+use nutmegfold::core::event::Event;
+use nutmegfold::core::journal::{Record, Segment, Snapshot};
+use nutmegfold::core::store::{Call, Reply, Request};
+use nutmegfold::core::time::Instant;
+use nutmegfold::core::{cell, control, member, run, task, worker};
+use nutmegfold::declare::size::Size;
+use nutmegfold::declare::{job, zone};
+use nutmegfold::port::{self, Clock, Inbox};
+use nutmegfold::standin::store::{Limits, Mode, front as store};
+use nutmegfold::standin::worker::front::{self as workers, Answer, IDEMPOTENT, REQUEST_ID};
+use nutmegfold::standin::worker::profile::{self, Profile};
+use nutmegfold::standin::{listing, worker as standin};
+use nutmegfold::wire::control::{NOT_RUN, replica_path};
+use nutmegfold::wire::listing::{Kind, State, Vm};
+use nutmegfold::wire::store as keys;
+use slotmap::KeyData;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// Shorter than the patience of a test run, longer than an answer on a busy machine.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+const CELL: cell::Id = cell::Id { zone: zone::Id(0x1a2b_3c4d), index: 0 };
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+struct Bench {
+    front: store::Front,
+    port: port::store::Port,
+    events: UnboundedReceiver<Event>,
+}
+
+impl Bench {
+    fn start(limits: Limits) -> Self {
+        let front = store::Front::start(loopback(), limits).expect("loopback is there");
+        let (inbox, events) = Inbox::new();
+        let port = port::store::Port::new(front.address(), TIMEOUT, inbox);
+        Self { front, port, events }
+    }
+
+    async fn ask(&mut self, request: Request) -> Reply {
+        self.port.call(Call(7), request);
+        match self.events.recv().await {
+            Some(Event::Store { call: Call(7), reply }) => reply,
+            other => panic!("unexpected event: {other:?}"),
+        }
+    }
+}
+
+fn segment(write_id: u64) -> Segment {
+    Segment { write_id, epoch: 3, records: vec![Record::Takeover { epoch: 3, member: member::Id(5) }] }
+}
+
+fn append(position: u64, write_id: u64) -> Request {
+    Request::Append { cell: CELL, position, segment: segment(write_id) }
+}
+
+fn snapshot(next: u64) -> Snapshot {
+    Snapshot { next, epoch: 3, jobs: vec![(job::Id(1), 2)], lines: vec![] }
+}
+
+/// Guards against a lost answer that is taken for a failed write, and against a repeated write that takes effect twice.
+#[actix_web::test]
+async fn lost_append_is_unknown_and_recognised_by_its_write_id() {
+    let mut bench = Bench::start(Limits::default());
+    bench.front.handle().set(Mode { lose_answers: 1, ..Mode::default() });
+    assert_eq!(bench.ask(append(0, 42)).await, Reply::Unknown);
+    assert_eq!(bench.ask(append(0, 42)).await, Reply::Conflict);
+    let read = bench.ask(Request::ReadSegment { cell: CELL, position: 0 }).await;
+    assert_eq!(read, Reply::Segment(segment(42)));
+    assert_eq!(bench.front.handle().counts().writes, 1);
+}
+
+/// Guards against `Refused` for a write that may have taken effect, and `Unknown` for one that surely did not.
+#[actix_web::test]
+async fn refusals_and_unknown_outcomes_are_told_apart() {
+    let mut bench = Bench::start(Limits { writes_per_s: 1, reads_per_s: 100 });
+    let handle = bench.front.handle();
+    handle.set(Mode { outage: true, ..Mode::default() });
+    assert_eq!(bench.ask(append(0, 1)).await, Reply::Refused);
+    handle.set(Mode { delay_ms: 60_000, ..Mode::default() });
+    assert_eq!(bench.ask(append(0, 1)).await, Reply::Unknown);
+    handle.set(Mode::default());
+    let read = bench.ask(Request::ReadSegment { cell: CELL, position: 0 }).await;
+    assert_eq!(read, Reply::Segment(segment(1)), "the slow write took effect");
+    // A port without an idle connection: one that the store closes in use would rightly be unknown.
+    let unused = std::net::TcpListener::bind(loopback()).and_then(|listener| listener.local_addr());
+    let (inbox, events) = Inbox::new();
+    bench.port = port::store::Port::new(unused.expect("loopback is there"), TIMEOUT, inbox);
+    bench.events = events;
+    assert_eq!(bench.ask(append(1, 2)).await, Reply::Refused, "nothing listens there");
+}
+
+/// Guards against a write over the rate that is reported as anything but not executed.
+#[actix_web::test]
+async fn writes_over_the_rate_are_refused() {
+    let mut bench = Bench::start(Limits { writes_per_s: 0, reads_per_s: 100 });
+    assert_eq!(bench.ask(append(0, 1)).await, Reply::Refused);
+    assert_eq!(bench.front.handle().counts().over_rate, 1);
+}
+
+/// Guards against damaged values that are used, and against a cell that cannot recover from a damaged snapshot.
+#[actix_web::test]
+async fn damaged_values_are_reported_and_the_previous_snapshot_is_used() {
+    let mut bench = Bench::start(Limits::default());
+    let handle = bench.front.handle();
+    assert!(matches!(bench.ask(append(0, 1)).await, Reply::Written { .. }));
+    assert!(handle.damage(keys::segment_key(CELL, 0), |value| value.truncate(10)));
+    let read = bench.ask(Request::ReadSegment { cell: CELL, position: 0 }).await;
+    assert!(matches!(read, Reply::Corrupt(_)), "{read:?}");
+
+    assert_eq!(bench.ask(Request::ReadSnapshot { cell: CELL }).await, Reply::Missing);
+    for next in [2, 4] {
+        let written = bench.ask(Request::WriteSnapshot { cell: CELL, snapshot: snapshot(next) }).await;
+        assert!(matches!(written, Reply::Written { .. }), "{written:?}");
+    }
+    assert_eq!(bench.ask(Request::ReadSnapshot { cell: CELL }).await, Reply::Snapshot(snapshot(4)));
+    assert!(handle.damage(keys::snapshot_key(CELL, 4), |value| value[12] ^= 1));
+    assert_eq!(bench.ask(Request::ReadSnapshot { cell: CELL }).await, Reply::Snapshot(snapshot(2)));
+}
+
+/// Guards against segments deleted that the previous snapshot needs, and against a deposed owner's older snapshot.
+#[actix_web::test]
+async fn sweep_keeps_what_the_previous_snapshot_needs() {
+    let mut bench = Bench::start(Limits::default());
+    for position in 0..6 {
+        assert!(matches!(bench.ask(append(position, position)).await, Reply::Written { .. }));
+    }
+    for next in [2, 4, 6] {
+        let written = bench.ask(Request::WriteSnapshot { cell: CELL, snapshot: snapshot(next) }).await;
+        assert!(matches!(written, Reply::Written { .. }), "{written:?}");
+    }
+    let handle = bench.front.handle();
+    let wanted = [
+        keys::head_key(CELL),
+        keys::segment_key(CELL, 4),
+        keys::segment_key(CELL, 5),
+        keys::snapshot_key(CELL, 4),
+        keys::snapshot_key(CELL, 6),
+    ];
+    while handle.keys() != wanted {
+        assert!(handle.keys().len() >= wanted.len(), "{:?}", handle.keys());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let older = bench.ask(Request::WriteSnapshot { cell: CELL, snapshot: snapshot(3) }).await;
+    assert_eq!(older, Reply::Conflict);
+}
+
+struct Fleet {
+    front: workers::Front,
+    shared: standin::Shared,
+    port: port::worker::Port,
+    events: UnboundedReceiver<Event>,
+    clock: Clock,
+}
+
+impl Fleet {
+    fn start(count: u16) -> Self {
+        let shared = standin::Shared::default();
+        let profiles = (0..count).map(|n| (loopback(), Profile::new(format!("w{n}"))));
+        let front = workers::Front::start(profiles, shared.clone()).expect("loopback is there");
+        let (inbox, events) = Inbox::new();
+        let clock = Clock::start();
+        let port = port::worker::Port::new(TIMEOUT, clock, inbox);
+        Self { front, shared, port, events, clock }
+    }
+
+    fn key(&self) -> worker::Key {
+        KeyData::from_ffi(1).into()
+    }
+
+    async fn ask(&mut self, at: usize, call: Control, not_after: Instant) -> (Option<control::Reply>, bool) {
+        self.port.call(self.key(), self.front.addresses()[at], call, not_after);
+        match self.events.recv().await {
+            Some(Event::Worker { reply, unsent, .. }) => (reply, unsent),
+            other => panic!("unexpected event: {other:?}"),
+        }
+    }
+
+    async fn granted(&mut self, at: usize, call: Control) -> control::Reply {
+        let (reply, _) = self.ask(at, call, Instant(u64::MAX)).await;
+        let reply = reply.expect("the worker answers");
+        assert_eq!(reply.status, Status::Granted);
+        reply
+    }
+}
+
+fn call(sequence: u64, until_ms: u64, commands: Vec<Command>) -> Control {
+    Control {
+        holder: member::Id(1),
+        cell: CELL,
+        epoch: 1,
+        caretaker: false,
+        sequence,
+        until_ms,
+        release: false,
+        wait_ms: 0,
+        acknowledge: vec![],
+        commands,
+    }
+}
+
+fn start(work: Work, run_time_ms: u64) -> Command {
+    Command::Start(Start {
+        work,
+        attempt: 1,
+        size: Size { millicores: 1_000, memory_mib: 100, accelerators: 0, slots: 1 },
+        checkpoint: None,
+        name: "quotes".into(),
+        kind: "web".into(),
+        run_time_ms,
+        concurrency: 4,
+    })
+}
+
+/// Guards against ended work that is only noticed at the next renewal.
+#[actix_web::test]
+async fn long_poll_is_answered_when_work_ends() {
+    let mut fleet = Fleet::start(1);
+    let work = Work::Batch(task::Id { job: job::Id(1), index: 0 });
+    // The wait is far longer than the test's patience: only an early reply lets it pass.
+    let wait = Control { wait_ms: 3_600_000, ..call(1, 3_600_000, vec![start(work, 50)]) };
+    let reply = fleet.granted(0, wait).await;
+    assert_eq!(reply.ended.iter().map(|ended| ended.outcome).collect::<Vec<_>>(), [Outcome::Finished]);
+    assert_eq!(fleet.shared.audit.counts().tasks_finished, 1);
+}
+
+/// Guards against a late command that is written, and against a lost answer that is reported as unsent.
+#[actix_web::test]
+async fn late_calls_are_unsent_and_lost_answers_are_not() {
+    let mut fleet = Fleet::start(1);
+    let work = Work::Replica(run::Id(9));
+    tokio::time::sleep(Duration::from_millis(2)).await;
+    let late = fleet.ask(0, call(1, 60_000, vec![start(work, 0)]), Instant(1)).await;
+    assert_eq!(late, (None, true));
+    let (inquiry, _) = fleet.ask(0, call(0, 0, vec![]), fleet.clock.now() + TIMEOUT).await;
+    assert!(inquiry.is_some_and(|reply| reply.running.is_empty()), "the late start was not executed");
+    let handle = fleet.front.handle();
+    let key = handle.keys().next().expect("one worker");
+    handle.set(key, profile::Mode { frozen: true, ..profile::Mode::default() });
+    assert_eq!(fleet.ask(0, call(2, 60_000, vec![]), Instant(u64::MAX)).await, (None, false));
+    handle.set(key, profile::Mode::default());
+    assert!(fleet.granted(0, call(3, 60_000, vec![])).await.running.is_empty());
+}
+
+/// Guards against workers of one server that answer for each other, and against answers without a trace of the request.
+#[actix_web::test]
+async fn replicas_answer_at_their_own_address() {
+    let mut fleet = Fleet::start(65);
+    let run = run::Id(0xabc);
+    fleet.granted(64, call(1, 3_600_000, vec![start(Work::Replica(run), 0)])).await;
+    let client = awc::Client::default();
+    let mut answers = Vec::new();
+    for (at, id) in [(64, "a"), (64, "a"), (63, "b")] {
+        let url = format!("http://{}{}", fleet.front.addresses()[at], replica_path(run, "/price"));
+        let request = client.post(url).insert_header((REQUEST_ID, id)).insert_header((IDEMPOTENT, "0"));
+        let mut response = request.send_body("12 ropes").await.expect("an answer");
+        assert_eq!(response.headers().get(REQUEST_ID).expect("echoed").as_bytes(), id.as_bytes());
+        let not_run = response.headers().contains_key(NOT_RUN);
+        let body = response.body().await.expect("a complete answer");
+        answers.push((response.status().as_u16(), not_run, body));
+    }
+    let answer: Answer = serde_json::from_slice(&answers[0].2).expect("own encoding");
+    assert_eq!(answer, Answer::new(run, "price", "a", "12 ropes"));
+    assert_eq!((answers[2].0, answers[2].1), (503, true));
+    let counts = fleet.shared.audit.counts();
+    assert_eq!((counts.requests_run, counts.requests_run_twice, counts.requests_refused), (2, 1, 1));
+}
+
+/// Guards against a list that does not reach the reducer, or reaches it with wrong fields.
+#[actix_web::test]
+async fn listing_is_read_and_converted() {
+    let front = listing::Front::start(loopback(), Duration::ZERO).expect("loopback is there");
+    let vm = Vm {
+        name: "w1".into(),
+        instance: 4,
+        kind: Kind::Worker,
+        zone: "basirhat".into(),
+        rack: "r1".into(),
+        pool: "general".into(),
+        address: loopback(),
+        state: State::Live,
+    };
+    front.handle().put(vm.clone());
+    front.handle().leave("w1");
+    let (inbox, mut events) = Inbox::new();
+    let _port = port::listing::Port::new(front.address(), TIMEOUT, inbox);
+    let Some(Event::Listing(vms)) = events.recv().await else { panic!("no list") };
+    assert_eq!(vms, [Vm { state: State::Leaving, ..vm }.into()]);
+    assert!(vms[0].leaving);
+}
