--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -107,11 +107,6 @@
         }
     }
 
-    /// Whether the store said that there is no snapshot, or one was read.
-    pub fn is_log_searched(&self) -> bool {
-        self.snapshot_searched
-    }
-
     /// Whether nothing of the log was read or appended.
     pub fn is_untouched(&self) -> bool {
         self.role != Role::Owner && self.log.next == 0 && self.log.is_settled()
--- a/src/core/journal.rs
+++ b/src/core/journal.rs
@@ -1,7 +1,8 @@
 //! Log of a cell: the durable records of its batch tasks.
 //!
-//! The log is one chain of segments in the store, each created only if it does not exist. That makes the chain the fence
-//! between two owners: whoever appended the last [`Record::Takeover`] is the only one that can go on.
+//! The log is one chain of segments in the store, kept in a ring of [`SLOTS`] values. A segment replaces its slot only if
+//! the slot has the revision that the writer knows. That makes the chain the fence between two owners: a former owner,
+//! however late, finds that the slot of its next position was changed by its successor.
 
 use std::time::Duration;
 
@@ -15,6 +16,10 @@
 use super::trace::Subject;
 use super::{member, recovery, task, worker};
 use crate::declare::job;
+use crate::hash::Map;
+
+/// Values that the log of a cell is kept in. A segment may replace one of an earlier lap only if a snapshot includes it.
+pub const SLOTS: u64 = 256;
 
 /// One durable fact.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,6 +88,8 @@
 /// A batch of records, appended at once.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Segment {
+    /// Position in the log.
+    pub position: u64,
     /// Random number of the write, to recognise it after a lost answer.
     pub write_id: u64,
     /// Epoch of the writer.
@@ -91,13 +98,6 @@
     pub records: Vec<Record>,
 }
 
-impl Segment {
-    /// Whether a member becomes the owner in it.
-    pub fn has_takeover(&self) -> bool {
-        self.records.iter().any(|record| matches!(record, Record::Takeover { .. }))
-    }
-}
-
 /// State of one task in a snapshot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Line {
@@ -160,20 +160,27 @@
     pub jobs: Vec<Adoption>,
     /// Tasks that are not simply queued for the first time.
     pub lines: Vec<Line>,
-    /// Positions of takeovers. Their segments are never deleted: a former owner, however late, appends at the position
-    /// where it was succeeded, and must find that position taken.
-    pub takeovers: Vec<u64>,
+    /// Position of the last snapshot that was in the store when this one was made.
+    pub stored: u64,
 }
 
 /// Most records in one segment; keeps a segment far below the store's limit of 1 MB a value.
 const SEGMENT_RECORDS: usize = 4000;
 
+/// Step of an append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// Reading the slot, whose revision is not known or not as expected.
+    Read,
+    /// Replacing the slot.
+    Write,
+}
+
 /// An append whose outcome is not known yet.
 #[derive(Debug, Clone)]
 struct Flight {
     segment: Segment,
-    /// Reading what stands at the position, after a conflict.
-    is_reading: bool,
+    step: Step,
 }
 
 /// This process's end of the log.
@@ -181,14 +188,15 @@
 pub struct Log {
     /// Next position.
     pub next: u64,
+    /// Position of the last snapshot in the store, and of the one before.
+    pub snapshots: (u64, u64),
+    /// Known revisions of slots; 0 for absent.
+    revisions: Map<u64, u64>,
     pending: Vec<Record>,
     flight: Option<Flight>,
     is_scheduled: bool,
     not_before: Instant,
     backoff: Duration,
-    since_snapshot: u64,
-    /// Positions of the newest takeovers.
-    pub takeovers: Vec<u64>,
 }
 
 impl Log {
@@ -197,21 +205,22 @@
         self.pending.is_empty() && self.flight.is_none()
     }
 
+    /// Notes the revision of the slot of `position`.
+    pub(crate) fn note(&mut self, position: u64, revision: u64) {
+        self.revisions.insert(position % SLOTS, revision);
+    }
+
+    /// Whether the next segment would replace one that the last snapshot does not include.
+    fn is_full(&self) -> bool {
+        self.next >= self.snapshots.0 + SLOTS
+    }
+
     /// Records that wait for an append.
     pub fn pending(&self) -> usize {
         self.pending.len()
     }
 }
 
-/// Notes that the segment at the next position of the log holds a takeover.
-pub(crate) fn note_takeover(log: &mut Log) {
-    /// About 50 days of takeovers at the planned rate of replacements; a process is never paused for that long.
-    const KEPT: usize = 1000;
-    log.takeovers.push(log.next);
-    let surplus = log.takeovers.len().saturating_sub(KEPT);
-    log.takeovers.drain(..surplus);
-}
-
 /// Adds a record, to be appended with the next segment.
 pub(crate) fn push(state: &mut State, key: cell::Key, record: Record) {
     let Some(cell) = state.cells.get_mut(key) else { return };
@@ -247,10 +256,15 @@
         if log.pending.is_empty() {
             return;
         }
+        if log.is_full() {
+            snapshot_if_due(state, key, out);
+            return retry_later(state, key);
+        }
         let count = log.pending.len().min(SEGMENT_RECORDS);
         let records = log.pending.drain(..count).collect();
-        let segment = Segment { write_id, epoch: cell.epoch, records };
-        log.flight = Some(Flight { segment, is_reading: false });
+        let segment = Segment { position: log.next, write_id, epoch: cell.epoch, records };
+        let is_known = log.revisions.contains_key(&(log.next % SLOTS));
+        log.flight = Some(Flight { segment, step: if is_known { Step::Write } else { Step::Read } });
         log.not_before = now + interval;
     }
     send(state, key, out);
@@ -260,10 +274,10 @@
     let Some(cell) = state.cells.get(key) else { return };
     let Some(flight) = &cell.log.flight else { return };
     let (id, position) = (cell.id, cell.log.next);
-    let request = if flight.is_reading {
-        Request::ReadSegment { cell: id, position }
-    } else {
-        Request::Append { cell: id, position, segment: flight.segment.clone() }
+    let expect = cell.log.revisions.get(&(position % SLOTS)).copied();
+    let request = match (flight.step, expect) {
+        (Step::Write, Some(expect)) => Request::Append { cell: id, expect, segment: flight.segment.clone() },
+        _ => Request::ReadSegment { cell: id, position },
     };
     if !state.store.is_pending(Purpose::Journal(key)) {
         store::call(state, Purpose::Journal(key), request, out);
@@ -273,28 +287,54 @@
 /// Takes over the store's answer about the append in flight.
 pub(crate) fn answered(state: &mut State, key: cell::Key, reply: Reply, out: &mut Vec<Effect>) {
     let Some(cell) = state.cells.get_mut(key) else { return };
-    let Some(flight) = &mut cell.log.flight else { return };
-    let write_id = flight.segment.write_id;
+    let (id, log) = (cell.id, &mut cell.log);
+    let Some(flight) = &mut log.flight else { return };
+    let (position, write_id) = (flight.segment.position, flight.segment.write_id);
     match reply {
-        Reply::Written { .. } => commit(state, key, out),
-        Reply::Segment(segment) if segment.write_id == write_id => commit(state, key, out),
-        Reply::Segment(segment) => overtaken(state, key, segment, out),
-        Reply::Conflict => {
-            flight.is_reading = true;
-            send(state, key, out);
+        Reply::Written { revision } => {
+            log.note(position, revision);
+            commit(state, key, out);
+        }
+        Reply::Segment { revision, segment } if segment.write_id == write_id => {
+            log.note(position, revision);
+            commit(state, key, out);
+        }
+        Reply::Segment { revision, segment } if segment.position < position => {
+            flight.step = Step::Write;
+            write_if_changed(state, key, position, revision, out);
+        }
+        Reply::Segment { revision, segment } => {
+            log.note(position, revision);
+            overtaken(state, key, segment, out);
         }
         Reply::Missing => {
-            flight.is_reading = false;
-            retry_later(state, key);
+            flight.step = Step::Write;
+            write_if_changed(state, key, position, 0, out);
+        }
+        Reply::Conflict => {
+            flight.step = Step::Read;
+            send(state, key, out);
         }
         Reply::Corrupt(reason) => {
-            record(out, Subject::Cell(cell.id), "corrupt-segment", reason);
+            record(out, Subject::Cell(id), "corrupt-segment", reason);
             retry_later(state, key);
         }
         _ => retry_later(state, key),
     }
 }
 
+/// Goes on to write with the revision that was read. If it is the one that already led to a conflict, the read was
+/// stale, so the next try waits.
+fn write_if_changed(state: &mut State, key: cell::Key, position: u64, revision: u64, out: &mut Vec<Effect>) {
+    let Some(cell) = state.cells.get_mut(key) else { return };
+    let known = cell.log.revisions.get(&(position % SLOTS)).copied();
+    cell.log.note(position, revision);
+    if known == Some(revision) {
+        return retry_later(state, key);
+    }
+    send(state, key, out);
+}
+
 /// Repeats the append after a jittered wait that doubles each time, so an outage causes no retry storm.
 fn retry_later(state: &mut State, key: cell::Key) {
     let (shortest, longest) = state.tuning.store_backoff;
@@ -310,12 +350,8 @@
 fn commit(state: &mut State, key: cell::Key, out: &mut Vec<Effect>) {
     let Some(cell) = state.cells.get_mut(key) else { return };
     let Some(flight) = cell.log.flight.take() else { return };
-    if flight.segment.has_takeover() {
-        note_takeover(&mut cell.log);
-    }
     cell.log.next += 1;
     cell.log.backoff = Duration::ZERO;
-    cell.log.since_snapshot += 1;
     let at = cell.log.not_before;
     for record in flight.segment.records {
         task::committed(state, key, record, out);
@@ -335,19 +371,28 @@
         return cell::depose(state, key, &reason, out);
     }
     cell.log.flight = None;
-    recovery::replay(state, key, segment, out);
+    recovery::found(state, key, segment, out);
 }
 
 fn snapshot_if_due(state: &mut State, key: cell::Key, out: &mut Vec<Effect>) {
-    let due = state.tuning.segments_per_snapshot;
-    let Some(cell) = state.cells.get_mut(key) else { return };
-    if cell.log.since_snapshot < due || cell.role != Role::Owner {
+    let interval = state.tuning.segments_per_snapshot;
+    let Some(cell) = state.cells.get(key).filter(|cell| cell.role == Role::Owner) else { return };
+    let (id, next) = (cell.id, cell.log.next);
+    let is_pending =
+        state.store.is_pending_where(|purpose| matches!(purpose, Purpose::Snapshot(k, _) if *k == key));
+    if next < cell.log.snapshots.0 + interval || is_pending {
         return;
     }
-    cell.log.since_snapshot = 0;
-    let id = cell.id;
     let request = Request::WriteSnapshot { cell: id, snapshot: snapshot(state, key) };
-    store::call(state, Purpose::Snapshot, request, out);
+    store::call(state, Purpose::Snapshot(key, next), request, out);
+}
+
+/// Takes over the outcome of a snapshot write; one that failed is repeated after the next append.
+pub(crate) fn snapshot_written(state: &mut State, key: cell::Key, next: u64, reply: &Reply) {
+    let Some(cell) = state.cells.get_mut(key) else { return };
+    if let Reply::Written { .. } = reply {
+        cell.log.snapshots = (next, cell.log.snapshots.0);
+    }
 }
 
 /// All facts of a cell up to the next position of its log.
@@ -362,6 +407,5 @@
         cell.tasks.values().filter_map(|task| state.tasks.get(*task)?.line()).collect();
     jobs.sort_unstable();
     lines.sort_unstable_by_key(|line| line.task);
-    let takeovers = cell.log.takeovers.clone();
-    Snapshot { next: cell.log.next, epoch: cell.epoch, jobs, lines, takeovers }
+    Snapshot { next: cell.log.next, epoch: cell.epoch, jobs, lines, stored: cell.log.snapshots.0 }
 }
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -3,6 +3,7 @@
 //! While the store cannot be reached, the process acts as caretaker: it keeps services and running tasks alive under the
 //! epoch that the workers know, and starts no batch task.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use super::cell::{self, Role};
@@ -27,11 +28,10 @@
 /// Goes on after a wait.
 pub(crate) fn step(state: &mut State, key: cell::Key, out: &mut Vec<Effect>) {
     let Some(cell) = state.cells.get(key).filter(|cell| cell.role != Role::Owner) else { return };
-    let (cell, position) = (cell.id, cell.log.next);
-    // Position 0 is where recovery starts, so a snapshot may not have been looked for.
-    let request = match position {
-        0 => Request::ReadSnapshot { cell },
-        _ => Request::ReadSegment { cell, position },
+    let (searched, cell, position) = (cell.snapshot_searched, cell.id, cell.log.next);
+    let request = match searched {
+        false => Request::ReadSnapshot { cell },
+        true => Request::ReadSegment { cell, position },
     };
     store::call(state, Purpose::Recovery(key), request, out);
 }
@@ -45,12 +45,24 @@
             load(state, key, snapshot);
             read_next(state, key, out);
         }
-        Reply::Segment(segment) => replay(state, key, segment, out),
-        Reply::Missing if cell.log.next == 0 && !cell.is_log_searched() => {
+        Reply::Segment { revision, segment } => {
+            let position = cell.log.next;
+            if let Some(cell) = state.cells.get_mut(key) {
+                cell.log.note(position, revision);
+            }
+            found(state, key, segment, out);
+        }
+        Reply::Missing if !cell.snapshot_searched => {
             mark_searched(state, key);
             read_next(state, key, out);
         }
-        Reply::Missing => take_over(state, key),
+        Reply::Missing => {
+            let position = cell.log.next;
+            if let Some(cell) = state.cells.get_mut(key) {
+                cell.log.note(position, 0);
+            }
+            take_over(state, key);
+        }
         Reply::Corrupt(reason) => {
             record(out, Subject::Cell(id), "corrupt-log", reason);
             wait(state, key, out);
@@ -71,18 +83,28 @@
     store::call(state, Purpose::Recovery(key), request, out);
 }
 
-/// Applies a segment that another owner wrote, and reads the next one.
-pub(crate) fn replay(state: &mut State, key: cell::Key, segment: Segment, out: &mut Vec<Effect>) {
-    if let Some(cell) = state.cells.get_mut(key).filter(|_| segment.has_takeover()) {
-        journal::note_takeover(&mut cell.log);
-    }
-    for record in segment.records {
-        task::committed(state, key, record, out);
-    }
-    if let Some(cell) = state.cells.get_mut(key) {
-        cell.log.next += 1;
+/// Looks at what stands in the slot of the next position.
+pub(crate) fn found(state: &mut State, key: cell::Key, segment: Segment, out: &mut Vec<Effect>) {
+    let Some(cell) = state.cells.get_mut(key) else { return };
+    match segment.position.cmp(&cell.log.next) {
+        Ordering::Less => take_over(state, key),
+        Ordering::Equal => {
+            cell.log.next += 1;
+            for record in segment.records {
+                task::committed(state, key, record, out);
+            }
+            read_next(state, key, out);
+        }
+        // The log went on for a whole lap since the snapshot was read.
+        Ordering::Greater => restart(state, key, out),
     }
-    read_next(state, key, out);
+}
+
+/// Begins again with the newest snapshot.
+fn restart(state: &mut State, key: cell::Key, out: &mut Vec<Effect>) {
+    let Some(id) = state.cells.get(key).map(|cell| cell.id) else { return };
+    cell::depose(state, key, "the log went on while it was read", out);
+    begin(state, id, out);
 }
 
 /// The log is read to its end: appends the takeover there.
@@ -145,8 +167,11 @@
         Some(key) if state.cells.get(key).is_some_and(|cell| cell.is_untouched()) => key,
         Some(_) => return,
     };
+    let stored = snapshot.stored;
     load(state, key, snapshot);
     let Some(cell) = state.cells.get_mut(key) else { return };
+    // This snapshot came in a message; the store has an earlier one.
+    cell.log.snapshots = (stored, stored);
     cell.log.next = next;
     cell.epoch = epoch;
     cell.role = Role::Owner;
@@ -165,7 +190,7 @@
     if let Some(cell) = state.cells.get_mut(key) {
         cell.log.next = snapshot.next;
         cell.epoch = snapshot.epoch;
-        cell.log.takeovers = snapshot.takeovers;
+        cell.log.snapshots = (snapshot.next, snapshot.stored);
         cell.snapshot_searched = true;
     }
 }
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -46,27 +46,26 @@
         /// Cell.
         cell: cell::Id,
     },
-    /// Write a snapshot, then the head hint, then delete the segments before the previous snapshot, except those at
-    /// the snapshot's takeover positions.
+    /// Write a snapshot, then the head hint, then delete the snapshot before the previous one.
     WriteSnapshot {
         /// Cell.
         cell: cell::Id,
         /// The snapshot.
         snapshot: Snapshot,
     },
-    /// Read one segment of the log.
+    /// Read what stands in the slot of a position of the log.
     ReadSegment {
         /// Cell.
         cell: cell::Id,
         /// Position in the log.
         position: u64,
     },
-    /// Create one segment of the log; it must not exist.
+    /// Replace what stands in the slot of the segment's position.
     Append {
         /// Cell.
         cell: cell::Id,
-        /// Position in the log.
-        position: u64,
+        /// Revision that the slot must have; 0 for absent.
+        expect: u64,
         /// The segment.
         segment: Segment,
     },
@@ -102,7 +101,12 @@
     /// The text of a document.
     Document(String),
     /// A segment of the log.
-    Segment(Segment),
+    Segment {
+        /// Revision of its slot.
+        revision: u64,
+        /// The segment, of this position or an earlier or later lap.
+        segment: Segment,
+    },
     /// A snapshot.
     Snapshot(Snapshot),
     /// The write took effect.
@@ -133,8 +137,8 @@
     Recovery(cell::Key),
     /// An append to a cell's log, or looking at what stands there.
     Journal(cell::Key),
-    /// A snapshot of a cell's log; nothing waits for it.
-    Snapshot,
+    /// A snapshot of a cell's log up to a position.
+    Snapshot(cell::Key, u64),
 }
 
 /// Calls in flight.
@@ -147,7 +151,12 @@
 impl Table {
     /// Whether a call with this purpose is in flight.
     pub fn is_pending(&self, purpose: Purpose) -> bool {
-        self.pending.values().any(|pending| *pending == purpose)
+        self.is_pending_where(|pending| *pending == purpose)
+    }
+
+    /// Whether a call whose purpose meets a condition is in flight.
+    pub fn is_pending_where(&self, condition: impl Fn(&Purpose) -> bool) -> bool {
+        self.pending.values().any(condition)
     }
 }
 
@@ -168,6 +177,6 @@
         Purpose::Apply => apply::answered(state, reply, out),
         Purpose::Recovery(cell) => recovery::answered(state, cell, reply, out),
         Purpose::Journal(cell) => journal::answered(state, cell, reply, out),
-        Purpose::Snapshot => {}
+        Purpose::Snapshot(cell, next) => journal::snapshot_written(state, cell, next, &reply),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,7 @@
 pub mod finding;
 pub mod hash;
 pub mod port;
+pub mod session;
 pub mod settings;
+pub mod standin;
+pub mod wire;
--- a/src/session/mod.rs
+++ b/src/session/mod.rs
@@ -200,8 +200,7 @@
     fn add_vm(&mut self, name: String, zone: zone::Id) {
         let at = self.vms.len() as u16;
         let address = site::entry_address(at);
-        let vm =
-            Vm { name, zone, address, process: None, run: 0, paused_until: Instant(0), wake: None };
+        let vm = Vm { name, zone, address, process: None, run: 0, paused_until: Instant(0), wake: None };
         self.vms.push(vm);
         self.start(at);
     }
--- a/src/session/store.rs
+++ b/src/session/store.rs
@@ -2,7 +2,7 @@
 
 use crate::core::cell;
 use crate::core::config::Index;
-use crate::core::journal::{Segment, Snapshot};
+use crate::core::journal::{SLOTS, Segment, Snapshot};
 use crate::core::store::{Reply, Request};
 use crate::hash::Map;
 
@@ -22,7 +22,8 @@
     pub counts: Counts,
     index: Option<(u64, Index)>,
     documents: Map<u64, String>,
-    segments: Map<(cell::Id, u64), Segment>,
+    slots: Map<(cell::Id, u64), (u64, Segment)>,
+    revision: u64,
     snapshots: Map<cell::Id, Snapshot>,
 }
 
@@ -50,24 +51,23 @@
                 self.snapshots.get(&cell).cloned().map_or(Reply::Missing, Reply::Snapshot)
             }
             Request::WriteSnapshot { cell, snapshot } => {
-                let next = snapshot.next;
-                let is_kept = |position: u64| position >= next || snapshot.takeovers.contains(&position);
-                self.segments.retain(|(other, position), _| *other != cell || is_kept(*position));
                 self.snapshots.insert(cell, snapshot);
                 Reply::Written { revision: 1 }
             }
             Request::ReadSegment { cell, position } => {
-                self.segments.get(&(cell, position)).cloned().map_or(Reply::Missing, Reply::Segment)
+                let found = self.slots.get(&(cell, position % SLOTS)).cloned();
+                found.map_or(Reply::Missing, |(revision, segment)| Reply::Segment { revision, segment })
             }
-            Request::Append { cell, position, segment } => self.append(cell, position, segment),
+            Request::Append { cell, expect, segment } => self.append(cell, expect, segment),
         }
     }
 
     /// Segments of a cell's log, in order.
     pub fn log(&self, cell: cell::Id) -> Vec<&Segment> {
-        let mut found: Vec<_> = self.segments.iter().filter(|((other, _), _)| *other == cell).collect();
-        found.sort_unstable_by_key(|((_, position), _)| *position);
-        found.into_iter().map(|(_, segment)| segment).collect()
+        let mut found: Vec<&Segment> =
+            self.slots.iter().filter(|((other, _), _)| *other == cell).map(|(_, (_, s))| s).collect();
+        found.sort_unstable_by_key(|segment| segment.position);
+        found
     }
 
     fn read_index(&self, newer_than: u64) -> Reply {
@@ -87,11 +87,14 @@
         Reply::Written { revision: revision + 1 }
     }
 
-    fn append(&mut self, cell: cell::Id, position: u64, segment: Segment) -> Reply {
-        if self.segments.contains_key(&(cell, position)) {
+    fn append(&mut self, cell: cell::Id, expect: u64, segment: Segment) -> Reply {
+        let slot = (cell, segment.position % SLOTS);
+        let found = self.slots.get(&slot).map_or(0, |(revision, _)| *revision);
+        if found != expect {
             return Reply::Conflict;
         }
-        self.segments.insert((cell, position), segment);
-        Reply::Written { revision: 1 }
+        self.revision += 1;
+        self.slots.insert(slot, (self.revision, segment));
+        Reply::Written { revision: self.revision }
     }
 }
