Test the worker stand-in against any order of calls

Cause: the arbiter and the attempt rules interact, and single cases do not cover their combinations.

--- a/src/standin/worker/mod.rs
+++ b/src/standin/worker/mod.rs
@@ -268,7 +268,7 @@
                 self.shared.audit.result_lost(task);
             }
         }
-        let clock_ms = self.at_ms + BOOT_MS - now_ms;
+        let clock_ms = self.offset_ms + BOOT_MS;
         let profile = Profile { instance: self.instance + 1, clock_ms, ..self.profile.clone() };
         *self = Self::new(profile, self.shared.clone());
         self.mode.frozen = true;
@@ -479,6 +479,8 @@
 
 #[cfg(test)]
 mod tests {
+    use proptest::prelude::*;
+
     use super::*;
     use crate::core::{cell, member, task};
     use crate::declare::{job, zone};
@@ -671,4 +673,50 @@
         let usage = ask(&mut worker, call(3, 60_000, vec![]), 2_500).usage;
         assert_eq!(usage.iter().map(|sample| sample.taken_ms - CLOCK_MS).collect::<Vec<_>>(), [0]);
     }
+
+    fn any_command() -> impl Strategy<Value = Command> {
+        let work = prop_oneof![(0u32..3).prop_map(batch), (0u64..3).prop_map(replica)];
+        (work, 1u32..4, 0u8..4).prop_map(|(work, attempt, choice)| match choice {
+            0 => Command::Stop { work, attempt, checkpoint: true },
+            1 => Command::Throttle { work, percent: 30 },
+            _ => start(work, attempt),
+        })
+    }
+
+    fn any_call() -> impl Strategy<Value = (u64, Call)> {
+        let commands = proptest::collection::vec(any_command(), 0..4);
+        let lease = (1u64..3, 1u64..3, any::<bool>(), any::<bool>());
+        (0u64..3_000, lease, 1u64..40, 0u64..60_000, commands).prop_map(
+            |(step_ms, (holder, epoch, caretaker, release), sequence, until_ms, commands)| {
+                let holder = member::Id(holder);
+                (step_ms, Call { holder, epoch, caretaker, release, ..call(sequence, until_ms, commands) })
+            },
+        )
+    }
+
+    proptest! {
+        /// Guards against any order of calls that overfills the worker, runs an attempt again, or outlives the lease.
+        #[test]
+        fn no_order_of_calls_breaks_a_promise(calls in proptest::collection::vec(any_call(), 1..40)) {
+            let mut worker = worker();
+            let mut now_ms = 0;
+            let mut started = crate::hash::Set::default();
+            for (step_ms, call) in calls {
+                now_ms += step_ms;
+                worker.advance(now_ms);
+                let before: Vec<_> = worker.units.iter().map(|(work, unit)| (*work, unit.attempt)).collect();
+                let reply = ask(&mut worker, call, now_ms);
+                let used = reply.running.iter().fold(Size::default(), |sum, unit| sum + unit.size);
+                prop_assert!(used.fits(&worker.profile.capacity));
+                for unit in &reply.running {
+                    let attempt = (unit.work, unit.attempt);
+                    prop_assert!(before.contains(&attempt) || started.insert(attempt), "{attempt:?} again");
+                    let is_batch = matches!(unit.work, Work::Batch(_));
+                    prop_assert!(!is_batch || worker.lease.batch_until_ms() > reply.clock_ms);
+                    prop_assert!(!reply.ended.iter().any(|ended| (ended.work, ended.attempt) == attempt));
+                }
+                prop_assert!(reply.lease_until_ms == 0 || reply.lease_until_ms > reply.clock_ms);
+            }
+        }
+    }
 }
