Split names from resolution and shorten homes

Cause: lists of homes grew with the fleet, sealing searched all jobs for each job, and one file held two concerns. Change: a job's list has one entry for 32 tasks once there are 16 cells; seal uses an index; one place for the homes of a job; names have their own file.

--- a/src/declare/capacity.rs
+++ b/src/declare/capacity.rs
@@ -23,7 +23,10 @@
         return 0;
     }
     let racks = pool.racks.len().max(1) as u64;
-    let allowed = pool.racks.iter().filter(|rack| filter.allows(pool, rack)).count() as u64;
+    let allowed = match &filter.racks[..] {
+        [] => racks,
+        names => pool.racks.iter().filter(|rack| names.contains(rack)).count() as u64,
+    };
     // Rounded up, so that an allowed rack is never taken for empty.
     let vms = (u64::from(pool.count) * allowed).div_ceil(racks);
     vms * u64::from(per_vm(&pool.size, size))
--- a/src/declare/draft/home.rs
+++ b/src/declare/draft/home.rs
@@ -3,36 +3,37 @@
 use toml::de::DeValue;
 
 use super::HOMES;
-use crate::declare::report::{Place, Report, Spot};
+use crate::declare::report::{Report, Spot};
 use crate::declare::table::Table;
 use crate::declare::value;
 
+/// Zone name and index of a cell.
+pub(crate) type Cell = (String, u16);
+
 /// Homes of one job.
 pub(crate) struct Home {
     /// Name and run of the job, as `job#run`.
     pub job: String,
-    /// Zone name and index of each cell.
-    pub cells: Vec<Spot<(String, u16)>>,
-    pub place: Place,
+    /// Its cells, with one place for all, since there are many and nobody edits them.
+    pub cells: Spot<Vec<Cell>>,
 }
 
 pub(super) fn read(root: &Table<'_>, report: &mut Report) -> Vec<Home> {
     let Some(table) = root.table(report, HOMES) else { return Vec::new() };
-    let mut homes = Vec::new();
-    for job in table.keys() {
-        let place = table.inside(job, table.key_offset(job));
-        let cells = table.list(report, job, cell);
-        if cells.is_empty() {
-            report.add(&place, "the list of cells is empty");
-        }
-        homes.push(Home { job: job.to_owned(), cells, place });
+    let jobs = table.keys().map(|job| Home { job: job.to_owned(), cells: table.need(report, job, cells) });
+    jobs.collect()
+}
+
+fn cells(value: &DeValue<'_>) -> Result<Vec<Cell>, String> {
+    match value.as_array() {
+        Some(list) if !list.is_empty() => list.iter().map(|cell| parse(cell.get_ref())).collect(),
+        _ => Err("expected a list of cells".to_owned()),
     }
-    homes
 }
 
-/// Reads `zone/cell`.
-fn cell(value: &DeValue<'_>) -> Result<(String, u16), String> {
-    let text = value::text(value)?;
+/// Parses `zone/cell`.
+fn parse(value: &DeValue<'_>) -> Result<Cell, String> {
+    let text = value.as_str().ok_or_else(|| value::mismatch("a cell", value))?;
     let cell = text.split_once('/').and_then(|(zone, index)| Some((zone.to_owned(), index.parse().ok()?)));
     cell.ok_or_else(|| format!("expected a cell such as \"basirhat/0\", found \"{text}\""))
 }
--- a/src/declare/home.rs
+++ b/src/declare/home.rs
@@ -9,12 +9,12 @@
 use super::capacity::{self, Room};
 use super::check;
 use super::draft::{self, HOMES};
-use super::job::Job;
+use super::job::{self, Job};
 use super::plan::Plan;
 use super::report::Report;
 use super::table::Table;
 use crate::core::cell;
-use crate::hash;
+use crate::hash::{self, Map};
 
 /// Start of the generated part of a stored text. Each stored text has it, so that its last occurrence is never part of
 /// what the operator wrote.
@@ -32,13 +32,12 @@
 /// of the earlier version, are kept; others are computed. `document` names the document.
 pub fn seal(text: &str, document: &str, plan: &Plan, previous: Option<&str>) -> String {
     let kept: BTreeMap<String, Vec<String>> = previous.map(stored).unwrap_or_default();
+    let by_id: Map<job::Id, &Job> = plan.jobs.iter().map(|job| (job.id, job)).collect();
     let mut sealed = format!("{text}{MARKER}{document}. Do not edit.\n[{HOMES}]\n");
     for (label, id) in jobs(text) {
-        let homes = match (kept.get(&label), plan.job(id)) {
+        let homes = match (kept.get(&label), by_id.get(&id)) {
             (Some(homes), _) => homes.clone(),
-            (None, Some((_, job))) => {
-                compute(plan, job).iter().filter_map(|cell| label_of(plan, *cell)).collect()
-            }
+            (None, Some(job)) => compute(plan, job).iter().filter_map(|cell| label_of(plan, *cell)).collect(),
             (None, None) => continue,
         };
         // Names hold no character that TOML or Rust would escape.
@@ -142,8 +141,8 @@
 }
 
 /// Labels and identities of the jobs of a text.
-fn jobs(text: &str) -> Vec<(String, super::job::Id)> {
-    let identity = |job: &draft::job::Job| super::job::Id::of(&job.name.value, job.run);
+fn jobs(text: &str) -> Vec<(String, job::Id)> {
+    let identity = |job: &draft::job::Job| job::Id::of(&job.name.value, job.run);
     read(text)
         .map(|document| document.jobs.iter().map(|job| (job.body.label(), identity(&job.body))).collect())
         .unwrap_or_default()
@@ -153,7 +152,7 @@
 fn stored(text: &str) -> BTreeMap<String, Vec<String>> {
     let Some(document) = read(text) else { return BTreeMap::new() };
     let names = |home: &draft::home::Home| {
-        home.cells.iter().map(|cell| format!("{}/{}", cell.value.0, cell.value.1)).collect()
+        home.cells.value.iter().map(|(zone, index)| format!("{zone}/{index}")).collect()
     };
     document.homes.iter().map(|home| (home.job.clone(), names(home))).collect()
 }
@@ -164,3 +163,26 @@
     let tree = check::parse(0, text, &mut report)?;
     Some(draft::read(&Table::root(0, tree.get_ref()), true, &mut report))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against lists that grow with the fleet, and against equal cells with unequal shares.
+    #[test]
+    fn entries_follow_tasks_once_there_are_many_cells() {
+        assert_eq!(entries(3, 1000), 18);
+        assert_eq!(entries(483, 40), 16);
+        assert_eq!(entries(483, 1200), 37);
+        assert_eq!(entries(483, 1_000_000), 483);
+        assert_eq!(entries(3, 2), 2);
+    }
+
+    /// Guards against entries that are lost or doubled by rounding.
+    #[test]
+    fn sample_gives_each_its_share() {
+        assert_eq!(sample(&[1; 5], 2).iter().sum::<usize>(), 2);
+        assert_eq!(sample(&[80, 80, 140, 140], 22), [4, 4, 7, 7]);
+        assert_eq!(reduce(sample(&[7, 7, 7], 18)), [1, 1, 1]);
+    }
+}
--- a/src/declare/mod.rs
+++ b/src/declare/mod.rs
@@ -28,4 +28,5 @@
 mod draft;
 mod fit;
 mod likeness;
+mod names;
 mod resolve;
--- /dev/null
+++ b/src/declare/names.rs
@@ -0,0 +1,100 @@
+//! Names of one kind over all documents: lookup, duplicates and equal identities.
+
+use std::collections::BTreeMap;
+
+use super::draft::Document;
+use super::likeness;
+use super::report::{Report, Spot};
+
+/// Most items of a kind whose keys have 16 bits.
+const MAX_ITEMS: usize = 1 << 16;
+
+/// Names of one kind with their index.
+pub(crate) struct Names<'a> {
+    pub kind: &'static str,
+    pub at: BTreeMap<&'a str, usize>,
+}
+
+impl<'a> Names<'a> {
+    /// Index of a name; a name that is not declared is reported.
+    pub fn find(&self, name: &Spot<String>, report: &mut Report) -> Option<usize> {
+        // Empty names stand for values that were reported before.
+        if name.value.is_empty() {
+            return None;
+        }
+        let found = self.at.get(name.value.as_str()).copied();
+        if found.is_none() {
+            let hint = likeness::hint(&name.value, self.at.keys().copied());
+            report
+                .add(&name.place, format!("no document declares the {} \"{}\"{hint}", self.kind, name.value));
+        }
+        found
+    }
+
+    /// Index of a name, or the first one when the name was reported.
+    pub fn key(&self, name: &Spot<String>, report: &mut Report) -> usize {
+        self.find(name, report).unwrap_or_default()
+    }
+}
+
+/// Indexes names and reports those that are declared twice.
+pub(crate) fn index<'a>(
+    kind: &'static str,
+    documents: &[Document],
+    spots: impl Iterator<Item = &'a Spot<String>>,
+    report: &mut Report,
+) -> Names<'a> {
+    let mut first: BTreeMap<&str, &Spot<String>> = BTreeMap::new();
+    let mut at = BTreeMap::new();
+    for (index, spot) in spots.enumerate() {
+        if index == MAX_ITEMS && kind != "job" {
+            report.add(&spot.place, format!("there are more than {MAX_ITEMS} {kind}s"));
+        }
+        if spot.value.is_empty() {
+            continue;
+        }
+        if let Some(other) = first.get(spot.value.as_str()) {
+            let document = &documents[other.place.source].name.value;
+            let other = &other.place.key;
+            let message = format!(
+                "the {kind} \"{}\" is already declared by `{other}` in the document \"{document}\"",
+                spot.value
+            );
+            report.add(&spot.place, message);
+            continue;
+        }
+        first.insert(&spot.value, spot);
+        at.insert(spot.value.as_str(), index);
+    }
+    Names { kind, at }
+}
+
+/// Reports different names with the same identity.
+pub(crate) fn check_identities<'a, I: Ord>(
+    kind: &str,
+    items: impl Iterator<Item = (&'a Spot<String>, I)>,
+    report: &mut Report,
+) {
+    let mut seen: BTreeMap<I, &str> = BTreeMap::new();
+    for (name, id) in items {
+        let other = *seen.entry(id).or_insert(&name.value);
+        if other != name.value {
+            let message = format!(
+                "the {kind} has the same identity hash as the {kind} \"{other}\"; rename one of them"
+            );
+            report.add(&name.place, message);
+        }
+    }
+}
+
+/// Reports service names that differ only in case, since some callers change the case of a URL.
+pub(crate) fn check_case<'a>(services: impl Iterator<Item = &'a Spot<String>>, report: &mut Report) {
+    let mut seen: BTreeMap<String, &str> = BTreeMap::new();
+    for name in services {
+        let other = *seen.entry(name.value.to_ascii_lowercase()).or_insert(&name.value);
+        if other != name.value {
+            let message = format!("the name differs from that of the service \"{other}\" only in case");
+            report.add(&name.place, message);
+        }
+    }
+}
--- a/src/declare/resolve.rs
+++ b/src/declare/resolve.rs
@@ -3,18 +3,15 @@
 use std::collections::BTreeMap;
 
 use super::draft::{self, Document, Item};
-use super::likeness;
+use super::names::{self, Names};
 use super::plan::Plan;
-use super::report::{Report, Spot};
+use super::report::Report;
 use super::{job, pool, sample, service, team, zone};
 use crate::core::cell;
 
 /// Workers of a cell of a zone that names no number of cells.
 const WORKERS_PER_CELL: u64 = 64;
 
-/// Most items of a kind whose keys have 16 bits.
-const MAX_ITEMS: usize = 1 << 16;
-
 /// A plan in the making. Its items stand in the order of the documents, also those with findings.
 pub(crate) struct Resolved {
     pub plan: Plan,
@@ -26,34 +23,6 @@
     pub jobs: Vec<bool>,
 }
 
-/// Names of one kind with their index.
-struct Names<'a> {
-    kind: &'static str,
-    at: BTreeMap<&'a str, usize>,
-}
-
-impl<'a> Names<'a> {
-    /// Index of a name; a name that is not declared is reported.
-    fn find(&self, name: &Spot<String>, report: &mut Report) -> Option<usize> {
-        // Empty names stand for values that were reported before.
-        if name.value.is_empty() {
-            return None;
-        }
-        let found = self.at.get(name.value.as_str()).copied();
-        if found.is_none() {
-            let hint = likeness::hint(&name.value, self.at.keys().copied());
-            report
-                .add(&name.place, format!("no document declares the {} \"{}\"{hint}", self.kind, name.value));
-        }
-        found
-    }
-
-    /// Index of a name, or the first one when the name was reported.
-    fn key(&self, name: &Spot<String>, report: &mut Report) -> usize {
-        self.find(name, report).unwrap_or_default()
-    }
-}
-
 /// All names.
 struct Index<'a> {
     regions: Names<'a>,
@@ -116,92 +85,38 @@
 
 fn index<'a>(documents: &'a [Document], report: &mut Report) -> Index<'a> {
     let documents_by_name = documents.iter().map(|document| &document.name);
-    names("document", documents, documents_by_name, report);
-    names("pool", documents, all(documents, |d| &d.pools).map(|item| &item.body.name), report);
+    names::index("document", documents, documents_by_name, report);
+    names::index("pool", documents, all(documents, |d| &d.pools).map(|item| &item.body.name), report);
     let jobs = || all(documents, |d| &d.jobs).map(|item| &item.body.name);
-    names("job", documents, jobs(), report);
+    names::index("job", documents, jobs(), report);
     let job_ids = all(documents, |d| &d.jobs)
         .map(|item| (&item.body.name, job::Id::of(&item.body.name.value, item.body.run)));
-    identities("job", job_ids, report);
+    names::check_identities("job", job_ids, report);
     let zones = || all(documents, |d| &d.zones).map(|item| &item.body.name);
-    identities("zone", zones().map(|name| (name, zone::Id::of(&name.value))), report);
+    names::check_identities("zone", zones().map(|name| (name, zone::Id::of(&name.value))), report);
     let services = || all(documents, |d| &d.services).map(|item| &item.body.name);
-    identities("service", services().map(|name| (name, service::Id::of(&name.value))), report);
-    clashes(services(), report);
+    names::check_identities("service", services().map(|name| (name, service::Id::of(&name.value))), report);
+    names::check_case(services(), report);
     let racks = all(documents, |d| &d.pools).flat_map(|item| &item.body.racks);
     Index {
-        regions: names("region", documents, all(documents, |d| &d.regions).map(|item| &item.body), report),
-        zones: names("zone", documents, zones(), report),
-        teams: names("team", documents, all(documents, |d| &d.teams).map(|item| &item.body.name), report),
-        services: names("service", documents, services(), report),
+        regions: names::index(
+            "region",
+            documents,
+            all(documents, |d| &d.regions).map(|item| &item.body),
+            report,
+        ),
+        zones: names::index("zone", documents, zones(), report),
+        teams: names::index(
+            "team",
+            documents,
+            all(documents, |d| &d.teams).map(|item| &item.body.name),
+            report,
+        ),
+        services: names::index("service", documents, services(), report),
         racks: Names { kind: "rack", at: racks.map(|rack| (rack.as_str(), 0)).collect() },
     }
 }
 
-/// Indexes names and reports those that are declared twice.
-fn names<'a>(
-    kind: &'static str,
-    documents: &[Document],
-    spots: impl Iterator<Item = &'a Spot<String>>,
-    report: &mut Report,
-) -> Names<'a> {
-    let mut first: BTreeMap<&str, &Spot<String>> = BTreeMap::new();
-    let mut at = BTreeMap::new();
-    for (index, spot) in spots.enumerate() {
-        if index == MAX_ITEMS && kind != "job" {
-            report.add(&spot.place, format!("there are more than {MAX_ITEMS} {kind}s"));
-        }
-        if spot.value.is_empty() {
-            continue;
-        }
-        if let Some(other) = first.get(spot.value.as_str()) {
-            let document = &documents[other.place.source].name.value;
-            let other = &other.place.key;
-            let message = format!(
-                "the {kind} \"{}\" is already declared by `{other}` in the document \"{document}\"",
-                spot.value
-            );
-            report.add(&spot.place, message);
-            continue;
-        }
-        first.insert(&spot.value, spot);
-        at.insert(spot.value.as_str(), index);
-    }
-    Names { kind, at }
-}
-
-/// Reports different names with the same identity.
-fn identities<'a, I: Ord>(
-    kind: &str,
-    items: impl Iterator<Item = (&'a Spot<String>, I)>,
-    report: &mut Report,
-) {
-    let mut seen: BTreeMap<I, &str> = BTreeMap::new();
-    for (name, id) in items {
-        let other = *seen.entry(id).or_insert(&name.value);
-        if other != name.value {
-            let message = format!(
-                "the {kind} has the same identity hash as the {kind} \"{other}\"; rename one of them"
-            );
-            report.add(&name.place, message);
-        }
-    }
-}
-
-/// Reports service names that differ only in case, since some callers change the case of a URL.
-fn clashes<'a>(services: impl Iterator<Item = &'a Spot<String>>, report: &mut Report) {
-    let mut seen: BTreeMap<String, &str> = BTreeMap::new();
-    for name in services {
-        let other = *seen.entry(name.value.to_ascii_lowercase()).or_insert(&name.value);
-        if other != name.value {
-            report.add(
-                &name.place,
-                format!("the name differs from the service \"{other}\" only in upper case"),
-            );
-        }
-    }
-}
-
 fn links(documents: &[Document], index: &Index<'_>, report: &mut Report) -> Vec<zone::Link> {
     let mut links: Vec<zone::Link> = Vec::new();
     for item in all(documents, |d| &d.links) {
@@ -323,7 +238,7 @@
             let cells = cells(home, &plan.zones, index, report);
             match labels.get(&home.job) {
                 Some(at) => plan.jobs[*at].homes = cells,
-                None => report.add(&home.place, "the document has no such job and run"),
+                None => report.add(&home.cells.place, "the document has no such job and run"),
             }
         }
         first += document.jobs.len();
@@ -338,12 +253,12 @@
     report: &mut Report,
 ) -> Vec<cell::Id> {
     let mut cells = Vec::new();
-    for Spot { value: (name, number), place } in &home.cells {
+    for (name, number) in &home.cells.value {
         let Some(at) = index.zones.at.get(name.as_str()) else {
             let message = format!(
                 "the job has tasks in zone \"{name}\", which is not declared; keep it with `retired = true`"
             );
-            report.add(place, message);
+            report.add(&home.cells.place, message);
             continue;
         };
         let zone = &zones[*at];
@@ -353,7 +268,7 @@
                  while the job is declared",
                 zone.cells
             );
-            report.add(place, message);
+            report.add(&home.cells.place, message);
         }
         cells.push(cell::Id { zone: zone.id, index: *number });
     }
