Report a damaged generated part of a stored document

Cause: a trial with 30,000 mutated files found a stored text whose marker comment was damaged; sealing it again wrote a second table of homes. Change: compile requires the generated part to be as seal writes it. Conclusion: a stored text either round-trips or is reported.

--- a/src/declare/check.rs
+++ b/src/declare/check.rs
@@ -3,7 +3,7 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue, Error};
 
-use super::draft;
+use super::draft::{self, HOMES};
 use super::fit;
 use super::home;
 use super::plan::Plan;
@@ -34,7 +34,9 @@
     let mut documents = Vec::new();
     for (at, source) in sources.iter().enumerate() {
         let Some(tree) = parse(at, source.text, &mut report) else { continue };
-        documents.push(draft::read(&Table::root(at, tree.get_ref()), source.stored, &mut report));
+        let root = Table::root(at, tree.get_ref());
+        check_generated(&root, source, &mut report);
+        documents.push(draft::read(&root, source.stored, &mut report));
     }
     if documents.len() < sources.len() {
         return Err(report.finish(sources));
@@ -48,6 +50,19 @@
     Ok(resolved.plan)
 }
 
+/// Reports homes that an operator wrote, and a damaged generated part of a stored text.
+fn check_generated(root: &Table<'_>, source: &Source<'_>, report: &mut Report) {
+    if !root.keys().any(|key| key == HOMES) {
+        return;
+    }
+    let place = root.inside(HOMES, root.key_offset(HOMES));
+    if !source.stored {
+        report.add(&place, "homes are written when a document is applied; remove this table");
+    } else if !home::is_intact(source.text, place.offset) {
+        report.add(&place, "the generated part of the stored document is damaged; apply the document again");
+    }
+}
+
 /// Parses a text; on syntax errors, reports all of them.
 pub(crate) fn parse<'a>(source: usize, text: &'a str, report: &mut Report) -> Option<Spanned<DeTable<'a>>> {
     let (tree, errors) = DeTable::parse_recoverable(text);
--- a/src/declare/draft/mod.rs
+++ b/src/declare/draft/mod.rs
@@ -68,12 +68,9 @@
     }
 }
 
-/// Reads a document; `stored` allows generated homes.
+/// Reads a document; homes only of a stored one.
 pub(crate) fn read(root: &Table<'_>, stored: bool, report: &mut Report) -> Document {
     root.only_except(report, &KEYS, |key| key == HOMES);
-    if !stored {
-        reject_homes(root, report);
-    }
     Document {
         name: root.need(report, "name", value::name),
         regions: items(root, "region", report, platform::region),
@@ -88,15 +85,6 @@
     }
 }
 
-fn reject_homes(root: &Table<'_>, report: &mut Report) {
-    if !root.keys().any(|key| key == HOMES) {
-        return;
-    }
-    let offset = root.key_offset(HOMES);
-    report
-        .add(&root.inside(HOMES, offset), "homes are written when a document is applied; remove this table");
-}
-
 fn items<T>(
     root: &Table<'_>,
     key: &str,
--- a/src/declare/home.rs
+++ b/src/declare/home.rs
@@ -51,6 +51,20 @@
     text.rfind(MARKER).map_or(text, |at| &text[..at])
 }
 
+/// Whether the generated part of a stored text is as [`seal`] writes it, with the table of homes at `offset`.
+///
+/// Otherwise [`unseal`] would take generated lines for the operator's or the reverse.
+pub(crate) fn is_intact(text: &str, offset: usize) -> bool {
+    let part = &text[unseal(text).len()..];
+    let header = format!("\n[{HOMES}]\n");
+    let Some((comment, lines)) = part.split_once(&header) else { return false };
+    let is_entry = |line: &str| line.starts_with('"') && line.ends_with(']');
+    text.len() - lines.len() == offset + header.len() - "\n[".len()
+        && comment.starts_with(MARKER)
+        && comment.lines().count() == 2
+        && lines.lines().all(is_entry)
+}
+
 /// Computes the homes of all jobs that have none.
 pub(crate) fn fill(plan: &mut Plan) {
     for at in 0..plan.jobs.len() {
