Add the timeline and the telemetry

Cause: decisions need a record over all processes, and operators need logs and metrics. Change: timeline entries, a ring with an optional file, a pure merge; JSON log lines; opentelemetry instruments. Conclusion: a slow or full disk costs counted entries and never delays a decision.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod finding;
 pub mod hash;
 pub mod port;
+pub mod telemetry;
+pub mod timeline;
--- /dev/null
+++ b/src/telemetry/metric.rs
@@ -0,0 +1,183 @@
+//! Metrics by opentelemetry, in the text format of Prometheus.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::core::store::{Reply, Request};
+use crate::error::{Error, Result};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BOUNDS_S: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
+
+/// Instruments of one process; clones share them.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    // The instruments report nothing once their provider is gone.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    decisions: Counter<u64>,
+    store_calls: Counter<u64>,
+    peer_bytes: Counter<u64>,
+    tasks: Gauge<u64>,
+    cells: Gauge<u64>,
+}
+
+/// Direction of traffic between entry VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// To another entry VM.
+    Sent,
+    /// From another entry VM.
+    Received,
+}
+
+impl Metrics {
+    /// Instruments with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// The exporter cannot be registered.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("nutmegfold")
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .map_err(|error| Error::call("start the metrics exporter", error))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("nutmegfold");
+        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
+        let gauge = |name, text| meter.u64_gauge(name).with_description(text).build();
+        Ok(Self {
+            requests: counter("requests", "Requests of callers, by outcome"),
+            latency: meter
+                .f64_histogram("request_latency")
+                .with_description("Time from a request to its answer, by outcome")
+                .with_unit("s")
+                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+                .build(),
+            decisions: counter("decisions", "Timeline entries, by decision"),
+            store_calls: counter("store_calls", "Calls of the store, by kind and reply"),
+            peer_bytes: counter("peer_bytes", "Bytes between entry VMs, by direction"),
+            tasks: gauge("tasks", "Batch tasks of the cells owned here, by phase"),
+            cells: gauge("cells_owned", "Cells owned here"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that ended with `outcome` after `elapsed`.
+    pub fn request(&self, outcome: &'static str, elapsed: Duration) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.latency.record(elapsed.as_secs_f64(), &labels);
+    }
+
+    /// Counts a decision.
+    pub fn decision(&self, name: &'static str) {
+        self.decisions.add(1, &[KeyValue::new("decision", name)]);
+    }
+
+    /// Counts a call of the store.
+    pub fn store_call(&self, request: &Request, reply: &Reply) {
+        let labels = [KeyValue::new("kind", kind(request)), KeyValue::new("reply", answer(reply))];
+        self.store_calls.add(1, &labels);
+    }
+
+    /// Counts bytes to or from other entry VMs.
+    pub fn peer_bytes(&self, direction: Direction, bytes: u64) {
+        let text = match direction {
+            Direction::Sent => "sent",
+            Direction::Received => "received",
+        };
+        self.peer_bytes.add(bytes, &[KeyValue::new("direction", text)]);
+    }
+
+    /// Sets the number of batch tasks in `phase`.
+    pub fn tasks(&self, phase: &'static str, count: u64) {
+        self.tasks.record(count, &[KeyValue::new("phase", phase)]);
+    }
+
+    /// Sets the number of cells owned.
+    pub fn cells(&self, count: u64) {
+        self.cells.record(count, &[]);
+    }
+
+    /// Text for scraping.
+    ///
+    /// # Errors
+    ///
+    /// The metrics cannot be encoded.
+    pub fn render(&self) -> Result<String> {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .map_err(|error| Error::call("encode the metrics", error))
+    }
+}
+
+fn kind(request: &Request) -> &'static str {
+    match request {
+        Request::ReadIndex { .. } => "read-index",
+        Request::WriteIndex { .. } => "write-index",
+        Request::ReadDocument { .. } => "read-document",
+        Request::WriteDocument { .. } => "write-document",
+        Request::ReadSnapshot { .. } => "read-snapshot",
+        Request::WriteSnapshot { .. } => "write-snapshot",
+        Request::ReadSegment { .. } => "read-segment",
+        Request::Append { .. } => "append",
+    }
+}
+
+fn answer(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Unchanged => "unchanged",
+        Reply::Missing => "missing",
+        Reply::Index { .. } | Reply::Document(_) | Reply::Segment(_) | Reply::Snapshot(_) => "read",
+        Reply::Written { .. } => "written",
+        Reply::Conflict => "conflict",
+        Reply::Corrupt(_) => "corrupt",
+        Reply::Refused => "refused",
+        Reply::Unknown => "unknown",
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against renamed or missing metrics, which dashboards and alerts would not notice.
+    #[test]
+    fn renders_every_instrument() {
+        let metrics = Metrics::new().expect("exporter");
+        metrics.request("answered", Duration::from_millis(3));
+        metrics.request("answered", Duration::from_millis(4));
+        metrics.decision("assign");
+        metrics.store_call(&Request::ReadIndex { newer_than: 0 }, &Reply::Unchanged);
+        metrics.peer_bytes(Direction::Sent, 100);
+        metrics.tasks("running", 7);
+        metrics.tasks("running", 5);
+        metrics.cells(2);
+        let text = metrics.render().expect("text");
+        for line in [
+            "nutmegfold_requests_total{outcome=\"answered\"} 2",
+            "nutmegfold_request_latency_seconds_bucket{outcome=\"answered\",le=\"0.005\"} 2",
+            "nutmegfold_request_latency_seconds_bucket{outcome=\"answered\",le=\"0.002\"} 0",
+            "nutmegfold_decisions_total{decision=\"assign\"} 1",
+            "nutmegfold_store_calls_total{kind=\"read-index\",reply=\"unchanged\"} 1",
+            "nutmegfold_peer_bytes_total{direction=\"sent\"} 100",
+            "nutmegfold_tasks{phase=\"running\"} 5",
+            "nutmegfold_cells_owned 2",
+        ] {
+            assert!(text.lines().any(|found| found == line), "{line} is missing in:\n{text}");
+        }
+    }
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,4 @@
+//! Log lines and metrics of a process.
+
+pub mod log;
+pub mod metric;
--- /dev/null
+++ b/src/timeline/writer.rs
@@ -0,0 +1,221 @@
+//! Keeps the newest entries of this process, and writes all of them to a file if asked to.
+//!
+//! A thread of its own writes the file, so that a slow disk never delays a decision. Entries that find its queue full,
+//! or that cannot be written, are counted as lost.
+
+use std::collections::VecDeque;
+use std::fs::{self, OpenOptions};
+use std::io::Write;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{self, Receiver, SyncSender};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use super::entry::{Entry, Origin};
+use crate::core::time::Instant;
+use crate::core::trace;
+use crate::error::{Error, Result};
+
+/// Entries kept in memory by default, about 6 MB.
+pub const CAPACITY: usize = 20_000;
+
+/// Entries that wait for the file at most.
+const QUEUE: usize = 4_096;
+
+/// Records the entries of this process; clones share them.
+#[derive(Debug, Clone)]
+pub struct Writer {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    origin: Origin,
+    capacity: usize,
+    ring: Mutex<Ring>,
+    file: Option<File>,
+}
+
+#[derive(Debug, Default)]
+struct Ring {
+    last: u64,
+    entries: VecDeque<Entry>,
+}
+
+impl Writer {
+    /// A writer that keeps `capacity` entries in memory and has no file.
+    pub fn new(origin: Origin, capacity: usize) -> Self {
+        Self::with(origin, capacity, None)
+    }
+
+    /// A writer that also appends every entry to the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be opened.
+    pub fn with_file(origin: Origin, capacity: usize, path: impl AsRef<Path>) -> Result<Self> {
+        Ok(Self::with(origin, capacity, Some(File::open(path.as_ref())?)))
+    }
+
+    fn with(origin: Origin, capacity: usize, file: Option<File>) -> Self {
+        let shared = Shared { origin, capacity, ring: Mutex::default(), file };
+        Self { shared: Arc::new(shared) }
+    }
+
+    /// Records a decision made at `at`.
+    pub fn record(&self, at: Instant, entry: &trace::Entry) {
+        let Shared { origin, capacity, ring, file } = &*self.shared;
+        let wall_us = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_micros() as u64);
+        // The file's queue is filled under the lock, so that the file has the order of the sequence numbers.
+        let mut ring = ring.lock().unwrap_or_else(PoisonError::into_inner);
+        ring.last += 1;
+        let entry = Entry::new(origin, ring.last, wall_us, at, entry);
+        if let Some(file) = file {
+            file.push(entry.to_line());
+        }
+        ring.entries.push_back(entry);
+        while ring.entries.len() > *capacity {
+            ring.entries.pop_front();
+        }
+    }
+
+    /// Entries in memory with a sequence number above `after`, about `subject` if given.
+    pub fn entries(&self, after: u64, subject: Option<&str>) -> Vec<Entry> {
+        let ring = self.shared.ring.lock().unwrap_or_else(PoisonError::into_inner);
+        let wanted =
+            |entry: &&Entry| entry.sequence > after && subject.is_none_or(|subject| entry.is_about(subject));
+        ring.entries.iter().filter(wanted).cloned().collect()
+    }
+
+    /// Entries that are missing in the file.
+    pub fn lost(&self) -> u64 {
+        self.shared.file.as_ref().map_or(0, |file| file.lost.load(Ordering::Relaxed))
+    }
+}
+
+/// Queue of the thread that writes the file; dropping it waits until the queue is written.
+#[derive(Debug)]
+struct File {
+    sender: Option<SyncSender<String>>,
+    thread: Option<JoinHandle<()>>,
+    lost: Arc<AtomicU64>,
+}
+
+impl File {
+    fn open(path: &Path) -> Result<Self> {
+        let open = || -> std::io::Result<_> {
+            let file = OpenOptions::new().create(true).append(true).open(path)?;
+            let used = file.metadata()?.len() > 0;
+            Ok((file, used))
+        };
+        let (file, used) = open().map_err(|e| Error::io(format!("open timeline {}", path.display()), e))?;
+        let (sender, receiver) = mpsc::sync_channel(QUEUE);
+        let lost = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&lost);
+        let thread = thread::Builder::new()
+            .name("timeline".to_owned())
+            .spawn(move || drain(receiver, file, used, counter))
+            .map_err(|e| Error::io("start the timeline thread", e))?;
+        Ok(Self { sender: Some(sender), thread: Some(thread), lost })
+    }
+
+    fn push(&self, line: String) {
+        let sent = self.sender.as_ref().is_some_and(|sender| sender.try_send(line).is_ok());
+        if !sent {
+            self.lost.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        drop(self.sender.take());
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            log::error!("the timeline thread panicked");
+        }
+    }
+}
+
+/// Writes lines in batches of what has arrived.
+///
+/// `torn` says that the file may end within a line: it then goes on with a line end.
+fn drain(receiver: Receiver<String>, mut file: fs::File, mut torn: bool, lost: Arc<AtomicU64>) {
+    while let Ok(first) = receiver.recv() {
+        let mut batch = if torn { "\n".to_owned() } else { String::new() };
+        let mut count = 0;
+        for line in std::iter::once(first).chain(receiver.try_iter().take(QUEUE)) {
+            batch.push_str(&line);
+            batch.push('\n');
+            count += 1;
+        }
+        let written = file.write_all(batch.as_bytes());
+        torn = written.is_err();
+        if let Err(error) = written {
+            lost.fetch_add(count, Ordering::Relaxed);
+            log::warn!("{count} timeline entries not written: {error}");
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::trace::Subject;
+    use crate::timeline::entry;
+
+    fn origin() -> Origin {
+        Origin { process: "entry-1".into(), instance: 1, zone: "canning".into() }
+    }
+
+    fn decision(version: u64) -> trace::Entry {
+        trace::Entry { subject: Subject::Config(version), decision: "adopt", reason: String::new() }
+    }
+
+    /// Guards against unbounded memory and against a reader that misses or repeats entries.
+    #[test]
+    fn keeps_the_newest_entries_and_reads_on_from_a_sequence_number() {
+        let writer = Writer::new(origin(), 3);
+        for version in 1..=5 {
+            writer.record(Instant(version), &decision(version));
+        }
+        let numbers = |entries: Vec<Entry>| entries.iter().map(|e| e.sequence).collect::<Vec<_>>();
+        assert_eq!(numbers(writer.entries(0, None)), [3, 4, 5]);
+        assert_eq!(numbers(writer.entries(4, None)), [5]);
+        assert_eq!(numbers(writer.entries(0, Some("config:4"))), [4]);
+    }
+
+    /// Guards against entries lost at shutdown, and against a torn last line that spoils the next run's first entry.
+    #[test]
+    fn the_file_has_every_entry_after_drop() {
+        let path = std::env::temp_dir().join(format!("nutmegfold-timeline-{}.jsonl", std::process::id()));
+        fs::write(&path, "{\"torn").expect("temporary file");
+        let writer = Writer::with_file(origin(), 2, &path).expect("temporary file");
+        for version in 1..=100 {
+            writer.record(Instant(version), &decision(version));
+        }
+        assert_eq!(writer.lost(), 0);
+        drop(writer);
+        let text = fs::read(&path).expect("temporary file");
+        fs::remove_file(&path).expect("temporary file");
+        let (entries, findings) = entry::read("t", text.as_slice());
+        assert_eq!(entries.iter().map(|e| e.sequence).collect::<Vec<_>>(), (1..=100).collect::<Vec<_>>());
+        assert_eq!(findings.len(), 1);
+    }
+
+    /// Guards against a full disk that goes unnoticed or stops the process.
+    #[cfg(target_os = "linux")]
+    #[test]
+    fn entries_that_cannot_be_written_are_counted() {
+        let writer = Writer::with_file(origin(), 2, "/dev/full").expect("device");
+        let lost = Arc::clone(&writer.shared.file.as_ref().expect("has a file").lost);
+        for version in 1..=10 {
+            writer.record(Instant(version), &decision(version));
+        }
+        drop(writer);
+        assert_eq!(lost.load(Ordering::Relaxed), 10);
+    }
+}
