Add the administration API and the command line

Cause: operators apply documents, see the state and drain VMs from outside the process. Change: v1 JSON and problem details, an actix-web port that pairs calls with answers by ticket, argh subcommands. Conclusion: decisions stay in the reducer; the port only carries commands and answers.

--- /dev/null
+++ b/src/cli/check.rs
@@ -0,0 +1,64 @@
+//! `check`: reports everything that is wrong with documents.
+
+use std::fs;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use super::{json, print};
+use crate::declare::check::{Source, compile};
+use crate::error::{Error, Result};
+use crate::wire::admin::Finding;
+
+/// Check documents together and list everything that is wrong.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "$ {command_name} zones.toml desk.toml",
+    note = "Each finding is one line: FILE:LINE:COLUMN: KEY: MESSAGE."
+)]
+pub struct Args {
+    /// documents to check as one configuration
+    #[argh(positional, arg_name = "FILE")]
+    first: PathBuf,
+
+    /// further documents
+    #[argh(positional, arg_name = "FILE")]
+    files: Vec<PathBuf>,
+
+    /// print the findings as a JSON array
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Checks the files.
+pub fn run(args: Args) -> Result<()> {
+    let paths = std::iter::once(args.first).chain(args.files);
+    let texts: Vec<(String, String)> = paths.map(read).collect::<Result<_>>()?;
+    let sources: Vec<Source<'_>> =
+        texts.iter().map(|(name, text)| Source { name, text, stored: false }).collect();
+    match compile(&sources) {
+        Ok(_) if args.json => print("[]"),
+        Ok(plan) => print(format!(
+            "ok: {} zones, {} pools, {} services, {} jobs",
+            plan.zones.len(),
+            plan.pools.len(),
+            plan.services.len(),
+            plan.jobs.len()
+        )),
+        Err(findings) => {
+            if args.json {
+                let list: Vec<Finding> = findings.iter().cloned().map(Finding::from).collect();
+                print(json(&list)?)?;
+            }
+            Err(Error::Findings(findings))
+        }
+    }
+}
+
+fn read(path: PathBuf) -> Result<(String, String)> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(&path).map_err(|error| Error::io(format!("read {name}"), error))?;
+    Ok((name, text))
+}
--- /dev/null
+++ b/src/cli/client.rs
@@ -0,0 +1,129 @@
+//! Calls to administration ports.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::rt::{self, System};
+use actix_web::web::Bytes;
+use awc::error::SendRequestError;
+use awc::{ClientRequest, http::Method};
+use serde::de::DeserializeOwned;
+
+use crate::error::{Error, Result};
+use crate::wire::admin::Problem;
+
+/// How long a call may take; longer than the deadline of a process for its own answer.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Largest answer in bytes: a full timeline with long reasons.
+const ANSWER_LIMIT: usize = 64 << 20;
+
+/// Caller of one administration port.
+#[derive(Clone)]
+pub struct Client {
+    http: awc::Client,
+    address: SocketAddr,
+}
+
+impl Client {
+    /// A client of the port at `address`, for use inside [`block_on`].
+    pub fn new(address: SocketAddr) -> Self {
+        let http = awc::Client::builder().timeout(TIMEOUT).disable_redirects().finish();
+        Self { http, address }
+    }
+
+    /// A request for `path`, which consists of encoded segments.
+    pub fn request(&self, method: Method, path: impl AsRef<str>) -> ClientRequest {
+        self.http.request(method, format!("http://{}{}", self.address, path.as_ref()))
+    }
+
+    /// Sends a request and returns the body of a successful answer; `document` names what is changed, if anything.
+    pub async fn send(
+        &self,
+        request: ClientRequest,
+        body: impl Into<Bytes>,
+        document: &str,
+    ) -> Result<Bytes> {
+        let what = format!("{} {}", request.get_method(), request.get_uri());
+        let safe = request.get_method() == Method::GET;
+        let lost = |error: &dyn std::fmt::Display| {
+            let note = if safe { "" } else { "; the change may have taken effect, see the status" };
+            Error::call(&what, format!("{error}{note}"))
+        };
+        let mut response = match request.send_body(body.into()).await {
+            Ok(response) => response,
+            Err(SendRequestError::Connect(error)) => return Err(Error::call(&what, error)),
+            Err(error) => return Err(lost(&error)),
+        };
+        let bytes = response.body().limit(ANSWER_LIMIT).await.map_err(|error| lost(&error))?;
+        let status = response.status();
+        if status.is_success() {
+            return Ok(bytes);
+        }
+        match serde_json::from_slice::<Problem>(&bytes) {
+            Ok(problem) => Err(problem.into_error(what, document)),
+            Err(_) => Err(Error::call(what, status)),
+        }
+    }
+
+    /// Reads JSON from `path`.
+    pub async fn get<T: DeserializeOwned>(&self, path: impl AsRef<str>) -> Result<T> {
+        let bytes = self.send(self.request(Method::GET, &path), Bytes::new(), "").await?;
+        decode(&bytes, path)
+    }
+}
+
+/// Decodes the JSON answer to `what`.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8], what: impl AsRef<str>) -> Result<T> {
+    serde_json::from_slice(bytes).map_err(|error| Error::call(format!("answer to {}", what.as_ref()), error))
+}
+
+/// Runs a future to its end on this thread.
+pub fn block_on<T>(future: impl Future<Output = T>) -> T {
+    System::new().block_on(future)
+}
+
+/// Calls all ports at the same time and returns the results in the order of `addresses`.
+pub async fn each<T: 'static, F: Future<Output = Result<T>> + 'static>(
+    addresses: &[SocketAddr],
+    call: impl Fn(Client) -> F,
+) -> Vec<(SocketAddr, Result<T>)> {
+    let calls: Vec<_> = addresses.iter().map(|at| (*at, rt::spawn(call(Client::new(*at))))).collect();
+    let mut results = Vec::with_capacity(calls.len());
+    for (address, call) in calls {
+        let result = call.await.unwrap_or_else(|error| Err(Error::call(format!("call {address}"), error)));
+        results.push((address, result));
+    }
+    results
+}
+
+/// One error for all failed calls, if there are any.
+pub fn failures(errors: Vec<Error>, asked: usize) -> Result<()> {
+    if errors.is_empty() {
+        return Ok(());
+    }
+    let reasons: Vec<String> = errors.iter().map(Error::to_string).collect();
+    Err(Error::call(format!("{} of {asked} calls failed", errors.len()), reasons.join("\n")))
+}
+
+/// Encodes one segment of a path by RFC 3986.
+pub fn segment(text: impl AsRef<str>) -> String {
+    let encode = |byte: u8| match byte {
+        b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => char::from(byte).to_string(),
+        _ => format!("%{byte:02X}"),
+    };
+    text.as_ref().bytes().map(encode).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a name that changes the path or the query.
+    #[test]
+    fn a_segment_stays_one_segment() {
+        assert_eq!(segment("order-desk_1.~"), "order-desk_1.~");
+        assert_eq!(segment("a/b?c d\u{e9}"), "a%2Fb%3Fc%20d%C3%A9");
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,100 @@
+//! Command line: one file per subcommand.
+//!
+//! A subcommand parses its arguments, calls the library and prints. Exit codes: 0 for success, 1 for findings, conflicts
+//! and outcomes that are not met, 2 for wrong usage and failed calls.
+
+mod apply;
+mod check;
+mod client;
+mod drain;
+mod status;
+mod table;
+mod timeline;
+
+use std::io::{self, ErrorKind, Write};
+use std::process::ExitCode;
+
+use argh::{EarlyExit, FromArgs};
+
+use crate::error::{Error, Result};
+
+/// Exit code for wrong usage.
+const USAGE: u8 = 2;
+
+/// Schedules latency-critical services and batch tasks on the same VMs.
+#[derive(Debug, FromArgs)]
+#[argh(
+    example = "Check a document and apply it:\n\
+    $ {command_name} check desk.toml\n\
+    $ {command_name} apply desk.toml --admin 127.0.0.1:7100",
+    note = "Findings and errors are written to stderr.",
+    error_code(1, "The input has findings, or the outcome is not the one asked for."),
+    error_code(2, "The usage is wrong, or a call failed.")
+)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Apply(apply::Args),
+    Check(check::Args),
+    Drain(drain::Args),
+    Status(status::Args),
+    Timeline(timeline::Args),
+}
+
+impl Command {
+    fn run(self) -> Result<()> {
+        match self {
+            Self::Apply(args) => apply::run(args),
+            Self::Check(args) => check::run(args),
+            Self::Drain(args) => drain::run(args),
+            Self::Status(args) => status::run(args),
+            Self::Timeline(args) => timeline::run(args),
+        }
+    }
+}
+
+/// Runs the command line `words`, of which the first is the name of the binary.
+pub fn main(words: impl IntoIterator<Item = String>) -> ExitCode {
+    let words: Vec<String> = words.into_iter().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let (name, rest) =
+        words.split_first().map_or(("nutmegfold", &[][..]), |(name, rest)| (file_name(name), rest));
+    match Args::from_args(&[name], rest) {
+        Ok(args) => exit(args.command.run()),
+        Err(EarlyExit { output, status: Ok(()) }) => exit(print(output)),
+        Err(EarlyExit { output, status: Err(()) }) => {
+            eprintln!("{}", output.trim_end());
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
+fn exit(result: Result<()>) -> ExitCode {
+    let Err(error) = result else { return ExitCode::SUCCESS };
+    eprintln!("{error}");
+    ExitCode::from(error.exit_code())
+}
+
+fn file_name(path: &str) -> &str {
+    path.rsplit(['/', '\\']).next().unwrap_or(path)
+}
+
+/// Writes `text` to stdout with a line end; a reader that has gone away, such as `head`, is no error.
+fn print(text: impl AsRef<str>) -> Result<()> {
+    let text = text.as_ref().trim_end();
+    let mut output = io::stdout().lock();
+    match writeln!(output, "{text}").and_then(|()| output.flush()) {
+        Err(error) if error.kind() == ErrorKind::BrokenPipe => Ok(()),
+        result => result.map_err(|error| Error::io("write to stdout", error)),
+    }
+}
+
+/// JSON of `value`, indented.
+fn json(value: &impl serde::Serialize) -> Result<String> {
+    serde_json::to_string_pretty(value).map_err(|error| Error::call("encode JSON", error))
+}
--- /dev/null
+++ b/src/cli/status.rs
@@ -0,0 +1,202 @@
+//! `status`: shows the state of processes, or why a task is where it is.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use serde_json::{Value, json};
+
+use super::client::{Client, block_on, each, failures, segment};
+use super::{json, print, table};
+use crate::error::{Error, Result};
+use crate::wire::admin::{Cell, Share, Status, Why};
+
+/// Show the state of entry VMs, or why a task is where it is.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "status",
+    example = "$ {command_name} --admin 127.0.0.1:7100 --admin 127.0.0.1:7101\n\
+    $ {command_name} --admin 127.0.0.1:7100 --why weaving-roster/3",
+    note = "A process that does not answer is reported on stderr; the others are shown.",
+    error_code(1, "No process that answered knows the task."),
+    error_code(2, "The usage is wrong, or a process did not answer.")
+)]
+pub struct Args {
+    /// address of an entry VM's administration port; repeat it for several
+    #[argh(option, arg_name = "ADDR")]
+    admin: Vec<SocketAddr>,
+
+    /// task to explain
+    #[argh(option, arg_name = "JOB/INDEX", from_str_fn(task))]
+    why: Option<(String, u32)>,
+
+    /// print the answers as a JSON array
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Asks all the processes.
+pub fn run(args: Args) -> Result<()> {
+    if args.admin.is_empty() {
+        return Err(Error::call("status", "no --admin address given"));
+    }
+    match args.why {
+        Some((job, index)) => why(&args.admin, &job, index, args.json),
+        None => status(&args.admin, args.json),
+    }
+}
+
+fn task(text: &str) -> std::result::Result<(String, u32), String> {
+    let parts = text.rsplit_once('/').and_then(|(job, index)| Some((job, index.parse().ok()?)));
+    match parts {
+        Some((job, index)) if !job.is_empty() => Ok((job.to_owned(), index)),
+        _ => Err(format!("expected JOB/INDEX, such as weaving-roster/3, found {text}")),
+    }
+}
+
+fn status(admins: &[SocketAddr], as_json: bool) -> Result<()> {
+    let results =
+        block_on(each(admins, |client: Client| async move { client.get::<Status>("/v1/status").await }));
+    let mut found = Vec::new();
+    let mut errors = Vec::new();
+    for (address, result) in results {
+        match result {
+            Ok(status) => found.push((address, status)),
+            Err(error) => errors.push(error),
+        }
+    }
+    if as_json {
+        let list: Vec<Value> =
+            found.iter().map(|(at, status)| json!({ "admin": at, "status": status })).collect();
+        print(json(&list)?)?;
+    } else if !found.is_empty() {
+        print(tables(&found))?;
+    }
+    failures(errors, admins.len())
+}
+
+fn why(admins: &[SocketAddr], job: &str, index: u32, as_json: bool) -> Result<()> {
+    let path = format!("/v1/tasks/{}/{index}", segment(job));
+    let results = block_on(each(admins, |client: Client| {
+        let path = path.clone();
+        async move { client.get::<Why>(path).await }
+    }));
+    let mut found = Vec::new();
+    let mut missing = None;
+    let mut errors = Vec::new();
+    for (address, result) in results {
+        match result {
+            Ok(Why { why }) => found.push((address, why)),
+            Err(Error::Unmet(reason)) => missing = Some(Error::Unmet(reason)),
+            Err(error) => errors.push(error),
+        }
+    }
+    if as_json {
+        let list: Vec<Value> = found.iter().map(|(at, why)| json!({ "admin": at, "why": why })).collect();
+        print(json(&list)?)?;
+    } else if !found.is_empty() {
+        let lines: Vec<String> = found.iter().map(|(at, why)| format!("{at}: {why}")).collect();
+        print(lines.join("\n"))?;
+    }
+    failures(errors, admins.len())?;
+    match missing {
+        Some(error) if found.is_empty() => Err(error),
+        _ => Ok(()),
+    }
+}
+
+fn tables(found: &[(SocketAddr, Status)]) -> String {
+    let mut parts = vec![processes(found), cells(found)];
+    // Documents are the same everywhere but for processes that lag behind.
+    if let Some((_, newest)) = found.iter().max_by_key(|(_, status)| status.version) {
+        parts.push(documents(newest));
+    }
+    parts.retain(|part| !part.is_empty());
+    parts.join("\n")
+}
+
+fn processes(found: &[(SocketAddr, Status)]) -> String {
+    let row = |(address, status): &(SocketAddr, Status)| {
+        let requests = status.requests;
+        [
+            status.name.clone(),
+            address.to_string(),
+            status.zone.clone(),
+            if status.ready { "yes" } else { "no" }.to_owned(),
+            status.version.to_string(),
+            status.members.len().to_string(),
+            status.cells.len().to_string(),
+            requests.in_flight.to_string(),
+            requests.answered.to_string(),
+            requests.refused.to_string(),
+            requests.unknown.to_string(),
+        ]
+    };
+    let head = [
+        "VM",
+        "ADMIN",
+        "ZONE",
+        "READY",
+        "VERSION",
+        "MEMBERS",
+        "CELLS",
+        "IN FLIGHT",
+        "ANSWERED",
+        "REFUSED",
+        "UNKNOWN",
+    ];
+    table::render(head, &found.iter().map(row).collect::<Vec<_>>())
+}
+
+fn cells(found: &[(SocketAddr, Status)]) -> String {
+    let share = |Share { have, of }: Share| format!("{have}/{of}");
+    let row = |(status, cell): (&Status, &Cell)| {
+        let tasks = cell.tasks;
+        [
+            cell.id.clone(),
+            status.name.clone(),
+            cell.role.clone(),
+            cell.epoch.to_string(),
+            share(cell.workers),
+            share(cell.replicas),
+            tasks.queued.to_string(),
+            tasks.running.to_string(),
+            tasks.unknown.to_string(),
+            tasks.finished.to_string(),
+            tasks.failed.to_string(),
+            tasks.cancelled.to_string(),
+        ]
+    };
+    let owned = found.iter().flat_map(|(_, status)| status.cells.iter().map(move |cell| (status, cell)));
+    let rows: Vec<_> = owned.map(row).collect();
+    if rows.is_empty() {
+        return String::new();
+    }
+    let head = [
+        "CELL",
+        "OWNER",
+        "ROLE",
+        "EPOCH",
+        "WORKERS",
+        "REPLICAS",
+        "QUEUED",
+        "RUNNING",
+        "UNKNOWN",
+        "FINISHED",
+        "FAILED",
+        "CANCELLED",
+    ];
+    table::render(head, &rows)
+}
+
+fn documents(status: &Status) -> String {
+    if status.documents.is_empty() {
+        return String::new();
+    }
+    let rows: Vec<_> = status
+        .documents
+        .iter()
+        .map(|document| [document.name.clone(), document.version.to_string(), document.author.clone()])
+        .collect();
+    table::render(["DOCUMENT", "VERSION", "AUTHOR"], &rows)
+}
--- /dev/null
+++ b/src/cli/table.rs
@@ -0,0 +1,26 @@
+//! Text tables with aligned columns.
+
+/// Lines of a table; columns are as wide as their widest cell and two spaces apart.
+pub fn render<const N: usize>(head: [&str; N], rows: &[[String; N]]) -> String {
+    let head = head.map(str::to_owned);
+    let lines = || std::iter::once(&head).chain(rows);
+    let widths: [usize; N] =
+        std::array::from_fn(|at| lines().map(|row| row[at].chars().count()).max().unwrap_or(0));
+    let line = |row: &[String; N]| {
+        let cells = row.iter().zip(widths).map(|(cell, width)| format!("{cell:<width$}"));
+        cells.collect::<Vec<_>>().join("  ").trim_end().to_owned() + "\n"
+    };
+    lines().map(line).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against columns that shift with longer or non-ASCII cells.
+    #[test]
+    fn columns_are_aligned() {
+        let rows = [["entry-1".into(), "1".into()], ["é".into(), "22".into()]];
+        assert_eq!(render(["VM", "CELLS"], &rows), "VM       CELLS\nentry-1  1\né        22\n");
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -54,6 +54,14 @@
         Self::Io { what: what.into(), source }
     }
 
+    /// Exit code of the process: 1 when the input or the outcome is at fault, 2 when a call failed.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Findings(_) | Self::Conflict { .. } | Self::Unmet(_) => 1,
+            Self::Io { .. } | Self::Call { .. } => 2,
+        }
+    }
+
     /// Wraps a failed call with its reason.
     pub fn call(what: impl Into<String>, reason: impl ToString) -> Self {
         Self::Call { what: what.into(), reason: reason.to_string() }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Decisions are in [`core`], one reducer over all events. What operators declare is in [`declare`].
 
+pub mod cli;
 pub mod core;
 pub mod declare;
 pub mod error;
@@ -10,3 +11,4 @@
 pub mod port;
 pub mod telemetry;
 pub mod timeline;
+pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,7 @@
 //! Entry point of the `nutmegfold` binary.
-fn main() {}
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    nutmegfold::cli::main(std::env::args())
+}
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! A port makes no decision. It sends what it learns through the [`Inbox`].
 
+pub mod admin;
+
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
 use crate::core::event::Event;
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,3 @@
+//! Encodings: conversion functions only.
+
+pub mod admin;
