--- a/src/telemetry/log.rs
+++ b/src/telemetry/log.rs
@@ -32,9 +32,8 @@
         None => logger.log_to_stderr(),
         Some(path) => logger.log_to_file(FileSpec::try_from(path).map_err(failed)?).append(),
     };
-    let handle = logger.start().map_err(failed)?;
     PROCESS.get_or_init(|| process.into());
-    Ok(handle)
+    logger.start().map_err(failed)
 }
 
 fn format(output: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
