Let a call without an answer fail its test within a minute

Cause: with answers sent to wrong tickets, a trial run of the pairing test hung instead of failing. Change: the tests' ports give calls up after 60 s, with 504. Conclusion: a lost answer shows as a failed assertion.

--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -25,8 +25,8 @@
 use nutmegfold::timeline::writer::Writer;
 use serde_json::{Value, json};
 
-/// Longer than any test runs.
-const NEVER: Duration = Duration::from_secs(600);
+/// Longer than an answer takes on a busy machine; a call that gets none fails with 504 instead of hanging.
+const PATIENCE: Duration = Duration::from_secs(60);
 
 /// A listening port and the parts behind it.
 struct Site {
@@ -117,7 +117,7 @@
     path: &str,
     body: impl Into<Vec<u8>>,
 ) -> (StatusCode, String, String) {
-    let client = awc::Client::builder().timeout(NEVER).finish();
+    let client = awc::Client::builder().timeout(2 * PATIENCE).finish();
     let url = format!("http://{}{path}", site.address);
     let mut response = client.request(method, url).send_body(body.into()).await.expect("answer");
     let content = response.headers().get(header::CONTENT_TYPE).map(|value| value.to_str().expect("ASCII"));
@@ -149,7 +149,7 @@
 /// Guards against a change of status codes or fields that operators' programs rely on.
 #[actix_web::test]
 async fn each_answer_has_its_status_and_json() {
-    let site = start(NEVER, reply);
+    let site = start(PATIENCE, reply);
     let text = "name = \"order desk\"\n";
     let (status, _, body) =
         call(&site, Method::PUT, "/v1/documents/order%20desk?base=2&author=asha", text).await;
@@ -192,7 +192,7 @@
 /// Guards against bad requests that reach the reducer or are answered without a reason.
 #[actix_web::test]
 async fn bad_requests_are_problems() {
-    let site = start(NEVER, |port, ticket, _| port.answer(ticket, Answer::Done));
+    let site = start(PATIENCE, |port, ticket, _| port.answer(ticket, Answer::Done));
     for (status, method, path, body) in [
         (400, Method::PUT, "/v1/documents/desk?base=x", vec![]),
         (400, Method::PUT, "/v1/documents/desk", vec![0xff]),
@@ -210,7 +210,7 @@
 async fn answers_reach_their_own_operator() {
     const CALLS: usize = 64;
     let mut held = Vec::new();
-    let site = Arc::new(start(NEVER, move |port, ticket, command| {
+    let site = Arc::new(start(PATIENCE, move |port, ticket, command| {
         let Command::Why { job, index } = command else { panic!("unexpected {command:?}") };
         held.push((ticket, Answer::Why(format!("{job} {index}"))));
         if held.len() == CALLS {
@@ -234,7 +234,7 @@
 /// Guards against tickets that stay for ever when operators give up.
 #[actix_web::test]
 async fn a_disconnected_operator_gives_the_ticket_up() {
-    let site = start(NEVER, |_, _, _| ());
+    let site = start(PATIENCE, |_, _, _| ());
     let mut stream = TcpStream::connect(site.address).expect("connects");
     stream.write_all(b"GET /v1/status HTTP/1.1\r\nhost: a\r\n\r\n").expect("writes");
     until(|| site.port.pending() == 1).await;
@@ -271,7 +271,7 @@
 /// Guards against a readiness check or metrics that need the reducer.
 #[actix_web::test]
 async fn readiness_timeline_and_metrics_need_no_reducer() {
-    let site = start(NEVER, |port, ticket, _| port.answer(ticket, Answer::Done));
+    let site = start(PATIENCE, |port, ticket, _| port.answer(ticket, Answer::Done));
     assert_eq!(call(&site, Method::GET, "/ready", "").await.0.as_u16(), 503);
     site.ready.store(true, Ordering::Relaxed);
     assert_eq!(call(&site, Method::GET, "/ready", "").await.0.as_u16(), 200);
@@ -299,7 +299,7 @@
 /// Guards against a command whose exit code or output does not tell what happened.
 #[actix_web::test]
 async fn commands_tell_what_happened() {
-    let site = start(NEVER, reply);
+    let site = start(PATIENCE, reply);
     let admin = site.address.to_string();
     let folder = std::env::temp_dir().join(format!("nutmegfold-admin-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("temporary folder");
@@ -341,7 +341,7 @@
 /// Guards against one process that is down hiding the state of the others.
 #[actix_web::test]
 async fn views_show_the_processes_that_answer() {
-    let site = start(NEVER, reply);
+    let site = start(PATIENCE, reply);
     let entry = Entry { subject: Subject::Config(3), decision: "adopt", reason: "offered".into() };
     site.timeline.record(Instant(1), &entry);
     let admin = site.address.to_string();
