--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! Decisions are in [`core`], one reducer over all events. What operators declare is in [`declare`],
 //! and the settings of one entry VM are in [`settings`].
 
+pub mod cli;
 pub mod core;
 pub mod declare;
 pub mod error;
@@ -12,4 +13,6 @@
 pub mod session;
 pub mod settings;
 pub mod standin;
+pub mod telemetry;
+pub mod timeline;
 pub mod wire;
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! A port makes no decision. It sends what it learns through the [`Inbox`].
 
+pub mod admin;
 mod http;
 pub mod listing;
 pub mod store;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing is decided here, and `core` does not depend on this module.
 
+pub mod admin;
 pub mod control;
 pub mod envelope;
 pub mod journal;
