--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -141,7 +141,7 @@
     match reply {
         Reply::Unchanged => "unchanged",
         Reply::Missing => "missing",
-        Reply::Index { .. } | Reply::Document(_) | Reply::Segment(_) | Reply::Snapshot(_) => "read",
+        Reply::Index { .. } | Reply::Document(_) | Reply::Segment { .. } | Reply::Snapshot(_) => "read",
         Reply::Written { .. } => "written",
         Reply::Conflict => "conflict",
         Reply::Corrupt(_) => "corrupt",
