--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -710,9 +710,7 @@
     let task = home.tasks.get(&id).copied().and_then(|task| state.tasks.get_mut(task));
     match task {
         Some(task) if task.is_assigned_to(worker, attempt) => {
-            if task.stage == Stage::Starting {
-                task.stage = Stage::Running;
-            }
+            task.stage = if task.stage == Stage::Starting { Stage::Running } else { task.stage };
         }
         // The log does not say that the task runs here, so it must not go on.
         _ if is_owner => {
