Convert peer messages to and from protobuf

Cause: the reducer's messages must travel between entry VMs. Change: conversions for every variant of core::peer::Message with typed decode errors.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod finding;
 pub mod hash;
 pub mod port;
+pub mod wire;
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,4 @@
+//! Encodings of messages: conversion functions only.
+
+pub mod generated;
+pub mod peer;
