--- /dev/null
+++ b/src/port/body.rs
@@ -0,0 +1,173 @@
+//! Table of requests in flight, with their bodies and answers.
+//!
+//! The caller, upstream and peer ports share it. The reducer sees tickets and sizes only.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::oneshot;
+
+use super::Inbox;
+use super::message::{Answer, Request};
+use crate::core::event::Event;
+use crate::core::exchange::{Ticket, Verdict};
+use crate::hash::Map;
+
+/// The table; clones share their entries.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    shared: Arc<Mutex<Entries>>,
+}
+
+#[derive(Debug, Default)]
+struct Entries {
+    last: u64,
+    open: Map<Ticket, Entry>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    request: Arc<Request>,
+    answers: Vec<(u32, Answer)>,
+    verdict: Option<oneshot::Sender<Verdict>>,
+}
+
+impl Table {
+    /// Adds a request. The entry is released when the guard is dropped.
+    pub fn open(&self, request: Request, inbox: &Inbox) -> Guard {
+        let (sender, receiver) = oneshot::channel();
+        let mut entries = self.lock();
+        entries.last += 1;
+        let ticket = Ticket(entries.last);
+        let entry = Entry { request: Arc::new(request), answers: Vec::new(), verdict: Some(sender) };
+        entries.open.insert(ticket, entry);
+        drop(entries);
+        Guard { table: self.clone(), inbox: inbox.clone(), ticket, verdict: Some(receiver) }
+    }
+
+    /// Request behind a ticket; `None` if its caller is gone.
+    pub fn request(&self, ticket: Ticket) -> Option<Arc<Request>> {
+        self.lock().open.get(&ticket).map(|entry| Arc::clone(&entry.request))
+    }
+
+    /// Stores the answer of an attempt; it is dropped if the caller is gone.
+    pub fn store(&self, ticket: Ticket, attempt: u32, answer: Answer) {
+        if let Some(entry) = self.lock().open.get_mut(&ticket) {
+            entry.answers.push((attempt, answer));
+        }
+    }
+
+    /// Passes the reducer's verdict to whoever waits for it.
+    pub fn reply(&self, ticket: Ticket, verdict: Verdict) {
+        let sender = self.lock().open.get_mut(&ticket).and_then(|entry| entry.verdict.take());
+        let delivered = sender.is_some_and(|sender| sender.send(verdict).is_ok());
+        if !delivered {
+            log::debug!("verdict for request {} dropped: its caller is gone", ticket.0);
+        }
+    }
+
+    /// Number of requests held.
+    pub fn len(&self) -> usize {
+        self.lock().open.len()
+    }
+
+    /// Whether no request is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// A panic elsewhere cannot leave the entries half changed, so a poisoned lock is used on.
+    fn lock(&self) -> MutexGuard<'_, Entries> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Holds an entry of the table.
+///
+/// Dropping it releases the entry; if no verdict was taken, the reducer is told that the request was abandoned.
+#[derive(Debug)]
+pub struct Guard {
+    table: Table,
+    inbox: Inbox,
+    ticket: Ticket,
+    verdict: Option<oneshot::Receiver<Verdict>>,
+}
+
+impl Guard {
+    /// Names the request.
+    pub fn ticket(&self) -> Ticket {
+        self.ticket
+    }
+
+    /// Waits for the verdict.
+    pub async fn verdict(&mut self) -> Verdict {
+        let Some(receiver) = self.verdict.as_mut() else { return Verdict::Unknown };
+        let verdict = receiver.await;
+        self.verdict = None;
+        verdict.unwrap_or(Verdict::Unknown)
+    }
+
+    /// Takes the answer of an attempt out of the table.
+    pub fn answer(&self, attempt: u32) -> Option<Answer> {
+        let mut entries = self.table.lock();
+        let answers = &mut entries.open.get_mut(&self.ticket)?.answers;
+        let at = answers.iter().position(|(number, _)| *number == attempt)?;
+        Some(answers.swap_remove(at).1)
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let entry = self.table.lock().open.remove(&self.ticket);
+        drop(entry);
+        if self.verdict.is_some() {
+            self.inbox.send(Event::Abandoned(self.ticket));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use actix_web::http::{Method, StatusCode};
+    use actix_web::web::Bytes;
+
+    use super::*;
+
+    fn request() -> Request {
+        Request {
+            method: Method::GET,
+            service: "quote".into(),
+            path: "/".into(),
+            query: None,
+            headers: Vec::new(),
+            body: Bytes::from_static(b"request"),
+        }
+    }
+
+    fn answer(body: &'static str) -> Answer {
+        Answer { status: StatusCode::OK, headers: Vec::new(), body: Bytes::from_static(body.as_bytes()) }
+    }
+
+    /// Guards against entries that outlive their caller, and against an answer of another attempt.
+    #[actix_web::test]
+    async fn entries_end_with_their_guard() {
+        let (inbox, mut events) = Inbox::new();
+        let table = Table::default();
+        let mut kept = table.open(request(), &inbox);
+        let dropped = table.open(request(), &inbox);
+        let ticket = dropped.ticket();
+        table.store(kept.ticket(), 1, answer("one"));
+        table.store(kept.ticket(), 2, answer("two"));
+        drop(dropped);
+        assert!(matches!(events.try_recv(), Ok(Event::Abandoned(gone)) if gone == ticket));
+        table.store(ticket, 1, answer("late"));
+        table.reply(ticket, Verdict::Unknown);
+        assert_eq!(table.len(), 1);
+        table.reply(kept.ticket(), Verdict::Deliver { attempt: 2 });
+        assert_eq!(kept.verdict().await, Verdict::Deliver { attempt: 2 });
+        assert_eq!(kept.answer(2), Some(answer("two")));
+        assert_eq!(kept.answer(3), None);
+        drop(kept);
+        assert!(events.try_recv().is_err());
+        assert!(table.is_empty());
+    }
+}
--- /dev/null
+++ b/src/port/message.rs
@@ -0,0 +1,173 @@
+//! Requests and answers with their end-to-end headers and bodies, as the ports hold them.
+//!
+//! Headers that belong to one connection are removed when a message is built, so that no port can pass them on.
+
+use actix_web::http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use actix_web::http::{Method, StatusCode};
+use actix_web::web::Bytes;
+
+/// A header line.
+pub type Header = (HeaderName, HeaderValue);
+
+/// Time that the sender leaves for the answer, in milliseconds.
+pub const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout-ms");
+
+/// Identity of a request in logs, given by the caller or drawn at the first hop.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// What became of a request that has no answer: `not-run` or `unknown`.
+pub const OUTCOME: HeaderName = HeaderName::from_static("nutmegfold-outcome");
+
+/// Set to 1 by a worker that refused a request without running it.
+pub const NOT_RUN: HeaderName = HeaderName::from_static("nutmegfold-not-run");
+
+/// Headers of one connection (RFC 9110, section 7.6.1), and those that each hop writes itself.
+const HOP: [HeaderName; 11] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+];
+
+/// Headers that only nutmegfold or a worker may set; a copy from the other side would be taken as theirs.
+const OWN: [HeaderName; 4] = [TIMEOUT, OUTCOME, NOT_RUN, header::HOST];
+
+/// A request of a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// Method.
+    pub method: Method,
+    /// Service name.
+    pub service: String,
+    /// Path below the service name, with its leading slash.
+    pub path: String,
+    /// Query without the question mark.
+    pub query: Option<String>,
+    /// End-to-end headers.
+    pub headers: Vec<Header>,
+    /// Complete body.
+    pub body: Bytes,
+}
+
+/// A complete answer of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// End-to-end headers.
+    pub headers: Vec<Header>,
+    /// Complete body.
+    pub body: Bytes,
+}
+
+/// End-to-end headers of a message.
+pub fn end_to_end(headers: &HeaderMap) -> Vec<Header> {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    headers
+        .iter()
+        .filter(|(name, _)| !is_own(name) && !named.iter().any(|other| other == name.as_str()))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// Header from the parts of a peer's message; `None` if it is malformed or may not be passed on.
+pub fn header(name: &str, value: &[u8]) -> Option<Header> {
+    let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+    let value = HeaderValue::from_bytes(value).ok()?;
+    (!is_own(&name)).then_some((name, value))
+}
+
+/// Service name and path below it; `None` if the target names no path below a service.
+///
+/// Dot segments are refused, also when they are percent-encoded: the upstream might resolve them and leave the
+/// replica's part of its address.
+pub fn target(path: &str) -> Option<(&str, &str)> {
+    let rest = path.strip_prefix('/')?;
+    let (service, path) = match rest.find('/') {
+        Some(at) => rest.split_at(at),
+        None => (rest, "/"),
+    };
+    (!service.is_empty() && !has_dot_segment(rest)).then_some((service, path))
+}
+
+fn is_own(name: &HeaderName) -> bool {
+    HOP.contains(name) || OWN.contains(name)
+}
+
+fn has_dot_segment(path: &str) -> bool {
+    let plain = decoded(path.as_bytes());
+    plain.split(|byte| matches!(byte, b'/' | b'\\')).any(|segment| matches!(segment, b"." | b".."))
+}
+
+/// Decodes percent escapes until none is left, since an upstream may decode more than once.
+fn decoded(path: &[u8]) -> Vec<u8> {
+    let mut plain = Vec::with_capacity(path.len());
+    for &byte in path {
+        plain.push(byte);
+        while let [.., b'%', high, low] = plain[..]
+            && let (Some(high), Some(low)) = (digit(high), digit(low))
+        {
+            plain.truncate(plain.len() - 3);
+            plain.push(high << 4 | low);
+        }
+    }
+    plain
+}
+
+fn digit(byte: u8) -> Option<u8> {
+    char::from(byte).to_digit(16).map(|digit| digit as u8)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a target that reaches the worker's control interface, which has the same address.
+    #[test]
+    fn targets_with_dot_segments_are_refused() {
+        assert_eq!(target("/quote/a/b"), Some(("quote", "/a/b")));
+        assert_eq!(target("/quote"), Some(("quote", "/")));
+        assert_eq!(target("/quote/a..b/.c/%41"), Some(("quote", "/a..b/.c/%41")));
+        for path in ["", "/", "//x", "*", "/q/../x", "/q/..", "/../x", "/q/.", "/q/%2e%2E/x", "/q/%2e%2e%2fx"]
+        {
+            assert_eq!(target(path), None, "{path}");
+        }
+        for path in ["/q/%252e%252e/x", "/q/..%5cx", "/q/%25%32%65./x"] {
+            assert_eq!(target(path), None, "{path}");
+        }
+    }
+
+    /// Guards against a header of one connection, or a forged one of our own, that is passed on.
+    #[test]
+    fn headers_of_one_connection_are_removed() {
+        let mut headers = HeaderMap::new();
+        for (name, value) in [
+            ("connection", "close, X-Private"),
+            ("x-private", "1"),
+            ("transfer-encoding", "chunked"),
+            ("content-length", "3"),
+            ("nutmegfold-outcome", "not-run"),
+            ("set-cookie", "a=1"),
+            ("set-cookie", "b=2"),
+        ] {
+            headers.append(HeaderName::from_static(name), HeaderValue::from_static(value));
+        }
+        let kept = end_to_end(&headers);
+        let kept: Vec<_> = kept.iter().map(|(name, value)| (name.as_str(), value.as_bytes())).collect();
+        assert_eq!(kept, [("set-cookie", b"a=1".as_slice()), ("set-cookie", b"b=2".as_slice())]);
+        assert_eq!(header("transfer-encoding", b"chunked"), None);
+        assert_eq!(header("x-a", b"1\r\nx-b: 2"), None);
+    }
+}
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -2,6 +2,13 @@
 //!
 //! A port makes no decision. It sends what it learns through the [`Inbox`].
 
+pub mod body;
+pub mod caller;
+pub mod message;
+pub mod peer;
+pub mod traffic;
+pub mod upstream;
+
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
 use crate::core::event::Event;
--- /dev/null
+++ b/src/port/peer/server.rs
@@ -0,0 +1,152 @@
+//! Receiving side of the messages between entry VMs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use prost::Message as _;
+use tokio::sync::watch;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status};
+
+use super::Limits;
+use crate::core::event::Event;
+use crate::core::exchange::{self, Verdict};
+use crate::error::{Error, Result};
+use crate::port::Inbox;
+use crate::port::body::{Guard, Table};
+use crate::port::traffic::Traffic;
+use crate::wire::call::Call;
+use crate::wire::generated::peer as proto;
+use crate::wire::generated::peer::peer_server::{Peer, PeerServer};
+use crate::wire::peer::Parcel;
+
+/// A connection whose other end does not answer a ping for this long is closed, so that it holds no memory.
+const PING_TIME: Duration = Duration::from_secs(20);
+
+/// A running server.
+#[derive(Debug, Clone)]
+pub(super) struct Handle {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    ended: watch::Receiver<bool>,
+}
+
+impl Handle {
+    /// Address that it listens on.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops listening, and returns when all calls have ended.
+    pub(super) async fn stop(&self) {
+        self.stop.send_replace(true);
+        let mut ended = self.ended.clone();
+        // An error means that the server task is gone, so it has ended as well.
+        let _ = ended.wait_for(|ended| *ended).await;
+    }
+}
+
+#[derive(Debug)]
+struct Service {
+    inbox: Inbox,
+    bodies: Table,
+    traffic: Traffic,
+}
+
+pub(super) fn serve(
+    listen: SocketAddr,
+    limits: Limits,
+    inbox: Inbox,
+    bodies: Table,
+    traffic: Traffic,
+) -> Result<Handle> {
+    let failed = |source| Error::io(format!("listening for peers on {listen}"), source);
+    let incoming = TcpIncoming::bind(listen).map_err(failed)?.with_nodelay(Some(true));
+    let address = incoming.local_addr().map_err(failed)?;
+    let (stop, mut stopped) = watch::channel(false);
+    let (end, ended) = watch::channel(false);
+    let service = PeerServer::new(Service { inbox, bodies, traffic })
+        .max_decoding_message_size(limits.message)
+        .max_encoding_message_size(limits.message);
+    tokio::spawn(async move {
+        let signal = async move {
+            let _ = stopped.wait_for(|stopped| *stopped).await;
+        };
+        let server = Server::builder()
+            .http2_keepalive_interval(Some(PING_TIME))
+            .http2_keepalive_timeout(Some(PING_TIME))
+            .add_service(service)
+            .serve_with_incoming_shutdown(incoming, signal);
+        if let Err(error) = server.await {
+            log::error!("the server for peers failed: {error}");
+        }
+        end.send_replace(true);
+    });
+    Ok(Handle { address, stop, ended })
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn deliver(
+        &self,
+        request: Request<proto::Parcel>,
+    ) -> std::result::Result<Response<proto::Receipt>, Status> {
+        let parcel = request.into_inner();
+        self.traffic.count_received(parcel.encoded_len());
+        let Parcel { from, address, message } = Parcel::try_from(parcel).map_err(refused)?;
+        self.inbox.send(Event::Parcel { from, address, message });
+        Ok(Response::new(proto::Receipt {}))
+    }
+
+    async fn forward(
+        &self,
+        request: Request<proto::Call>,
+    ) -> std::result::Result<Response<proto::Answer>, Status> {
+        let call = request.into_inner();
+        self.traffic.count_received(call.encoded_len());
+        let call = Call::try_from(call).map_err(refused)?;
+        let guard = self.open(call);
+        let answer = proto::Answer { outcome: Some(outcome(guard).await) };
+        self.traffic.count_sent(answer.encoded_len());
+        Ok(Response::new(answer))
+    }
+}
+
+impl Service {
+    fn open(&self, call: Call) -> Guard {
+        let Call { id, timeout, request } = call;
+        let (service, path) = (request.service.clone(), request.path.clone());
+        let bytes = request.body.len() as u64;
+        let guard = self.bodies.open(request, &self.inbox);
+        self.inbox.send(Event::Request(exchange::Request {
+            ticket: guard.ticket(),
+            id,
+            service,
+            path,
+            timeout: Some(timeout),
+            bytes,
+            forwarded: true,
+        }));
+        guard
+    }
+}
+
+async fn outcome(mut guard: Guard) -> proto::answer::Outcome {
+    match guard.verdict().await {
+        Verdict::Deliver { attempt } => match guard.answer(attempt) {
+            Some(answer) => proto::answer::Outcome::Delivered(answer.into()),
+            None => {
+                log::error!("no answer of attempt {attempt} is held for request {}", guard.ticket().0);
+                proto::answer::Outcome::Unknown(proto::Unknown {})
+            }
+        },
+        Verdict::NotRun { .. } => proto::answer::Outcome::NotRun(proto::NotRun {}),
+        Verdict::Unknown => proto::answer::Outcome::Unknown(proto::Unknown {}),
+    }
+}
+
+fn refused(reason: impl std::fmt::Display) -> Status {
+    log::warn!("message of a peer refused: {reason}");
+    Status::invalid_argument(reason.to_string())
+}
--- /dev/null
+++ b/src/port/upstream.rs
@@ -0,0 +1,150 @@
+//! HTTP client for replicas.
+//!
+//! An answer counts only when it is complete: its declared length or its final chunk was seen. A request counts as not
+//! written only when no connection could be had for it.
+
+use std::time::Duration;
+
+use actix_web::http::header::{self, HeaderMap};
+use actix_web::http::{Method, StatusCode};
+use actix_web::web::Bytes;
+use awc::error::{PayloadError, SendRequestError};
+use awc::{Client, Connector};
+
+use super::body::Table;
+use super::message::{self, Answer, NOT_RUN, Request, TIMEOUT};
+use super::{Clock, Inbox};
+use crate::core::event::Event;
+use crate::core::exchange::{Outcome, Send};
+
+/// Limits on upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest body of an answer in bytes.
+    pub body: usize,
+    /// Longest wait for a connection. It is the margin of leases and grants, since `not_after` is checked before it.
+    pub connect_time: Duration,
+    /// How long an idle connection is kept.
+    pub keep_alive: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { body: 8 << 20, connect_time: Duration::from_millis(500), keep_alive: Duration::from_secs(15) }
+    }
+}
+
+/// Sends requests to replicas; belongs to one arbiter.
+#[derive(Clone)]
+pub struct Port {
+    client: Client,
+    limits: Limits,
+    clock: Clock,
+    inbox: Inbox,
+    bodies: Table,
+}
+
+impl Port {
+    /// A port on the current arbiter.
+    pub fn new(limits: Limits, clock: Clock, inbox: Inbox, bodies: Table) -> Self {
+        // The reducer bounds the connections to each worker, so the connector has no limit of its own.
+        let connector =
+            Connector::new().limit(0).timeout(limits.connect_time).conn_keep_alive(limits.keep_alive);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .disable_timeout()
+            .no_default_headers()
+            .finish();
+        Self { client, limits, clock, inbox, bodies }
+    }
+
+    /// Makes an attempt, and reports its outcome as an event.
+    pub fn send(&self, send: Send) {
+        let port = self.clone();
+        actix_web::rt::spawn(async move {
+            let outcome = port.attempt(&send).await;
+            port.inbox.send(Event::Attempt { exchange: send.exchange, attempt: send.attempt, outcome });
+        });
+    }
+
+    async fn attempt(&self, send: &Send) -> Outcome {
+        let Some(request) = self.bodies.request(send.ticket) else { return Outcome::NotWritten };
+        if self.clock.now() > send.not_after {
+            return Outcome::NotWritten;
+        }
+        // Dropping the call on a time-out also drops its connection, so a silent one is not used again.
+        match actix_web::rt::time::timeout(send.timeout, self.call(send, &request)).await {
+            Ok(Reply::Complete(answer)) => {
+                let outcome =
+                    Outcome::Answered { status: answer.status.as_u16(), bytes: answer.body.len() as u64 };
+                self.bodies.store(send.ticket, send.attempt, answer);
+                outcome
+            }
+            Ok(Reply::Without(outcome)) => outcome,
+            Err(_) => Outcome::Lost,
+        }
+    }
+
+    async fn call(&self, send: &Send, request: &Request) -> Reply {
+        let query = request.query.as_ref().map(|query| format!("?{query}")).unwrap_or_default();
+        let url = format!("http://{}/replica/{:016x}{}{query}", send.address, send.run.0, request.path);
+        let mut call = self
+            .client
+            .request(request.method.clone(), url)
+            .no_decompress()
+            .insert_header((TIMEOUT, send.timeout.as_millis().to_string()));
+        for header in &request.headers {
+            call = call.append_header(header.clone());
+        }
+        let mut response = match call.send_body(request.body.clone()).await {
+            Ok(response) => response,
+            Err(error) => return Reply::Without(failure(&error)),
+        };
+        if is_refusal(response.status(), response.headers()) {
+            return Reply::Without(Outcome::Refused);
+        }
+        let read = response.body().limit(self.limits.body).await;
+        let Some(body) = complete(&request.method, response.status(), response.headers(), read) else {
+            return Reply::Without(Outcome::Lost);
+        };
+        let headers = message::end_to_end(response.headers());
+        Reply::Complete(Answer { status: response.status(), headers, body })
+    }
+}
+
+enum Reply {
+    Complete(Answer),
+    Without(Outcome),
+}
+
+fn failure(error: &SendRequestError) -> Outcome {
+    match error {
+        SendRequestError::Url(_) | SendRequestError::Connect(_) => Outcome::NotWritten,
+        _ => Outcome::Lost,
+    }
+}
+
+fn is_refusal(status: StatusCode, headers: &HeaderMap) -> bool {
+    let refuses = matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE);
+    refuses && headers.get(NOT_RUN).is_some_and(|value| value == "1")
+}
+
+/// The body, if its end was declared and seen. A body that ends with its connection may be cut off.
+fn complete(
+    method: &Method,
+    status: StatusCode,
+    headers: &HeaderMap,
+    read: Result<Bytes, PayloadError>,
+) -> Option<Bytes> {
+    let body = read.ok()?;
+    if *method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        return body.is_empty().then_some(body);
+    }
+    let is_chunked = headers
+        .get(header::TRANSFER_ENCODING)
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|value| value.trim().eq_ignore_ascii_case("chunked"));
+    let declared = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+    (is_chunked || declared == Some(body.len())).then_some(body)
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,4 +1,5 @@
 //! Encodings of messages: conversion functions only.
 
+pub mod call;
 pub mod generated;
 pub mod peer;
--- /dev/null
+++ b/tests/ports.rs
@@ -0,0 +1,528 @@
+//! The ports of the request path over loopback, with a closure in place of the reducer.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use actix_web::rt::spawn;
+use actix_web::web::{Bytes, block};
+use awc::{Client, Connector};
+use nutmegfold::core::event::Event;
+use nutmegfold::core::exchange::{self, Forward, Outcome, Refusal, Request, Send, Ticket, Verdict};
+use nutmegfold::core::time::Instant;
+use nutmegfold::core::{member, peer as message, run};
+use nutmegfold::port::body::Table;
+use nutmegfold::port::{Clock, Inbox, caller, peer, upstream};
+use slotmap::SlotMap;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+const LONG: Duration = Duration::from_secs(30);
+
+/// All ports of one entry VM.
+struct Vm {
+    caller: caller::Handle,
+    upstream: upstream::Port,
+    peer: peer::Port,
+    bodies: Table,
+    events: UnboundedReceiver<Event>,
+    tickets: SlotMap<exchange::Key, Ticket>,
+}
+
+impl Vm {
+    fn start(name: u64) -> Self {
+        let (inbox, events) = Inbox::new();
+        let bodies = Table::default();
+        let limits = caller::Limits {
+            body: 64 << 10,
+            head_time: Duration::from_millis(300),
+            ..caller::Limits::default()
+        };
+        let identity = peer::Identity { member: member::Id(name), address: LOOPBACK };
+        Self {
+            caller: caller::serve(LOOPBACK, limits, inbox.clone(), bodies.clone()).expect("caller port"),
+            upstream: upstream::Port::new(
+                upstream::Limits { body: 64 << 10, ..upstream::Limits::default() },
+                Clock::start(),
+                inbox.clone(),
+                bodies.clone(),
+            ),
+            peer: peer::Port::start(LOOPBACK, identity, peer::Limits::default(), inbox, bodies.clone())
+                .expect("peer port"),
+            bodies,
+            events,
+            tickets: SlotMap::with_key(),
+        }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.caller.address())
+    }
+
+    fn send(&mut self, request: &Request, address: SocketAddr, timeout: Duration) {
+        let exchange = self.tickets.insert(request.ticket);
+        let (ticket, run) = (request.ticket, run::Id(7));
+        let not_after = Instant(u64::MAX);
+        self.upstream.send(Send { exchange, attempt: 1, ticket, address, run, timeout, not_after });
+    }
+
+    fn forward(&mut self, request: &Request, address: SocketAddr, timeout: Duration) {
+        let exchange = self.tickets.insert(request.ticket);
+        let (ticket, id) = (request.ticket, exchange::Id(99));
+        self.peer.forward(Forward { exchange, attempt: 1, ticket, id, address, timeout });
+    }
+
+    async fn request(&mut self) -> Request {
+        match self.events.recv().await.expect("an event") {
+            Event::Request(request) => request,
+            other => panic!("expected a request, got {other:?}"),
+        }
+    }
+
+    async fn attempt(&mut self) -> (Ticket, Outcome) {
+        match self.events.recv().await.expect("an event") {
+            Event::Attempt { exchange, outcome, .. } => (self.tickets[exchange], outcome),
+            other => panic!("expected an attempt, got {other:?}"),
+        }
+    }
+
+    /// Reads a request of a caller, makes one attempt, replies as the design page says, and returns the outcome.
+    async fn attempt_at(&mut self, address: SocketAddr, timeout: Duration) -> Outcome {
+        let request = self.request().await;
+        self.send(&request, address, timeout);
+        let (ticket, outcome) = self.attempt().await;
+        self.bodies.reply(ticket, verdict(outcome));
+        outcome
+    }
+}
+
+fn verdict(outcome: Outcome) -> Verdict {
+    match outcome {
+        Outcome::Answered { .. } => Verdict::Deliver { attempt: 1 },
+        Outcome::NotWritten | Outcome::Refused => not_run(Refusal::NoReplica),
+        Outcome::Lost => Verdict::Unknown,
+    }
+}
+
+fn not_run(refusal: Refusal) -> Verdict {
+    Verdict::NotRun { refusal, retry_after: Duration::from_millis(1500) }
+}
+
+/// A request in flight; its result is status, outcome header and body.
+fn get(url: String) -> actix_web::rt::task::JoinHandle<(u16, Option<String>, Bytes)> {
+    post(url, String::new())
+}
+
+fn post(url: String, body: String) -> actix_web::rt::task::JoinHandle<(u16, Option<String>, Bytes)> {
+    spawn(async move {
+        let client = Client::builder().connector(Connector::new().limit(0)).timeout(LONG).finish();
+        let mut answer = client.post(url).send_body(body).await.expect("an answer");
+        let outcome =
+            answer.headers().get("nutmegfold-outcome").map(|value| value.to_str().unwrap().to_owned());
+        let body = answer.body().await.expect("a complete body");
+        (answer.status().as_u16(), outcome, body)
+    })
+}
+
+/// Reads one request with a declared length; empty when the connection ended.
+fn read_request(stream: &mut TcpStream) -> String {
+    let mut seen = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(&seen).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| {
+                line.to_ascii_lowercase().strip_prefix("content-length:")?.trim().parse::<usize>().ok()
+            });
+            if body.len() >= length.unwrap_or(0) {
+                return text;
+            }
+        }
+        match stream.read(&mut buffer) {
+            Ok(count) if count > 0 => seen.extend_from_slice(&buffer[..count]),
+            _ => return String::new(),
+        }
+    }
+}
+
+/// An upstream that answers the requests of each connection by its number; `None` stays silent.
+fn fake(answer: impl Fn(usize, &str) -> Option<String> + std::marker::Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind(LOOPBACK).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let answer = std::sync::Arc::new(answer);
+    thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let (mut stream, answer) = (stream.expect("a connection"), answer.clone());
+            thread::spawn(move || {
+                loop {
+                    let request = read_request(&mut stream);
+                    if request.is_empty() {
+                        return;
+                    }
+                    let Some(text) = answer(number, &request) else { continue };
+                    stream.write_all(text.as_bytes()).expect("written");
+                    if text.contains("close") {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Sends bytes to a server, and returns all that comes back until it closes.
+async fn raw(address: SocketAddr, bytes: impl Into<Vec<u8>>) -> String {
+    let bytes = bytes.into();
+    let talk = move || {
+        let mut stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        stream.write_all(&bytes).expect("written");
+        let mut answer = Vec::new();
+        // A reset by the server also ends the answer.
+        let _ = stream.read_to_end(&mut answer);
+        String::from_utf8_lossy(&answer).into_owned()
+    };
+    block(talk).await.expect("not cancelled")
+}
+
+/// Guards against an answer that reaches another caller when answers come out of order.
+#[actix_web::test]
+async fn answers_reach_their_own_callers() {
+    const COUNT: usize = 200;
+    let listener = TcpListener::bind(LOOPBACK).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let mut held: Vec<(TcpStream, String)> = Vec::new();
+        while held.len() < COUNT {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let request = read_request(&mut stream);
+            held.push((stream, request));
+        }
+        for at in (0..COUNT).map(|at| (at * 73 + 19) % COUNT) {
+            let (stream, request) = &mut held[at];
+            assert!(request.starts_with("POST /replica/0000000000000007/echo?n="), "{request}");
+            let body = request.split_once("\r\n\r\n").expect("a body").1;
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            stream.write_all(answer.as_bytes()).expect("written");
+        }
+    });
+    let mut vm = Vm::start(1);
+    let calls: Vec<_> = (0..COUNT)
+        .map(|number| post(vm.url(&format!("/quote/echo?n={number}")), format!("caller {number}")))
+        .collect();
+    for _ in 0..COUNT {
+        let request = vm.request().await;
+        assert_eq!((request.service.as_str(), request.path.as_str()), ("quote", "/echo"));
+        vm.send(&request, address, LONG);
+    }
+    for _ in 0..COUNT {
+        let (ticket, outcome) = vm.attempt().await;
+        vm.bodies.reply(ticket, verdict(outcome));
+    }
+    for (number, call) in calls.into_iter().enumerate() {
+        assert_eq!(call.await.unwrap(), (200, None, Bytes::from(format!("caller {number}"))));
+    }
+    assert!(vm.bodies.is_empty());
+}
+
+/// Guards against an incomplete or oversized answer that is delivered as complete.
+#[actix_web::test]
+async fn incomplete_answers_are_lost() {
+    let large = format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70_000));
+    let mut vm = Vm::start(1);
+    for answer in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nx: close\r\n\r\nshort",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nx: close\r\n\r\n5\r\nshort\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nx: close\r\n\r\nzz\r\nshort\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nends with the connection",
+        "HTTP/1.0 200 OK\r\nx: close\r\n\r\nends with the connection",
+        "HTTP/1.1 200 OK\r\nx: close",
+        "close",
+        &large,
+    ] {
+        let text = answer.to_owned();
+        let address = fake(move |_, _| Some(text.clone()));
+        let call = get(vm.url("/quote/"));
+        assert_eq!(vm.attempt_at(address, LONG).await, Outcome::Lost, "{answer:.80}");
+        let (status, outcome, _) = call.await.unwrap();
+        assert_eq!((status, outcome.as_deref()), (504, Some("unknown")));
+    }
+}
+
+/// Guards against a complete answer that is altered, and against headers of one connection that are passed on.
+#[actix_web::test]
+async fn complete_answers_are_delivered_unchanged() {
+    let mut vm = Vm::start(1);
+    let chunked = "HTTP/1.1 418 I'm a teapot\r\nTransfer-Encoding: chunked\r\nX-Kept: 1\r\nKeep-Alive: timeout=9\r\n\
+                   nutmegfold-outcome: not-run\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    let address = fake(|_, request| {
+        let head = request.to_ascii_lowercase();
+        let kept = ["x-timeout-ms: 30000", "x-request-id: ", "x-mine: 1"];
+        let dropped = ["x-private", "te: trailers"];
+        let is_right =
+            kept.iter().all(|line| head.contains(line)) && !dropped.iter().any(|line| head.contains(line));
+        Some(if is_right { chunked.to_owned() } else { format!("HTTP/1.1 500 wrong\r\n\r\n{head}") })
+    });
+    let request = "GET /quote/a HTTP/1.1\r\nHost: x\r\nConnection: close, x-private\r\nx-private: 1\r\n\
+                   te: trailers\r\nx-mine: 1\r\nx-timeout-ms: 1234\r\n\r\n";
+    let call = spawn(raw(vm.caller.address(), request));
+    let seen = vm.request().await;
+    assert_eq!(seen.timeout, Some(Duration::from_millis(1234)));
+    vm.send(&seen, address, LONG);
+    let (ticket, outcome) = vm.attempt().await;
+    assert_eq!(outcome, Outcome::Answered { status: 418, bytes: 5 });
+    vm.bodies.reply(ticket, verdict(outcome));
+    let answer = call.await.unwrap().to_ascii_lowercase();
+    assert!(answer.starts_with("http/1.1 418") && answer.ends_with("\r\n\r\nabcde"), "{answer}");
+    assert!(answer.contains("x-kept: 1") && answer.contains("content-length: 5"), "{answer}");
+    assert!(!answer.contains("keep-alive") && !answer.contains("nutmegfold-outcome"), "{answer}");
+}
+
+/// Guards against a refusal by the worker that is taken for an answer, and the reverse.
+#[actix_web::test]
+async fn refusals_of_the_worker_are_told_from_answers() {
+    let mut vm = Vm::start(1);
+    let answered = |status| Outcome::Answered { status, bytes: 0 };
+    for (status, header, expected) in [
+        (503, "nutmegfold-not-run: 1", Outcome::Refused),
+        (429, "nutmegfold-not-run: 1", Outcome::Refused),
+        (500, "nutmegfold-not-run: 1", answered(500)),
+        (503, "nutmegfold-not-run: 0", answered(503)),
+        (302, "Location: /elsewhere", answered(302)),
+    ] {
+        let address =
+            fake(move |_, _| Some(format!("HTTP/1.1 {status} x\r\nContent-Length: 0\r\n{header}\r\n\r\n")));
+        let call = get(vm.url("/quote/"));
+        assert_eq!(vm.attempt_at(address, LONG).await, expected);
+        let (seen, outcome, _) = call.await.unwrap();
+        if expected == Outcome::Refused {
+            assert_eq!((seen, outcome.as_deref()), (503, Some("not-run")));
+        } else {
+            assert_eq!((seen, outcome.as_deref()), (status, None));
+        }
+    }
+}
+
+/// Guards against a retry that is refused although nothing was written, and against a write after `not_after`.
+#[actix_web::test]
+async fn unreached_upstreams_get_nothing() {
+    let mut vm = Vm::start(1);
+    let closed = TcpListener::bind(LOOPBACK).and_then(|listener| listener.local_addr()).expect("an address");
+    let call = get(vm.url("/quote/"));
+    assert_eq!(vm.attempt_at(closed, LONG).await, Outcome::NotWritten);
+    let (status, outcome, body) = call.await.unwrap();
+    assert_eq!((status, outcome.as_deref()), (503, Some("not-run")));
+    let body: serde_json::Value = serde_json::from_slice(&body).expect("problem details");
+    assert_eq!((body["status"].as_u64(), body["title"].as_str()), (Some(503), Some("Service Unavailable")));
+
+    let (reached, contact) = mpsc::channel();
+    let address = fake(move |_, _| reached.send(()).ok().and(None));
+    let _call = get(vm.url("/quote/"));
+    let request = vm.request().await;
+    let exchange = vm.tickets.insert(request.ticket);
+    let (ticket, not_after) = (request.ticket, Instant(0));
+    actix_web::rt::time::sleep(Duration::from_millis(1)).await;
+    vm.upstream.send(Send {
+        exchange,
+        attempt: 1,
+        ticket,
+        address,
+        run: run::Id(7),
+        timeout: LONG,
+        not_after,
+    });
+    assert_eq!(vm.attempt().await.1, Outcome::NotWritten);
+    assert!(contact.try_recv().is_err());
+}
+
+/// Guards against a connection that went silent and is used again.
+#[actix_web::test]
+async fn silent_connections_are_not_used_again() {
+    let mut vm = Vm::start(1);
+    let (connections, seen) = mpsc::channel();
+    let address = fake(move |number, request| {
+        connections.send(number).expect("the test runs");
+        let is_silent = number == 0 && request.contains("/second");
+        (!is_silent).then(|| "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_owned())
+    });
+    let answered = Outcome::Answered { status: 200, bytes: 2 };
+    for (path, timeout, expected) in [
+        ("/quote/first", LONG, answered),
+        ("/quote/second", Duration::from_millis(200), Outcome::Lost),
+        ("/quote/third", LONG, answered),
+    ] {
+        let call = get(vm.url(path));
+        assert_eq!(vm.attempt_at(address, timeout).await, expected, "{path}");
+        call.await.unwrap();
+    }
+    assert_eq!(seen.try_iter().collect::<Vec<_>>(), [0, 0, 1]);
+}
+
+/// Guards against a request that is still worked on after its caller has gone.
+#[actix_web::test]
+async fn callers_that_disconnect_are_reported() {
+    let mut vm = Vm::start(1);
+    let mut stream = TcpStream::connect(vm.caller.address()).expect("a connection");
+    stream.write_all(b"POST /quote/ HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc").expect("written");
+    let request = vm.request().await;
+    assert_eq!((request.bytes, request.timeout), (3, None));
+    drop(stream);
+    match vm.events.recv().await {
+        Some(Event::Abandoned(ticket)) => assert_eq!(ticket, request.ticket),
+        other => panic!("expected an abandoned request, got {other:?}"),
+    }
+    assert!(vm.bodies.is_empty());
+}
+
+/// Guards against malformed requests that run: each is answered with an error, and none reaches the reducer.
+#[actix_web::test]
+async fn malformed_requests_never_reach_the_reducer() {
+    let mut vm = Vm::start(1);
+    let oversized =
+        format!("POST /q/ HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70_000));
+    let chunks = format!("11170\r\n{}\r\n0\r\n\r\n", "x".repeat(70_000));
+    let unbounded = format!("POST /q/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}");
+    let smuggled = "GET /q/smuggled HTTP/1.1\r\nHost: x\r\n\r\n";
+    let post = |headers: &str, body: &str| {
+        format!("POST /q/ HTTP/1.1\r\nHost: x\r\n{headers}\r\n\r\n{body}{smuggled}")
+    };
+    for (status, request) in [
+        ("413", oversized),
+        ("413", unbounded),
+        ("400", post("Content-Length: 3\r\nContent-Length: 4", "abc")),
+        ("400", post("Content-Length: 3, 4", "abc")),
+        ("400", post("Content-Length: +3", "abc")),
+        ("400", post("Content-Length: 3\r\nTransfer-Encoding: chunked", "0\r\n\r\n")),
+        ("400", post("Transfer-Encoding: chunked\r\nContent-Length: 3", "0\r\n\r\n")),
+        ("400", post("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "0\r\n\r\n")),
+        ("400", post("Transfer-Encoding: xchunked", "0\r\n\r\n")),
+        ("400", post("Transfer-Encoding : chunked", "0\r\n\r\n")),
+        ("400", post("Transfer-Encoding: chunked", "zz\r\nabc\r\n0\r\n\r\n")),
+        ("400", post("Transfer-Encoding: chunked", "fffffffffffffffff\r\nabc\r\n0\r\n\r\n")),
+        ("400", post("Transfer-Encoding: chunked", "3\r\nabcd\r\n0\r\n\r\n")),
+        ("400", post("X-Timeout-Ms: soon\r\nContent-Length: 0", "")),
+        ("400", "GET /q/../../v1/control HTTP/1.1\r\nHost: x\r\n\r\n".to_owned()),
+        ("400", "GET / HTTP/1.1\r\nHost: x\r\n\r\n".to_owned()),
+        ("408", "GET /q/ HTTP/1.1\r\nHost".to_owned()),
+    ] {
+        let answer = raw(vm.caller.address(), request.clone()).await;
+        let is_refused = answer.is_empty() || answer.starts_with(&format!("HTTP/1.1 {status}"));
+        assert!(is_refused, "{request:.120}\ngave {answer}");
+        assert!(!answer.trim_start_matches("HTTP/1.1").contains("HTTP/1.1"), "{request:.120}\ngave {answer}");
+        assert!(vm.events.try_recv().is_err(), "{request:.120}");
+    }
+}
+
+/// Guards against a stop that cuts a request in flight.
+#[actix_web::test]
+async fn a_graceful_stop_finishes_requests() {
+    let mut vm = Vm::start(1);
+    let call = get(vm.url("/quote/"));
+    let request = vm.request().await;
+    let handle = vm.caller.clone();
+    let stop = spawn(async move { handle.stop(true).await });
+    let address = vm.caller.address();
+    while block(move || TcpStream::connect(address)).await.expect("not cancelled").is_ok() {
+        actix_web::rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    vm.bodies.reply(request.ticket, not_run(Refusal::NoService));
+    let (status, outcome, _) = call.await.unwrap();
+    assert_eq!((status, outcome.as_deref()), (404, Some("not-run")));
+    stop.await.unwrap();
+}
+
+/// Guards against a lost sender or content of a message, and against traffic that is not counted.
+#[actix_web::test]
+async fn messages_reach_other_vms() {
+    let one = Vm::start(1);
+    let mut two = Vm::start(2);
+    let sent = message::Message::ConfigAsk { have: 5, documents: vec![1, 2] };
+    one.peer.deliver(two.peer.address(), sent.clone());
+    match two.events.recv().await {
+        Some(Event::Parcel { from, address, message }) => {
+            assert_eq!((from, address, message), (member::Id(1), one.peer.address(), sent));
+        }
+        other => panic!("expected a parcel, got {other:?}"),
+    }
+    assert!(one.peer.traffic().sent() > 0);
+    assert_eq!(one.peer.traffic().sent(), two.peer.traffic().received());
+    two.peer.stop().await;
+}
+
+/// Guards against a silent peer that takes up memory without bound.
+#[actix_web::test]
+async fn a_silent_peer_costs_bounded_memory() {
+    let silent = TcpListener::bind(LOOPBACK).expect("a listener");
+    let address = silent.local_addr().expect("an address");
+    let vm = Vm::start(1);
+    for _ in 0..1000 {
+        vm.peer.deliver(address, message::Message::Leave);
+    }
+    assert_eq!(vm.peer.traffic().dropped(), 1000 - peer::Limits::default().messages as u64);
+}
+
+/// Guards against a forwarded request that loses its answer, its identity or the proof that it did not run.
+#[actix_web::test]
+async fn forwarded_requests_come_back() {
+    let mut one = Vm::start(1);
+    let mut two = Vm::start(2);
+    let replica = fake(|_, request| {
+        let body = request.split_once("\r\n\r\n").expect("a body").1;
+        Some(format!("HTTP/1.1 201 Created\r\nContent-Length: {}\r\nX-Kept: 1\r\n\r\n{body}", body.len()))
+    });
+    for (verdict_there, expected, status) in [
+        (None, Outcome::Answered { status: 201, bytes: 5 }, 201),
+        (Some(not_run(Refusal::Overloaded)), Outcome::Refused, 503),
+        (Some(Verdict::Unknown), Outcome::Lost, 504),
+        (Some(Verdict::Deliver { attempt: 9 }), Outcome::Lost, 504),
+    ] {
+        let call = post(one.url("/quote/a?b=c"), "hello".to_owned());
+        let request = one.request().await;
+        one.forward(&request, two.peer.address(), LONG);
+        let forwarded = two.request().await;
+        assert_eq!((forwarded.forwarded, forwarded.id), (true, exchange::Id(99)));
+        assert_eq!((forwarded.service.as_str(), forwarded.path.as_str()), ("quote", "/a"));
+        assert_eq!((forwarded.bytes, forwarded.timeout), (5, Some(LONG)));
+        if let Some(verdict) = verdict_there {
+            two.bodies.reply(forwarded.ticket, verdict);
+        } else {
+            two.send(&forwarded, replica, LONG);
+            let (ticket, outcome) = two.attempt().await;
+            two.bodies.reply(ticket, verdict(outcome));
+        }
+        let (ticket, outcome) = one.attempt().await;
+        assert_eq!(outcome, expected);
+        one.bodies.reply(ticket, verdict(outcome));
+        assert_eq!(call.await.unwrap().0, status);
+    }
+}
+
+/// Guards against a lost forward that counts as not run, and against a silent connection that is used again.
+#[actix_web::test]
+async fn lost_forwards_are_told_from_unsent_ones() {
+    let mut one = Vm::start(1);
+    let closed = TcpListener::bind(LOOPBACK).and_then(|listener| listener.local_addr()).expect("an address");
+    let _call = get(one.url("/quote/"));
+    let request = one.request().await;
+    one.forward(&request, closed, LONG);
+    assert_eq!(one.attempt().await.1, Outcome::NotWritten);
+
+    let silent = TcpListener::bind(LOOPBACK).expect("a listener");
+    for _ in 0..2 {
+        one.forward(&request, silent.local_addr().expect("an address"), Duration::from_millis(200));
+        assert_eq!(one.attempt().await.1, Outcome::Lost);
+        silent.accept().expect("a new connection");
+    }
+
+    let mut two = Vm::start(2);
+    one.forward(&request, two.peer.address(), Duration::from_millis(200));
+    let forwarded = two.request().await;
+    assert_eq!(one.attempt().await.1, Outcome::Lost);
+    match two.events.recv().await {
+        Some(Event::Abandoned(ticket)) => assert_eq!(ticket, forwarded.ticket),
+        other => panic!("expected an abandoned request, got {other:?}"),
+    }
+}
