Test cut-off requests and closed idle connections

Cause: the test of 200 concurrent requests failed since its fake upstream queued only 128 connections. Change: a longer listen queue there; two new tests. Conclusion: the failure was in the test's fake upstream, not in the port.

--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -102,7 +102,10 @@
         }
         let mut response = match call.send_body(request.body.clone()).await {
             Ok(response) => response,
-            Err(error) => return Reply::Without(failure(&error)),
+            Err(error) => {
+                log::debug!("request to {} failed: {error}", send.address);
+                return Reply::Without(failure(&error));
+            }
         };
         if is_refusal(response.status(), response.headers()) {
             return Reply::Without(Outcome::Refused);
--- a/tests/ports.rs
+++ b/tests/ports.rs
@@ -1,7 +1,7 @@
 //! The ports of the request path over loopback, with a closure in place of the reducer.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -16,6 +16,7 @@
 use nutmegfold::port::body::Table;
 use nutmegfold::port::{Clock, Inbox, caller, peer, upstream};
 use slotmap::SlotMap;
+use tokio::net::TcpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
@@ -193,7 +194,11 @@
 #[actix_web::test]
 async fn answers_reach_their_own_callers() {
     const COUNT: usize = 200;
-    let listener = TcpListener::bind(LOOPBACK).expect("a listener");
+    // The standard library's listener queues 128 connections, which is too few for this test.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(LOOPBACK).expect("an address");
+    let listener = socket.listen(1024).and_then(|listener| listener.into_std()).expect("a listener");
+    listener.set_nonblocking(false).expect("a blocking listener");
     let address = listener.local_addr().expect("an address");
     thread::spawn(move || {
         let mut held: Vec<(TcpStream, String)> = Vec::new();
@@ -362,6 +367,31 @@
     assert_eq!(seen.try_iter().collect::<Vec<_>>(), [0, 0, 1]);
 }
 
+/// Guards against a request that is lost on an idle connection which the upstream has closed.
+#[actix_web::test]
+async fn closed_connections_are_not_used_again() {
+    let mut vm = Vm::start(1);
+    let (closed, close) = mpsc::channel();
+    let listener = TcpListener::bind(LOOPBACK).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            read_request(&mut stream);
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").expect("written");
+            drop(stream);
+            closed.send(()).expect("the test runs");
+        }
+    });
+    for _ in 0..3 {
+        let call = get(vm.url("/quote/"));
+        let outcome = vm.attempt_at(address, LONG).await;
+        assert_eq!(outcome, Outcome::Answered { status: 200, bytes: 2 });
+        call.await.unwrap();
+        close.recv().expect("closed");
+    }
+}
+
 /// Guards against a request that is still worked on after its caller has gone.
 #[actix_web::test]
 async fn callers_that_disconnect_are_reported() {
@@ -417,6 +447,30 @@
     }
 }
 
+/// Guards against a truncated request that runs as if it were complete.
+#[actix_web::test]
+async fn requests_cut_off_by_their_caller_never_reach_the_reducer() {
+    let mut vm = Vm::start(1);
+    let address = vm.caller.address();
+    for request in [
+        "POST /q/ HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nabc",
+        "POST /q/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "POST /q/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab",
+        "POST /q/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+    ] {
+        let talk = move || {
+            let mut stream = TcpStream::connect(address).expect("a connection");
+            stream.write_all(request.as_bytes()).expect("written");
+            stream.shutdown(Shutdown::Write).expect("half closed");
+            // A reset by the server also ends the answer.
+            let _ = stream.read_to_end(&mut Vec::new());
+        };
+        block(talk).await.expect("not cancelled");
+        assert!(vm.events.try_recv().is_err(), "{request}");
+        assert!(vm.bodies.is_empty());
+    }
+}
+
 /// Guards against a stop that cuts a request in flight.
 #[actix_web::test]
 async fn a_graceful_stop_finishes_requests() {
