Add mutual TLS between entry VMs

Cause: peers hand over cells and requests, so they should prove who they are. Conclusion: a process without a certificate of the authority is neither heard nor trusted.

--- a/src/port/caller.rs
+++ b/src/port/caller.rs
@@ -10,7 +10,7 @@
 
 use actix_web::dev::ServerHandle;
 use actix_web::http::header::{self, HeaderMap, HeaderValue};
-use actix_web::http::{KeepAlive, StatusCode};
+use actix_web::http::{KeepAlive, Method, StatusCode};
 use actix_web::web::{self, Bytes, Data, Payload};
 use actix_web::{App, HttpRequest, HttpResponse, HttpResponseBuilder, HttpServer};
 
@@ -116,7 +116,7 @@
 
 async fn handle(request: HttpRequest, payload: Payload, port: Data<Port>) -> HttpResponse {
     let mut response = match port.accept(&request, payload).await {
-        Ok(guard) => port.finish(guard).await,
+        Ok(guard) => port.finish(request.method(), guard).await,
         Err(fault) => fault.response(),
     };
     if port.stopping.load(Ordering::Relaxed) {
@@ -173,10 +173,10 @@
         }
     }
 
-    async fn finish(&self, mut guard: Guard) -> HttpResponse {
+    async fn finish(&self, method: &Method, mut guard: Guard) -> HttpResponse {
         match guard.verdict().await {
             Verdict::Deliver { attempt } => match guard.answer(attempt) {
-                Some(answer) => deliver(answer),
+                Some(answer) => deliver(method, answer),
                 None => {
                     log::error!("no answer of attempt {attempt} is held for request {}", guard.ticket().0);
                     unknown()
@@ -229,11 +229,15 @@
     headers
 }
 
-fn deliver(answer: Answer) -> HttpResponse {
+/// An answer to HEAD and a 304 stand for a body that they do not carry, so no length is claimed for them.
+fn deliver(method: &Method, answer: Answer) -> HttpResponse {
     let mut response = HttpResponse::build(answer.status);
     for header in answer.headers {
         response.append_header(header);
     }
+    if *method == Method::HEAD || answer.status == StatusCode::NOT_MODIFIED {
+        return response.body(actix_web::body::None::new()).map_into_boxed_body();
+    }
     response.body(answer.body)
 }
 
--- a/src/port/peer/link.rs
+++ b/src/port/peer/link.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use tonic::Status;
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::{Channel, ClientTlsConfig, Endpoint};
 
 use super::Limits;
 use crate::hash::Map;
@@ -46,6 +46,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Table {
     limits: Limits,
+    tls: Option<ClientTlsConfig>,
     shared: Arc<Mutex<Entries>>,
 }
 
@@ -64,8 +65,8 @@
 }
 
 impl Table {
-    pub(super) fn new(limits: Limits) -> Self {
-        Self { limits, shared: Arc::default() }
+    pub(super) fn new(limits: Limits, tls: Option<ClientTlsConfig>) -> Self {
+        Self { limits, tls, shared: Arc::default() }
     }
 
     /// Reserves room for a message; `None` if too much is under way to the address.
@@ -104,11 +105,13 @@
     fn channel(&self, to: SocketAddr) -> Channel {
         // The text of an address without an IPv6 scope is always a valid authority.
         let authority = SocketAddr::new(to.ip(), to.port());
-        Endpoint::from_shared(format!("http://{authority}"))
-            .expect("an address makes a valid URI")
-            .connect_timeout(self.limits.connect_time)
-            .tcp_nodelay(true)
-            .connect_lazy()
+        let scheme = if self.tls.is_some() { "https" } else { "http" };
+        let mut endpoint =
+            Endpoint::from_shared(format!("{scheme}://{authority}")).expect("an address makes a valid URI");
+        if let Some(tls) = &self.tls {
+            endpoint = endpoint.tls_config(tls.clone()).expect("checked when it was read");
+        }
+        endpoint.connect_timeout(self.limits.connect_time).tcp_nodelay(true).connect_lazy()
     }
 
     /// A panic elsewhere cannot leave the entries half changed, so a poisoned lock is used on.
--- a/src/port/peer/mod.rs
+++ b/src/port/peer/mod.rs
@@ -5,6 +5,7 @@
 
 mod link;
 mod server;
+mod tls;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,6 +26,8 @@
 use crate::wire::generated::peer as proto;
 use crate::wire::peer::Parcel;
 
+pub use tls::Tls;
+
 /// Limits on messages between entry VMs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -78,20 +81,22 @@
 }
 
 impl Port {
-    /// Starts to listen on `listen`; must be called inside a tokio runtime.
+    /// Starts to listen on `listen`, with mutual TLS if it is set up; must be called inside a tokio runtime.
     pub fn start(
         listen: SocketAddr,
         mut identity: Identity,
         limits: Limits,
+        tls: Option<&Tls>,
         inbox: Inbox,
         bodies: Table,
     ) -> Result<Self> {
+        let (client, server) = tls.map(Tls::read).transpose()?.unzip();
         let traffic = Traffic::default();
-        let server = server::serve(listen, limits, inbox.clone(), bodies.clone(), traffic.clone())?;
+        let server = server::serve(listen, limits, server, inbox.clone(), bodies.clone(), traffic.clone())?;
         if identity.address.port() == 0 {
             identity.address.set_port(server.address().port());
         }
-        let links = link::Table::new(limits);
+        let links = link::Table::new(limits, client);
         Ok(Self { identity, limits, runtime: Handle::current(), inbox, bodies, traffic, links, server })
     }
 
--- a/src/port/peer/server.rs
+++ b/src/port/peer/server.rs
@@ -5,8 +5,8 @@
 
 use prost::Message as _;
 use tokio::sync::watch;
-use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
+use tonic::transport::{Server, ServerTlsConfig};
 use tonic::{Request, Response, Status};
 
 use super::Limits;
@@ -57,6 +57,7 @@
 pub(super) fn serve(
     listen: SocketAddr,
     limits: Limits,
+    tls: Option<ServerTlsConfig>,
     inbox: Inbox,
     bodies: Table,
     traffic: Traffic,
@@ -69,15 +70,16 @@
     let service = PeerServer::new(Service { inbox, bodies, traffic })
         .max_decoding_message_size(limits.message)
         .max_encoding_message_size(limits.message);
+    let mut server =
+        Server::builder().http2_keepalive_interval(Some(PING_TIME)).http2_keepalive_timeout(Some(PING_TIME));
+    if let Some(tls) = tls {
+        server = server.tls_config(tls).map_err(|error| Error::call("TLS for peers", error))?;
+    }
     tokio::spawn(async move {
         let signal = async move {
             let _ = stopped.wait_for(|stopped| *stopped).await;
         };
-        let server = Server::builder()
-            .http2_keepalive_interval(Some(PING_TIME))
-            .http2_keepalive_timeout(Some(PING_TIME))
-            .add_service(service)
-            .serve_with_incoming_shutdown(incoming, signal);
+        let server = server.add_service(service).serve_with_incoming_shutdown(incoming, signal);
         if let Err(error) = server.await {
             log::error!("the server for peers failed: {error}");
         }
--- /dev/null
+++ b/src/port/peer/tls.rs
@@ -0,0 +1,42 @@
+//! Mutual TLS between entry VMs.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use tonic::transport::{Certificate, ClientTlsConfig, Endpoint, Identity, ServerTlsConfig};
+
+use crate::error::{Error, Result};
+
+/// Name that the certificates of all entry VMs carry; addresses change too often to be in them.
+const NAME: &str = "nutmegfold";
+
+/// Files for mutual TLS, in PEM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tls {
+    /// Certificate of this process, with the DNS name `nutmegfold`.
+    pub certificate: PathBuf,
+    /// Its private key.
+    pub key: PathBuf,
+    /// Certificate of the authority that signs those of all entry VMs.
+    pub authority: PathBuf,
+}
+
+impl Tls {
+    /// Reads and checks the files.
+    pub fn read(&self) -> Result<(ClientTlsConfig, ServerTlsConfig)> {
+        let identity = Identity::from_pem(bytes(&self.certificate)?, bytes(&self.key)?);
+        let authority = Certificate::from_pem(bytes(&self.authority)?);
+        let client = ClientTlsConfig::new()
+            .domain_name(NAME)
+            .identity(identity.clone())
+            .ca_certificate(authority.clone());
+        Endpoint::from_static("https://nutmegfold")
+            .tls_config(client.clone())
+            .map_err(|error| Error::call("TLS for peers", error))?;
+        Ok((client, ServerTlsConfig::new().identity(identity).client_ca_root(authority)))
+    }
+}
+
+fn bytes(path: &Path) -> Result<Vec<u8>> {
+    fs::read(path).map_err(|source| Error::io(format!("reading {}", path.display()), source))
+}
--- a/tests/ports.rs
+++ b/tests/ports.rs
@@ -34,6 +34,10 @@
 
 impl Vm {
     fn start(name: u64) -> Self {
+        Self::start_with(name, None)
+    }
+
+    fn start_with(name: u64, tls: Option<&peer::Tls>) -> Self {
         let (inbox, events) = Inbox::new();
         let bodies = Table::default();
         let limits = caller::Limits {
@@ -50,7 +54,7 @@
                 inbox.clone(),
                 bodies.clone(),
             ),
-            peer: peer::Port::start(LOOPBACK, identity, peer::Limits::default(), inbox, bodies.clone())
+            peer: peer::Port::start(LOOPBACK, identity, peer::Limits::default(), tls, inbox, bodies.clone())
                 .expect("peer port"),
             bodies,
             events,
@@ -287,6 +291,20 @@
     assert!(!answer.contains("keep-alive") && !answer.contains("nutmegfold-outcome"), "{answer}");
 }
 
+/// Guards against an answer to HEAD that waits for a body or claims an empty one.
+#[actix_web::test]
+async fn answers_to_head_have_no_body() {
+    let mut vm = Vm::start(1);
+    let address = fake(|_, _| Some("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n".to_owned()));
+    let request = "HEAD /quote/ HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let call = spawn(raw(vm.caller.address(), request));
+    let outcome = vm.attempt_at(address, LONG).await;
+    assert_eq!(outcome, Outcome::Answered { status: 200, bytes: 0 });
+    let answer = call.await.unwrap().to_ascii_lowercase();
+    assert!(answer.starts_with("http/1.1 200") && answer.ends_with("\r\n\r\n"), "{answer}");
+    assert!(!answer.contains("content-length"), "{answer}");
+}
+
 /// Guards against a refusal by the worker that is taken for an answer, and the reverse.
 #[actix_web::test]
 async fn refusals_of_the_worker_are_told_from_answers() {
@@ -581,3 +599,35 @@
         other => panic!("expected an abandoned request, got {other:?}"),
     }
 }
+
+/// Certificates made for this test only: `vm` is signed by `authority`, `other` by itself.
+fn tls(name: &str) -> peer::Tls {
+    let file = |name: &str| std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/tls").join(name);
+    peer::Tls {
+        certificate: file(&format!("{name}.pem")),
+        key: file(&format!("{name}.key")),
+        authority: file("authority.pem"),
+    }
+}
+
+/// Guards against a peer without a certificate of the authority that is heard or trusted.
+#[actix_web::test]
+async fn peers_prove_who_they_are() {
+    let mut server = Vm::start_with(1, Some(&tls("vm")));
+    let friend = Vm::start_with(2, Some(&tls("vm")));
+    let mut strangers = [Vm::start_with(3, Some(&tls("other"))), Vm::start(4)];
+    for stranger in &mut strangers {
+        let _call = get(stranger.url("/quote/"));
+        let request = stranger.request().await;
+        stranger.forward(&request, server.peer.address(), Duration::from_secs(2));
+        let outcome = stranger.attempt().await.1;
+        assert!(matches!(outcome, Outcome::NotWritten | Outcome::Lost), "{outcome:?}");
+    }
+    friend.peer.deliver(server.peer.address(), message::Message::Leave);
+    match server.events.recv().await {
+        Some(Event::Parcel { from, .. }) => assert_eq!(from, member::Id(2)),
+        other => panic!("expected a parcel, got {other:?}"),
+    }
+    let missing = peer::Tls { key: "missing.key".into(), ..tls("vm") };
+    assert!(missing.read().is_err());
+}
