--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -3,9 +3,16 @@
 //! A port makes no decision. It sends what it learns through the [`Inbox`].
 
 pub mod admin;
+pub mod body;
+pub mod caller;
 mod http;
 pub mod listing;
+pub mod message;
+pub mod peer;
 pub mod store;
+mod stream;
+pub mod traffic;
+pub mod upstream;
 pub mod worker;
 
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
