Wire the node, and run whole deployments on loopback

Cause: the reducer and the ports had no process around them. Change: an actor owns the state and performs effects; serve runs an entry VM, local runs all of a file's with stand-ins and reports what happened.

--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -8,7 +8,7 @@
 use awc::http::Method;
 use serde_json::json;
 
-use super::client::{Client, block_on, decode, segment};
+use crate::port::operator::{Client, block_on, decode, segment};
 use super::{json, print};
 use crate::error::{Error, Result};
 use crate::finding::Finding;
--- a/src/cli/drain.rs
+++ b/src/cli/drain.rs
@@ -6,7 +6,7 @@
 use awc::http::Method;
 use serde_json::json;
 
-use super::client::{Client, block_on, segment};
+use crate::port::operator::{Client, block_on, segment};
 use super::{json, print};
 use crate::error::Result;
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,8 +5,9 @@
 
 mod apply;
 mod check;
-mod client;
 mod drain;
+mod local;
+mod serve;
 mod status;
 mod table;
 mod timeline;
@@ -42,6 +43,8 @@
     Apply(apply::Args),
     Check(check::Args),
     Drain(drain::Args),
+    Local(local::Args),
+    Serve(serve::Args),
     Status(status::Args),
     Timeline(timeline::Args),
 }
@@ -52,6 +55,8 @@
             Self::Apply(args) => apply::run(args),
             Self::Check(args) => check::run(args),
             Self::Drain(args) => drain::run(args),
+            Self::Local(args) => local::run(args),
+            Self::Serve(args) => serve::run(args),
             Self::Status(args) => status::run(args),
             Self::Timeline(args) => timeline::run(args),
         }
--- /dev/null
+++ b/src/cli/serve.rs
@@ -0,0 +1,58 @@
+//! `serve`: runs an entry VM.
+
+use std::fs;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::error::{Error, Result};
+use crate::node::start;
+use crate::port::operator::block_on;
+use crate::settings::{self, Settings};
+use crate::telemetry;
+
+/// Run an entry VM until it gets SIGTERM or SIGINT, then shut down gracefully.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "serve",
+    example = "$ {command_name} --settings examples/settings.toml",
+    note = "SIGTERM hands over all cells and finishes requests in flight before the process ends.",
+    error_code(1, "The settings have findings.")
+)]
+pub struct Args {
+    /// settings of this VM
+    #[argh(option, arg_name = "FILE")]
+    settings: PathBuf,
+}
+
+/// Runs the entry VM.
+pub fn run(args: Args) -> Result<()> {
+    let file = args.settings.display().to_string();
+    let text = fs::read_to_string(&args.settings).map_err(|error| Error::io(format!("read {file}"), error))?;
+    let settings = settings::parse(&file, &text).map_err(Error::Findings)?;
+    let _log =
+        telemetry::log::start(settings.name.clone(), settings.log.level.name(), settings.log.file.as_deref())?;
+    block_on(serve(&settings))
+}
+
+async fn serve(settings: &Settings) -> Result<()> {
+    let signals = |kind| signal(kind).map_err(|error| Error::io("wait for signals", error));
+    let (mut terminate, mut interrupt) =
+        (signals(SignalKind::terminate())?, signals(SignalKind::interrupt())?);
+    let mut running = start::start(settings)?;
+    log::info!(
+        caller:% = running.caller, admin:% = running.admin, peer:% = running.peer;
+        "entry VM {} of zone {} serves", settings.name, settings.zone
+    );
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!("shutting down");
+    running.stop();
+    running.ended().await;
+    log::info!("ended");
+    Ok(())
+}
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -5,7 +5,7 @@
 use argh::FromArgs;
 use serde_json::{Value, json};
 
-use super::client::{Client, block_on, each, failures, segment};
+use crate::port::operator::{Client, block_on, each, failures, segment};
 use super::{json, print, table};
 use crate::error::{Error, Result};
 use crate::wire::admin::{Cell, Share, Status, Why};
--- a/src/cli/timeline.rs
+++ b/src/cli/timeline.rs
@@ -9,7 +9,7 @@
 use argh::FromArgs;
 use awc::http::Method;
 
-use super::client::{Client, block_on, each, failures};
+use crate::port::operator::{Client, block_on, each, failures};
 use super::print;
 use crate::error::{Error, Result};
 use crate::finding::Finding;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod error;
 pub mod finding;
 pub mod hash;
+pub mod local;
+pub mod node;
 pub mod port;
 pub mod session;
 pub mod settings;
--- /dev/null
+++ b/src/local/sample.rs
@@ -0,0 +1,162 @@
+//! Sample requests of a file, sent as callers would and checked against what the replicas answered.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_web::rt;
+use awc::Client;
+use hdrhistogram::Histogram;
+use tokio::sync::Semaphore;
+
+use crate::core::run;
+use crate::declare::plan::Plan;
+use crate::declare::sample::Sample;
+use crate::standin::worker::front::{Answer, IDEMPOTENT, REQUEST_ID};
+
+/// Requests in flight.
+const CONCURRENCY: usize = 32;
+
+/// Times that a request which was refused as "not run" is sent again.
+const TRIES: u32 = 20;
+
+/// Wait before a refused request is sent again.
+const RETRY_WAIT: Duration = Duration::from_millis(250);
+
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Largest latency that is told apart, in microseconds.
+const LATENCY_MAX_US: u64 = 60_000_000;
+
+/// What became of the sample requests.
+#[derive(Debug, Clone)]
+pub struct Tally {
+    /// Requests sent, each once however often it was refused.
+    pub sent: u64,
+    /// Requests answered in full.
+    pub answered: u64,
+    /// Refusals as "not run".
+    pub refused: u64,
+    /// Requests whose outcome stayed unknown, or that failed.
+    pub lost: u64,
+    /// Answers that belong to another request or are damaged.
+    pub wrong: u64,
+    /// Latency of answered requests in microseconds.
+    pub latency_us: Histogram<u64>,
+}
+
+/// What became of one request.
+enum Fate {
+    Answered { latency: Duration, refusals: u64 },
+    Wrong,
+    Lost { refusals: u64 },
+}
+
+/// A request of a sample.
+#[derive(Debug, Clone)]
+struct Request {
+    to: SocketAddr,
+    path: String,
+    upstream_path: String,
+    id: String,
+    is_idempotent: bool,
+    body: Vec<u8>,
+}
+
+/// Sends all samples of a plan, spread over the entry VMs.
+pub async fn drive(plan: Arc<Plan>, callers: Vec<SocketAddr>) -> Tally {
+    let mut tally = Tally {
+        sent: 0,
+        answered: 0,
+        refused: 0,
+        lost: 0,
+        wrong: 0,
+        latency_us: Histogram::new_with_max(LATENCY_MAX_US, 3).unwrap_or_else(|_| unreachable!()),
+    };
+    let client = Client::builder().timeout(TIMEOUT).finish();
+    let permits = Rc::new(Semaphore::new(CONCURRENCY));
+    let mut calls = Vec::new();
+    for request in requests(&plan, &callers) {
+        let (client, permits) = (client.clone(), Rc::clone(&permits));
+        calls.push(rt::spawn(async move {
+            let _permit = permits.acquire().await;
+            send(&client, &request).await
+        }));
+    }
+    for call in calls {
+        tally.sent += 1;
+        match call.await {
+            Ok(Fate::Answered { latency, refusals }) => {
+                tally.answered += 1;
+                tally.refused += refusals;
+                tally.latency_us.saturating_record(latency.as_micros() as u64);
+            }
+            Ok(Fate::Wrong) => tally.wrong += 1,
+            Ok(Fate::Lost { refusals }) => {
+                tally.lost += 1;
+                tally.refused += refusals;
+            }
+            Err(_) => tally.lost += 1,
+        }
+    }
+    tally
+}
+
+/// All requests of a plan; the samples take turns, and so do the entry VMs.
+fn requests(plan: &Plan, callers: &[SocketAddr]) -> Vec<Request> {
+    let rounds = plan.samples.iter().map(|sample| sample.requests).max().unwrap_or(0);
+    let turns = (0..rounds).flat_map(|round| {
+        plan.samples.iter().enumerate().filter(move |(_, sample)| round < sample.requests).map(move |s| (round, s))
+    });
+    turns
+        .enumerate()
+        .map(|(number, (round, (at, sample)))| request(plan, sample, callers[number % callers.len()], (at, round)))
+        .collect()
+}
+
+fn request(plan: &Plan, sample: &Sample, to: SocketAddr, (at, round): (usize, u32)) -> Request {
+    let service = &plan.services[usize::from(sample.service.0)];
+    let id = format!("sample-{at}-{round}");
+    let body = id.bytes().cycle().take(sample.body_bytes as usize).collect();
+    Request {
+        to,
+        path: format!("/{}{}", service.name, sample.path),
+        upstream_path: sample.path.trim_start_matches('/').to_owned(),
+        id,
+        is_idempotent: service.is_idempotent(&sample.path),
+        body,
+    }
+}
+
+/// Sends one request until it is answered, refused too often, or lost.
+async fn send(client: &Client, request: &Request) -> Fate {
+    let mut refusals = 0;
+    for _ in 0..TRIES {
+        let since = Instant::now();
+        let sent = client
+            .post(format!("http://{}{}", request.to, request.path))
+            .insert_header((REQUEST_ID, request.id.as_str()))
+            .insert_header((IDEMPOTENT, if request.is_idempotent { "1" } else { "0" }))
+            .send_body(request.body.clone());
+        let Ok(mut response) = sent.await else { return Fate::Lost { refusals } };
+        let Ok(body) = response.body().await else { return Fate::Lost { refusals } };
+        match response.status().as_u16() {
+            200 if is_right(request, &body) => return Fate::Answered { latency: since.elapsed(), refusals },
+            200 => return Fate::Wrong,
+            503 => refusals += 1,
+            _ => return Fate::Lost { refusals },
+        }
+        rt::time::sleep(RETRY_WAIT).await;
+    }
+    Fate::Lost { refusals }
+}
+
+/// Whether an answer is the one that a replica gives to exactly this request.
+fn is_right(request: &Request, body: &[u8]) -> bool {
+    let Ok(answer) = serde_json::from_slice::<Answer>(body) else { return false };
+    let path = answer.path.trim_start_matches('/').to_owned();
+    let expected = Answer::new(run::Id(answer.run), answer.path.clone(), &request.id, &request.body);
+    path == request.upstream_path && answer == expected
+}
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -8,6 +8,7 @@
 mod http;
 pub mod listing;
 pub mod message;
+pub mod operator;
 pub mod peer;
 pub mod store;
 mod stream;
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -87,9 +87,9 @@
         self.decisions.add(1, &[KeyValue::new("decision", name)]);
     }
 
-    /// Counts a call of the store.
-    pub fn store_call(&self, request: &Request, reply: &Reply) {
-        let labels = [KeyValue::new("kind", kind(request)), KeyValue::new("reply", answer(reply))];
+    /// Counts a call of the store; `kind` is that of the request.
+    pub fn store_call(&self, kind: &'static str, reply: &Reply) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("reply", answer(reply))];
         self.store_calls.add(1, &labels);
     }
 
@@ -124,7 +124,8 @@
     }
 }
 
-fn kind(request: &Request) -> &'static str {
+/// Kind of a request in metrics.
+pub fn kind(request: &Request) -> &'static str {
     match request {
         Request::ReadIndex { .. } => "read-index",
         Request::WriteIndex { .. } => "write-index",
@@ -161,7 +162,7 @@
         metrics.request("answered", Duration::from_millis(3));
         metrics.request("answered", Duration::from_millis(4));
         metrics.decision("assign");
-        metrics.store_call(&Request::ReadIndex { newer_than: 0 }, &Reply::Unchanged);
+        metrics.store_call(kind(&Request::ReadIndex { newer_than: 0 }), &Reply::Unchanged);
         metrics.peer_bytes(Direction::Sent, 100);
         metrics.tasks("running", 7);
         metrics.tasks("running", 5);
