Take ownership only for a takeover of this run, and not at the start

A process that replayed a log with an earlier takeover of its own took itself for the owner under that old epoch, was deposed by the workers, and began again; it had claimed the cell in the first place since it had not heard of the other members yet. Ruled out: leases and heartbeats, which renewed as designed in the timeline. Change: only the append of the running recovery makes an owner; a process waits for the suspicion time before it takes cells; members of other zones are not suspected; a missing grant is asked for every 100 ms.

--- a/src/cli/drain.rs
+++ b/src/cli/drain.rs
@@ -6,9 +6,9 @@
 use awc::http::Method;
 use serde_json::json;
 
-use crate::port::operator::{Client, block_on, segment};
 use super::{json, print};
 use crate::error::Result;
+use crate::port::operator::{Client, block_on, segment};
 
 /// Give a VM no new work, so that it can be stopped.
 #[derive(Debug, FromArgs)]
--- a/src/cli/local.rs
+++ b/src/cli/local.rs
@@ -47,13 +47,17 @@
 pub fn run(args: Args) -> Result<()> {
     let file = args.file.display().to_string();
     let text = fs::read_to_string(&args.file).map_err(|error| Error::io(format!("read {file}"), error))?;
-    let plan = check::compile(&[Source { name: &file, text: &text, stored: false }]).map_err(Error::Findings)?;
-    let name = args.file.file_stem().map_or_else(|| file.clone(), |stem| stem.to_string_lossy().into_owned());
+    let plan =
+        check::compile(&[Source { name: &file, text: &text, stored: false }]).map_err(Error::Findings)?;
     let _log = telemetry::log::start("local", &args.log, None)?;
     block_on(async {
         let deployment = Deployment::start(plan).await?;
-        let version = deployment.apply(&name, text).await?;
-        if args.until_idle { until_idle(deployment, version, args.json).await } else { serve(deployment, args.json).await }
+        let version = deployment.apply(text).await?;
+        if args.until_idle {
+            until_idle(deployment, version, args.json).await
+        } else {
+            serve(deployment, args.json).await
+        }
     })
 }
 
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -30,10 +30,14 @@
 /// Runs the entry VM.
 pub fn run(args: Args) -> Result<()> {
     let file = args.settings.display().to_string();
-    let text = fs::read_to_string(&args.settings).map_err(|error| Error::io(format!("read {file}"), error))?;
+    let text =
+        fs::read_to_string(&args.settings).map_err(|error| Error::io(format!("read {file}"), error))?;
     let settings = settings::parse(&file, &text).map_err(Error::Findings)?;
-    let _log =
-        telemetry::log::start(settings.name.clone(), settings.log.level.name(), settings.log.file.as_deref())?;
+    let _log = telemetry::log::start(
+        settings.name.clone(),
+        settings.log.level.name(),
+        settings.log.file.as_deref(),
+    )?;
     block_on(serve(&settings))
 }
 
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -5,9 +5,9 @@
 use argh::FromArgs;
 use serde_json::{Value, json};
 
-use crate::port::operator::{Client, block_on, each, failures, segment};
 use super::{json, print, table};
 use crate::error::{Error, Result};
+use crate::port::operator::{Client, block_on, each, failures, segment};
 use crate::wire::admin::{Cell, Share, Status, Why};
 
 /// Show the state of entry VMs, or why a task is where it is.
--- a/src/cli/timeline.rs
+++ b/src/cli/timeline.rs
@@ -9,10 +9,10 @@
 use argh::FromArgs;
 use awc::http::Method;
 
-use crate::port::operator::{Client, block_on, each, failures};
 use super::print;
 use crate::error::{Error, Result};
 use crate::finding::Finding;
+use crate::port::operator::{Client, block_on, each, failures};
 use crate::timeline::entry::{self, Entry};
 use crate::timeline::merge;
 use crate::wire::admin::Selection;
--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -159,6 +159,10 @@
     state.timers.set(state.now + REVIEW, Timer::Ownership);
     let plan = state.config.plan.clone();
     let Some((_, zone)) = plan.zone(state.me.zone) else { return };
+    // A process that has just started has not heard of the others yet and would take every cell.
+    if state.now.since(state.started) < state.tuning.suspect {
+        return;
+    }
     for id in plan.cells(zone) {
         let first = member::ranked(state, id.number()).first().copied();
         match (state.cells.key(id), first) {
--- a/src/core/grant.rs
+++ b/src/core/grant.rs
@@ -21,6 +21,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Slot(pub u16);
 
+/// Interval between requests while a grant is missing: requests wait or are forwarded until it comes.
+const FIRST_ASK: Duration = Duration::from_millis(100);
+
 /// A grant given out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Given {
@@ -84,8 +87,12 @@
 
 /// Asks the owners of the zone's cells for grants.
 pub(crate) fn ask(state: &mut State, out: &mut Vec<Effect>) {
-    state.timers.set(state.now + state.tuning.grant_interval, Timer::GrantAsk);
     let plan = state.config.plan.clone();
+    let lacks_one = plan
+        .zone(state.me.zone)
+        .is_none_or(|(_, zone)| plan.cells(zone).any(|cell| state.grants.valid(cell, state.now).is_none()));
+    let interval = if lacks_one { FIRST_ASK } else { state.tuning.grant_interval };
+    state.timers.set(state.now + interval, Timer::GrantAsk);
     let Some((_, zone)) = plan.zone(state.me.zone) else { return };
     if !state.shutdown.is_running() {
         return;
--- a/src/core/journal.rs
+++ b/src/core/journal.rs
@@ -355,6 +355,10 @@
     let at = cell.log.not_before;
     for record in flight.segment.records {
         task::committed(state, key, record, out);
+        // Only an append of this very recovery makes this process the owner, not one that is replayed.
+        if let Record::Takeover { epoch, .. } = record {
+            recovery::took_over(state, key, epoch, out);
+        }
     }
     let Some(cell) = state.cells.get(key) else { return };
     if cell.log.pending() > 0 {
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -243,8 +243,9 @@
 
 /// Suspects silent members and removes those that are neither heard of nor listed.
 fn review(state: &mut State, out: &mut Vec<Effect>) {
-    let (now, tuning) = (state.now, state.tuning);
-    for member in state.members.arena.values_mut() {
+    let (now, tuning, zone) = (state.now, state.tuning, state.me.zone);
+    // Members of other zones are heard of rarely and own nothing here.
+    for member in state.members.arena.values_mut().filter(|member| member.zone == zone) {
         let silence = now.since(member.heard);
         if member.health == Health::Live && silence > tuning.suspect {
             member.health = Health::Suspect;
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -14,6 +14,8 @@
 pub struct State {
     /// Time of the input being reduced.
     pub now: Instant,
+    /// When the process started.
+    pub started: Instant,
     /// Times and limits.
     pub tuning: Tuning,
     /// How batch tasks are placed.
@@ -60,6 +62,7 @@
         }
         Self {
             now,
+            started: now,
             tuning,
             policy: place::LEAST_LOADED,
             routing: route::TWO_CHOICES,
--- a/src/declare/mod.rs
+++ b/src/declare/mod.rs
@@ -8,6 +8,7 @@
 //! what the pools have. Each step adds its findings to one `report`.
 
 pub mod check;
+pub mod document;
 pub mod home;
 pub mod job;
 pub mod plan;
--- a/src/declare/report.rs
+++ b/src/declare/report.rs
@@ -56,7 +56,7 @@
 }
 
 /// Line and column in characters, both from 1, of a byte offset.
-fn position(text: &str, offset: usize) -> (usize, usize) {
+pub(super) fn position(text: &str, offset: usize) -> (usize, usize) {
     let end = text.floor_char_boundary(offset);
     let before = &text[..end];
     let line_start = before.rfind('\n').map_or(0, |at| at + 1);
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -11,6 +11,7 @@
 use awc::http::Method;
 use tokio::sync::oneshot;
 
+use crate::declare::document;
 use crate::declare::plan::Plan;
 use crate::error::{Error, Result};
 use crate::node::start::{self, Running};
@@ -75,8 +76,7 @@
         let profiles: Vec<Profile> = plan.pools.iter().flat_map(profiles).collect();
         let seats = profiles.into_iter().map(|profile| (loopback(), profile));
         let workers = worker::front::Front::start(seats, shared.clone())?;
-        let mut deployment =
-            Self { vms: Vec::new(), store, listing, workers, shared, plan: Arc::new(plan) };
+        let mut deployment = Self { vms: Vec::new(), store, listing, workers, shared, plan: Arc::new(plan) };
         deployment.list_workers();
         deployment.start_vms().await?;
         Ok(deployment)
@@ -152,7 +152,8 @@
     /// # Errors
     ///
     /// The document is not accepted.
-    pub async fn apply(&self, name: &str, text: String) -> Result<u64> {
+    pub async fn apply(&self, text: String) -> Result<u64> {
+        let name = &document::name("document", &text).map_err(|finding| Error::Findings(vec![finding]))?;
         let client = Client::new(self.vms[0].running.admin);
         let path = format!("/v1/documents/{}", segment(name));
         let change = Change { base: None, author: Some("local".to_owned()) };
@@ -246,6 +247,9 @@
 
 fn profiles(pool: &crate::declare::pool::Pool) -> impl Iterator<Item = Profile> + use<> {
     let (name, capacity, connections) = (pool.name.clone(), pool.size, u32::from(pool.connections));
-    (0..pool.count)
-        .map(move |number| Profile { capacity, connections, ..Profile::new(worker_name(&name, number)) })
+    (0..pool.count).map(move |number| Profile {
+        capacity,
+        connections,
+        ..Profile::new(worker_name(&name, number))
+    })
 }
--- a/src/local/sample.rs
+++ b/src/local/sample.rs
@@ -108,11 +108,17 @@
 fn requests(plan: &Plan, callers: &[SocketAddr]) -> Vec<Request> {
     let rounds = plan.samples.iter().map(|sample| sample.requests).max().unwrap_or(0);
     let turns = (0..rounds).flat_map(|round| {
-        plan.samples.iter().enumerate().filter(move |(_, sample)| round < sample.requests).map(move |s| (round, s))
+        plan.samples
+            .iter()
+            .enumerate()
+            .filter(move |(_, sample)| round < sample.requests)
+            .map(move |s| (round, s))
     });
     turns
         .enumerate()
-        .map(|(number, (round, (at, sample)))| request(plan, sample, callers[number % callers.len()], (at, round)))
+        .map(|(number, (round, (at, sample)))| {
+            request(plan, sample, callers[number % callers.len()], (at, round))
+        })
         .collect()
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use actix::{Actor, AsyncContext, Context, SpawnHandle, StreamHandler};
-use rand::rngs::SmallRng;
 use rand::RngExt;
+use rand::rngs::SmallRng;
 use tokio::sync::oneshot;
 
 use crate::core::effect::Effect;
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -104,7 +104,8 @@
     let bodies = port::body::Table::default();
     let timeline = open_timeline(settings, id)?;
     let metrics = Metrics::new()?;
-    let tuning = Tuning { queue_limit: settings.limits.in_flight as usize / QUEUE_SHARE, ..Tuning::default() };
+    let tuning =
+        Tuning { queue_limit: settings.limits.in_flight as usize / QUEUE_SHARE, ..Tuning::default() };
 
     let identity = port::peer::Identity { member: id, address: settings.listen.peer };
     let tls = settings.tls.as_ref().map(|tls| port::peer::Tls {
@@ -120,7 +121,8 @@
         inbox.clone(),
         bodies.clone(),
     )?;
-    let caller = port::caller::serve(settings.listen.caller, limits(settings), inbox.clone(), bodies.clone())?;
+    let caller =
+        port::caller::serve(settings.listen.caller, limits(settings), inbox.clone(), bodies.clone())?;
     let admin = port::admin::Port::new(port::admin::Context {
         inbox: inbox.clone(),
         timeline: timeline.clone(),
@@ -173,7 +175,15 @@
         context.add_stream(UnboundedReceiverStream::new(events));
         node
     });
-    Ok(Running { caller: caller_address, admin: admin_address, peer: peer_address, ready, inbox, node, ended })
+    Ok(Running {
+        caller: caller_address,
+        admin: admin_address,
+        peer: peer_address,
+        ready,
+        inbox,
+        node,
+        ended,
+    })
 }
 
 fn open_timeline(settings: &Settings, id: member::Id) -> Result<Writer> {
