--- a/spec/cell.pml
+++ b/spec/cell.pml
@@ -187,7 +187,9 @@
   if
   :: me.flight.kind == DONE -> stored[me.flight.task] = true
   :: me.flight.kind == RELEASE ->
-     last[me.flight.task] = me.flight.checkpoint; assigned[me.flight.task] = 0; finished[me.flight.task] = false
+     /* A task that was lost resumes from where its attempt started; others from what the worker reported. */
+     if :: me.flight.instance == 1 -> last[me.flight.task] = me.flight.checkpoint :: else fi;
+     assigned[me.flight.task] = 0; finished[me.flight.task] = false
   :: me.flight.kind == ASSIGN -> assigned[me.flight.task] = me.flight.attempt
   :: else
   fi
@@ -518,7 +520,7 @@
        w = 0; t = 0; verdict = 0 }
   :: atomic { me.role == OWNER && me.flight.kind == 0 && me.view.next < LOG && any_stage(GONE) ->
        if :: me.stage[0] == GONE -> t = 0 :: me.stage[TASKS - 1] == GONE -> t = TASKS - 1 fi;
-       propose(RELEASE, t, task_line(t).attempt, task_line(t).worker, 0, task_line(t).checkpoint);
+       propose(RELEASE, t, task_line(t).attempt, task_line(t).worker, 1 /* lost */, task_line(t).checkpoint);
        me.stage[t] = REPORTED; t = 0 }
 
   /* The process ends, and another one with an empty memory starts. */
