Drive sessions by scripts of faults

Cause: the promises of the design page had no test in whole sessions under faults. Change: the driver delivers forwarded requests, honours not_after and the time-outs of the ports, holds effects during a pause, plays scripts of faults and keeps books for callers and operators. A seeded generator draws schedules.

--- a/src/session/fault.rs
+++ b/src/session/fault.rs
@@ -4,6 +4,7 @@
 
 use super::site::Site;
 use crate::core::time::Instant;
+use crate::hash;
 
 /// What happens to something that is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +44,22 @@
         Self { period, between: (one, other), there: Some(Link::Drop), back: Some(Link::Drop) }
     }
 
+    /// Both sides are told at once that nothing was accepted.
+    pub fn refuse(period: (Instant, Instant), one: Vec<Site>, other: Vec<Site>) -> Self {
+        Self { there: Some(Link::Refuse), back: Some(Link::Refuse), ..Self::cut(period, one, other) }
+    }
+
+    /// Both directions take this long.
+    pub fn slow(period: (Instant, Instant), one: Vec<Site>, other: Vec<Site>, delay: Duration) -> Self {
+        let link = Some(Link::Deliver(delay));
+        Self { there: link, back: link, ..Self::cut(period, one, other) }
+    }
+
+    /// Only the direction from the second side to the first one is cut, so answers are lost.
+    pub fn lose_answers(period: (Instant, Instant), one: Vec<Site>, other: Vec<Site>) -> Self {
+        Self { there: None, ..Self::cut(period, one, other) }
+    }
+
     fn applies(&self, now: Instant, from: Site, to: Site) -> Option<Link> {
         if now < self.period.0 || now >= self.period.1 {
             return None;
@@ -58,10 +75,12 @@
     }
 }
 
-/// A link with these faults; the first that applies decides.
+/// A link with these faults; the first that applies decides. Other delays vary, so that messages overtake each other.
 pub fn with(faults: Vec<Fault>) -> impl Fn(Instant, Site, Site) -> Link {
+    const JITTER_US: u64 = 4_000;
     move |now, from, to| {
         let found = faults.iter().find_map(|fault| fault.applies(now, from, to));
-        found.unwrap_or(Link::Deliver(DELAY))
+        let draw = hash::numbers([now.0, from.number(), to.number()]) % JITTER_US;
+        found.unwrap_or(Link::Deliver(DELAY + Duration::from_micros(draw)))
     }
 }
--- a/src/session/mod.rs
+++ b/src/session/mod.rs
@@ -1,14 +1,19 @@
 //! Sessions in memory: real reducers with stand-in workers and a store, in virtual time.
 //!
 //! A session delivers the effects of each reducer as events to where they belong, after a delay or not at all. What is
-//! cut off, and when, is a closure. The same seed gives the same session, event by event.
+//! cut off, and when, is a closure; what else happens to VMs is a list of actions. The same seed gives the same session,
+//! event by event.
 
+pub mod check;
 pub mod fault;
+pub mod ledger;
+pub mod schedule;
+pub mod script;
 pub mod site;
 pub mod store;
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,6 +28,7 @@
 use crate::hash::{self, Map};
 use crate::standin::worker::{Poll, Service, Shared, Worker, profile::Profile};
 use fault::Link;
+use ledger::{Ledger, Relay};
 use site::Site;
 use store::Store;
 
@@ -41,6 +47,10 @@
     run: u32,
     /// Deliveries wait until then, as for a process that the operating system does not schedule.
     paused_until: Instant,
+    /// The process pauses for this time between its next reduction and the execution of the effects.
+    stall: Option<Duration>,
+    /// Whether new requests are accepted.
+    is_listening: bool,
     /// When the next wake-up is scheduled.
     wake: Option<Instant>,
 }
@@ -52,6 +62,10 @@
     pub worker: Worker,
     /// As the VM list names it.
     pub listed: listing::Vm,
+    /// Whether the VM list names it.
+    pub is_listed: bool,
+    /// Whether the VM is stopped.
+    pub is_off: bool,
     polls: Vec<Waiting>,
 }
 
@@ -59,22 +73,30 @@
 struct Waiting {
     poll: Poll,
     from: u16,
-    run: u32,
+    token: Token,
     key: worker::Key,
     sequence: u64,
 }
 
+/// Names a call whose outcome its port has not reported yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Token(u64);
+
 /// Something on its way.
 #[derive(Debug)]
 enum Delivery {
     Event { to: u16, run: u32, event: Box<Event> },
     Wake { to: u16, run: u32 },
-    Store { from: u16, run: u32, call: crate::core::store::Call, request: crate::core::store::Request },
-    Control { to: u16, from: u16, run: u32, key: worker::Key, call: control::Call },
+    Perform { at: u16, run: u32, effect: Box<Effect> },
+    /// The outcome of a call, or its time-out; the first one counts.
+    Outcome { token: Token, event: Box<Event> },
+    Store { from: u16, token: Token, call: crate::core::store::Call, request: crate::core::store::Request },
+    Control { to: u16, from: u16, token: Token, key: worker::Key, call: control::Call },
     Machine { at: u16 },
-    Execute { to: u16, from: u16, run: u32, send: exchange::Send },
-    Executed { at: u16, from: u16, run: u32, send: exchange::Send, service: Service },
+    Execute { to: u16, from: u16, token: Token, send: exchange::Send },
+    Executed { at: u16, from: u16, token: Token, send: exchange::Send, service: Service },
     List,
+    Act(script::Action),
 }
 
 /// One line of the time line.
@@ -123,6 +145,13 @@
     pub link: Box<dyn Fn(Instant, Site, Site) -> Link>,
     /// Called for every message between entry VMs, for measuring it.
     pub observe: Box<dyn FnMut(&peer::Message)>,
+    /// What callers and operators asked, and which promises to them were broken.
+    pub ledger: Ledger,
+    /// The VM list is read as it was up to this time ago, another time for each reading.
+    pub list_lag: Duration,
+    lists: VecDeque<Vec<listing::Vm>>,
+    calls: Map<Token, (u16, u32)>,
+    plan: Plan,
     queue: BinaryHeap<Reverse<(Instant, u64, Slot)>>,
     deliveries: Map<u64, Delivery>,
     sent: u64,
@@ -138,6 +167,12 @@
 /// Interval between readings of the VM list.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Readings of the VM list that are kept; the list lags by up to a minute.
+const LISTS: usize = 61;
+
+/// Time of a request alone on a worker, long enough that connections are in use at the same time.
+const SERVICE_MS: u64 = 50;
+
 impl Session {
     /// A deployment with the workers and entry VMs that a plan names, none of them configured yet.
     pub fn new(plan: &Plan, tuning: Tuning, seed: u64) -> Self {
@@ -153,6 +188,11 @@
             answers: Map::default(),
             link: Box::new(fault::healthy),
             observe: Box::new(|_| {}),
+            ledger: Ledger::default(),
+            list_lag: Duration::ZERO,
+            lists: VecDeque::new(),
+            calls: Map::default(),
+            plan: plan.clone(),
             queue: BinaryHeap::new(),
             deliveries: Map::default(),
             sent: 0,
@@ -179,6 +219,7 @@
                     capacity: pool.size,
                     connections: u32::from(pool.connections),
                     clock_ms: 1 + hash::name(&name) % 1_000_000,
+                    service_ms: SERVICE_MS,
                     ..Profile::new(&name)
                 };
                 let listed = listing::Vm {
@@ -192,7 +233,7 @@
                     leaving: false,
                 };
                 let worker = Worker::new(profile, self.shared.clone());
-                self.machines.push(Machine { worker, listed, polls: Vec::new() });
+                self.machines.push(Machine { worker, listed, is_listed: true, is_off: false, polls: Vec::new() });
             }
         }
     }
@@ -200,16 +241,26 @@
     fn add_vm(&mut self, name: String, zone: zone::Id) {
         let at = self.vms.len() as u16;
         let address = site::entry_address(at);
-        let vm = Vm { name, zone, address, process: None, run: 0, paused_until: Instant(0), wake: None };
+        let vm = Vm {
+            name,
+            zone,
+            address,
+            process: None,
+            run: 0,
+            paused_until: Instant(0),
+            stall: None,
+            is_listening: true,
+            wake: None,
+        };
         self.vms.push(vm);
         self.start(at);
     }
 
     /// Starts a process on an entry VM, in place of one that may run there.
     pub fn start(&mut self, at: u16) {
+        self.kill(at);
         let (now, entropy, tuning) = (self.now, self.draw(), self.tuning);
         let vm = &mut self.vms[usize::from(at)];
-        vm.run += 1;
         let id = member::Id::fresh(u64::from(vm.run), entropy);
         let (name, zone, address) = (vm.name.clone(), vm.zone, vm.address);
         // The run counts in place of the time of day, which a session does not have.
@@ -218,11 +269,18 @@
         vm.process = Some(State::new(me, tuning, now));
         vm.wake = None;
         vm.paused_until = now;
+        vm.stall = None;
+        vm.is_listening = true;
         self.schedule_wake(at);
     }
 
-    /// Ends a process at once.
+    /// Ends a process at once; its callers see their connections close.
     pub fn kill(&mut self, at: u16) {
+        self.ledger.excuse_all(at, &self.verdicts);
+        self.end(at);
+    }
+
+    fn end(&mut self, at: u16) {
         let vm = &mut self.vms[usize::from(at)];
         vm.process = None;
         vm.run += 1;
@@ -234,12 +292,20 @@
         self.vms[usize::from(at)].paused_until = now + span;
     }
 
+    /// Pauses a process for a while between its next reduction and the execution of the effects.
+    pub fn stall(&mut self, at: u16, span: Duration) {
+        self.vms[usize::from(at)].stall = Some(span);
+    }
+
     /// Ends a worker VM and lists a new instance under its name.
     pub fn replace_machine(&mut self, at: u16) {
         let now_ms = self.now.0 / 1000;
         let machine = &mut self.machines[usize::from(at)];
         machine.listed.instance = machine.worker.restart(now_ms);
-        machine.polls.clear();
+        machine.listed.leaving = false;
+        machine.is_listed = true;
+        machine.is_off = false;
+        self.tend(at);
     }
 
     /// Sends a request to an entry VM; its verdict appears in `verdicts`.
@@ -255,6 +321,9 @@
             bytes: 200,
             forwarded: false,
         };
+        let declared = self.plan.services.iter().find(|declared| declared.name == service);
+        let once = declared.is_some_and(|declared| !declared.is_idempotent(path));
+        self.ledger.ask(ticket, ledger::Asked { to, origin: ticket, request: request.clone(), once });
         self.event(to, Duration::from_millis(1), Event::Request(request));
         ticket
     }
@@ -263,6 +332,7 @@
     pub fn command(&mut self, to: u16, command: Command) -> Ticket {
         self.requests += 1;
         let ticket = Ticket(self.requests);
+        self.ledger.command(ticket, &command);
         self.event(to, Duration::from_millis(1), Event::Admin { ticket, command });
         ticket
     }
@@ -303,6 +373,10 @@
         self.deliveries.insert(self.sent, delivery);
     }
 
+    fn schedule_action(&mut self, at: Instant, action: script::Action) {
+        self.deliver(at.since(self.now), Delivery::Act(action));
+    }
+
     fn event(&mut self, to: u16, delay: Duration, event: Event) {
         let run = self.vms[usize::from(to)].run;
         self.deliver(delay, Delivery::Event { to, run, event: Box::new(event) });
@@ -329,13 +403,7 @@
 
     fn handle(&mut self, delivery: Delivery) {
         match delivery {
-            Delivery::Event { to, run, event } => {
-                if let Some(wait) = self.is_paused(to) {
-                    self.deliver(wait, Delivery::Event { to, run, event });
-                } else {
-                    self.reduce(to, run, *event);
-                }
-            }
+            Delivery::Event { to, run, event } => self.receive(to, run, event),
             Delivery::Wake { to, run } => {
                 if let Some(wait) = self.is_paused(to) {
                     self.deliver(wait, Delivery::Wake { to, run });
@@ -344,17 +412,41 @@
                     self.reduce(to, run, Event::Wake);
                 }
             }
-            Delivery::Store { from, run, call, request } => self.call_store(from, run, call, request),
-            Delivery::Control { to, from, run, key, call } => self.control(to, from, run, key, call),
+            Delivery::Perform { at, run, effect } => {
+                if self.vms[usize::from(at)].run == run {
+                    self.perform(at, *effect);
+                }
+            }
+            Delivery::Outcome { token, event } => {
+                if let Some((to, run)) = self.calls.remove(&token) {
+                    self.receive(to, run, event);
+                }
+            }
+            Delivery::Store { from, token, call, request } => self.call_store(from, token, call, request),
+            Delivery::Control { to, from, token, key, call } => self.control(to, from, token, key, call),
             Delivery::Machine { at } => self.tend(at),
-            Delivery::Execute { to, from, run, send } => self.execute(to, from, run, send),
-            Delivery::Executed { at, from, run, send, service } => {
-                self.executed(at, from, run, &send, service);
+            Delivery::Execute { to, from, token, send } => self.execute(to, from, token, send),
+            Delivery::Executed { at, from, token, send, service } => {
+                self.executed(at, from, token, &send, service);
             }
             Delivery::List => self.publish_list(),
+            Delivery::Act(action) => self.act(action),
         }
     }
 
+    fn receive(&mut self, to: u16, run: u32, event: Box<Event>) {
+        if let Some(wait) = self.is_paused(to) {
+            return self.deliver(wait, Delivery::Event { to, run, event });
+        }
+        let vm = &self.vms[usize::from(to)];
+        if let Event::Request(request) = &*event
+            && (vm.run != run || vm.process.is_none() || !vm.is_listening)
+        {
+            return self.refuse_connection(request.ticket);
+        }
+        self.reduce(to, run, *event);
+    }
+
     fn reduce(&mut self, at: u16, run: u32, event: Event) {
         let input = Input { at: self.now, entropy: self.draw(), event };
         let vm = &mut self.vms[usize::from(at)];
@@ -362,40 +454,111 @@
             return;
         }
         let Some(state) = &mut vm.process else { return };
+        let version = state.config.index.version;
         let mut effects = Vec::new();
         reduce(state, input, &mut effects);
+        if state.config.index.version < version {
+            self.ledger.fault(format!("{} went back from version {version}", vm.name));
+        }
         self.counts.inputs += 1;
-        for effect in effects {
-            self.perform(at, effect);
+        let is_held = effects.iter().any(|effect| !matches!(effect, Effect::Record(_)));
+        if let Some(span) = vm.stall.take_if(|_| is_held) {
+            vm.paused_until = vm.paused_until.max(self.now + span);
+            for effect in effects {
+                self.deliver(span, Delivery::Perform { at, run, effect: Box::new(effect) });
+            }
+        } else {
+            effects.into_iter().for_each(|effect| self.perform(at, effect));
         }
         self.schedule_wake(at);
     }
 
     fn perform(&mut self, at: u16, effect: Effect) {
-        let run = self.vms[usize::from(at)].run;
         match effect {
             Effect::Record(entry) => {
                 let line = Line { at: self.now, vm: self.vms[usize::from(at)].name.clone(), entry };
                 self.lines.push(line);
             }
             Effect::Peer { to, message } => self.send_peer(at, to, message),
-            Effect::Store { call, request } => self.send_store(at, run, call, request),
-            Effect::Worker { worker, address, call, .. } => self.send_control(at, run, worker, address, call),
-            Effect::Send(send) => self.send_request(at, run, send),
-            Effect::Forward(forward) => {
-                // Requests of a session are sent to the zone that serves them, so a forward finds nobody.
-                let exchange::Forward { exchange, attempt, .. } = forward;
-                let outcome = exchange::Outcome::NotWritten;
-                self.event(at, fault::DELAY, Event::Attempt { exchange, attempt, outcome });
-            }
-            Effect::Reply { ticket, verdict } => {
-                self.verdicts.insert(ticket, verdict);
+            Effect::Store { call, request } => self.send_store(at, call, request),
+            Effect::Worker { worker, address, call, not_after } => {
+                self.send_control(at, worker, address, call, not_after);
             }
+            Effect::Send(send) => self.send_request(at, send),
+            Effect::Forward(forward) => self.forward(at, &forward),
+            Effect::Reply { ticket, verdict } => self.conclude(ticket, verdict),
             Effect::Admin { ticket, answer } => {
                 self.answers.insert(ticket, answer);
             }
-            Effect::Exit => self.kill(at),
-            Effect::Ready(_) | Effect::StopListening => {}
+            Effect::Exit => self.end(at),
+            Effect::StopListening => self.vms[usize::from(at)].is_listening = false,
+            Effect::Ready(_) => {}
+        }
+    }
+
+    /// Begins a call whose port reports `late` after `timeout` unless an outcome comes first.
+    fn begin(&mut self, at: u16, timeout: Duration, late: Event) -> Token {
+        let token = Token(self.sent);
+        self.calls.insert(token, (at, self.vms[usize::from(at)].run));
+        self.deliver(timeout, Delivery::Outcome { token, event: Box::new(late) });
+        token
+    }
+
+    fn outcome(&mut self, token: Token, delay: Duration, event: Event) {
+        self.deliver(delay, Delivery::Outcome { token, event: Box::new(event) });
+    }
+
+    /// Hands a request to another entry VM, under a new ticket.
+    fn forward(&mut self, at: u16, forward: &exchange::Forward) {
+        let exchange::Forward { exchange, attempt, ticket, id, address, timeout } = *forward;
+        let Some(to) = site::entry_of(address) else { return };
+        let late = Event::Attempt { exchange, attempt, outcome: exchange::Outcome::Lost };
+        let token = self.begin(at, timeout, late);
+        let Some(asked) = self.ledger.asked(ticket).cloned() else { return };
+        self.requests += 1;
+        let inner = exchange::Ticket(self.requests);
+        let request = exchange::Request {
+            ticket: inner,
+            id,
+            timeout: Some(timeout),
+            forwarded: true,
+            ..asked.request.clone()
+        };
+        self.ledger.relay(inner, Relay { token, back: (to, at), outer: ticket, exchange, attempt });
+        self.ledger.ask(inner, ledger::Asked { to, request: request.clone(), ..asked });
+        match (self.link)(self.now, Site::Entry(at), Site::Entry(to)) {
+            Link::Deliver(delay) => self.event(to, delay, Event::Request(request)),
+            Link::Refuse => self.refuse_connection(inner),
+            Link::Drop => self.ledger.excuse(inner),
+        }
+    }
+
+    /// Nothing was written to a process that does not listen.
+    fn refuse_connection(&mut self, ticket: exchange::Ticket) {
+        self.ledger.excuse(ticket);
+        let Some(relay) = self.ledger.relayed(ticket) else { return };
+        let outcome = exchange::Outcome::NotWritten;
+        let event = Event::Attempt { exchange: relay.exchange, attempt: relay.attempt, outcome };
+        self.outcome(relay.token, fault::DELAY, event);
+    }
+
+    /// A caller, or the entry VM that forwarded the request, gets a verdict.
+    fn conclude(&mut self, ticket: exchange::Ticket, verdict: exchange::Verdict) {
+        use exchange::{Outcome, Verdict};
+        self.ledger.concluded(ticket, verdict, self.verdicts.insert(ticket, verdict));
+        let Some(relay) = self.ledger.relayed(ticket) else { return };
+        let (from, to) = relay.back;
+        let outcome = match verdict {
+            Verdict::Deliver { .. } => Outcome::Answered { status: 200, bytes: 100 },
+            Verdict::NotRun { .. } => Outcome::Refused,
+            Verdict::Unknown => Outcome::Lost,
+        };
+        if let Link::Deliver(delay) = (self.link)(self.now, Site::Entry(from), Site::Entry(to)) {
+            if let Verdict::Deliver { .. } = verdict {
+                self.ledger.answered(relay.outer, relay.attempt);
+            }
+            let event = Event::Attempt { exchange: relay.exchange, attempt: relay.attempt, outcome };
+            self.outcome(relay.token, delay, event);
         }
     }
 
@@ -409,76 +572,64 @@
         self.event(to, delay, Event::Parcel { from, address, message });
     }
 
-    fn send_store(
-        &mut self,
-        at: u16,
-        run: u32,
-        call: crate::core::store::Call,
-        request: crate::core::store::Request,
-    ) {
+    fn send_store(&mut self, at: u16, call: crate::core::store::Call, request: crate::core::store::Request) {
         use crate::core::store::Reply;
+        let token = self.begin(at, self.tuning.call_timeout, Event::Store { call, reply: Reply::Unknown });
         match (self.link)(self.now, Site::Entry(at), Site::Store) {
-            Link::Deliver(delay) => {
-                self.deliver(delay, Delivery::Store { from: at, run, call, request });
-            }
-            Link::Refuse => self.event(at, fault::DELAY, Event::Store { call, reply: Reply::Refused }),
-            Link::Drop => {
-                let timeout = self.tuning.call_timeout;
-                self.event(at, timeout, Event::Store { call, reply: Reply::Unknown });
-            }
+            Link::Deliver(delay) => self.deliver(delay, Delivery::Store { from: at, token, call, request }),
+            Link::Refuse => self.outcome(token, fault::DELAY, Event::Store { call, reply: Reply::Refused }),
+            Link::Drop => {}
         }
     }
 
     fn call_store(
         &mut self,
         from: u16,
-        run: u32,
+        token: Token,
         call: crate::core::store::Call,
         request: crate::core::store::Request,
     ) {
-        use crate::core::store::Reply;
         let reply = self.store.execute(request);
-        let (delay, reply) = match (self.link)(self.now, Site::Store, Site::Entry(from)) {
-            Link::Deliver(delay) => (delay, reply),
-            Link::Refuse | Link::Drop => (self.tuning.call_timeout, Reply::Unknown),
-        };
-        let event = Box::new(Event::Store { call, reply });
-        self.deliver(delay, Delivery::Event { to: from, run, event });
+        if let Link::Deliver(delay) = (self.link)(self.now, Site::Store, Site::Entry(from)) {
+            self.outcome(token, delay, Event::Store { call, reply });
+        }
     }
 
     fn send_control(
         &mut self,
         at: u16,
-        run: u32,
-        key: worker::Key,
+        worker: worker::Key,
         address: SocketAddr,
         call: control::Call,
+        not_after: Instant,
     ) {
         self.counts.controls += 1;
         let Some(to) = site::worker_of(address) else { return };
+        let sequence = call.sequence;
+        let lost = |unsent| Event::Worker { worker, sequence, reply: None, unsent };
+        let timeout = self.tuning.call_timeout + Duration::from_millis(call.wait_ms);
+        let token = self.begin(at, timeout, lost(false));
+        if self.now > not_after {
+            return self.outcome(token, fault::DELAY, lost(true));
+        }
         match (self.link)(self.now, Site::Entry(at), Site::Worker(to)) {
             Link::Deliver(delay) => {
-                self.deliver(delay, Delivery::Control { to, from: at, run, key, call });
+                self.deliver(delay, Delivery::Control { to, from: at, token, key: worker, call });
             }
-            Link::Refuse | Link::Drop => self.lose_control(at, run, key, call.sequence),
+            Link::Refuse => self.outcome(token, fault::DELAY, lost(true)),
+            Link::Drop => {}
         }
     }
 
-    fn lose_control(&mut self, at: u16, run: u32, worker: worker::Key, sequence: u64) {
-        let event = Event::Worker { worker, sequence, reply: None, unsent: false };
-        let timeout = self.tuning.call_timeout;
-        self.deliver(timeout, Delivery::Event { to: at, run, event: Box::new(event) });
-    }
-
-    fn control(&mut self, to: u16, from: u16, run: u32, key: worker::Key, call: control::Call) {
+    fn control(&mut self, to: u16, from: u16, token: Token, key: worker::Key, call: control::Call) {
         let now_ms = self.now.0 / 1000;
         let sequence = call.sequence;
         let machine = &mut self.machines[usize::from(to)];
         if machine.worker.mode.frozen {
-            return self.lose_control(from, run, key, sequence);
+            return;
         }
         let poll = machine.worker.control(call, now_ms);
-        machine.polls.push(Waiting { poll, from, run, key, sequence });
+        machine.polls.push(Waiting { poll, from, token, key, sequence });
         self.tend(to);
     }
 
@@ -487,19 +638,25 @@
         let now_ms = self.now.0 / 1000;
         let machine = &mut self.machines[usize::from(at)];
         machine.worker.advance(now_ms);
+        if machine.worker.mode.frozen {
+            return;
+        }
         let mut replies = Vec::new();
         machine.polls.retain(|waiting| {
             if !machine.worker.is_due(&waiting.poll, now_ms) {
                 return true;
             }
             let reply = machine.worker.reply(&waiting.poll, now_ms);
-            replies.push((waiting.from, waiting.run, waiting.key, waiting.sequence, reply));
+            let event = Event::Worker { worker: waiting.key, sequence: waiting.sequence, reply, unsent: false };
+            replies.push((waiting.from, waiting.token, event));
             false
         });
         let due = machine.polls.iter().map(|waiting| waiting.poll.due_ms()).min();
         let change = machine.worker.next_due().filter(|_| !machine.polls.is_empty());
-        for (from, run, worker, sequence, reply) in replies {
-            self.reply_control(at, from, run, worker, sequence, reply);
+        for (from, token, event) in replies {
+            if let Link::Deliver(delay) = (self.link)(self.now, Site::Worker(at), Site::Entry(from)) {
+                self.outcome(token, delay, event);
+            }
         }
         if let Some(next) = due.into_iter().chain(change).min() {
             let wait = Duration::from_millis(next.saturating_sub(now_ms).max(1));
@@ -507,71 +664,52 @@
         }
     }
 
-    fn reply_control(
-        &mut self,
-        at: u16,
-        from: u16,
-        run: u32,
-        worker: worker::Key,
-        sequence: u64,
-        reply: Option<control::Reply>,
-    ) {
-        let Link::Deliver(delay) = (self.link)(self.now, Site::Worker(at), Site::Entry(from)) else {
-            return self.lose_control(from, run, worker, sequence);
-        };
-        let event = Event::Worker { worker, sequence, reply, unsent: false };
-        self.deliver(delay, Delivery::Event { to: from, run, event: Box::new(event) });
-    }
-
-    fn send_request(&mut self, at: u16, run: u32, send: exchange::Send) {
+    fn send_request(&mut self, at: u16, send: exchange::Send) {
+        use exchange::Outcome;
         let Some(to) = site::worker_of(send.address) else { return };
+        let token = self.begin(at, send.timeout, ended(&send, Outcome::Lost));
+        if self.now > send.not_after {
+            return self.outcome(token, fault::DELAY, ended(&send, Outcome::NotWritten));
+        }
         match (self.link)(self.now, Site::Entry(at), Site::Worker(to)) {
-            Link::Deliver(delay) => self.deliver(delay, Delivery::Execute { to, from: at, run, send }),
-            Link::Refuse => self.end_attempt(at, run, &send, fault::DELAY, exchange::Outcome::NotWritten),
-            Link::Drop => self.end_attempt(at, run, &send, send.timeout, exchange::Outcome::Lost),
+            Link::Deliver(delay) => self.deliver(delay, Delivery::Execute { to, from: at, token, send }),
+            Link::Refuse => self.outcome(token, fault::DELAY, ended(&send, Outcome::NotWritten)),
+            Link::Drop => {}
         }
     }
 
-    fn execute(&mut self, to: u16, from: u16, run: u32, send: exchange::Send) {
+    fn execute(&mut self, to: u16, from: u16, token: Token, send: exchange::Send) {
         let now_ms = self.now.0 / 1000;
-        let worker = &mut self.machines[usize::from(to)].worker;
-        if worker.mode.frozen {
-            return self.end_attempt(from, run, &send, send.timeout, exchange::Outcome::Lost);
+        let machine = &mut self.machines[usize::from(to)];
+        if machine.worker.mode.frozen {
+            return;
         }
-        match worker.admit(send.run, None, now_ms) {
+        let once = self.ledger.once(send.ticket);
+        match machine.worker.admit(send.run, once.as_deref(), now_ms) {
             Some(service) => {
+                self.ledger.executed(send.ticket);
                 let takes = Duration::from_millis(service.takes_ms);
-                self.deliver(takes, Delivery::Executed { at: to, from, run, send, service });
+                self.deliver(takes, Delivery::Executed { at: to, from, token, send, service });
+            }
+            None => {
+                if let Link::Deliver(delay) = (self.link)(self.now, Site::Worker(to), Site::Entry(from)) {
+                    self.outcome(token, delay, ended(&send, exchange::Outcome::Refused));
+                }
             }
-            None => self.end_attempt(from, run, &send, fault::DELAY, exchange::Outcome::Refused),
         }
     }
 
-    fn executed(&mut self, at: u16, from: u16, run: u32, send: &exchange::Send, service: Service) {
+    fn executed(&mut self, at: u16, from: u16, token: Token, send: &exchange::Send, service: Service) {
         let now_ms = self.now.0 / 1000;
-        let is_answered = self.machines[usize::from(at)].worker.complete(service, now_ms);
+        let worker = &mut self.machines[usize::from(at)].worker;
+        let is_answered = worker.complete(service, now_ms) && !worker.mode.frozen;
         let link = (self.link)(self.now, Site::Worker(at), Site::Entry(from));
-        match link {
-            Link::Deliver(delay) if is_answered => {
-                let outcome = exchange::Outcome::Answered { status: 200, bytes: 100 };
-                self.end_attempt(from, run, send, delay, outcome);
-            }
-            _ => self.end_attempt(from, run, send, send.timeout, exchange::Outcome::Lost),
+        if let (Link::Deliver(delay), true) = (link, is_answered) {
+            self.ledger.answered(send.ticket, send.attempt);
+            self.outcome(token, delay, ended(send, exchange::Outcome::Answered { status: 200, bytes: 100 }));
         }
     }
 
-    fn end_attempt(
-        &mut self,
-        to: u16,
-        run: u32,
-        send: &exchange::Send,
-        delay: Duration,
-        outcome: exchange::Outcome,
-    ) {
-        let event = Event::Attempt { exchange: send.exchange, attempt: send.attempt, outcome };
-        self.deliver(delay, Delivery::Event { to, run, event: Box::new(event) });
-    }
-
     fn publish_list(&mut self) {
         let entries = self.vms.iter().map(|vm| listing::Vm {
             name: vm.name.clone(),
@@ -583,13 +721,21 @@
             address: vm.address,
             leaving: false,
         });
-        let list: Vec<listing::Vm> =
-            entries.chain(self.machines.iter().map(|machine| machine.listed.clone())).collect();
+        let machines = self.machines.iter().filter(|machine| machine.is_listed);
+        let list = entries.chain(machines.map(|machine| machine.listed.clone())).collect();
+        self.lists.push_front(list);
+        self.lists.truncate(LISTS);
         for at in 0..self.vms.len() as u16 {
             if let Link::Deliver(delay) = (self.link)(self.now, Site::List, Site::Entry(at)) {
-                self.event(at, delay, Event::Listing(list.clone()));
+                let age = self.draw() as usize % (self.list_lag.as_secs() as usize + 1);
+                let list = self.lists[age.min(self.lists.len() - 1)].clone();
+                self.event(at, delay, Event::Listing(list));
             }
         }
         self.deliver(LIST_INTERVAL, Delivery::List);
     }
 }
+
+fn ended(send: &exchange::Send, outcome: exchange::Outcome) -> Event {
+    Event::Attempt { exchange: send.exchange, attempt: send.attempt, outcome }
+}
--- a/src/session/site.rs
+++ b/src/session/site.rs
@@ -15,6 +15,18 @@
     List,
 }
 
+impl Site {
+    /// Number for hashing.
+    pub fn number(self) -> u64 {
+        match self {
+            Self::Entry(at) => u64::from(at),
+            Self::Worker(at) => 1 << 16 | u64::from(at),
+            Self::Store => 1 << 17,
+            Self::List => 1 << 18,
+        }
+    }
+}
+
 const ENTRY: [u8; 2] = [127, 1];
 const WORKER: [u8; 2] = [127, 2];
 const PORT: u16 = 7000;
--- a/src/session/store.rs
+++ b/src/session/store.rs
@@ -20,7 +20,10 @@
 pub struct Store {
     /// Calls so far.
     pub counts: Counts,
-    index: Option<(u64, Index)>,
+    /// Every index that was accepted; the revision is its number, from 1.
+    pub history: Vec<Index>,
+    /// Reads of the index return what stood there this many writes ago.
+    pub stale: usize,
     documents: Map<u64, String>,
     slots: Map<(cell::Id, u64), (u64, Segment)>,
     revision: u64,
@@ -71,20 +74,20 @@
     }
 
     fn read_index(&self, newer_than: u64) -> Reply {
-        match &self.index {
+        let revision = self.history.len().saturating_sub(self.stale);
+        match self.history[..revision].last() {
             None => Reply::Missing,
-            Some((revision, _)) if *revision <= newer_than => Reply::Unchanged,
-            Some((revision, index)) => Reply::Index { revision: *revision, index: index.clone() },
+            Some(_) if revision as u64 <= newer_than => Reply::Unchanged,
+            Some(index) => Reply::Index { revision: revision as u64, index: index.clone() },
         }
     }
 
     fn write_index(&mut self, expect: u64, index: Index) -> Reply {
-        let revision = self.index.as_ref().map_or(0, |(revision, _)| *revision);
-        if revision != expect {
+        if self.history.len() as u64 != expect {
             return Reply::Conflict;
         }
-        self.index = Some((revision + 1, index));
-        Reply::Written { revision: revision + 1 }
+        self.history.push(index);
+        Reply::Written { revision: expect + 1 }
     }
 
     fn append(&mut self, cell: cell::Id, expect: u64, segment: Segment) -> Reply {
--- a/src/standin/worker/mod.rs
+++ b/src/standin/worker/mod.rs
@@ -135,6 +135,11 @@
         self.instance
     }
 
+    /// Work that is present.
+    pub fn running(&self) -> impl Iterator<Item = Running> {
+        self.units.iter().map(|(work, unit)| unit.running(*work))
+    }
+
     /// When the state changes next without a call.
     pub fn next_due(&self) -> Option<u64> {
         self.next_change().map(|(at_ms, _)| at_ms.saturating_sub(self.offset_ms))
@@ -206,7 +211,7 @@
             // A holder that lost the lease while it waited must not take its successor's for its own.
             lease_until_ms: if granted && !holds { 0 } else { self.lease.until_ms(self.at_ms) },
             epoch: self.lease.epoch(),
-            running: self.units.iter().map(|(work, unit)| unit.running(*work)).collect(),
+            running: self.running().collect(),
             ended: self.ended.clone(),
             usage: if granted { self.take_samples() } else { Vec::new() },
         })
--- /dev/null
+++ b/tests/schedules.rs
@@ -0,0 +1,80 @@
+//! Whole sessions under random schedules of faults.
+
+mod deployment;
+
+use std::time::Duration;
+
+use deployment::{DOCUMENT, EXTRA, at, started};
+use nutmegfold::session::Session;
+use nutmegfold::session::schedule::{Draw, Outline};
+use nutmegfold::session::script::Script;
+
+/// Schedules of an ordinary run; the environment variable NUTMEGFOLD_SCHEDULES sets another number.
+const SCHEDULES: u64 = 200;
+
+/// Quiet time at the end: the lag of the VM list, the caretaker limit, and the run times of the tasks.
+const QUIET: Duration = Duration::from_secs(300);
+
+fn draw(session: &Session, seed: u64) -> Script {
+    let mut draw = Draw::new(seed ^ 0xff);
+    let end = at(4.0) + draw.span(100_000, 280_000);
+    let changes = vec![
+        ("extra".into(), EXTRA.into()),
+        ("extra".into(), EXTRA.replace("min = 3", "min = 5")),
+        ("base".into(), DOCUMENT.replace("min = 6", "min = 7")),
+    ];
+    let calls = vec![("quotes", "/quote"), ("quotes", "/advance")];
+    let outline = Outline { changes, calls, ..Outline::of(session, (at(4.0), end)) };
+    outline.draw(seed, 1 + draw.below(5) as usize)
+}
+
+fn run(seed: u64) -> Result<Session, String> {
+    let mut session = started(seed);
+    let script = draw(&session, seed);
+    session.play(&script);
+    let last = script.actions.iter().map(|(at, _)| *at).max().unwrap_or_default();
+    session.run_until(last + QUIET);
+    let found = [session.broken(), session.unsettled()].concat();
+    if found.is_empty() {
+        return Ok(session);
+    }
+    Err(format!("seed {seed}: {found:#?}\nschedule: {:#?}", Shown(&script)))
+}
+
+/// Faults of a schedule, without requests.
+struct Shown<'a>(&'a Script);
+
+impl std::fmt::Debug for Shown<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let mut actions: Vec<_> = self.0.actions.iter().map(|entry| format!("{entry:?}")).collect();
+        actions.retain(|action| !action.contains("Requests") && !action.contains("Order"));
+        let links = self.0.links.iter().map(|link| format!("{link:?}"));
+        f.debug_list().entries(links.chain(actions)).finish()
+    }
+}
+
+/// Guards against every combination of faults that breaks a promise of the design page, or that the deployment does
+/// not recover from.
+#[test]
+fn random_schedules_keep_the_promises() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let first: u64 = number("NUTMEGFOLD_FIRST_SEED").unwrap_or(1);
+    let seeds: Vec<u64> = (first..first + number("NUTMEGFOLD_SCHEDULES").unwrap_or(SCHEDULES)).collect();
+    let threads = std::thread::available_parallelism().map_or(1, usize::from).min(8);
+    let failures: Vec<String> = std::thread::scope(|scope| {
+        let seeds = &seeds;
+        let handles: Vec<_> = (0..threads)
+            .map(|thread| {
+                scope.spawn(move || {
+                    let mine = seeds.iter().skip(thread).step_by(threads);
+                    mine.filter_map(|seed| run(*seed).err()).collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        handles.into_iter().flat_map(|handle| handle.join().expect("no panic")).collect()
+    });
+    for failure in &failures {
+        println!("{failure}");
+    }
+    assert!(failures.is_empty(), "{} of {} schedules failed", failures.len(), seeds.len());
+}
