Answer control calls to an address without a worker

Cause: the session's driver dropped a call to the placeholder address of a worker that the VM list had not named yet, so that the poll stayed in flight for ever. The port reports such a call as unsent. Change: the driver reports it as unsent. Conclusion: a fault of the driver, not of the reducer.

--- a/src/session/mod.rs
+++ b/src/session/mod.rs
@@ -604,14 +604,13 @@
         not_after: Instant,
     ) {
         self.counts.controls += 1;
-        let Some(to) = site::worker_of(address) else { return };
         let sequence = call.sequence;
         let lost = |unsent| Event::Worker { worker, sequence, reply: None, unsent };
         let timeout = self.tuning.call_timeout + Duration::from_millis(call.wait_ms);
         let token = self.begin(at, timeout, lost(false));
-        if self.now > not_after {
+        let Some(to) = site::worker_of(address).filter(|_| self.now <= not_after) else {
             return self.outcome(token, fault::DELAY, lost(true));
-        }
+        };
         match (self.link)(self.now, Site::Entry(at), Site::Worker(to)) {
             Link::Deliver(delay) => {
                 self.deliver(delay, Delivery::Control { to, from: at, token, key: worker, call });
--- a/tests/schedules.rs
+++ b/tests/schedules.rs
@@ -38,6 +38,10 @@
     if found.is_empty() {
         return Ok(session);
     }
+    if std::env::var_os("NUTMEGFOLD_TIME_LINE").is_some() {
+        let lines = session.lines.iter().filter(|line| !["send", "forward"].contains(&line.entry.decision));
+        lines.for_each(|line| println!("{:>11} {:<9} {:?}", line.at.0, line.vm, line.entry));
+    }
     Err(format!("seed {seed}: {found:#?}\nschedule: {:#?}", Shown(&script)))
 }
 
@@ -47,7 +51,8 @@
 impl std::fmt::Debug for Shown<'_> {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let mut actions: Vec<_> = self.0.actions.iter().map(|entry| format!("{entry:?}")).collect();
-        actions.retain(|action| !action.contains("Requests") && !action.contains("Order"));
+        let is_routine = |action: &String| ["Requests", "Order", "false", "Thaw", "Lag"].iter().any(|part| action.contains(part));
+        actions.retain(|action| !is_routine(action));
         let links = self.0.links.iter().map(|link| format!("{link:?}"));
         f.debug_list().entries(links.chain(actions)).finish()
     }
