Become owner only by one's own append

Cause: a process that had owned a cell and recovers it reads its own earlier Takeover in the log. While it had no append in flight, this made it the owner in the middle of the replay, with the tasks and the epoch of that position; it appended there, was deposed, and began again for ever. Ruled out: the fence. The log and the workers refused every act under the old epoch. Change: the commit of the append makes the owner; reading a Takeover only raises the epoch.

--- a/src/core/journal.rs
+++ b/src/core/journal.rs
@@ -353,9 +353,17 @@
     cell.log.next += 1;
     cell.log.backoff = Duration::ZERO;
     let at = cell.log.not_before;
+    let takeover = flight.segment.records.iter().find_map(|record| match record {
+        Record::Takeover { epoch, .. } => Some(*epoch),
+        _ => None,
+    });
     for record in flight.segment.records {
         task::committed(state, key, record, out);
     }
+    // Only the append itself makes an owner: a takeover that is read may be an earlier one of this process.
+    if let Some(epoch) = takeover {
+        recovery::took_over(state, key, epoch, out);
+    }
     let Some(cell) = state.cells.get(key) else { return };
     if cell.log.pending() > 0 {
         schedule(state, key, at.max(state.now));
--- a/src/core/task.rs
+++ b/src/core/task.rs
@@ -15,7 +15,7 @@
 use super::state::{State, record};
 use super::time::Instant;
 use super::trace::Subject;
-use super::{place, recovery, worker};
+use super::{place, worker};
 use crate::declare::job::{self, Job};
 
 new_key_type! {
@@ -299,11 +299,9 @@
 /// Applies a record that is in the log.
 pub(crate) fn committed(state: &mut State, cell: cell::Key, fact: Record, out: &mut Vec<Effect>) {
     match fact {
-        Record::Takeover { epoch, member } => {
-            let Some(home) = state.cells.get_mut(cell) else { return };
-            home.epoch = epoch;
-            if member == state.me.id && home.log.is_settled() {
-                recovery::took_over(state, cell, epoch, out);
+        Record::Takeover { epoch, .. } => {
+            if let Some(home) = state.cells.get_mut(cell) {
+                home.epoch = epoch;
             }
         }
         Record::Adopt { job, count, version } => {
