Keep the room of a task's next attempt when an earlier report is repeated

Cause: a worker repeats the report of an ended attempt until it is acknowledged. If the next attempt was already proposed for the same worker, the repeated report freed the room reserved for it, and too much was placed there. Ruled out: room counted from the log during recovery, and the stand-in's own count. Change: a report frees the room only of its own attempt.

--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -738,7 +738,12 @@
                 judge(state, key, task, ended.outcome, out);
                 task::reported(state, cell, task, ended.attempt, ended.outcome);
             } else {
-                free(state, id, ended.work);
+                // The report can be repeated until it is acknowledged, when a later attempt has its room here.
+                let worker = state.workers.get(key);
+                let load = worker.and_then(|worker| worker.load.get(&ended.work));
+                if load.is_some_and(|load| load.attempt == ended.attempt) {
+                    free(state, id, ended.work);
+                }
                 acknowledge(state, id, ended.work, ended.attempt);
             }
         }
