Poll the workers of a cell again after it was lost and regained

Cause: a process that lost a cell dropped the calls in flight to its workers, whose answers then set no next poll, while the workers still counted as polled. When it regained the cell, it never polled those workers, and their room and results were lost to the cell. Ruled out: leases held by the other member; they lapse within 6 s. Change: losing the cell also ends the polling.

--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -433,6 +433,8 @@
         worker.outbox.clear();
         worker.acknowledge.clear();
         worker.calls.clear();
+        // The answer to a poll in flight is dropped with its call, so it would not set the next one.
+        worker.is_polling = false;
     }
 }
 
