Publish a caretaker's own routes under the epoch of its grants

Cause: found by reading. A caretaker gave grants under the highest epoch that its workers told, but kept its own routes under the epoch that it read from the log, so its own requests found no open target. Change: both use the published epoch.

--- a/src/core/grant.rs
+++ b/src/core/grant.rs
@@ -196,7 +196,7 @@
         .filter_map(|given| given.address)
         .collect();
     holders.sort_unstable();
-    let (id, version) = (cell.id, (cell.epoch, cell.replicas.version));
+    let (id, version) = (cell.id, (cell.published_epoch(), cell.replicas.version));
     let replicas = cell.replicas.published.clone();
     out.extend(holders.into_iter().map(|to| Effect::Peer { to, message: message.clone() }));
     route::update(state, id, version, &replicas, out);
