--- a/src/core/journal.rs
+++ b/src/core/journal.rs
@@ -359,10 +359,6 @@
     });
     for record in flight.segment.records {
         task::committed(state, key, record, out);
-        // Only an append of this very recovery makes this process the owner, not one that is replayed.
-        if let Record::Takeover { epoch, .. } = record {
-            recovery::took_over(state, key, epoch, out);
-        }
     }
     // Only the append itself makes an owner: a takeover that is read may be an earlier one of this process.
     if let Some(epoch) = takeover {
