Begin the slopes benchmark

Cause: docs/CAPACITY.md needs measured slopes. Change: shapes, trials in virtual time, axes, encodings; a session's reducer can be replaced by one that measures. Result: not measured yet.

--- /dev/null
+++ b/src/bench/shape.rs
@@ -0,0 +1,134 @@
+//! Shapes of deployments that are measured, as a configuration document.
+
+use std::fmt::Write as _;
+
+/// Sizes of a deployment. Only the first `live` zones have VMs; the others are declared and have none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shape {
+    /// Zones declared.
+    pub zones: usize,
+    /// Zones that have VMs.
+    pub live: usize,
+    /// Entry VMs of each zone.
+    pub members: usize,
+    /// Cells of each zone.
+    pub cells: usize,
+    /// Workers of each live zone.
+    pub workers: usize,
+    /// Of those, workers of the first zone that take batch tasks.
+    pub busy: usize,
+    /// Workers declared in each other zone.
+    pub away: usize,
+    /// Teams.
+    pub teams: usize,
+    /// Services in the first zone.
+    pub services: usize,
+    /// Replicas of each of those services.
+    pub replicas: usize,
+    /// Replicas of one service that only runs in zones without VMs.
+    pub away_replicas: usize,
+    /// Tasks of the job in the first zone.
+    pub tasks: usize,
+    /// Run time of such a task in milliseconds.
+    pub run_time_ms: u64,
+    /// Jobs of 10 tasks each whose home is in zones without VMs.
+    pub away_jobs: usize,
+    /// Requests per second that callers send to the first entry VM.
+    pub requests: usize,
+}
+
+/// One entry VM that owns one cell of 8 workers and runs one replica.
+pub const SMALL: Shape = Shape {
+    zones: 2,
+    live: 1,
+    members: 1,
+    cells: 1,
+    workers: 8,
+    busy: 8,
+    away: 8,
+    teams: 1,
+    services: 1,
+    replicas: 1,
+    away_replicas: 1,
+    tasks: 0,
+    run_time_ms: 3_600_000,
+    away_jobs: 0,
+    requests: 0,
+};
+
+/// Name of a service of the first zone.
+pub fn service(number: usize) -> String {
+    format!("service-{number}")
+}
+
+impl Shape {
+    /// The deployment as a document.
+    pub fn document(&self) -> String {
+        let mut text = String::from("name = \"bench\"\n[[region]]\nname = \"region\"\n");
+        for zone in 0..self.zones {
+            self.zone(&mut text, zone);
+        }
+        for team in 0..self.teams {
+            let quota = "quota = { cores = 4000000, memory = \"900 TB\", slots = 4000000 }";
+            add(&mut text, format!("[[team]]\nname = \"team-{team}\"\n{quota}"));
+        }
+        for number in 0..self.services {
+            add(&mut text, service_entry(&service(number), self.replicas, "home"));
+        }
+        if self.away_replicas > 0 && self.zones > self.live {
+            add(&mut text, service_entry("remote", self.away_replicas, "away"));
+        }
+        if self.tasks > 0 {
+            add(&mut text, job(0, self.tasks, self.run_time_ms, "busy"));
+        }
+        for number in 0..self.away_jobs {
+            add(&mut text, job(number + 1, 10, 60_000, "away"));
+        }
+        text
+    }
+
+    fn zone(&self, text: &mut String, zone: usize) {
+        let Self { members, cells, workers, busy, away, .. } = *self;
+        add(text, format!("[[zone]]\nname = \"zone-{zone}\"\nregion = \"region\"\nentry_vms = {members}\ncells = {cells}"));
+        if zone >= self.live {
+            return pool(text, zone, "away", away);
+        }
+        pool(text, zone, "busy", busy);
+        pool(text, zone, "idle", workers - busy);
+    }
+}
+
+/// Adds workers of today's size; services run on all with VMs, batch tasks on the busy ones.
+fn pool(text: &mut String, zone: usize, label: &str, count: usize) {
+    if count == 0 {
+        return;
+    }
+    let at = if label == "away" { "away" } else { "home" };
+    add(
+        text,
+        format!(
+            "[[pool]]\nname = \"{label}-{zone}\"\nzone = \"zone-{zone}\"\nracks = [\"rack-{zone}\"]\ncount = {count}\n\
+            cores = 16\nmemory = \"60 GB\"\nslots = 8\nconnections = 64\nlabels = {{ at = \"{at}\", use = \"{label}\" }}",
+        ),
+    );
+}
+
+fn add(text: &mut String, entry: String) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "{entry}");
+}
+
+fn service_entry(name: &str, replicas: usize, label: &str) -> String {
+    format!(
+        "[[service]]\nname = \"{name}\"\nteam = \"team-0\"\nreplicas = {{ min = {replicas}, max = {replicas} }}\n\
+        cores = 1\nmemory = \"1 GB\"\nlatency_target = \"50 ms\"\ntimeout = \"2 s\"\nconcurrency = 64\n\
+        labels = {{ at = \"{label}\" }}\n[[service.route]]\npath = \"/\"\nidempotent = true"
+    )
+}
+
+fn job(number: usize, tasks: usize, run_time_ms: u64, label: &str) -> String {
+    format!(
+        "[[job]]\nname = \"job-{number:06}\"\nteam = \"team-0\"\ntasks = {tasks}\ncores = 1\nmemory = \"1 GB\"\n\
+        run_time = \"{run_time_ms} ms\"\ncheckpointable = true\nlabels = {{ use = \"{label}\" }}"
+    )
+}
--- /dev/null
+++ b/src/cli/bench.rs
@@ -0,0 +1,77 @@
+//! `bench`: measures how costs grow.
+
+use std::fs;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use super::{json, print, table};
+use crate::bench::slope::Slope;
+use crate::bench::{chart, page, slopes};
+use crate::error::{Error, Result};
+
+/// Measure how state, messages and processor time grow.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "bench")]
+pub struct Args {
+    #[argh(subcommand)]
+    name: Name,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Name {
+    Slopes(Slopes),
+}
+
+/// Measure every role at several sizes and fit a line to each quantity.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "slopes",
+    example = "$ {command_name} --charts docs/charts --page docs/CAPACITY.md",
+    note = "Quantities whose source is time or memory depend on the machine; run a release build on an idle one."
+)]
+struct Slopes {
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+
+    /// measure only what is the same in each run
+    #[argh(switch)]
+    exact: bool,
+
+    /// directory that a chart of each slope is written to
+    #[argh(option, arg_name = "DIR")]
+    charts: Option<PathBuf>,
+
+    /// page whose generated parts are replaced
+    #[argh(option, arg_name = "FILE")]
+    page: Option<PathBuf>,
+}
+
+/// Runs a benchmark.
+pub fn run(args: Args) -> Result<()> {
+    match args.name {
+        Name::Slopes(args) => measure(&args),
+    }
+}
+
+fn measure(args: &Slopes) -> Result<()> {
+    let found = slopes(!args.exact);
+    if let Some(directory) = &args.charts {
+        chart::write(directory, &found)?;
+    }
+    if let Some(path) = &args.page {
+        let what = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|error| Error::io(format!("read {what}"), error))?;
+        let text = page::refresh(&text, &found)?;
+        fs::write(path, text).map_err(|error| Error::io(format!("write {what}"), error))?;
+    }
+    if args.json { print(json(&found)?) } else { print(table(&found)) }
+}
+
+fn table(slopes: &[Slope]) -> String {
+    let rows = slopes.iter().map(page::row);
+    table::render(page::COLUMNS, rows)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! Decisions are in [`core`], one reducer over all events. What operators declare is in [`declare`],
 //! and the settings of one entry VM are in [`settings`].
 
+pub mod bench;
 pub mod cli;
 pub mod core;
 pub mod declare;
--- a/src/session/mod.rs
+++ b/src/session/mod.rs
@@ -99,6 +99,9 @@
     pub controls: u64,
 }
 
+/// Reduces one input, as [`reduce`] does.
+type Reducer = dyn FnMut(&mut State, Input, &mut Vec<Effect>);
+
 /// A deployment in memory.
 pub struct Session {
     /// Virtual time.
@@ -123,6 +126,8 @@
     pub link: Box<dyn Fn(Instant, Site, Site) -> Link>,
     /// Called for every message between entry VMs, for measuring it.
     pub observe: Box<dyn FnMut(&peer::Message)>,
+    /// Reduces every input; can be replaced by a function that measures around it.
+    pub reducer: Box<Reducer>,
     queue: BinaryHeap<Reverse<(Instant, u64, Slot)>>,
     deliveries: Map<u64, Delivery>,
     sent: u64,
@@ -153,6 +158,7 @@
             answers: Map::default(),
             link: Box::new(fault::healthy),
             observe: Box::new(|_| {}),
+            reducer: Box::new(reduce),
             queue: BinaryHeap::new(),
             deliveries: Map::default(),
             sent: 0,
@@ -363,7 +369,7 @@
         }
         let Some(state) = &mut vm.process else { return };
         let mut effects = Vec::new();
-        reduce(state, input, &mut effects);
+        (self.reducer)(state, input, &mut effects);
         self.counts.inputs += 1;
         for effect in effects {
             self.perform(at, effect);
