--- a/src/bench/figure.rs
+++ b/src/bench/figure.rs
@@ -167,7 +167,7 @@
     }
 
     fn compile_cpu(&self, of: &Deployment) -> f64 {
-        self.at("install", of.jobs) * of.changes
+        self.value("install", of.jobs) * of.changes
     }
 
     fn vm_cpu(&self, of: &Deployment) -> f64 {
@@ -313,6 +313,30 @@
         slopes: &[],
         value: |_, d| d.replicas / d.zones,
     },
+    Figure {
+        role: "entry VM",
+        name: "traffic that more entry VMs do not reduce",
+        unit: "bytes/s",
+        mechanism: "VM list and changes",
+        slopes: &["list-vms", "document-jobs", "offer-documents"],
+        value: |m, d| m.list_bytes(d) + m.change_bytes(d),
+    },
+    Figure {
+        role: "entry VM",
+        name: "entry VMs a zone needs for 4,000 bytes/s of worker control alone",
+        unit: "VMs",
+        mechanism: "control traffic of all workers of the zone",
+        slopes: CONTROL,
+        value: |m, d| (m.control_bytes(d) * d.cells_per_zone() / BYTES_PER_S).ceil(),
+    },
+    Figure {
+        role: "entry VM",
+        name: "entry VMs a zone has",
+        unit: "VMs",
+        mechanism: "one for about 64 workers at the design size",
+        slopes: &[],
+        value: |_, d| d.members_per_zone(),
+    },
     Figure {
         role: "entry VM",
         name: "traffic, all of the above",
@@ -569,7 +593,7 @@
         unit: "ms",
         mechanism: "the whole configuration is compiled and compared",
         slopes: &["install"],
-        value: |m, d| m.at("install", d.jobs) / 1e3,
+        value: |m, d| m.value("install", d.jobs) / 1e3,
     },
     Figure {
         role: "reader",
