--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 //! and outcomes that are not met, 2 for wrong usage and failed calls.
 
 mod apply;
+mod bench;
 mod check;
 mod drain;
 mod local;
@@ -41,6 +42,7 @@
 #[argh(subcommand)]
 enum Command {
     Apply(apply::Args),
+    Bench(bench::Args),
     Check(check::Args),
     Drain(drain::Args),
     Local(local::Args),
@@ -53,6 +55,7 @@
     fn run(self) -> Result<()> {
         match self {
             Self::Apply(args) => apply::run(args),
+            Self::Bench(args) => bench::run(args),
             Self::Check(args) => check::run(args),
             Self::Drain(args) => drain::run(args),
             Self::Local(args) => local::run(args),
--- a/src/session/mod.rs
+++ b/src/session/mod.rs
@@ -121,6 +121,9 @@
     pub controls: u64,
 }
 
+/// Reduces one input, as [`reduce`] does.
+type Reducer = dyn FnMut(&mut State, Input, &mut Vec<Effect>);
+
 /// A deployment in memory.
 pub struct Session {
     /// Virtual time.
@@ -152,6 +155,8 @@
     lists: VecDeque<Vec<listing::Vm>>,
     calls: Map<Token, (u16, u32)>,
     plan: Plan,
+    /// Reduces every input; can be replaced by a function that measures around it.
+    pub reducer: Box<Reducer>,
     queue: BinaryHeap<Reverse<(Instant, u64, Slot)>>,
     deliveries: Map<u64, Delivery>,
     sent: u64,
@@ -193,6 +198,7 @@
             lists: VecDeque::new(),
             calls: Map::default(),
             plan: plan.clone(),
+            reducer: Box::new(reduce),
             queue: BinaryHeap::new(),
             deliveries: Map::default(),
             sent: 0,
@@ -456,7 +462,7 @@
         let Some(state) = &mut vm.process else { return };
         let version = state.config.index.version;
         let mut effects = Vec::new();
-        reduce(state, input, &mut effects);
+        (self.reducer)(state, input, &mut effects);
         if state.config.index.version < version {
             self.ledger.fault(format!("{} went back from version {version}", vm.name));
         }
