Wait after a conflict of an apply, and answer with its own version

Cause: found by reading. After a conflict the index was read again at once, without end while reads were stale; an apply found in a later index was answered with that index's version; an unusable answer after a write in doubt was reported as not accepted. Change: the next read waits, within the patience of the apply; the answer carries the version that was proposed; a write in doubt is answered as unknown.

--- a/src/core/apply.rs
+++ b/src/core/apply.rs
@@ -137,7 +137,8 @@
             state.apply.current = Some(job);
         }
         Verdict::Accepted(index) => {
-            let version = index.version;
+            // A later change can stand in the index in which this one was found.
+            let version = job.proposed.as_ref().map_or(index.version, |(proposed, _)| proposed.version);
             let reason = format!("document {} by {}", job.draft.name, job.draft.author);
             record(out, Subject::Config(version), "accept-config", reason);
             state.config.texts.extend(job.texts);
@@ -174,7 +175,12 @@
         }
         (Step::WriteDocument, Reply::Written { .. } | Reply::Conflict) => Verdict::Next(Step::WriteIndex),
         (Step::WriteIndex, Reply::Written { .. }) => accepted(job),
-        (Step::WriteIndex, Reply::Conflict) => Verdict::Next(Step::ReadIndex),
+        (Step::WriteIndex, Reply::Conflict) => {
+            // A stale read leads to the same conflict again, so the next read waits.
+            job.step = Step::ReadIndex;
+            unanswered(state, job, &Reply::Conflict)
+        }
+        (_, _) if job.in_doubt => Verdict::Ended(Answer::Unknown { write_id: job.write_id }),
         (_, reply) => Verdict::Ended(Answer::NotAccepted(format!("unusable answer of the store: {reply:?}"))),
     }
 }
@@ -190,7 +196,9 @@
     if job.in_doubt {
         return Verdict::Ended(Answer::Unknown { write_id: job.write_id });
     }
-    Verdict::Ended(Answer::NotAccepted("the store cannot be reached; nothing was changed".into()))
+    Verdict::Ended(Answer::NotAccepted(
+        "the store cannot be reached or is too slow; nothing was changed".into(),
+    ))
 }
 
 fn accepted(job: &mut Job) -> Verdict {
--- a/src/session/check.rs
+++ b/src/session/check.rs
@@ -83,11 +83,13 @@
         if owners.len() != 1 {
             found.push(format!("{id:?} has {} owners", owners.len()));
         }
-        let open = owners.iter().map(|cell| cell.jobs.values().filter(|job| job.open > 0).count()).sum::<usize>();
+        let open =
+            owners.iter().map(|cell| cell.jobs.values().filter(|job| job.open > 0).count()).sum::<usize>();
         if open > 0 {
             found.push(format!("{id:?} has {open} open job(s) in the log"));
         }
-        let newest = self.vms.iter().filter_map(|vm| vm.process.as_ref()).max_by_key(|s| s.config.index.version);
+        let newest =
+            self.vms.iter().filter_map(|vm| vm.process.as_ref()).max_by_key(|s| s.config.index.version);
         let Some(plan) = newest.map(|state| &state.config.plan) else { return found };
         for (at, service) in plan.services.iter().enumerate() {
             let key = crate::declare::service::Key(at as u16);
--- a/src/session/ledger.rs
+++ b/src/session/ledger.rs
@@ -90,7 +90,8 @@
 
     /// An entry VM was killed: no verdicts are due for its requests.
     pub(super) fn excuse_all(&mut self, at: u16, verdicts: &Map<Ticket, Verdict>) {
-        let lost = self.asked.iter().filter(|(ticket, asked)| asked.to == at && !verdicts.contains_key(ticket));
+        let lost =
+            self.asked.iter().filter(|(ticket, asked)| asked.to == at && !verdicts.contains_key(ticket));
         self.excused.extend(lost.map(|(ticket, _)| *ticket));
     }
 
--- a/src/session/mod.rs
+++ b/src/session/mod.rs
@@ -85,16 +85,54 @@
 /// Something on its way.
 #[derive(Debug)]
 enum Delivery {
-    Event { to: u16, run: u32, event: Box<Event> },
-    Wake { to: u16, run: u32 },
-    Perform { at: u16, run: u32, effect: Box<Effect> },
+    Event {
+        to: u16,
+        run: u32,
+        event: Box<Event>,
+    },
+    Wake {
+        to: u16,
+        run: u32,
+    },
+    Perform {
+        at: u16,
+        run: u32,
+        effect: Box<Effect>,
+    },
     /// The outcome of a call, or its time-out; the first one counts.
-    Outcome { token: Token, event: Box<Event> },
-    Store { from: u16, token: Token, call: crate::core::store::Call, request: crate::core::store::Request },
-    Control { to: u16, from: u16, token: Token, key: worker::Key, call: control::Call },
-    Machine { at: u16 },
-    Execute { to: u16, from: u16, token: Token, send: exchange::Send },
-    Executed { at: u16, from: u16, token: Token, send: exchange::Send, service: Service },
+    Outcome {
+        token: Token,
+        event: Box<Event>,
+    },
+    Store {
+        from: u16,
+        token: Token,
+        call: crate::core::store::Call,
+        request: crate::core::store::Request,
+    },
+    Control {
+        to: u16,
+        from: u16,
+        token: Token,
+        key: worker::Key,
+        call: control::Call,
+    },
+    Machine {
+        at: u16,
+    },
+    Execute {
+        to: u16,
+        from: u16,
+        token: Token,
+        send: exchange::Send,
+    },
+    Executed {
+        at: u16,
+        from: u16,
+        token: Token,
+        send: exchange::Send,
+        service: Service,
+    },
     List,
     Act(script::Action),
 }
@@ -233,7 +271,13 @@
                     leaving: false,
                 };
                 let worker = Worker::new(profile, self.shared.clone());
-                self.machines.push(Machine { worker, listed, is_listed: true, is_off: false, polls: Vec::new() });
+                self.machines.push(Machine {
+                    worker,
+                    listed,
+                    is_listed: true,
+                    is_off: false,
+                    polls: Vec::new(),
+                });
             }
         }
     }
@@ -646,7 +690,8 @@
                 return true;
             }
             let reply = machine.worker.reply(&waiting.poll, now_ms);
-            let event = Event::Worker { worker: waiting.key, sequence: waiting.sequence, reply, unsent: false };
+            let event =
+                Event::Worker { worker: waiting.key, sequence: waiting.sequence, reply, unsent: false };
             replies.push((waiting.from, waiting.token, event));
             false
         });
