Release a silent worker's tasks only on its word or the VM list's

Answers of all workers were lost one way for 78 s; the tasks finished, the leases lapsed, and the owner released them by the lapse rule while the workers still kept the results. Found by the model as well: a claim meant for a former instance released tasks that a predecessor had assigned to the new one. Change: the lapse rule and the caretaker limit are gone; a replaced instance releases only tasks assigned to earlier instances; a worker known only from the log belongs to the cell whose log names it. Conclusion: a result on a silent worker is never thrown away; tasks wait for the worker or its replacement.

--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -76,11 +76,10 @@
 pub(crate) fn pass(state: &mut State, key: cell::Key, out: &mut Vec<Effect>) {
     let Some(cell) = state.cells.get_mut(key) else { return };
     cell.place_scheduled = false;
-    let (id, role) = (cell.id, cell.role);
+    let role = cell.role;
     if role == Role::Recovering {
         return;
     }
-    worker::review_silent(state, id, out);
     replica::reconcile(state, key, out);
     grant::publish(state, key, out);
     if role == Role::Owner {
--- a/src/core/task.rs
+++ b/src/core/task.rs
@@ -96,9 +96,17 @@
         Some(assigned) == worker && self.attempt == attempt
     }
 
+    /// Instance of `worker` that the log assigns it to.
+    pub fn assigned_instance(&self, worker: worker::Id) -> Option<u64> {
+        match self.standing {
+            Standing::Assigned { worker: assigned, instance, .. } if assigned == worker => Some(instance),
+            _ => None,
+        }
+    }
+
     /// Whether the log assigns it to this instance of `worker`.
     pub fn is_assigned_at(&self, worker: worker::Id, instance: u64) -> bool {
-        matches!(self.standing, Standing::Assigned { worker: w, instance: i, .. } if w == worker && i == instance)
+        self.assigned_instance(worker) == Some(instance)
     }
 
     /// Checkpoint to resume from.
@@ -293,7 +301,8 @@
     let plan = state.config.plan.clone();
     let size = plan.job(task.id.job).map(|(_, job)| job.size).unwrap_or_default();
     let (work, attempt) = (Work::Batch(task.id), task.attempt);
-    worker::reserve_named(state, worker, instance, work, worker::Load::new(size, attempt));
+    let Some(cell) = state.cells.get(task.cell).map(|cell| cell.id) else { return };
+    worker::reserve_named(state, cell, (worker, instance), work, worker::Load::new(size, attempt));
 }
 
 /// Applies a record that is in the log.
--- a/src/core/tuning.rs
+++ b/src/core/tuning.rs
@@ -17,8 +17,6 @@
     pub margin: Duration,
     /// Largest relative difference between two clock rates, in thousandths.
     pub drift_per_mille: u64,
-    /// Time that a worker keeps batch tasks which only caretakers renewed.
-    pub caretaker_limit: Duration,
     /// Interval between heartbeats.
     pub heartbeat: Duration,
     /// Members of the zone that each heartbeat round goes to.
@@ -66,7 +64,6 @@
             grant_interval: Duration::from_secs(1),
             margin: Duration::from_millis(500),
             drift_per_mille: 10,
-            caretaker_limit: Duration::from_secs(60),
             heartbeat: Duration::from_millis(500),
             heartbeat_fanout: 4,
             suspect: Duration::from_secs(2),
--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -76,24 +76,13 @@
     pub is_caretaker: bool,
     /// Epoch it is held under.
     pub epoch: u64,
-    /// Whether a full lease was granted under this process's epoch.
-    was_full: bool,
-    /// Whether the lease ended without an answer; only inquiries are sent until one comes.
+    /// Whether the lease ended without an answer; an inquiry comes first then, since the instance may be another one.
     is_silent: bool,
     reading: Option<Reading>,
     /// Latest end that was ever asked for, in the worker's clock.
     until_ms: u64,
 }
 
-impl Lease {
-    /// When the lease has surely lapsed at the worker; known only after a full lease.
-    fn lapsed(&self, tuning: &Tuning) -> Option<Instant> {
-        let reading = self.reading.filter(|_| self.was_full)?;
-        let left = Duration::from_millis(self.until_ms.saturating_sub(reading.clock_ms));
-        Some(reading.received + stretch(left, tuning) + tuning.margin)
-    }
-}
-
 /// Longest time that `span` of another clock can take.
 fn stretch(span: Duration, tuning: &Tuning) -> Duration {
     span + span * tuning.drift_per_mille as u32 / 1000
@@ -356,22 +345,24 @@
     worker.sequence += 1;
     worker.failures.clear();
     worker.quarantined = None;
-    drop_load(state, key);
+    drop_load(state, key, instance);
 }
 
-/// Everything on the worker is surely gone.
+/// Everything on instances of the worker before `instance` is surely gone.
 ///
-/// Only the owner may say so in the log; until this process is the owner, batch tasks stay counted.
-fn drop_load(state: &mut State, key: Key) {
+/// A predecessor may have assigned tasks to `instance` itself before this process learned of it; they stay. Only the
+/// owner may say in the log that a task is gone; until this process is the owner, batch tasks stay counted.
+fn drop_load(state: &mut State, key: Key, instance: u64) {
     let Some(worker) = state.workers.get_mut(key) else { return };
     worker.outbox.clear();
     worker.acknowledge.clear();
-    let id = worker.cell;
+    let (id, worker_id) = (worker.cell, worker.id);
     let Some(cell) = state.cells.key(id) else { return };
-    let is_owner = state.cells.get(cell).is_some_and(|cell| cell.role == Role::Owner);
-    let is_dropped = |work: &Work| is_owner || matches!(work, Work::Replica(_));
-    let mut dropped: Vec<(Work, Load)> =
-        worker.load.iter().filter(|(work, _)| is_dropped(work)).map(|(work, load)| (*work, *load)).collect();
+    let mut dropped: Vec<(Work, Load)> = worker.load.iter().map(|(work, load)| (*work, *load)).collect();
+    dropped.retain(|(work, _)| match work {
+        Work::Replica(_) => true,
+        Work::Batch(task) => is_batch_gone(state, cell, *task, worker_id, instance),
+    });
     dropped.sort_unstable_by_key(|(work, _)| *work);
     for (work, load) in dropped {
         if let Some(worker) = state.workers.get_mut(key) {
@@ -386,6 +377,12 @@
     place::schedule_id(state, id);
 }
 
+fn is_batch_gone(state: &State, cell: cell::Key, task: task::Id, worker: Id, instance: u64) -> bool {
+    let Some(home) = state.cells.get(cell).filter(|home| home.role == Role::Owner) else { return false };
+    let task = home.tasks.get(&task).and_then(|key| state.tasks.get(*key));
+    task.is_none_or(|task| task.assigned_instance(worker).is_none_or(|assigned| assigned < instance))
+}
+
 /// Removes workers that have been absent for long, and takes their work as gone.
 fn remove_gone(state: &mut State, out: &mut Vec<Effect>) {
     let now = state.now;
@@ -393,7 +390,7 @@
     let gone: Vec<Key> =
         state.workers.arena.iter().filter(|(_, worker)| is_gone(worker)).map(|(key, _)| key).collect();
     for key in gone {
-        drop_load(state, key);
+        drop_load(state, key, u64::MAX);
         if state.workers.get(key).is_none_or(|worker| !worker.load.is_empty()) {
             continue;
         }
@@ -610,7 +607,6 @@
     let Some(worker) = state.workers.get_mut(key) else { return };
     let lease = &mut worker.lease;
     lease.is_silent = false;
-    lease.was_full |= !lease.is_caretaker;
     if let Some(reading) = lease.reading {
         let left = Duration::from_millis(reply.lease_until_ms.saturating_sub(reading.clock_ms));
         let end = reading.sent + shrink(left, &tuning) - tuning.margin;
@@ -830,11 +826,20 @@
 }
 
 /// Counts work that the log names on a worker, which the VM list may not name any more.
-pub(crate) fn reserve_named(state: &mut State, id: Id, instance: u64, work: Work, load: Load) {
+pub(crate) fn reserve_named(
+    state: &mut State,
+    cell: cell::Id,
+    (id, instance): (Id, u64),
+    work: Work,
+    load: Load,
+) {
     let key = match state.workers.key(id) {
         Some(key) => key,
         None => insert(state, id, instance),
     };
+    if let Some(worker) = state.workers.get_mut(key).filter(|worker| worker.load.is_empty()) {
+        worker.cell = cell;
+    }
     reserve(state, key, work, load);
 }
 
@@ -909,21 +914,3 @@
     };
     send(state, key, draft, out);
 }
-
-/// Takes the work of silent workers of a cell as gone once their lease surely lapsed.
-pub(crate) fn review_silent(state: &mut State, cell: cell::Id, out: &mut Vec<Effect>) {
-    let (now, tuning) = (state.now, state.tuning);
-    let is_over = |worker: &Worker| {
-        let lapsed = worker.lease.lapsed(&tuning).filter(|_| worker.lease.is_silent);
-        !worker.load.is_empty()
-            && lapsed.is_some_and(|at| now > at + stretch(tuning.caretaker_limit, &tuning))
-    };
-    let over: Vec<Key> =
-        state.workers.of(cell).filter(|(_, worker)| is_over(worker)).map(|(key, _)| key).collect();
-    for key in over {
-        if let Some(worker) = state.workers.get(key) {
-            record(out, Subject::Worker(worker.id), "work-lapsed", "silent for longer than its lease");
-        }
-        drop_load(state, key);
-    }
-}
