Let a small cell put one failing worker out of placement

A worker that fails everything was never quarantined in a cell of 3 workers, since one of 3 is above 20%, so tasks used up their retries there. Ruled out: lost tasks; all were given up with the reason AlwaysFails. Change: one worker may always be out as long as another remains. Conclusion: the share applies from 10 workers on.

--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -764,7 +764,9 @@
     let total = state.workers.of(cell).count();
     let is_out = |worker: &Worker| worker.quarantined.is_some_and(|until| now < until);
     let others = state.workers.of(cell).filter(|(other, worker)| *other != key && is_out(worker)).count();
-    if (others + 1) * 100 > total * tuning.quarantine_percent as usize {
+    // A small cell may still lose one worker to this rule, as long as another one remains.
+    let most = (total * tuning.quarantine_percent as usize / 100).max(1).min(total.saturating_sub(1));
+    if others >= most {
         return;
     }
     if let Some(worker) = state.workers.get_mut(key).filter(|worker| !is_out(worker)) {
