--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -88,6 +88,8 @@
     pub queue: task::Queue,
     /// Running replicas.
     pub replicas: replica::Set,
+    /// Replicas to run of each service, in the order of the plan's services, and the configuration version they are of.
+    pub wanted: (u64, Vec<u32>),
     /// Connection grants given out.
     pub grants: grant::Slots,
     /// Whether a placement pass is scheduled.
@@ -229,6 +231,7 @@
         jobs: Map::default(),
         queue: task::Queue::default(),
         replicas: replica::Set { version, ..replica::Set::default() },
+        wanted: (0, Vec::new()),
         grants: grant::Slots::default(),
         place_scheduled: false,
         next_pass: None,
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -90,9 +90,7 @@
         Ordering::Less => take_over(state, key),
         Ordering::Equal => {
             cell.log.next += 1;
-            for record in segment.records {
-                task::committed(state, key, record, out);
-            }
+            replay(state, key, segment, out);
             read_next(state, key, out);
         }
         // The log went on for a whole lap since the snapshot was read.
@@ -100,6 +98,15 @@
     }
 }
 
+/// Applies a segment that was written earlier. Its decisions are in the time line of the process that made them.
+fn replay(state: &mut State, key: cell::Key, segment: Segment, out: &mut Vec<Effect>) {
+    let mut effects = Vec::new();
+    for record in segment.records {
+        task::committed(state, key, record, &mut effects);
+    }
+    out.extend(effects.into_iter().filter(|effect| !matches!(effect, Effect::Record(_))));
+}
+
 /// Begins again with the newest snapshot.
 fn restart(state: &mut State, key: cell::Key, out: &mut Vec<Effect>) {
     let Some(id) = state.cells.get(key).map(|cell| cell.id) else { return };
--- a/src/core/replica.rs
+++ b/src/core/replica.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use super::cell::{self, Role};
+use super::cell;
 use super::control::{Command, Start, Work};
 use super::effect::Effect;
 use super::place;
@@ -81,12 +81,24 @@
         return;
     }
     let plan = state.config.plan.clone();
+    refresh_wanted(state, key, &plan);
     for (at, service) in plan.services.iter().enumerate() {
-        reconcile_service(state, key, &plan, service::Key(at as u16), service, out);
+        reconcile_service(state, key, &plan, (at, service), out);
     }
     drain_undeclared(state, key, &plan);
 }
 
+/// Computes the number of replicas to run once per configuration, since spreading them looks at every cell.
+fn refresh_wanted(state: &mut State, key: cell::Key, plan: &Plan) {
+    let version = state.config.index.version;
+    let Some(cell) = state.cells.get_mut(key).filter(|cell| cell.wanted.0 != version) else { return };
+    let id = cell.id;
+    let of = |(at, service): (usize, &Service)| {
+        spread::replicas(plan, service::Key(at as u16), service.replicas.0, id)
+    };
+    cell.wanted = (version, plan.services.iter().enumerate().map(of).collect());
+}
+
 /// Whether every worker of the cell has answered, or had time to.
 fn is_settled(state: &State, key: cell::Key) -> bool {
     let Some(cell) = state.cells.get(key) else { return false };
@@ -99,12 +111,11 @@
     state: &mut State,
     key: cell::Key,
     plan: &Plan,
-    service_key: service::Key,
-    service: &Service,
+    (at, service): (usize, &Service),
     out: &mut Vec<Effect>,
 ) {
     let Some(cell) = state.cells.get(key) else { return };
-    let wanted = spread::replicas(plan, service_key, service.replicas.0, cell.id) as usize;
+    let wanted = cell.wanted.1.get(at).map_or(0, |count| *count as usize);
     let mut present = usable(state, key, service.id);
     while present.len() < wanted {
         let Some(run) = start(state, key, plan, service, &present, out) else { break };
@@ -256,11 +267,5 @@
 pub fn count(state: &State, key: cell::Key) -> (u32, u32) {
     let Some(cell) = state.cells.get(key) else { return (0, 0) };
     let running = cell.replicas.by_run.values().filter(|replica| replica.is_running).count() as u32;
-    let plan = &state.config.plan;
-    let wanted = |(at, service): (usize, &Service)| {
-        spread::replicas(plan, service::Key(at as u16), service.replicas.0, cell.id)
-    };
-    let is_acting = cell.role != Role::Recovering;
-    let declared = if is_acting { plan.services.iter().enumerate().map(wanted).sum() } else { 0 };
-    (running, declared)
+    (running, cell.wanted.1.iter().sum())
 }
