--- a/src/cli/drain.rs
+++ b/src/cli/drain.rs
@@ -23,7 +23,7 @@
     #[argh(positional, arg_name = "VM")]
     vm: String,
 
-    /// address of any entry VM's administration port
+    /// administration port of the entry VM that owns the worker's cell
     #[argh(option, arg_name = "ADDR")]
     admin: SocketAddr,
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -31,7 +31,7 @@
     pub listen: Listen,
     /// Addresses of the platform.
     pub platform: Platform,
-    /// Files for TLS between entry VMs and towards callers; plain TCP when absent.
+    /// Files for TLS between entry VMs; plain TCP when absent.
     pub tls: Option<Tls>,
     /// What is logged, and where.
     pub log: Log,
