--- a/src/core/admin.rs
+++ b/src/core/admin.rs
@@ -283,6 +283,9 @@
             None => reasons.push((reason, 1)),
         }
     }
+    if place::is_over_quota(state, key, job) {
+        return format!("queued; one more task would exceed the quota of team {}", plan.team(job.team).name);
+    }
     let listed: Vec<String> =
         reasons.iter().map(|(reason, count)| format!("{count} worker(s): {reason}")).collect();
     format!("queued with {} other(s); {}", cell.queue.len().saturating_sub(1), listed.join("; "))
@@ -295,8 +298,13 @@
         return Answer::NotFound(format!("no worker {vm} is listed in this zone"));
     };
     let Some(worker) = state.workers.get_mut(key) else { return Answer::NotFound(vm.to_owned()) };
-    worker.leaving = true;
     let cell = worker.cell;
+    if state.cells.key(cell).is_none() {
+        return Answer::NotFound(format!(
+            "the cell of worker {vm} is owned by another entry VM; ask that one"
+        ));
+    }
+    worker.leaving = true;
     record(out, Subject::Worker(id), "worker-leaving", "drained by an operator");
     place::schedule_id(state, cell);
     Answer::Done
--- a/src/core/apply.rs
+++ b/src/core/apply.rs
@@ -14,6 +14,7 @@
 use super::timer::Timer;
 use super::trace::Subject;
 use crate::declare::check::{self, Source};
+use crate::declare::document;
 use crate::declare::home;
 use crate::declare::plan::Plan;
 use crate::finding::Finding;
@@ -252,6 +253,12 @@
 
 fn compile_with(job: &Job) -> Result<Plan, Vec<Finding>> {
     let draft = &job.draft;
+    let declared = document::name(&draft.name, &draft.text).map_err(|finding| vec![finding])?;
+    if declared != draft.name {
+        let message = format!("the document is called {declared}, but it was applied as {}", draft.name);
+        let (file, key) = (draft.name.clone(), "name".to_owned());
+        return Err(vec![Finding { file, line: 1, column: 1, key, message }]);
+    }
     let others = job.index.documents.iter().filter(|d| d.name != draft.name);
     let mut sources: Vec<Source<'_>> =
         others.map(|d| Source { name: &d.name, text: &job.texts[&d.hash], stored: true }).collect();
--- a/src/core/exchange.rs
+++ b/src/core/exchange.rs
@@ -232,7 +232,14 @@
         return refuse(state, ticket, Refusal::Overloaded, out);
     }
     let id = if request.id == Id(0) { Id(state.draw()) } else { request.id };
-    let timeout = request.timeout.unwrap_or(declared.timeout).min(declared.timeout);
+    let mut timeout = request.timeout.unwrap_or(declared.timeout).min(declared.timeout);
+    if request.forwarded {
+        if !has_usable_target(state, service) {
+            return refuse(state, ticket, Refusal::NoReplica, out);
+        }
+        // The refusal has to arrive before the sender gives up, who would not know whether the request ran.
+        timeout = timeout * 9 / 10;
+    }
     let deadline = state.now + timeout;
     let exchange = Exchange {
         ticket,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,10 +14,12 @@
 pub mod exchange;
 pub mod grant;
 pub mod journal;
+pub mod lease;
 pub mod listing;
 pub mod member;
 pub mod peer;
 pub mod place;
+pub mod reconcile;
 pub mod recovery;
 pub mod replica;
 pub mod route;
@@ -50,9 +52,7 @@
         }
         Event::Parcel { from, address, message } => receive(state, from, address, message, out),
         Event::Store { call, reply } => store::answered(state, call, reply, out),
-        Event::Worker { worker, sequence, reply, .. } => {
-            worker::answered(state, worker, sequence, reply, out)
-        }
+        Event::Worker { worker, sequence, reply, .. } => lease::answered(state, worker, sequence, reply, out),
         Event::Listing(vms) => {
             member::listed(state, &vms, out);
             worker::listed(state, &vms, out);
@@ -70,7 +70,7 @@
             Timer::ReadIndex => config::poll(state, out),
             Timer::GrantAsk => grant::ask(state, out),
             Timer::Ownership => cell::review(state, out),
-            Timer::Renew(worker) => worker::renew(state, worker, out),
+            Timer::Renew(worker) => lease::renew(state, worker, out),
             Timer::Append(cell) => journal::flush(state, cell, out),
             Timer::Recover(cell) => recovery::step(state, cell, out),
             Timer::Place(cell) => place::pass(state, cell, out),
--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -168,6 +168,12 @@
     !after.fits(&share)
 }
 
+/// Whether one more task of a job would exceed its team's quota in a cell.
+pub(crate) fn is_over_quota(state: &State, key: cell::Key, job: &Job) -> bool {
+    let plan = &state.config.plan;
+    exceeds_quota(state, plan, job, &team_usage(state, key, plan))
+}
+
 /// Part of a team's quota that one cell may use. Equal shares need no agreement between cells, so the quota holds over
 /// all zones even while they are cut off from each other.
 fn quota_share(quota: Size, cells: u32) -> Size {
--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -9,15 +9,14 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::cell::{self, Role};
-use super::control::{Call, Command, Ended, Outcome, Reply, Running, Status, Work};
+use super::control::{Call, Command, Work};
 use super::effect::Effect;
+use super::lease::Lease;
 use super::listing::{Kind, Vm};
 use super::state::{State, record};
-use super::task::Stage;
 use super::time::Instant;
 use super::timer::Timer;
 use super::trace::Subject;
-use super::tuning::Tuning;
 use super::{place, replica, task};
 use crate::declare::pool;
 use crate::declare::size::Size;
@@ -59,52 +58,11 @@
     }
 }
 
-/// A reading of a worker's clock.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Reading {
-    sent: Instant,
-    received: Instant,
-    clock_ms: u64,
-}
-
-/// The holder's side of a control lease.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Lease {
-    /// When the lease ends for this process, if it holds one.
-    pub safe_end: Option<Instant>,
-    /// Whether it is held as caretaker.
-    pub is_caretaker: bool,
-    /// Epoch it is held under.
-    pub epoch: u64,
-    /// Whether the lease ended without an answer; an inquiry comes first then, since the instance may be another one.
-    is_silent: bool,
-    reading: Option<Reading>,
-    /// Latest end that was ever asked for, in the worker's clock.
-    until_ms: u64,
-}
-
-/// Longest time that `span` of another clock can take.
-fn stretch(span: Duration, tuning: &Tuning) -> Duration {
-    span + span * tuning.drift_per_mille as u32 / 1000
-}
-
-/// Shortest time that `span` of another clock can take.
-fn shrink(span: Duration, tuning: &Tuning) -> Duration {
-    span * 1000 / (1000 + tuning.drift_per_mille as u32)
-}
-
-impl Reading {
-    /// Highest value that the worker's clock can have at `now`, in milliseconds.
-    fn latest_clock_ms(&self, now: Instant, tuning: &Tuning) -> u64 {
-        self.clock_ms + stretch(now.since(self.sent), tuning).as_millis() as u64 + 1
-    }
-}
-
 /// A call in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Sent {
-    at: Instant,
-    is_poll: bool,
+pub(super) struct Sent {
+    pub at: Instant,
+    pub is_poll: bool,
 }
 
 /// A worker of this zone.
@@ -145,10 +103,10 @@
     /// Gets no batch tasks until then.
     pub quarantined: Option<Instant>,
     outbox: Vec<Command>,
-    acknowledge: Vec<(Work, u32)>,
-    calls: Map<u64, Sent>,
+    pub(super) acknowledge: Vec<(Work, u32)>,
+    pub(super) calls: Map<u64, Sent>,
     sequence: u64,
-    is_polling: bool,
+    pub(super) is_polling: bool,
 }
 
 impl Worker {
@@ -224,12 +182,6 @@
 /// A list reading can be older than another one, so a VM counts as gone only after it was absent for this time.
 pub const LIST_LAG: Duration = Duration::from_secs(60);
 
-/// Shortest interval between two polls of a worker.
-const POLL_SPACING: Duration = Duration::from_millis(20);
-
-/// Wait after a lost or refused poll.
-const POLL_RETRY: Duration = Duration::from_millis(500);
-
 /// Takes over a reading of the VM list.
 pub(crate) fn listed(state: &mut State, vms: &[Vm], out: &mut Vec<Effect>) {
     let zone = state.me.zone;
@@ -336,7 +288,7 @@
 }
 
 /// Another instance runs under the worker's name: all earlier work is gone.
-fn replaced(state: &mut State, key: Key, instance: u64, out: &mut Vec<Effect>) {
+pub(super) fn replaced(state: &mut State, key: Key, instance: u64, out: &mut Vec<Effect>) {
     let Some(worker) = state.workers.get_mut(key) else { return };
     record(out, Subject::Worker(worker.id), "worker-replaced", format!("instance {instance}"));
     worker.instance = instance;
@@ -456,24 +408,24 @@
     }
 }
 
-fn poll_later(state: &mut State, key: Key, wait: Duration) {
+pub(super) fn poll_later(state: &mut State, key: Key, wait: Duration) {
     state.timers.set(state.now + wait, Timer::Renew(key));
 }
 
 /// What differs between calls.
 #[derive(Debug, Clone, Default)]
-struct Draft {
-    epoch: Option<u64>,
-    is_caretaker: bool,
-    until_ms: u64,
-    release: bool,
-    wait: Duration,
-    acknowledge: Vec<(Work, u32)>,
-    commands: Vec<Command>,
-    is_poll: bool,
-}
-
-fn send(state: &mut State, key: Key, draft: Draft, out: &mut Vec<Effect>) {
+pub(super) struct Draft {
+    pub epoch: Option<u64>,
+    pub is_caretaker: bool,
+    pub until_ms: u64,
+    pub release: bool,
+    pub wait: Duration,
+    pub acknowledge: Vec<(Work, u32)>,
+    pub commands: Vec<Command>,
+    pub is_poll: bool,
+}
+
+pub(super) fn send(state: &mut State, key: Key, draft: Draft, out: &mut Vec<Effect>) {
     let now = state.now;
     let holder = state.me.id;
     let patience = state.tuning.call_timeout;
@@ -503,322 +455,6 @@
     out.push(Effect::Worker { worker: key, address: worker.address, call, not_after });
 }
 
-/// Renews or claims the lease of a worker, or asks how it stands.
-pub(crate) fn renew(state: &mut State, key: Key, out: &mut Vec<Effect>) {
-    expire(state, key, out);
-    let Some(worker) = state.workers.get_mut(key) else { return };
-    let Some(cell) = state.cells.key(worker.cell).and_then(|cell| state.cells.get(cell)) else {
-        worker.is_polling = false;
-        return;
-    };
-    if worker.calls.values().any(|sent| sent.is_poll) {
-        return;
-    }
-    let is_held = worker.is_held(state.now);
-    let claims = is_held || (cell.role == Role::Owner && !worker.lease.is_silent);
-    let draft = match worker.lease.reading {
-        Some(reading) if claims => claim(worker, reading, state.now, &state.tuning),
-        _ => Draft { is_poll: true, ..Draft::default() },
-    };
-    send(state, key, draft, out);
-}
-
-/// A claim or renewal, based on a reading of the worker's clock.
-fn claim(worker: &mut Worker, reading: Reading, now: Instant, tuning: &Tuning) -> Draft {
-    /// Age after which a reading is refreshed by a call without a wait, since its error grows with the drift.
-    const READING_AGE: Duration = Duration::from_secs(20);
-    let is_held = worker.is_held(now);
-    let waits = is_held && now.since(reading.received) < READING_AGE;
-    let lease = worker.lease;
-    Draft {
-        until_ms: reading.latest_clock_ms(now, tuning) + tuning.worker_lease.as_millis() as u64,
-        is_caretaker: lease.is_caretaker,
-        epoch: lease.is_caretaker.then_some(lease.epoch),
-        wait: if waits { tuning.renew_interval } else { Duration::ZERO },
-        acknowledge: if is_held { std::mem::take(&mut worker.acknowledge) } else { Vec::new() },
-        is_poll: true,
-        ..Draft::default()
-    }
-}
-
-/// Ends a lease that reached its safe end.
-fn expire(state: &mut State, key: Key, out: &mut Vec<Effect>) {
-    let now = state.now;
-    let Some(worker) = state.workers.get_mut(key) else { return };
-    if worker.lease.safe_end.is_none_or(|end| now < end) {
-        return;
-    }
-    worker.lease.safe_end = None;
-    worker.lease.is_silent = true;
-    record(out, Subject::Worker(worker.id), "lease-lapsed", "no answer to the renewals");
-    let cell = worker.cell;
-    place::schedule_id(state, cell);
-}
-
-/// Takes over a worker's answer.
-pub(crate) fn answered(
-    state: &mut State,
-    key: Key,
-    sequence: u64,
-    reply: Option<Reply>,
-    out: &mut Vec<Effect>,
-) {
-    let now = state.now;
-    let Some(worker) = state.workers.get_mut(key) else { return };
-    let Some(sent) = worker.calls.remove(&sequence) else { return };
-    let Some(reply) = reply.filter(|reply| reply.instance >= worker.instance) else {
-        if sent.is_poll {
-            poll_later(state, key, POLL_RETRY);
-        }
-        return;
-    };
-    if reply.instance > worker.instance {
-        replaced(state, key, reply.instance, out);
-    }
-    read_clock(state, key, sent, &reply);
-    let wait = match reply.status {
-        Status::Granted => {
-            granted(state, key, sequence, reply, out);
-            POLL_SPACING.saturating_sub(now.since(sent.at))
-        }
-        Status::Inquiry => inquired(state, key, &reply, out),
-        Status::Repeated => Duration::ZERO,
-        Status::Held => refused(state, key),
-        Status::Stale => stale(state, key, reply.epoch, out),
-    };
-    if sent.is_poll {
-        poll_later(state, key, wait);
-    }
-}
-
-/// Keeps the reading that bounds the worker's clock best.
-fn read_clock(state: &mut State, key: Key, sent: Sent, reply: &Reply) {
-    let (now, tuning) = (state.now, state.tuning);
-    let Some(worker) = state.workers.get_mut(key) else { return };
-    let reading = Reading { sent: sent.at, received: now, clock_ms: reply.clock_ms };
-    let latest = |reading: &Reading| reading.latest_clock_ms(now, &tuning);
-    if worker.lease.reading.is_none_or(|best| latest(&reading) <= latest(&best)) {
-        worker.lease.reading = Some(reading);
-    }
-}
-
-fn granted(state: &mut State, key: Key, sequence: u64, reply: Reply, out: &mut Vec<Effect>) {
-    let (now, tuning) = (state.now, state.tuning);
-    let Some(worker) = state.workers.get_mut(key) else { return };
-    let lease = &mut worker.lease;
-    lease.is_silent = false;
-    if let Some(reading) = lease.reading {
-        let left = Duration::from_millis(reply.lease_until_ms.saturating_sub(reading.clock_ms));
-        let end = reading.sent + shrink(left, &tuning) - tuning.margin;
-        lease.safe_end = (end > now).then_some(end);
-    }
-    reconcile(state, key, sequence, &reply, out);
-}
-
-/// The worker told how its lease stands. Returns the wait before the next poll.
-fn inquired(state: &mut State, key: Key, reply: &Reply, out: &mut Vec<Effect>) -> Duration {
-    let role = state.workers.get(key).and_then(|worker| state.cells.key(worker.cell));
-    let role = role.and_then(|cell| state.cells.get(cell)).map(|cell| cell.role);
-    let Some(worker) = state.workers.get_mut(key) else { return POLL_RETRY };
-    worker.lease.is_silent = false;
-    let is_free = reply.lease_until_ms <= reply.clock_ms;
-    match role {
-        Some(Role::Owner) => Duration::ZERO,
-        Some(Role::Caretaker) if is_free => {
-            worker.lease.is_caretaker = true;
-            worker.lease.epoch = reply.epoch;
-            let cell = worker.cell;
-            raise_epoch(state, cell, reply.epoch);
-            let Some(worker) = state.workers.get_mut(key) else { return POLL_RETRY };
-            if let Some(reading) = worker.lease.reading {
-                let draft = claim(worker, reading, state.now, &state.tuning);
-                send(state, key, draft, out);
-            }
-            POLL_RETRY
-        }
-        _ => POLL_RETRY,
-    }
-}
-
-/// A caretaker publishes routes and grants under the epoch that the workers know.
-fn raise_epoch(state: &mut State, cell: cell::Id, epoch: u64) {
-    let Some(cell) = state.cells.key(cell).and_then(|cell| state.cells.get_mut(cell)) else { return };
-    cell.worker_epoch = cell.worker_epoch.max(epoch);
-}
-
-/// Another holder has the lease. Returns the wait before the next poll.
-fn refused(state: &mut State, key: Key) -> Duration {
-    if let Some(worker) = state.workers.get_mut(key) {
-        worker.lease.safe_end = None;
-        worker.lease.is_caretaker = false;
-    }
-    POLL_RETRY
-}
-
-/// The worker saw a higher epoch: another member took the cell over.
-fn stale(state: &mut State, key: Key, epoch: u64, out: &mut Vec<Effect>) -> Duration {
-    refused(state, key);
-    let Some(worker) = state.workers.get(key) else { return POLL_RETRY };
-    let Some(cell) = state.cells.key(worker.cell) else { return POLL_RETRY };
-    let is_owner = state.cells.get(cell).is_some_and(|c| c.role == Role::Owner && c.epoch < epoch);
-    if is_owner {
-        let reason = format!("worker {:x} saw epoch {epoch}", worker.id.0);
-        cell::depose(state, cell, &reason, out);
-    }
-    POLL_RETRY
-}
-
-/// Compares what this process believes to be on the worker with what the worker says.
-fn reconcile(state: &mut State, key: Key, sequence: u64, reply: &Reply, out: &mut Vec<Effect>) {
-    let Some(worker) = state.workers.get(key) else { return };
-    let Some(cell) = state.cells.key(worker.cell) else { return };
-    for running in &reply.running {
-        found(state, key, cell, running);
-    }
-    for ended in &reply.ended {
-        finished(state, key, cell, ended, out);
-    }
-    let missing = missing(state, key, sequence, reply);
-    for (work, load) in missing {
-        absent(state, key, cell, work, load);
-    }
-    place::schedule(state, cell);
-}
-
-/// Work on the worker's list.
-fn found(state: &mut State, key: Key, cell: cell::Key, running: &Running) {
-    let Some(worker) = state.workers.get_mut(key) else { return };
-    match worker.load.get_mut(&running.work) {
-        Some(load) => load.is_confirmed = true,
-        None => {
-            let load = Load { size: running.size, attempt: running.attempt, sent: 0, is_confirmed: true };
-            worker.load.insert(running.work, load);
-            worker.used += running.size;
-        }
-    }
-    match running.work {
-        Work::Batch(id) => task_found(state, key, cell, id, running.attempt),
-        Work::Replica(run) => replica::found(state, cell, key, run, running.service),
-    }
-}
-
-fn task_found(state: &mut State, key: Key, cell: cell::Key, id: task::Id, attempt: u32) {
-    let Some(home) = state.cells.get(cell) else { return };
-    let (worker, is_owner) = (state.workers.get(key).map(|worker| worker.id), home.role == Role::Owner);
-    let task = home.tasks.get(&id).copied().and_then(|task| state.tasks.get_mut(task));
-    match task {
-        Some(task) if task.is_assigned_to(worker, attempt) => {
-            task.stage = if task.stage == Stage::Starting { Stage::Running } else { task.stage };
-        }
-        // The log does not say that the task runs here, so it must not go on.
-        _ if is_owner => {
-            let Some(worker) = worker else { return };
-            command(state, worker, Command::Stop { work: Work::Batch(id), attempt, checkpoint: false });
-        }
-        _ => {}
-    }
-}
-
-/// A unit of work ended.
-fn finished(state: &mut State, key: Key, cell: cell::Key, ended: &Ended, out: &mut Vec<Effect>) {
-    let Some(worker) = state.workers.get(key) else { return };
-    let id = worker.id;
-    match ended.work {
-        Work::Replica(run) => {
-            free(state, id, ended.work);
-            acknowledge(state, id, ended.work, ended.attempt);
-            replica::gone(state, cell, run);
-        }
-        Work::Batch(task) => {
-            let Some(home) = state.cells.get(cell).filter(|home| home.role == Role::Owner) else { return };
-            let known = home.tasks.get(&task).copied().and_then(|task| state.tasks.get(task));
-            if known.is_some_and(|known| known.is_assigned_to(Some(id), ended.attempt)) {
-                judge(state, key, task, ended.outcome, out);
-                task::reported(state, cell, task, ended.attempt, ended.outcome);
-            } else {
-                // The report can be repeated until it is acknowledged, when a later attempt has its room here.
-                let worker = state.workers.get(key);
-                let load = worker.and_then(|worker| worker.load.get(&ended.work));
-                if load.is_some_and(|load| load.attempt == ended.attempt) {
-                    free(state, id, ended.work);
-                }
-                acknowledge(state, id, ended.work, ended.attempt);
-            }
-        }
-    }
-}
-
-/// Takes a worker that fails everything out of batch placement for a while.
-fn judge(state: &mut State, key: Key, task: task::Id, outcome: Outcome, out: &mut Vec<Effect>) {
-    let (now, tuning) = (state.now, state.tuning);
-    let Some(worker) = state.workers.get_mut(key) else { return };
-    match outcome {
-        Outcome::Finished => worker.failures.clear(),
-        Outcome::Failed if !worker.failures.contains(&task) => worker.failures.push(task),
-        _ => {}
-    }
-    let (id, cell) = (worker.id, worker.cell);
-    if worker.failures.len() < tuning.quarantine_failures as usize {
-        return;
-    }
-    let total = state.workers.of(cell).count();
-    let is_out = |worker: &Worker| worker.quarantined.is_some_and(|until| now < until);
-    let others = state.workers.of(cell).filter(|(other, worker)| *other != key && is_out(worker)).count();
-    // A small cell may still lose one worker to this rule, as long as another one remains.
-    let most = (total * tuning.quarantine_percent as usize / 100).max(1).min(total.saturating_sub(1));
-    if others >= most {
-        return;
-    }
-    if let Some(worker) = state.workers.get_mut(key).filter(|worker| !is_out(worker)) {
-        worker.quarantined = Some(now + tuning.quarantine);
-        worker.failures.clear();
-        let reason = format!("{} tasks failed with no success between", tuning.quarantine_failures);
-        record(out, Subject::Worker(id), "quarantine", reason);
-    }
-}
-
-/// Load that the worker does not list, although the call that started it came before this reply.
-fn missing(state: &State, key: Key, sequence: u64, reply: &Reply) -> Vec<(Work, Load)> {
-    let Some(worker) = state.workers.get(key) else { return Vec::new() };
-    let is_listed = |work: &Work| {
-        reply.running.iter().any(|running| running.work == *work)
-            || reply.ended.iter().any(|ended| ended.work == *work)
-    };
-    let mut missing: Vec<(Work, Load)> = worker
-        .load
-        .iter()
-        .filter(|(work, load)| load.sent < sequence && !is_listed(work))
-        .map(|(work, load)| (*work, *load))
-        .collect();
-    missing.sort_unstable_by_key(|(work, _)| *work);
-    missing
-}
-
-/// The worker surely does not have this work: a start that was not executed is repeated, all else is gone.
-fn absent(state: &mut State, key: Key, cell: cell::Key, work: Work, load: Load) {
-    let Some((id, instance)) = state.workers.get(key).map(|worker| (worker.id, worker.instance)) else {
-        return;
-    };
-    match work {
-        Work::Replica(run) => {
-            free(state, id, work);
-            replica::gone(state, cell, run);
-        }
-        Work::Batch(task) => {
-            let Some(home) = state.cells.get(cell).filter(|home| home.role == Role::Owner) else { return };
-            let Some(known) = home.tasks.get(&task).copied() else { return free(state, id, work) };
-            let Some(found) = state.tasks.get(known) else { return };
-            let is_same = found.is_assigned_at(id, instance);
-            match found.stage {
-                // An `Assign` that waits for the log reserves room without a start.
-                Stage::Proposed(_) | Stage::Reported => {}
-                Stage::Starting if !load.is_confirmed && is_same => task::send_start(state, known),
-                _ => task::lost(state, cell, task, load.attempt),
-            }
-        }
-    }
-}
-
 /// Reserves resources on a worker, for work that is about to be assigned or started.
 pub(crate) fn reserve(state: &mut State, key: Key, work: Work, load: Load) {
     let Some(worker) = state.workers.get_mut(key) else { return };
--- a/src/declare/service.rs
+++ b/src/declare/service.rs
@@ -60,6 +60,36 @@
 impl Service {
     /// Whether a request for `path` may be repeated; a path without a route is not.
     pub fn is_idempotent(&self, path: &str) -> bool {
-        self.routes.iter().find(|route| path.starts_with(&route.path)).is_some_and(|route| route.idempotent)
+        self.routes.iter().find(|route| route.covers(path)).is_some_and(|route| route.idempotent)
+    }
+}
+
+impl Route {
+    /// Whether `path` is the route's path or below it; `/quote` does not cover `/quotes`.
+    fn covers(&self, path: &str) -> bool {
+        let path = path.split(['?', '#']).next().unwrap_or(path);
+        let prefix = self.path.trim_end_matches('/');
+        path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a non-idempotent request that is repeated since its path begins like that of an idempotent route.
+    #[test]
+    fn routes_cover_whole_segments() {
+        let route = |path: &str| Route { path: path.into(), idempotent: true };
+        for (path, request, covered) in [
+            ("/quote", "/quote", true),
+            ("/quote", "/quote/7?x=1", true),
+            ("/quote", "/quote?x=1", true),
+            ("/quote", "/quotes-paid", false),
+            ("/", "/anything", true),
+            ("/quote", "/", false),
+        ] {
+            assert_eq!(route(path).covers(request), covered, "{path} {request}");
+        }
     }
 }
--- a/tests/schedules.rs
+++ b/tests/schedules.rs
@@ -12,7 +12,7 @@
 /// Schedules of an ordinary run; the environment variable NUTMEGFOLD_SCHEDULES sets another number.
 const SCHEDULES: u64 = 60;
 
-/// Quiet time at the end: the lag of the VM list, the caretaker limit, and the run times of the tasks.
+/// Quiet time at the end: the lag of the VM list and the run times of the tasks.
 const QUIET: Duration = Duration::from_secs(300);
 
 fn draw(session: &Session, seed: u64) -> Script {
