Ask quickly for a grant only while none is held

Cause: in a zone with more members than grant slots, every member lacks some grants for good and would ask each cell ten times a second. Change: the short interval applies only to a process that holds no grant.

--- a/src/core/grant.rs
+++ b/src/core/grant.rs
@@ -21,7 +21,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Slot(pub u16);
 
-/// Interval between requests while a grant is missing: requests wait or are forwarded until it comes.
+/// Interval between asks while no grant is held at all: requests wait or are forwarded until one comes.
 const FIRST_ASK: Duration = Duration::from_millis(100);
 
 /// A grant given out.
@@ -88,10 +88,8 @@
 /// Asks the owners of the zone's cells for grants.
 pub(crate) fn ask(state: &mut State, out: &mut Vec<Effect>) {
     let plan = state.config.plan.clone();
-    let lacks_one = plan
-        .zone(state.me.zone)
-        .is_none_or(|(_, zone)| plan.cells(zone).any(|cell| state.grants.valid(cell, state.now).is_none()));
-    let interval = if lacks_one { FIRST_ASK } else { state.tuning.grant_interval };
+    let holds_one = state.grants.held.values().any(|held| state.now < held.until);
+    let interval = if holds_one { state.tuning.grant_interval } else { FIRST_ASK };
     state.timers.set(state.now + interval, Timer::GrantAsk);
     let Some((_, zone)) = plan.zone(state.me.zone) else { return };
     if !state.shutdown.is_running() {
