Test the promises that have a time limit

Cause: versions were checked for never going down, but not for being in force within 5 s, and neither were the 3 s of a leaving upstream nor graceful stops.

--- /dev/null
+++ b/tests/promises.rs
@@ -0,0 +1,117 @@
+//! Promises with a time limit, in virtual time.
+
+mod deployment;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use deployment::{EXTRA, apply, at, started};
+use nutmegfold::core::effect::Effect;
+use nutmegfold::core::exchange::Verdict;
+use nutmegfold::core::reduce;
+use nutmegfold::core::time::Instant;
+use nutmegfold::session::Session;
+use nutmegfold::session::fault::{self, Fault};
+use nutmegfold::session::script::{Action, Script};
+use nutmegfold::session::site::{self, Site};
+
+/// Time within which an accepted configuration is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(5);
+/// Time after the first sign within which a leaving upstream gets no new work.
+const LEAVING: Duration = Duration::from_secs(3);
+
+fn versions(session: &Session) -> Vec<u64> {
+    let processes = session.vms.iter().filter_map(|vm| vm.process.as_ref());
+    processes.map(|state| state.config.index.version).collect()
+}
+
+/// Applies a change and returns the versions in force once the limit has passed after its acceptance.
+fn versions_in_time(mut session: Session) -> Vec<u64> {
+    session.run_until(at(20.0));
+    session.command(0, apply("extra", EXTRA, "anna"));
+    let accepted = loop {
+        session.run_for(Duration::from_millis(5));
+        let line =
+            session.lines.iter().find(|line| line.entry.decision == "accept-config" && line.at > at(20.0));
+        if let Some(line) = line {
+            break line.at;
+        }
+        assert!(session.now < at(60.0), "the change was not accepted");
+    };
+    session.run_until(accepted + IN_FORCE);
+    versions(&session)
+}
+
+/// Guards against a configuration that is not in force everywhere within 5 s.
+#[test]
+fn configuration_is_in_force_in_time() {
+    for seed in 1..20 {
+        assert_eq!(versions_in_time(started(seed)), [2; 7], "seed {seed}");
+    }
+}
+
+/// Guards against a zone that waits for the store although its neighbours have the configuration.
+#[test]
+fn configuration_reaches_a_zone_without_the_store_in_time() {
+    for seed in 1..20 {
+        let mut session = started(seed);
+        let zone = vec![Site::Entry(5), Site::Entry(6)];
+        let cut = Fault::cut((at(10.0), at(200.0)), zone, vec![Site::Store, Site::List]);
+        session.link = Box::new(fault::with(vec![cut]));
+        assert_eq!(versions_in_time(session), [2; 7], "seed {seed}");
+    }
+}
+
+/// Guards against requests that are sent to a worker 3 s after the VM list named it as leaving.
+#[test]
+fn leaving_worker_gets_no_requests_after_three_seconds() {
+    for seed in 1..10 {
+        let mut session = started(seed);
+        let sent: Rc<RefCell<Vec<(Instant, u16)>>> = Rc::default();
+        let log = Rc::clone(&sent);
+        session.reducer = Box::new(move |state, input, out| {
+            let now = input.at;
+            reduce(state, input, out);
+            let workers = out.iter().filter_map(|effect| match effect {
+                Effect::Send(send) => site::worker_of(send.address),
+                _ => None,
+            });
+            log.borrow_mut().extend(workers.map(|worker| (now, worker)));
+        });
+        let bursts = (40..160).map(|tick| {
+            let vm = (tick % 7) as u16;
+            (at(f64::from(tick) * 0.25), Action::Requests(vm, 8, "quotes", "/quote"))
+        });
+        let leave = (0..10).map(|worker| (at(20.0), Action::Leave(worker))).filter(|(_, action)| {
+            // One worker of each zone leaves, so that the others can serve.
+            matches!(action, Action::Leave(0 | 4 | 7))
+        });
+        session.play(&Script { links: Vec::new(), actions: bursts.chain(leave).collect() });
+        session.run_until(at(45.0));
+        let sent = sent.borrow();
+        let late = |worker: u16| {
+            sent.iter().filter(|(at, to)| *to == worker && *at > self::at(20.0) + LEAVING).count()
+        };
+        assert_eq!([0, 4, 7].map(late), [0, 0, 0], "seed {seed}");
+        assert!(sent.iter().any(|(at, _)| *at > self::at(30.0)), "others were sent requests, seed {seed}");
+    }
+}
+
+/// Guards against a graceful stop that cuts off requests in flight.
+#[test]
+fn graceful_stop_answers_what_is_in_flight() {
+    for seed in 1..20 {
+        let mut session = started(seed);
+        session.run_until(at(20.0));
+        let tickets: Vec<_> = (0..12).map(|_| session.request(1, "quotes", "/advance")).collect();
+        session.run_for(Duration::from_millis(2));
+        session.stop(1);
+        session.run_until(at(40.0));
+        assert!(session.vms[1].process.is_none(), "the process ended, seed {seed}");
+        for ticket in tickets {
+            let verdict = session.verdicts.get(&ticket);
+            assert!(matches!(verdict, Some(Verdict::Deliver { .. })), "seed {seed}: {verdict:?}");
+        }
+    }
+}
