Remove an accessor that nothing uses

Cause: reading the whole change again; Request::zone of the store's calls has had no user since the ports name their keys themselves. Change: the function and its import are gone. Conclusion: none.

--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -7,7 +7,6 @@
 use super::journal::{Segment, Snapshot};
 use super::state::State;
 use super::{apply, cell, config, journal, recovery};
-use crate::declare::zone;
 use crate::hash::Map;
 
 /// Number of a call, unique in the process.
@@ -71,19 +70,6 @@
     },
 }
 
-impl Request {
-    /// Zone whose log is used, if any.
-    pub fn zone(&self) -> Option<zone::Id> {
-        match self {
-            Self::ReadSnapshot { cell }
-            | Self::WriteSnapshot { cell, .. }
-            | Self::ReadSegment { cell, .. }
-            | Self::Append { cell, .. } => Some(cell.zone),
-            _ => None,
-        }
-    }
-}
-
 /// What the store answered.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
