--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -1,4 +1,4 @@
-//! Writes `src/wire/generated/peer.rs` from `proto/peer.proto`.
+//! Writes `src/wire/generated` from the files in `proto`.
 //!
 //! The output is committed, so that the build of the main crate needs neither `protoc` nor this package.
 
@@ -14,6 +14,7 @@
         .bytes(".nutmegfold.peer.Delivered.body")
         .emit_rerun_if_changed(false)
         .out_dir(&out)
-        .compile_protos(&[root.join("proto/peer.proto")], &[root.join("proto")])?;
-    fs::rename(out.join("nutmegfold.peer.rs"), out.join("peer.rs"))
+        .compile_protos(&[root.join("proto/peer.proto"), root.join("proto/job.proto")], &[root.join("proto")])?;
+    fs::rename(out.join("nutmegfold.peer.rs"), out.join("peer.rs"))?;
+    fs::rename(out.join("nutmegfold.job.rs"), out.join("job.rs"))
 }
--- a/src/bench/memory.rs
+++ b/src/bench/memory.rs
@@ -106,7 +106,7 @@
             bytes: 200,
             forwarded: false,
         };
-        let input = Input { at: state.now, entropy: number, event: Event::Request(request) };
+        let input = Input { at: state.now, unix_ms: 0, entropy: number, event: Event::Request(request) };
         reduce(&mut state, input, &mut Vec::new());
     }
     state
--- a/src/bench/step.rs
+++ b/src/bench/step.rs
@@ -56,7 +56,7 @@
             let message = Message::ConfigOffer { index, documents: Vec::new() };
             let (from, address) = (member::Id(1), site::entry_address(1));
             let event = Event::Parcel { from, address, message };
-            let input = Input { at: state.now, entropy: 1, event };
+            let input = Input { at: state.now, unix_ms: 0, entropy: 1, event };
             let (mut out, begin) = (Vec::new(), Instant::now());
             reduce(&mut state, input, &mut out);
             begin.elapsed().as_secs_f64() * 1e6
@@ -86,7 +86,7 @@
         let list: Vec<listing::Vm> = encoding::list(vms).into_iter().map(Into::into).collect();
         let mut state = start.clone();
         let mut read = || {
-            let input = Input { at: state.now, entropy: 1, event: Event::Listing(list.clone()) };
+            let input = Input { at: state.now, unix_ms: 0, entropy: 1, event: Event::Listing(list.clone()) };
             let (mut out, begin) = (Vec::new(), Instant::now());
             reduce(&mut state, input, &mut out);
             begin.elapsed().as_secs_f64() * 1e6
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -7,7 +7,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::error::{Error, Result};
-use crate::node::start;
+use crate::node::{jobs, start};
+use crate::platform::SETTINGS_VARIABLE;
 use crate::port::operator::block_on;
 use crate::settings::{self, Settings};
 use crate::telemetry;
@@ -22,23 +23,50 @@
     error_code(1, "The settings have findings.")
 )]
 pub struct Args {
-    /// settings of this VM
+    /// settings of this VM; by default those that the environment variable of the platform names
     #[argh(option, arg_name = "FILE")]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
 }
 
 /// Runs the entry VM.
 pub fn run(args: Args) -> Result<()> {
-    let file = args.settings.display().to_string();
-    let text =
-        fs::read_to_string(&args.settings).map_err(|error| Error::io(format!("read {file}"), error))?;
+    let path = args.settings.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
+    let Some(path) = path else {
+        return Err(Error::call("serve", format!("neither --settings nor {SETTINGS_VARIABLE} is given")));
+    };
+    let file = path.display().to_string();
+    let text = fs::read_to_string(&path).map_err(|error| Error::io(format!("read {file}"), error))?;
     let settings = settings::parse(&file, &text).map_err(Error::Findings)?;
     let _log = telemetry::log::start(
         settings.name.clone(),
         settings.log.level.name(),
         settings.log.file.as_deref(),
     )?;
-    block_on(serve(&settings))
+    if settings.jobs.is_some() { block_on(serve_jobs(&settings)) } else { block_on(serve(&settings)) }
+}
+
+async fn serve_jobs(settings: &Settings) -> Result<()> {
+    let signals = |kind| signal(kind).map_err(|error| Error::io("wait for signals", error));
+    let (mut terminate, mut interrupt, mut hangup) = (
+        signals(SignalKind::terminate())?,
+        signals(SignalKind::interrupt())?,
+        signals(SignalKind::hangup())?,
+    );
+    let mut running = jobs::start(settings)?;
+    log::info!("entry VM {} of zone {} schedules jobs", settings.name, settings.zone);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            // Nothing in the settings can change while the process runs.
+            _ = hangup.recv() => log::info!("settings are read at the start only"),
+        }
+    }
+    log::info!("shutting down");
+    running.stop();
+    running.ended().await;
+    log::info!("ended");
+    Ok(())
 }
 
 async fn serve(settings: &Settings) -> Result<()> {
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::time::Instant;
-use super::{admin, control, exchange, peer, store, trace, worker};
+use super::{admin, control, exchange, peer, store, trace, work, worker};
 
 /// What is to be done.
 #[derive(Debug, Clone, PartialEq)]
@@ -51,6 +51,8 @@
         /// The answer.
         answer: admin::Answer,
     },
+    /// Something about the jobs that callers hand in.
+    Work(work::effect::Effect),
     /// Add an entry to the time line.
     Record(trace::Entry),
     /// Change what the readiness check says.
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 
 use super::time::Instant;
-use super::{admin, control, exchange, listing, member, peer, store, worker};
+use super::{admin, control, exchange, listing, member, peer, store, work, worker};
 
 /// One step of the reducer.
 #[derive(Debug, Clone)]
 pub struct Input {
     /// Monotonic time of the process.
     pub at: Instant,
+    /// Time of day in milliseconds since the Unix epoch; only for times that callers name.
+    pub unix_ms: u64,
     /// Random number drawn by the caller; the reducer has no other source of randomness.
     pub entropy: u64,
     /// What happened.
@@ -70,6 +72,8 @@
         /// What is asked.
         command: admin::Command,
     },
+    /// Something about the jobs that callers hand in.
+    Work(work::event::Event),
     /// Start a graceful shutdown.
     Stop,
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,7 @@
 pub mod timer;
 pub mod trace;
 pub mod tuning;
+pub mod work;
 pub mod worker;
 
 use effect::Effect;
@@ -43,6 +44,9 @@
 pub fn reduce(state: &mut State, input: Input, out: &mut Vec<Effect>) {
     state.advance(input.at, input.entropy);
     run_timers(state, out);
+    if let Some(work) = &mut state.work {
+        work::advance(work, input.at, input.unix_ms, input.entropy, out);
+    }
     match input.event {
         Event::Wake => {}
         Event::Request(request) => exchange::open(state, request, out),
@@ -58,7 +62,15 @@
             worker::listed(state, &vms, out);
         }
         Event::Admin { ticket, command } => admin::command(state, ticket, command, out),
-        Event::Stop => shutdown::begin(state, out),
+        Event::Work(event) => {
+            if let Some(work) = &mut state.work {
+                work::reduce(work, event, out);
+            }
+        }
+        Event::Stop => match &mut state.work {
+            Some(work) => work::stop(work, out),
+            None => shutdown::begin(state, out),
+        },
     }
     worker::flush(state, out);
 }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -6,7 +6,7 @@
 use super::timer::{Queue, Timer};
 use super::trace::{Entry, Subject};
 use super::tuning::Tuning;
-use super::{admin, apply, cell, exchange, grant, member, place, route, shutdown, store, task, worker};
+use super::{admin, apply, cell, exchange, grant, member, place, route, shutdown, store, task, work, worker};
 use crate::hash;
 
 /// All state of one entry VM.
@@ -23,7 +23,7 @@
     /// How requests are routed.
     pub routing: route::Policy,
     /// What is due when.
-    pub timers: Queue,
+    pub timers: Queue<Timer>,
     /// This process.
     pub me: member::Identity,
     /// Entry VMs.
@@ -50,6 +50,8 @@
     pub tally: admin::Tally,
     /// Progress of the graceful shutdown.
     pub shutdown: shutdown::Stage,
+    /// Jobs that callers hand in; `None` in a process that schedules declared work only.
+    pub work: Option<work::State>,
     random: u64,
 }
 
@@ -80,13 +82,21 @@
             store: store::Table::default(),
             tally: admin::Tally::default(),
             shutdown: shutdown::Stage::Running,
+            work: None,
             random: 0,
         }
     }
 
+    /// State of a process that schedules the jobs that callers hand in, and no declared work.
+    pub fn of_work(me: member::Identity, work: work::State, now: Instant) -> Self {
+        let state = Self::new(me, Tuning::default(), now);
+        Self { timers: Queue::default(), work: Some(work), ..state }
+    }
+
     /// When the reducer next wants an [`super::event::Event::Wake`].
     pub fn next_due(&self) -> Option<Instant> {
-        self.timers.next_due()
+        let work = self.work.as_ref().and_then(|work| work.timers.next_due());
+        self.timers.next_due().into_iter().chain(work).min()
     }
 
     /// Whether callers may be sent here.
--- a/src/core/timer.rs
+++ b/src/core/timer.rs
@@ -36,14 +36,20 @@
 }
 
 /// Timers ordered by due time.
-#[derive(Debug, Clone, Default)]
-pub struct Queue {
-    heap: BinaryHeap<Reverse<(Instant, Timer)>>,
+#[derive(Debug, Clone)]
+pub struct Queue<T: Ord> {
+    heap: BinaryHeap<Reverse<(Instant, T)>>,
 }
 
-impl Queue {
+impl<T: Ord> Default for Queue<T> {
+    fn default() -> Self {
+        Self { heap: BinaryHeap::new() }
+    }
+}
+
+impl<T: Ord> Queue<T> {
     /// Adds a timer.
-    pub fn set(&mut self, at: Instant, timer: Timer) {
+    pub fn set(&mut self, at: Instant, timer: T) {
         self.heap.push(Reverse((at, timer)));
     }
 
@@ -53,7 +59,7 @@
     }
 
     /// Takes one timer that is due at `now`.
-    pub fn pop(&mut self, now: Instant) -> Option<Timer> {
+    pub fn pop(&mut self, now: Instant) -> Option<T> {
         if self.next_due()? > now {
             return None;
         }
--- a/src/core/trace.rs
+++ b/src/core/trace.rs
@@ -1,6 +1,6 @@
 //! Time-line entries: one for each decision, with its reason.
 
-use super::{cell, exchange, member, run, task, worker};
+use super::{cell, exchange, member, run, task, work, worker};
 
 /// What an entry is about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +19,8 @@
     Replica(run::Id),
     /// A request.
     Exchange(exchange::Id),
+    /// A job that a caller handed in.
+    Job(work::spec::Id),
     /// A version of the configuration.
     Config(u64),
 }
--- /dev/null
+++ b/src/core/work/book.rs
@@ -0,0 +1,169 @@
+//! Life of a job: from its acceptance over its occurrences and tasks to its end.
+
+use std::time::Duration;
+
+use super::ask::Phase;
+use super::job::{self, Job};
+use super::journal::{self, Change};
+use super::spec::Id;
+use super::store::Record;
+use super::timer::Timer;
+use super::{control, state, task};
+use crate::core::effect::Effect;
+use crate::core::time::Instant;
+use crate::core::trace::Subject;
+use crate::hash::Map;
+
+/// Attempts of a task whose queue is not configured any more.
+const ATTEMPTS: u32 = 3;
+
+/// A job with this record, without tasks.
+pub(super) fn describe(state: &super::State, id: Id, record: Record) -> Job {
+    let queue = state.config.queue(&record.queue);
+    let chain = record.spec.chain();
+    Job {
+        id,
+        queue: record.queue,
+        service: queue.map_or(record.service, |queue| queue.service.clone()),
+        due: state.now + queue.map_or(chain, |queue| queue.due(chain)),
+        priority: queue.map_or(u32::MAX, |queue| queue.priority),
+        attempts: queue.map_or(ATTEMPTS, |queue| queue.attempts).max(1),
+        spec: record.spec,
+        accepted_unix_ms: record.accepted_unix_ms,
+        open: Map::default(),
+        released: 0,
+        phase: Phase::Queued,
+        is_final: false,
+        is_stored: false,
+        marks: Vec::new(),
+        finished_unix_ms: 0,
+    }
+}
+
+/// Takes over what a new configuration says of the queues of known jobs.
+pub(super) fn reconfigured(state: &mut super::State) {
+    for job in state.jobs.all.values_mut() {
+        if let Some(queue) = state.config.queue(&job.queue) {
+            job.service.clone_from(&queue.service);
+            job.priority = queue.priority;
+            job.attempts = queue.attempts.max(1);
+        }
+    }
+    state.place_soon();
+}
+
+/// Releases the occurrences that are due, and sets a timer for the next one.
+///
+/// `term` is that of the leader if an earlier one may have started tasks of the job.
+pub(super) fn release_due(state: &mut super::State, key: job::Key, term: Option<u64>) {
+    while let Some(job) = state.jobs.all.get(key) {
+        if job.phase.has_ended() || job.released >= job.spec.occurrences() {
+            break;
+        }
+        if let Some(schedule) = job.spec.schedule {
+            let due = schedule.start_unix_ms + schedule.interval_ms * u64::from(job.released);
+            if due > state.unix_ms {
+                let wait = Duration::from_millis(due - state.unix_ms);
+                state.timers.set(state.now + wait, Timer::Release(key));
+                break;
+            }
+        }
+        state.jobs.release(key, term, state.now);
+    }
+    state.place_soon();
+}
+
+/// Drops a job that was never stored.
+pub(super) fn withdraw(state: &mut super::State, key: job::Key) {
+    if let Some(job) = state.jobs.all.remove(key) {
+        state.jobs.by_id.remove(&job.id);
+    }
+}
+
+/// Ends a job and stops what runs of it. Returns the number of the change that stores the end.
+pub(super) fn end(state: &mut super::State, key: job::Key, phase: Phase, out: &mut Vec<Effect>) -> u64 {
+    let job = &mut state.jobs.all[key];
+    if !job.phase.has_ended() {
+        job.phase = phase;
+        job.finished_unix_ms = state.unix_ms;
+        state::record(out, Subject::Job(job.id), "end", format!("{phase:?}"));
+        let tasks = job.open.values().flat_map(|occurrence| occurrence.tasks.iter().flatten().copied());
+        let runs: Vec<_> = tasks
+            .filter_map(|task| state.jobs.tasks.get(task))
+            .flat_map(|task| task.runs.iter().copied())
+            .collect();
+        for run in runs {
+            control::stop(state, run, "its job has ended", out);
+            if let Some(run) = state.runs.get_mut(run) {
+                run.task = None;
+            }
+        }
+        state.jobs.drop_tasks(key);
+        forget_later(state, key);
+    }
+    journal::add(state, Change::Progress(key))
+}
+
+/// Sets the timer that removes an ended job.
+pub(super) fn forget_later(state: &mut super::State, key: job::Key) {
+    let age = state.unix_ms.saturating_sub(state.jobs.all[key].finished_unix_ms);
+    let wait = state.tuning.retention.saturating_sub(Duration::from_millis(age));
+    state.timers.set(state.now + wait, Timer::Forget(key));
+}
+
+/// Removes a job that ended long ago.
+pub(super) fn forget(state: &mut super::State, key: job::Key) {
+    let Some(job) = state.jobs.all.get(key) else { return };
+    if !job.is_final {
+        state.timers.set(state.now + state.tuning.retention, Timer::Forget(key));
+        return;
+    }
+    let id = job.id;
+    state.jobs.all.remove(key);
+    state.jobs.by_id.remove(&id);
+    journal::add(state, Change::Forget(id));
+}
+
+/// Notes that a task is done. Returns the number of the change that stores it.
+pub(super) fn done(state: &mut super::State, key: task::Key, out: &mut Vec<Effect>) -> u64 {
+    let task = &state.jobs.tasks[key];
+    let (job, others) = (task.job, task.runs.clone());
+    for run in others {
+        control::stop(state, run, "another run of its task is done", out);
+        if let Some(run) = state.runs.get_mut(run) {
+            run.task = None;
+        }
+    }
+    if let Some(task) = state.jobs.tasks.get_mut(key) {
+        task.runs.clear();
+    }
+    if state.jobs.finish_task(key, state.now) {
+        return end(state, job, Phase::Completed, out);
+    }
+    journal::add(state, Change::Progress(job))
+}
+
+/// Notes that a run of a task failed. Returns the number of the change that stores it.
+pub(super) fn failed(state: &mut super::State, key: task::Key, out: &mut Vec<Effect>) -> u64 {
+    let task = &mut state.jobs.tasks[key];
+    let job_key = task.job;
+    let job = &state.jobs.all[job_key];
+    task.failures += 1;
+    let is_lasting = job.spec.steps[task.name.step as usize].lasting;
+    if !is_lasting && task.failures >= job.attempts {
+        let reason = format!("{} failed {} times", task.name, task.failures);
+        state::record(out, Subject::Job(job.id), "give-up", reason);
+        return end(state, job_key, Phase::Failed, out);
+    }
+    journal::add(state, Change::Progress(job_key))
+}
+
+/// Lets a task wait for a worker again, after its last run is gone.
+pub(super) fn requeue(state: &mut super::State, key: task::Key, not_before: Instant) {
+    let Some(task) = state.jobs.tasks.get_mut(key) else { return };
+    if task.phase == task::Phase::Active && task.runs.is_empty() {
+        task.not_before = not_before;
+        state.jobs.make_ready(key, state.now);
+        state.place_soon();
+    }
+}
--- /dev/null
+++ b/src/core/work/follow.rs
@@ -0,0 +1,133 @@
+//! Following a range of the store: list it once, then watch its changes.
+
+use std::time::Duration;
+
+use super::state::{self, Purpose};
+use super::store::{Change, Item, Range, Reply, Request, Revision};
+use super::timer::Timer;
+use super::{lead, load, roster};
+use crate::core::effect::Effect;
+use crate::core::trace::Subject;
+
+/// Lists or watches a range, unless a call is in flight already.
+pub(super) fn step(state: &mut super::State, range: Range, out: &mut Vec<Effect>) {
+    if range == Range::Workers && state.lead.term() == 0 {
+        return;
+    }
+    let follow = state.follow.get(&range).copied().unwrap_or_default();
+    if follow.call.is_some() {
+        return;
+    }
+    let call = if follow.after == 0 {
+        state.call_store(Purpose::Follow(range), Request::List { range, after: None }, out)
+    } else {
+        let request = Request::Watch { range, after: follow.after, wait: state.tuning.watch };
+        state.call_store(Purpose::Watch(range), request, out)
+    };
+    state.follow.entry(range).or_default().call = Some(call);
+}
+
+/// Lists a range anew after a wait. An answer to an earlier call is ignored.
+pub(super) fn restart(state: &mut super::State, range: Range, wait: Duration) {
+    forget(state, range);
+    state.timers.set(state.now + wait, Timer::Follow(range));
+}
+
+/// Stops to follow a range.
+pub(super) fn forget(state: &mut super::State, range: Range) {
+    let follow = state.follow.entry(range).or_default();
+    follow.after = 0;
+    if let Some(call) = follow.call.take() {
+        state.take_call(call);
+    }
+}
+
+/// Takes over a page. The pages of a range that needs several are one list.
+pub(super) fn listed(state: &mut super::State, range: Range, reply: Reply, out: &mut Vec<Effect>) {
+    let follow = state.follow.entry(range).or_default();
+    follow.call = None;
+    let Reply::Page { items, next, as_of } = reply else {
+        let wait = state.tuning.store_retry + state.jitter(state.tuning.store_retry);
+        state.timers.set(state.now + wait, Timer::Follow(range));
+        return;
+    };
+    follow.after = as_of.max(1);
+    follow.is_known = true;
+    take_list(state, range, items, out);
+    if let Some(after) = next {
+        // The rest of a long list; the watch starts at its revision, so that nothing between the pages is missed.
+        let call = state.call_store(Purpose::Follow(range), Request::List { range, after: Some(after) }, out);
+        state.follow.entry(range).or_default().call = Some(call);
+        return;
+    }
+    step(state, range, out);
+}
+
+/// Takes over the changes that a watch saw.
+pub(super) fn changed(state: &mut super::State, range: Range, reply: Reply, out: &mut Vec<Effect>) {
+    let follow = state.follow.entry(range).or_default();
+    follow.call = None;
+    match reply {
+        Reply::Changes { changes, as_of } => {
+            follow.after = as_of.max(follow.after);
+            take_changes(state, range, changes, out);
+            step(state, range, out);
+        }
+        Reply::Gone => restart(state, range, Duration::ZERO),
+        _ => {
+            let wait = state.tuning.store_retry + state.jitter(state.tuning.store_retry);
+            state.timers.set(state.now + wait, Timer::Follow(range));
+        }
+    }
+}
+
+fn take_list(state: &mut super::State, range: Range, items: Vec<(Item, Revision)>, out: &mut Vec<Effect>) {
+    match range {
+        Range::Leadership => lead::listed(state, items, out),
+        Range::Config => {
+            for (item, _) in items {
+                take_config(state, item, out);
+            }
+        }
+        Range::Workers => {
+            roster::listed(state, items, out);
+            load::workers_listed(state, out);
+        }
+        Range::Jobs | Range::Progress => {}
+    }
+}
+
+fn take_changes(state: &mut super::State, range: Range, changes: Vec<Change>, out: &mut Vec<Effect>) {
+    match range {
+        Range::Leadership => lead::changed(state, changes, out),
+        Range::Config => {
+            for change in changes {
+                if let Change::Set(item, _) = change {
+                    take_config(state, item, out);
+                }
+            }
+        }
+        Range::Workers => roster::changed(state, changes, out),
+        Range::Jobs | Range::Progress => {}
+    }
+}
+
+/// Puts a configuration in force. An older one, which a stale answer may hold, is ignored.
+fn take_config(state: &mut super::State, item: Item, out: &mut Vec<Effect>) {
+    match item {
+        Item::Config(config) if config.version > state.config.version => {
+            let version = config.version;
+            let reason = format!("{} queues, {} services", config.queues.len(), config.services.len());
+            state.config = config;
+            state::record(out, Subject::Config(version), "in-force", reason);
+            super::book::reconfigured(state);
+            if state.is_ready() {
+                out.push(Effect::Ready(true));
+            }
+        }
+        Item::Unreadable(reason) => {
+            state::record(out, Subject::Config(state.config.version), "unreadable", reason);
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/src/core/work/front.rs
@@ -0,0 +1,211 @@
+//! Requests of callers: routed by the configuration, served by the leader, handed on by everyone else.
+
+use std::net::SocketAddr;
+
+use super::ask::{Answer, Ask, Subject, Ticket, Verb, subject};
+use super::effect::Effect as WorkEffect;
+use super::event::Fault;
+use super::lead::Role;
+use super::spec::{Id, Spec};
+use super::state;
+use super::store::Record;
+use super::{book, journal, lead};
+use crate::core::effect::Effect;
+use crate::core::trace;
+use crate::hash::Map;
+
+/// A request that another entry VM is to answer.
+#[derive(Debug, Clone)]
+struct Forward {
+    to: SocketAddr,
+    /// Whether the request changes something.
+    changes: bool,
+}
+
+/// Requests without an answer.
+#[derive(Debug, Clone, Default)]
+pub struct State {
+    /// Requests that wait until the records are loaded.
+    early: Vec<(Ticket, Ask)>,
+    forwards: Map<Ticket, Forward>,
+}
+
+impl State {
+    /// Number of requests without an answer.
+    pub fn len(&self) -> usize {
+        self.early.len() + self.forwards.len()
+    }
+
+    /// Whether every request has its answer.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Takes a request.
+pub(super) fn asked(
+    state: &mut super::State,
+    ticket: Ticket,
+    ask: Ask,
+    forwarded: bool,
+    out: &mut Vec<Effect>,
+) {
+    if state.config.version == 0 {
+        return refuse(state, ticket, "no configuration", out);
+    }
+    let Some(target) = target(state, &ask) else {
+        // Another entry VM may have a newer configuration than this one.
+        return if forwarded {
+            refuse(state, ticket, "the queue is not known here", out)
+        } else {
+            answer(ticket, Answer::UnknownQueue, out)
+        };
+    };
+    match state.lead.role {
+        Role::Leader { .. } if state.load.is_some() => state.front.early.push((ticket, ask)),
+        Role::Leader { .. } if !state.lead.may_act(state.now, &state.tuning) => {
+            refuse(state, ticket, "the leadership is not confirmed", out);
+        }
+        Role::Leader { .. } => serve(state, ticket, target, ask.verb, out),
+        _ if forwarded => refuse(state, ticket, "this process does not lead", out),
+        _ => forward(state, ticket, ask, out),
+    }
+}
+
+/// Queue and subject of a request.
+fn target(state: &super::State, ask: &Ask) -> Option<(String, Subject)> {
+    let queue = state.config.route(&ask.host, &ask.path)?;
+    let subject = subject(ask.path.get(queue.prefix.len()..)?)?;
+    Some((queue.name.clone(), subject))
+}
+
+fn forward(state: &mut super::State, ticket: Ticket, ask: Ask, out: &mut Vec<Effect>) {
+    let holder = state.lead.holder.as_ref().filter(|(_, revision)| state.lead.dead != Some(*revision));
+    let Some((leader, _)) = holder else { return refuse(state, ticket, "no leader is known", out) };
+    let to = leader.address;
+    let changes = !matches!(ask.verb, Verb::Read);
+    state.front.forwards.insert(ticket, Forward { to, changes });
+    out.push(Effect::Work(WorkEffect::Forward { ticket, to, ask }));
+}
+
+/// Takes over the answer of the entry VM that a request was handed to.
+pub(super) fn forwarded(
+    state: &mut super::State,
+    ticket: Ticket,
+    result: Result<Answer, Fault>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(Forward { to, changes }) = state.front.forwards.remove(&ticket) else { return };
+    match result {
+        Ok(reply) => answer(ticket, reply, out),
+        Err(Fault::Lost) if changes => {
+            let reason = format!("no answer from {to}");
+            state::record(out, trace::Subject::Process, "answer-unknown", reason);
+            answer(ticket, Answer::Unknown, out);
+        }
+        Err(fault) => {
+            if fault == Fault::Refused {
+                lead::refused(state, to, out);
+            }
+            refuse(state, ticket, "the leader cannot be reached", out);
+        }
+    }
+}
+
+/// Serves the requests that waited for the records.
+pub(super) fn resume(state: &mut super::State, out: &mut Vec<Effect>) {
+    for (ticket, ask) in std::mem::take(&mut state.front.early) {
+        asked(state, ticket, ask, false, out);
+    }
+}
+
+/// Answers the requests that this process can no longer serve, since it does not lead any more.
+pub(super) fn disown(state: &mut super::State, out: &mut Vec<Effect>) {
+    let (flying, waiting) = state.journal.split();
+    for ticket in flying {
+        answer(ticket, Answer::Unknown, out);
+    }
+    for ticket in waiting {
+        refuse(state, ticket, "this process does not lead any more", out);
+    }
+    for (ticket, _) in std::mem::take(&mut state.front.early) {
+        refuse(state, ticket, "this process does not lead any more", out);
+    }
+}
+
+fn serve(
+    state: &mut super::State,
+    ticket: Ticket,
+    (queue, subject): (String, Subject),
+    verb: Verb,
+    out: &mut Vec<Effect>,
+) {
+    match (subject, verb) {
+        (Subject::Queue, Verb::Read) => answer(ticket, Answer::Pending(state.jobs.pending(&queue)), out),
+        (Subject::Queue, _) => answer(ticket, Answer::UnknownQueue, out),
+        (Subject::Job(id), Verb::Submit(spec)) => submit(state, ticket, queue, id, spec, out),
+        (Subject::Job(id), Verb::Read) => answer(ticket, read(state, id), out),
+        (Subject::Job(id), Verb::Cancel) => cancel(state, ticket, id, out),
+    }
+}
+
+fn read(state: &super::State, id: Id) -> Answer {
+    let job = state.jobs.find(id).and_then(|key| state.jobs.all.get(key));
+    match job {
+        Some(job) if job.is_stored => Answer::Phase(job.shown()),
+        _ => Answer::UnknownJob,
+    }
+}
+
+/// Accepts a job once it is stored. A repeated request with the same identity names the same job.
+fn submit(
+    state: &mut super::State,
+    ticket: Ticket,
+    queue: String,
+    id: Id,
+    spec: Spec,
+    out: &mut Vec<Effect>,
+) {
+    if let Some(key) = state.jobs.find(id) {
+        if state.jobs.all[key].is_stored {
+            return answer(ticket, Answer::Accepted, out);
+        }
+        let sequence = journal::add(state, journal::Change::Accept(key));
+        return journal::answer_after(state, sequence, ticket, Answer::Accepted);
+    }
+    if let Some(fault) = spec.fault() {
+        return answer(ticket, Answer::Malformed(fault), out);
+    }
+    if journal::is_failing(state) {
+        return refuse(state, ticket, "the store does not take records", out);
+    }
+    let service = state.config.queue(&queue).map(|queue| queue.service.clone()).unwrap_or_default();
+    let record = Record { queue, service, spec, accepted_unix_ms: state.unix_ms };
+    let job = book::describe(state, id, record);
+    let reason = format!("queue {}, {} steps", job.queue, job.spec.steps.len());
+    state::record(out, trace::Subject::Job(id), "submit", reason);
+    let key = state.jobs.all.insert(job);
+    state.jobs.by_id.insert(id, key);
+    let sequence = journal::add(state, journal::Change::Accept(key));
+    journal::answer_after(state, sequence, ticket, Answer::Accepted);
+}
+
+fn cancel(state: &mut super::State, ticket: Ticket, id: Id, out: &mut Vec<Effect>) {
+    let Some(key) = state.jobs.find(id) else { return answer(ticket, Answer::UnknownJob, out) };
+    let job = &state.jobs.all[key];
+    if job.is_final || matches!(job.phase, super::ask::Phase::Completed | super::ask::Phase::Failed) {
+        return answer(ticket, Answer::Cancelled, out);
+    }
+    state::record(out, trace::Subject::Job(id), "cancel", format!("was {:?}", job.phase));
+    let sequence = book::end(state, key, super::ask::Phase::Cancelled, out);
+    journal::answer_after(state, sequence, ticket, Answer::Cancelled);
+}
+
+fn refuse(state: &super::State, ticket: Ticket, reason: &'static str, out: &mut Vec<Effect>) {
+    state::record(out, trace::Subject::Process, "refuse", reason);
+    answer(ticket, Answer::Refused(state.tuning.come_back_s), out);
+}
+
+fn answer(ticket: Ticket, answer: Answer, out: &mut Vec<Effect>) {
+    out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
+}
--- /dev/null
+++ b/src/core/work/journal.rs
@@ -0,0 +1,302 @@
+//! Records that must last, written to the store in groups.
+//!
+//! Each commit is one transaction under two conditions: the leader's key is unchanged, and so is the tip that the commit
+//! before wrote. So commits take effect in order, each at most once, also when an answer is lost or a call is executed
+//! late. One commit is in flight at a time; one without an answer is sent again until its outcome is known.
+
+use std::collections::VecDeque;
+
+use super::ask::{Answer, Ticket};
+use super::spec::Id;
+use super::state::{self, Purpose};
+use super::store::{Key, Member, Reply, Request, Revision, Transaction, Value};
+use super::timer::Timer;
+use super::{book, hold, job, lead};
+use crate::core::effect::Effect;
+use crate::core::time::Instant;
+use crate::core::trace::Subject;
+use crate::core::work::effect::Effect as WorkEffect;
+use crate::hash::Map;
+
+/// Keys in the store's conditions and the tip, which a commit has besides its changes.
+const FIXED_KEYS: usize = 3;
+
+/// Something to write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Change {
+    /// A job that was accepted.
+    Accept(job::Key),
+    /// Progress, or the end, of a job.
+    Progress(job::Key),
+    /// A job that ended long ago.
+    Forget(Id),
+    /// The workers that may run tasks.
+    Roster,
+}
+
+/// A commit in flight.
+#[derive(Debug, Clone)]
+struct Commit {
+    write: u64,
+    /// Changes with their sequence numbers.
+    changes: Vec<(u64, Change)>,
+    transaction: Transaction,
+    /// Whether it may have taken effect already.
+    is_doubtful: bool,
+}
+
+impl Commit {
+    /// Highest sequence number in it.
+    fn upto(&self) -> u64 {
+        self.changes.last().map_or(0, |(sequence, _)| *sequence)
+    }
+}
+
+/// Waiting records.
+#[derive(Debug, Clone, Default)]
+pub struct State {
+    tip: Revision,
+    queue: VecDeque<(u64, Change)>,
+    queued: Map<Change, u64>,
+    /// Sequence number of the newest change.
+    last: u64,
+    /// Changes up to this one are durable.
+    pub durable: u64,
+    flight: Option<Commit>,
+    waiting: Vec<(u64, Ticket, Answer)>,
+    next: Instant,
+    /// Since when no commit has succeeded although one was tried.
+    pub failing_since: Option<Instant>,
+}
+
+impl State {
+    /// Starts a term whose newest commit has the revision `tip`.
+    pub fn begin(&mut self, tip: Revision, now: Instant) {
+        *self = Self { tip, next: now, ..Self::default() };
+    }
+
+    /// Requests in a commit whose outcome is not known, and requests that surely were not written.
+    pub fn split(&mut self) -> (Vec<Ticket>, Vec<Ticket>) {
+        let upto = self.flight.as_ref().filter(|commit| commit.is_doubtful).map_or(0, Commit::upto);
+        let (flying, waiting): (Vec<_>, Vec<_>) = self.waiting.drain(..).partition(|(at, ..)| *at <= upto);
+        let tickets =
+            |list: Vec<(u64, Ticket, Answer)>| list.into_iter().map(|(_, ticket, _)| ticket).collect();
+        (tickets(flying), tickets(waiting))
+    }
+
+    /// Whether everything is written.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.flight.is_none()
+    }
+}
+
+/// Queues a change, and returns the number that [`State::durable`] reaches when it is written.
+///
+/// A change that waits already is written with its newest value, so it is not queued twice.
+pub(super) fn add(state: &mut super::State, change: Change) -> u64 {
+    let journal = &mut state.journal;
+    if let Some(sequence) = journal.queued.get(&change) {
+        return *sequence;
+    }
+    journal.last += 1;
+    journal.queued.insert(change, journal.last);
+    journal.queue.push_back((journal.last, change));
+    if journal.flight.is_none() {
+        state.timers.set(journal.next.max(state.now), Timer::Commit);
+    }
+    journal.last
+}
+
+/// Answers a request once the change with this number is durable.
+pub(super) fn answer_after(state: &mut super::State, sequence: u64, ticket: Ticket, answer: Answer) {
+    state.journal.waiting.push((sequence, ticket, answer));
+}
+
+/// Starts the next commit, or repeats the one whose answer was lost.
+pub(super) fn flush(state: &mut super::State, out: &mut Vec<Effect>) {
+    let Some(condition) = state.lead.condition() else { return };
+    if state.load.is_some() || state.now < state.journal.next {
+        return;
+    }
+    if let Some(commit) = &state.journal.flight {
+        let request = Request::Commit(commit.transaction.clone());
+        if !state.is_calling(&Purpose::Commit) {
+            state.call_store(Purpose::Commit, request, out);
+        }
+        return;
+    }
+    let room = state.tuning.commit_keys - FIXED_KEYS;
+    let mut transaction =
+        Transaction { expect: vec![condition, (Key::Tip, state.journal.tip)], ..Transaction::default() };
+    let mut changes = Vec::new();
+    while transaction.put.len() + transaction.delete.len() + 1 < room {
+        let Some((sequence, change)) = state.journal.queue.pop_front() else { break };
+        state.journal.queued.remove(&change);
+        encode(state, change, &mut transaction);
+        changes.push((sequence, change));
+    }
+    if changes.is_empty() {
+        return;
+    }
+    let write = state.draw();
+    transaction.put.push((Key::Tip, Value::Tip(write), None));
+    state.journal.flight =
+        Some(Commit { write, changes, transaction: transaction.clone(), is_doubtful: false });
+    state.call_store(Purpose::Commit, Request::Commit(transaction), out);
+}
+
+/// Adds the newest value of what changed.
+fn encode(state: &super::State, change: Change, transaction: &mut Transaction) {
+    match change {
+        Change::Accept(key) => {
+            let Some(job) = state.jobs.all.get(key) else { return };
+            transaction.put.push((Key::Job(job.id), Value::Job(Box::new(job.record())), None));
+        }
+        Change::Progress(key) => {
+            let Some(job) = state.jobs.all.get(key) else { return };
+            let Some(progress) = state.jobs.progress(key) else { return };
+            if progress.phase.has_ended() {
+                transaction.put.retain(|(written, ..)| *written != Key::Job(job.id));
+                transaction.delete.push(Key::Job(job.id));
+            }
+            transaction.put.push((Key::Progress(job.id), Value::Progress(progress), None));
+        }
+        Change::Forget(id) => transaction.delete.push(Key::Progress(id)),
+        Change::Roster => {
+            let roster = state
+                .workers
+                .all
+                .values()
+                .map(|worker| Member { id: worker.id.clone(), address: worker.address });
+            transaction.put.push((Key::Roster, Value::Roster(roster.collect()), None));
+        }
+    }
+}
+
+/// Takes over the answer to a commit.
+pub(super) fn answered(state: &mut super::State, reply: Reply, out: &mut Vec<Effect>) {
+    let Some(commit) = state.journal.flight.take() else { return };
+    let is_refused = reply == Reply::Refused;
+    let revision = match reply {
+        Reply::Committed(revision) => Some(revision),
+        Reply::Conflict(current) => match find_own(&current, commit.write) {
+            Some(revision) => Some(revision),
+            None => return lead::step_down(state, "another process wrote the records", out),
+        },
+        _ => None,
+    };
+    let Some(revision) = revision else { return postpone(state, commit, is_refused, out) };
+    state.journal.tip = revision;
+    state.journal.durable = commit.upto();
+    state.journal.failing_since = None;
+    state.journal.next = state.now + state.tuning.commit_interval;
+    if !state.journal.queue.is_empty() {
+        state.timers.set(state.journal.next, Timer::Commit);
+    }
+    for (_, change) in commit.changes {
+        note(state, change);
+    }
+    release(state, out);
+    hold::acknowledge(state, out);
+    state.place_soon();
+}
+
+/// Tries a commit again after a wait; one that surely did not take effect is taken apart.
+fn postpone(state: &mut super::State, mut commit: Commit, is_refused: bool, out: &mut Vec<Effect>) {
+    let journal = &mut state.journal;
+    journal.failing_since.get_or_insert(state.now);
+    commit.is_doubtful |= !is_refused;
+    if commit.is_doubtful {
+        journal.flight = Some(commit);
+    } else {
+        for (sequence, change) in commit.changes.into_iter().rev() {
+            journal.queued.insert(change, sequence);
+            journal.queue.push_front((sequence, change));
+        }
+    }
+    journal.next = state.now + state.tuning.store_retry;
+    state.timers.set(journal.next, Timer::Commit);
+    shed(state, out);
+}
+
+/// Whether commits have failed for so long that callers should come back later.
+pub(super) fn is_failing(state: &super::State) -> bool {
+    let since = state.journal.failing_since;
+    since.is_some_and(|since| state.now.since(since) >= state.tuning.commit_patience)
+}
+
+/// Refuses the jobs that wait for a commit and are surely not stored, once commits have failed for a while.
+fn shed(state: &mut super::State, out: &mut Vec<Effect>) {
+    if !is_failing(state) {
+        return;
+    }
+    let (accepts, rest): (VecDeque<_>, VecDeque<_>) =
+        state.journal.queue.drain(..).partition(|(_, change)| matches!(change, Change::Accept(_)));
+    state.journal.queue = rest;
+    for (sequence, change) in accepts {
+        state.journal.queued.remove(&change);
+        if let Change::Accept(key) = change {
+            book::withdraw(state, key);
+        }
+        let waiting = state.journal.waiting.extract_if(.., |(at, ..)| *at == sequence).collect::<Vec<_>>();
+        for (_, ticket, _) in waiting {
+            let answer = Answer::Refused(state.tuning.come_back_s);
+            out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
+        }
+    }
+}
+
+/// Revision of the tip if the commit `write` made it.
+fn find_own(current: &[(Key, Value, Revision)], write: u64) -> Option<Revision> {
+    current.iter().find_map(|(key, value, revision)| {
+        (*key == Key::Tip && *value == Value::Tip(write)).then_some(*revision)
+    })
+}
+
+fn note(state: &mut super::State, change: Change) {
+    match change {
+        Change::Accept(key) => {
+            if let Some(job) = state.jobs.all.get_mut(key) {
+                job.is_stored = true;
+                book::release_due(state, key, None);
+            }
+        }
+        Change::Progress(key) => {
+            let is_written = !state.journal.queued.contains_key(&change);
+            if let Some(job) = state.jobs.all.get_mut(key)
+                && job.phase.has_ended()
+                && is_written
+            {
+                job.is_final = true;
+            }
+        }
+        Change::Forget(_) => {}
+        Change::Roster => {
+            if !state.journal.queued.contains_key(&Change::Roster) {
+                for worker in state.workers.all.values_mut() {
+                    worker.is_enrolled = true;
+                }
+            }
+        }
+    }
+}
+
+/// Answers the requests whose changes are durable.
+fn release(state: &mut super::State, out: &mut Vec<Effect>) {
+    let durable = state.journal.durable;
+    let (ready, waiting): (Vec<_>, Vec<_>) =
+        state.journal.waiting.drain(..).partition(|(sequence, ..)| *sequence <= durable);
+    state.journal.waiting = waiting;
+    for (_, ticket, answer) in ready {
+        out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
+    }
+}
+
+/// Queues the roster if a worker is missing in it.
+pub(super) fn enroll(state: &mut super::State, out: &mut Vec<Effect>) {
+    if state.load.is_none() && state.workers.all.values().any(|worker| !worker.is_enrolled) {
+        let sequence = add(state, Change::Roster);
+        let reason = format!("{} workers, change {sequence}", state.workers.all.len());
+        state::record(out, Subject::Process, "enroll", reason);
+    }
+}
--- /dev/null
+++ b/src/core/work/lead.rs
@@ -0,0 +1,255 @@
+//! Leadership: which entry VM schedules.
+//!
+//! The leader holds a key in the store that is bound to a lease, and each leader has a higher term. Safety does not rest
+//! on the lease: records are written only while the key has the revision that the leader wrote, workers refuse terms
+//! below the highest they have seen, and a leader acts only for [`super::tuning::Tuning::validity`] after its last
+//! confirmed renewal, which a successor waits for where it cannot reach a worker.
+
+use std::time::Duration;
+
+use super::state::{self, Purpose};
+use super::store::{Change, Item, Key, Leader, Removed, Reply, Request, Revision, Transaction, Value};
+use super::timer::Timer;
+use super::tuning::Tuning;
+use super::{front, load};
+use crate::core::effect::Effect;
+use crate::core::time::Instant;
+use crate::core::trace::Subject;
+
+/// Longest random wait before a campaign, so that candidates do not collide.
+const SPREAD: Duration = Duration::from_millis(25);
+
+/// Waits of a candidate in round trips to the store, so that one near the store wins.
+const ROUND_TRIPS: u32 = 3;
+
+/// What this process does about the leadership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Role {
+    /// Another process leads, or none.
+    #[default]
+    Follower,
+    /// It waits for the lease or the transaction of its campaign.
+    Candidate {
+        /// Lease, once it is granted.
+        lease: Option<u64>,
+        /// Term it asks for.
+        term: u64,
+    },
+    /// It leads, once the records are loaded.
+    Leader {
+        /// Lease of its key.
+        lease: u64,
+        /// Its term.
+        term: u64,
+        /// Revision of its key.
+        revision: Revision,
+        /// When the newest confirmed renewal was sent.
+        confirmed: Instant,
+    },
+}
+
+/// What is known of the leadership.
+#[derive(Debug, Clone, Default)]
+pub struct State {
+    /// What this process does.
+    pub role: Role,
+    /// Leader as the store names it, with the revision of its key.
+    pub holder: Option<(Leader, Revision)>,
+    /// Newest term and the revision of its key.
+    pub newest: (u64, Revision),
+    /// Time of the newest answer of the store to a call.
+    pub round_trip: Duration,
+    /// Revision of a leader's key whose process does not listen any more.
+    pub dead: Option<Revision>,
+}
+
+impl State {
+    /// Term of this leader; 0 if it does not lead.
+    pub fn term(&self) -> u64 {
+        if let Role::Leader { term, .. } = self.role { term } else { 0 }
+    }
+
+    /// Until when orders may be written.
+    pub fn valid_until(&self, tuning: &Tuning) -> Instant {
+        match self.role {
+            Role::Leader { confirmed, .. } => confirmed + tuning.validity,
+            _ => Instant::default(),
+        }
+    }
+
+    /// Whether this process may act as the leader now.
+    pub fn may_act(&self, now: Instant, tuning: &Tuning) -> bool {
+        now < self.valid_until(tuning)
+    }
+
+    /// Condition for every record that this leader writes.
+    pub fn condition(&self) -> Option<(Key, Revision)> {
+        let Role::Leader { revision, .. } = self.role else { return None };
+        Some((Key::Leader, revision))
+    }
+
+    fn note(&mut self, value: Value, key: Key, revision: Revision) {
+        let Value::Leader(leader) = value else { return };
+        match key {
+            Key::Leader => self.holder = Some((leader, revision)),
+            Key::Term => self.newest = (leader.term, revision),
+            _ => {}
+        }
+    }
+}
+
+/// Takes over a whole list of the leadership's keys.
+pub(super) fn listed(state: &mut super::State, items: Vec<(Item, Revision)>, out: &mut Vec<Effect>) {
+    state.lead.holder = None;
+    for (item, revision) in items {
+        if let Item::Own(key, value) = item {
+            state.lead.note(value, key, revision);
+        }
+    }
+    review(state, out);
+}
+
+/// Takes over changes of the leadership's keys.
+pub(super) fn changed(state: &mut super::State, changes: Vec<Change>, out: &mut Vec<Effect>) {
+    for change in changes {
+        match change {
+            Change::Set(Item::Own(key, value), revision) => state.lead.note(value, key, revision),
+            Change::Removed(Removed::Own(Key::Leader)) => state.lead.holder = None,
+            _ => {}
+        }
+    }
+    review(state, out);
+}
+
+/// Compares the store's word with this process's role.
+fn review(state: &mut super::State, out: &mut Vec<Effect>) {
+    if let Role::Leader { revision, .. } = state.lead.role {
+        match &state.lead.holder {
+            Some((_, held)) if *held == revision => {}
+            // A watch can be behind the transaction that made this process the leader.
+            Some((_, held)) if *held < revision => {}
+            _ => step_down(state, "the store names another leader, or none", out),
+        }
+    }
+    if state.lead.role == Role::Follower && is_vacant(state) && !state.is_stopping {
+        let wait = state.lead.round_trip * ROUND_TRIPS + state.jitter(SPREAD);
+        state.timers.set(state.now + wait, Timer::Campaign);
+    }
+}
+
+/// Whether nobody leads: there is no key, or its process is known to be gone.
+fn is_vacant(state: &super::State) -> bool {
+    let Some((holder, revision)) = &state.lead.holder else { return true };
+    let was_me = holder.vm == state.me.vm && holder.nonce != state.me.nonce;
+    was_me || state.lead.dead == Some(*revision)
+}
+
+/// Notes that nothing listens at the leader's address any more, so that its process has ended.
+pub(super) fn refused(state: &mut super::State, address: std::net::SocketAddr, out: &mut Vec<Effect>) {
+    let Some((holder, revision)) = &state.lead.holder else { return };
+    if holder.address == address && state.lead.dead != Some(*revision) {
+        let reason = format!("nothing listens at {address} of {}", holder.vm);
+        state.lead.dead = Some(*revision);
+        state::record(out, Subject::Process, "leader-dead", reason);
+        review(state, out);
+    }
+}
+
+/// Starts a campaign if nobody leads.
+pub(super) fn campaign(state: &mut super::State, out: &mut Vec<Effect>) {
+    let is_known = state.follow.get(&super::store::Range::Leadership).is_some_and(|follow| follow.is_known);
+    if state.lead.role != Role::Follower || !is_vacant(state) || state.is_stopping || !is_known {
+        return;
+    }
+    let term = state.lead.newest.0 + 1;
+    state.lead.role = Role::Candidate { lease: None, term };
+    state.call_store(Purpose::Lease, Request::Lease { ttl: state.tuning.leader_ttl }, out);
+}
+
+/// Goes on with the campaign once its lease is granted.
+pub(super) fn leased(state: &mut super::State, reply: Reply, out: &mut Vec<Effect>) {
+    let Role::Candidate { term, .. } = state.lead.role else { return };
+    let Reply::Leased(lease) = reply else { return give_up(state) };
+    // A watch may have named a leader since the campaign began.
+    if !is_vacant(state) || state.lead.newest.0 >= term {
+        return give_up(state);
+    }
+    state.lead.role = Role::Candidate { lease: Some(lease), term };
+    let me = &state.me;
+    let leader = Leader { vm: me.vm.clone(), address: me.address, term, nonce: me.nonce };
+    let held = state.lead.holder.as_ref().map_or(0, |(_, revision)| *revision);
+    let transaction = Transaction {
+        expect: vec![(Key::Leader, held), (Key::Term, state.lead.newest.1)],
+        put: vec![
+            (Key::Leader, Value::Leader(leader.clone()), Some(lease)),
+            (Key::Term, Value::Leader(leader), None),
+        ],
+        delete: Vec::new(),
+    };
+    state.call_store(Purpose::Campaign, Request::Commit(transaction), out);
+}
+
+/// Ends a campaign without a result; the list that follows says who leads.
+fn give_up(state: &mut super::State) {
+    state.lead.role = Role::Follower;
+    let wait = state.tuning.store_retry + state.jitter(SPREAD);
+    super::follow::restart(state, super::store::Range::Leadership, wait);
+}
+
+/// Ends a campaign.
+///
+/// A lost answer is a defeat: if the transaction took effect after all, the key names this process with its current
+/// identity, lapses without renewals, and is taken like any vacant one.
+pub(super) fn elected(state: &mut super::State, sent: Instant, reply: Reply, out: &mut Vec<Effect>) {
+    let Role::Candidate { lease: Some(lease), term } = state.lead.role else { return };
+    let Reply::Committed(revision) = reply else { return give_up(state) };
+    state.lead.role = Role::Leader { lease, term, revision, confirmed: sent };
+    let me = &state.me;
+    let leader = Leader { vm: me.vm.clone(), address: me.address, term, nonce: me.nonce };
+    state.lead.holder = Some((leader, revision));
+    state.lead.newest = (term, revision);
+    state.timers.set(state.now + state.tuning.leader_renewal, Timer::Renew);
+    state::record(out, Subject::Process, "lead", format!("term {term}, revision {revision}"));
+    load::begin(state, out);
+}
+
+/// Renews the leader's lease.
+pub(super) fn renew(state: &mut super::State, out: &mut Vec<Effect>) {
+    let Role::Leader { lease, .. } = state.lead.role else { return };
+    state.call_store(Purpose::Renew, Request::Renew { lease }, out);
+    state.timers.set(state.now + state.tuning.leader_renewal, Timer::Renew);
+}
+
+/// Notes the answer to a renewal.
+pub(super) fn renewed(state: &mut super::State, sent: Instant, reply: &Reply, out: &mut Vec<Effect>) {
+    let Role::Leader { confirmed, .. } = &mut state.lead.role else { return };
+    match reply {
+        Reply::Renewed => *confirmed = (*confirmed).max(sent),
+        Reply::Gone => step_down(state, "the lease has ended", out),
+        _ => {}
+    }
+}
+
+/// Stops to act as the leader, and forgets what only a leader knows.
+pub(super) fn step_down(state: &mut super::State, reason: &str, out: &mut Vec<Effect>) {
+    let Role::Leader { term, .. } = state.lead.role else { return };
+    state::record(out, Subject::Process, "step-down", format!("term {term}: {reason}"));
+    state.lead.role = Role::Follower;
+    state.load = None;
+    state.forget_calls();
+    state.workers = Default::default();
+    state.runs.clear();
+    state.jobs = Default::default();
+    state.journal = Default::default();
+    front::disown(state, out);
+    super::follow::forget(state, super::store::Range::Workers);
+    super::follow::restart(state, super::store::Range::Leadership, Duration::ZERO);
+}
+
+/// Gives the leadership up, so that another process can take it at once.
+pub(super) fn resign(state: &mut super::State, out: &mut Vec<Effect>) {
+    let Role::Leader { revision, .. } = state.lead.role else { return };
+    let transaction =
+        Transaction { expect: vec![(Key::Leader, revision)], put: Vec::new(), delete: vec![Key::Leader] };
+    state.call_store(Purpose::Resign, Request::Commit(transaction), out);
+}
--- /dev/null
+++ b/src/core/work/load.rs
@@ -0,0 +1,198 @@
+//! Reading of the records at the start of a term.
+//!
+//! Nobody else writes records once this process leads, so pages read one after the other are consistent.
+
+use super::ask::Phase;
+use super::job::Job;
+use super::spec::Id;
+use super::state::{self, Purpose};
+use super::store::{Item, Key, Member, Progress, Range, Record, Reply, Request, Value};
+use super::timer::Timer;
+use super::worker::Gate;
+use super::{book, follow, front, hold};
+use crate::core::effect::Effect;
+use crate::core::time::Instant;
+use crate::core::trace::Subject;
+use crate::hash::Map;
+
+/// A part of the records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// Identity of the newest commit.
+    Tip,
+    /// Workers that may run tasks.
+    Roster,
+    /// Accepted jobs.
+    Jobs,
+    /// Progress of jobs.
+    Progress,
+}
+
+const PARTS: [Part; 4] = [Part::Tip, Part::Roster, Part::Jobs, Part::Progress];
+
+/// Records read so far.
+#[derive(Debug, Clone, Default)]
+pub struct State {
+    /// When the term began.
+    pub begun: Instant,
+    missing: Vec<Part>,
+    retry: Vec<(Part, Option<String>)>,
+    are_workers_listed: bool,
+    tip: u64,
+    roster: Vec<Member>,
+    jobs: Map<Id, Record>,
+    progress: Map<Id, Progress>,
+}
+
+/// Starts to read.
+pub(super) fn begin(state: &mut super::State, out: &mut Vec<Effect>) {
+    state.load = Some(State { begun: state.now, missing: PARTS.to_vec(), ..State::default() });
+    for part in PARTS {
+        read(state, part, None, out);
+    }
+    follow::restart(state, Range::Workers, std::time::Duration::ZERO);
+}
+
+fn read(state: &mut super::State, part: Part, after: Option<String>, out: &mut Vec<Effect>) {
+    let request = match part {
+        Part::Tip => Request::Read(Key::Tip),
+        Part::Roster => Request::Read(Key::Roster),
+        Part::Jobs => Request::List { range: Range::Jobs, after },
+        Part::Progress => Request::List { range: Range::Progress, after },
+    };
+    state.call_store(Purpose::Load(part), request, out);
+}
+
+/// Reads the parts again whose calls failed.
+pub(super) fn retry(state: &mut super::State, out: &mut Vec<Effect>) {
+    let Some(load) = &mut state.load else { return };
+    for (part, after) in std::mem::take(&mut load.retry) {
+        read(state, part, after, out);
+    }
+}
+
+/// Takes over an answer.
+pub(super) fn answered(state: &mut super::State, part: Part, reply: Reply, out: &mut Vec<Effect>) {
+    let Some(load) = &mut state.load else { return };
+    match reply {
+        Reply::Read(found) => {
+            match found {
+                Some((Value::Tip(_), revision)) => load.tip = revision,
+                Some((Value::Roster(roster), _)) => load.roster = roster,
+                _ => {}
+            }
+            load.missing.retain(|missing| *missing != part);
+        }
+        Reply::Page { items, next, .. } => {
+            take_page(load, items, out);
+            match next {
+                Some(next) => read(state, part, Some(next), out),
+                None => load.missing.retain(|missing| *missing != part),
+            }
+        }
+        _ => {
+            // A list starts again from its first page; records that are read twice are equal.
+            load.retry.push((part, None));
+            state.timers.set(state.now + state.tuning.store_retry, Timer::Load);
+        }
+    }
+    finish(state, out);
+}
+
+fn take_page(load: &mut State, items: Vec<(Item, u64)>, out: &mut Vec<Effect>) {
+    for (item, _) in items {
+        match item {
+            Item::Own(Key::Job(id), Value::Job(record)) => {
+                load.jobs.insert(id, *record);
+            }
+            Item::Own(Key::Progress(id), Value::Progress(progress)) => {
+                load.progress.insert(id, progress);
+            }
+            Item::Unreadable(reason) => state::record(out, Subject::Process, "unreadable-record", reason),
+            _ => {}
+        }
+    }
+}
+
+/// Notes that the workers were listed in this term.
+pub(super) fn workers_listed(state: &mut super::State, out: &mut Vec<Effect>) {
+    if let Some(load) = &mut state.load {
+        load.are_workers_listed = true;
+        finish(state, out);
+    }
+}
+
+/// Starts to schedule once everything is read.
+fn finish(state: &mut super::State, out: &mut Vec<Effect>) {
+    let is_read = state.load.as_ref().is_some_and(|load| load.missing.is_empty() && load.are_workers_listed);
+    if !is_read {
+        return;
+    }
+    let Some(load) = state.load.take() else { return };
+    state.journal.begin(load.tip, state.now);
+    let known = load.roster.len();
+    for member in &load.roster {
+        let key = state.workers.enter(&member.id, member.address, state.now);
+        state.workers.all[key].is_enrolled = true;
+    }
+    let count = load.jobs.len();
+    restore(state, load.jobs, load.progress);
+    let (begun, tuning) = (load.begun, state.tuning);
+    if count > 0 {
+        let lapse = tuning.worker_lease_max.max(tuning.worker_lease);
+        let until = begun + tuning.validity + lapse * 102 / 100 + tuning.margin;
+        state.workers.gate = Some(Gate { waiting: state.workers.all.keys().collect(), until });
+    }
+    let took = state.now.since(begun).as_millis();
+    let reason = format!("{count} jobs, {known} known workers, read in {took} ms");
+    state::record(out, Subject::Process, "loaded", reason);
+    for key in state.workers.all.keys().collect::<Vec<_>>() {
+        hold::call(state, key, out);
+    }
+    state.place_soon();
+    front::resume(state, out);
+}
+
+fn restore(state: &mut super::State, jobs: Map<Id, Record>, mut progress: Map<Id, Progress>) {
+    for (id, record) in jobs {
+        let progress = progress.remove(&id).unwrap_or_default();
+        restore_job(state, id, record, progress);
+    }
+    for (id, progress) in progress {
+        if progress.phase.has_ended() {
+            let record = Record {
+                queue: String::new(),
+                service: String::new(),
+                spec: Default::default(),
+                accepted_unix_ms: progress.finished_unix_ms,
+            };
+            restore_job(state, id, record, progress);
+        }
+    }
+}
+
+fn restore_job(state: &mut super::State, id: Id, record: Record, progress: Progress) {
+    let age = std::time::Duration::from_millis(state.unix_ms.saturating_sub(record.accepted_unix_ms));
+    let job = Job {
+        phase: if progress.marks.is_empty() { progress.phase } else { later(progress.phase) },
+        is_final: progress.phase.has_ended(),
+        marks: progress.marks,
+        finished_unix_ms: progress.finished_unix_ms,
+        is_stored: true,
+        ..book::describe(state, id, record)
+    };
+    let has_ended = job.phase.has_ended();
+    let due = Instant(job.due.0.saturating_sub(age.as_micros() as u64));
+    let key = state.jobs.all.insert(Job { due, ..job });
+    state.jobs.by_id.insert(id, key);
+    if has_ended {
+        book::forget_later(state, key);
+    } else {
+        book::release_due(state, key, Some(state.lead.term()));
+    }
+}
+
+/// A job with marks has started.
+fn later(phase: Phase) -> Phase {
+    if phase == Phase::Queued { Phase::Running } else { phase }
+}
--- /dev/null
+++ b/src/core/work/place.rs
@@ -0,0 +1,411 @@
+//! Placement: which task starts next, and on which worker.
+//!
+//! A pass looks at the steps that wait, most urgent first, and gives each task the worker with the best score. Work of
+//! priority 0 that finds no room for a while makes room by stopping work of a lower priority.
+
+use super::ask;
+use super::job::Group;
+use super::run::Phase;
+use super::spec::{Room, Step};
+use super::worker::{Key, Worker};
+use super::{control, run, state, task};
+use crate::core::effect::Effect;
+use crate::core::time::Instant;
+use crate::core::trace::Subject;
+use crate::hash::Map;
+
+/// Score of a worker that a task should avoid, such as one where it failed.
+const AVOIDED: i64 = -1_000_000_000;
+
+/// Score of a worker away from the data of a task.
+const FAR: i64 = -100_000_000;
+
+/// Score of each serving task beside a filling one, which it would disturb.
+const DISTURBED: i64 = -8_000;
+
+/// How a task's worker is chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Policy {
+    /// Score of a worker with room for the task; the highest is taken.
+    pub score: fn(&Need, &Worker) -> i64,
+}
+
+/// What a task needs.
+#[derive(Debug, Clone)]
+pub struct Need {
+    /// Service whose workers may run it.
+    pub service: String,
+    /// Room that it takes.
+    pub charged: Room,
+    /// Processor time that it can use, in thousandths of a core.
+    pub cpu: u32,
+    /// Label that the worker must have.
+    pub requires: Option<String>,
+    /// Rack that holds its data.
+    pub affinity: Option<String>,
+    /// Whether it runs until its job is cancelled.
+    pub lasting: bool,
+    /// Whether it uses only what others leave.
+    pub fills: bool,
+    /// Worker to avoid.
+    pub avoid: Option<Key>,
+}
+
+/// Packs batch work, spreads lasting work, and puts filling work where most is left unused.
+pub const PACKED: Policy = Policy { score: packed };
+
+/// Puts every task on the worker with most free cores; the baseline that [`PACKED`] is compared with.
+pub const SPREAD: Policy = Policy { score: |_, worker| i64::from(worker.free().cpu) };
+
+fn packed(need: &Need, worker: &Worker) -> i64 {
+    let free = i64::from(worker.free().cpu);
+    let far = need
+        .affinity
+        .as_ref()
+        .is_some_and(|rack| worker.report.as_ref().is_some_and(|report| !report.labels.contains(rack)));
+    let base = if need.fills {
+        free - i64::from(worker.filling_cpu) + DISTURBED * i64::from(worker.serving)
+    } else if need.lasting {
+        free
+    } else {
+        -free
+    };
+    base + if far { FAR } else { 0 }
+}
+
+/// A group of waiting tasks in the order of a pass.
+struct Waiting {
+    group: Group,
+    urgency: (u32, bool, Instant),
+}
+
+/// Runs the timer of a pass; one that a later timer replaced does nothing.
+pub(super) fn due(state: &mut super::State, out: &mut Vec<Effect>) {
+    if state.place_at.is_some_and(|at| at <= state.now) {
+        state.place_at = None;
+        pass(state, out);
+        if let Some(at) = next(state) {
+            state.place_by(at);
+        }
+    }
+}
+
+/// When a waiting task can first be placed although nothing else happens.
+fn next(state: &super::State) -> Option<Instant> {
+    let now = state.now;
+    let tasks = state.jobs.ready.values().flatten().filter_map(|key| state.jobs.tasks.get(*key));
+    let tasks = tasks.flat_map(|task| [task.not_before, task.ready_at + state.tuning.preempt_after]);
+    let workers = state.workers.all.values().map(|worker| worker.suspect_until);
+    let gate = state.workers.gate.iter().map(|gate| gate.until);
+    if state.jobs.ready.is_empty() {
+        return None;
+    }
+    tasks.chain(workers).chain(gate).filter(|at| *at > now).min()
+}
+
+/// Starts the waiting tasks that find a worker.
+fn pass(state: &mut super::State, out: &mut Vec<Effect>) {
+    if state.load.is_some() || !state.lead.may_act(state.now, &state.tuning) {
+        return;
+    }
+    let is_gated = state.workers.is_gated(state.now);
+    let mut failed: Vec<Need> = Vec::new();
+    let mut freed: Map<Key, Room> = Map::default();
+    for waiting in order(state) {
+        place_group(state, waiting.group, is_gated, &mut failed, &mut freed, out);
+    }
+    state.jobs.ready.retain(|_, tasks| !tasks.is_empty());
+}
+
+/// Waiting groups, most urgent first. Groups that are late already come after those that can still be in time.
+fn order(state: &super::State) -> Vec<Waiting> {
+    let mut waiting: Vec<Waiting> = state
+        .jobs
+        .ready
+        .keys()
+        .filter_map(|group| {
+            let job = state.jobs.all.get(group.job)?;
+            let is_late = job.due < state.now && !job.spec.lasts();
+            Some(Waiting { group: *group, urgency: (job.priority, is_late, job.due) })
+        })
+        .collect();
+    waiting.sort_unstable_by_key(|waiting| (waiting.urgency, waiting.group));
+    waiting
+}
+
+fn place_group(
+    state: &mut super::State,
+    group: Group,
+    is_gated: bool,
+    failed: &mut Vec<Need>,
+    freed: &mut Map<Key, Room>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(job) = state.jobs.all.get(group.job) else { return };
+    let step = job.spec.steps[group.step as usize].clone();
+    let (service, priority) = (job.service.clone(), job.priority);
+    let now = state.now;
+    let waiting: Vec<task::Key> = state.jobs.ready.get(&group).into_iter().flatten().copied().collect();
+    let startable = |key: &task::Key| {
+        state.jobs.tasks.get(*key).is_some_and(|task| {
+            task.phase == task::Phase::Ready && task.not_before <= now && !(is_gated && task.may_be_hidden)
+        })
+    };
+    let candidates: Vec<task::Key> = waiting.iter().copied().filter(startable).collect();
+    if step.gang && candidates.len() < step.count as usize {
+        return;
+    }
+    let need = Need {
+        service,
+        charged: step.charged(),
+        cpu: step.room.cpu,
+        requires: step.requires.clone(),
+        affinity: step.affinity.clone(),
+        lasting: step.lasting,
+        fills: step.fills,
+        avoid: None,
+    };
+    if step.gang {
+        return place_gang(state, group, &step, need, candidates, out);
+    }
+    for key in candidates {
+        let need = Need { avoid: state.jobs.tasks[key].avoid, ..need.clone() };
+        if failed.iter().any(|other| is_harder(&need, other)) {
+            make_room(state, key, &need, priority, freed, out);
+            continue;
+        }
+        let Some(worker) = choose(state, &need, &step, group, &Map::default()) else {
+            if step.max_per_worker.is_none() && need.requires.is_none() {
+                failed.push(need.clone());
+            }
+            make_room(state, key, &need, priority, freed, out);
+            continue;
+        };
+        let number = state.jobs.tasks[key].next_run;
+        if control::start(state, key, worker, number, out) {
+            take(state, group, key);
+        }
+    }
+}
+
+/// Whether a task surely finds no worker since one that needs less found none.
+fn is_harder(need: &Need, failed: &Need) -> bool {
+    need.service == failed.service && need.charged.holds(failed.charged)
+}
+
+fn take(state: &mut super::State, group: Group, key: task::Key) {
+    if let Some(tasks) = state.jobs.ready.get_mut(&group) {
+        tasks.retain(|other| *other != key);
+    }
+}
+
+/// Best worker with room for a task; `planned` is room that the same decision uses already.
+fn choose(
+    state: &super::State,
+    need: &Need,
+    step: &Step,
+    group: Group,
+    planned: &Map<Key, (Room, u32)>,
+) -> Option<Key> {
+    let fits = |(key, worker): &(Key, &Worker)| {
+        let Some(report) = &worker.report else { return false };
+        let (room, count) = planned.get(key).copied().unwrap_or_default();
+        report.service == need.service
+            && worker.takes_work(state.now)
+            && worker.free().without(room).holds(need.charged)
+            && need.requires.as_ref().is_none_or(|label| report.labels.contains(label))
+            && step.max_per_worker.is_none_or(|most| beside(state, worker, group) + count < most)
+    };
+    let score = |key: Key, worker: &Worker| {
+        let avoided = if need.avoid == Some(key) { AVOIDED } else { 0 };
+        (state.policy.score)(need, worker) + avoided
+    };
+    let all = state.workers.all.iter().filter(fits);
+    all.max_by_key(|(key, worker)| score(*key, worker)).map(|(key, _)| key)
+}
+
+/// Runs of the same step and occurrence on a worker.
+fn beside(state: &super::State, worker: &Worker, group: Group) -> u32 {
+    let Some(job) = state.jobs.all.get(group.job) else { return 0 };
+    let same = |run: &&run::Key| {
+        state.runs.get(**run).is_some_and(|run| {
+            run.name.job == job.id && run.name.occurrence == group.occurrence && run.name.step == group.step
+        })
+    };
+    worker.runs.iter().filter(same).count() as u32
+}
+
+/// Starts all tasks of a gang, or none. They get one run number, and one rack if they are slow on several.
+fn place_gang(
+    state: &mut super::State,
+    group: Group,
+    step: &Step,
+    need: Need,
+    tasks: Vec<task::Key>,
+    out: &mut Vec<Effect>,
+) {
+    let racks: Vec<Option<String>> = if step.same_rack { racks(state) } else { Vec::new() };
+    let plan = racks.iter().chain([&None]).find_map(|rack| {
+        plan_gang(state, group, step, &Need { affinity: rack.clone(), ..need.clone() }, rack)
+    });
+    let Some(plan) = plan else { return };
+    let number = tasks.iter().map(|task| state.jobs.tasks[*task].next_run).max().unwrap_or(1);
+    let saved = tasks.iter().map(|task| state.jobs.tasks[*task].saved.clone()).max().unwrap_or_default();
+    for (key, worker) in tasks.into_iter().zip(plan) {
+        state.jobs.tasks[key].saved.clone_from(&saved);
+        if control::start(state, key, worker, number, out) {
+            take(state, group, key);
+        }
+    }
+}
+
+/// Racks of the workers that take work.
+fn racks(state: &super::State) -> Vec<Option<String>> {
+    let mut racks: Vec<Option<String>> = state
+        .workers
+        .all
+        .values()
+        .filter(|worker| worker.takes_work(state.now))
+        .filter_map(|worker| worker.report.as_ref()?.rack().map(|rack| Some(rack.to_owned())))
+        .collect();
+    racks.sort_unstable();
+    racks.dedup();
+    racks
+}
+
+/// Workers for all tasks of a gang, within one rack if one is given.
+fn plan_gang(
+    state: &super::State,
+    group: Group,
+    step: &Step,
+    need: &Need,
+    rack: &Option<String>,
+) -> Option<Vec<Key>> {
+    let mut planned: Map<Key, (Room, u32)> = Map::default();
+    let mut workers = Vec::with_capacity(step.count as usize);
+    for _ in 0..step.count {
+        let need = Need { requires: need.requires.clone(), ..need.clone() };
+        let key = choose(state, &need, step, group, &planned)?;
+        let report = state.workers.all[key].report.as_ref()?;
+        if rack.is_some() && report.rack() != rack.as_deref() {
+            return None;
+        }
+        let (room, count) = planned.entry(key).or_default();
+        *room = room.with(need.charged);
+        *count += 1;
+        workers.push(key);
+    }
+    Some(workers)
+}
+
+/// Stops work of a lower priority so that an urgent task that has waited for a while finds room.
+///
+/// `freed` is the room that becomes free by orders to stop and is not promised to another task of this pass.
+fn make_room(
+    state: &mut super::State,
+    key: task::Key,
+    need: &Need,
+    priority: u32,
+    freed: &mut Map<Key, Room>,
+    out: &mut Vec<Effect>,
+) {
+    let task = &state.jobs.tasks[key];
+    let waited = state.now.since(task.ready_at);
+    if priority > 0 || waited < state.tuning.preempt_after {
+        return;
+    }
+    let name = task.name;
+    if freed.is_empty() {
+        *freed = stopping(state);
+    }
+    let promised = freed.iter().find(|(worker, room)| {
+        let Some(worker) = state.workers.all.get(**worker) else { return false };
+        matches(worker, need)
+            && worker.takes_work(state.now)
+            && worker.free().with(**room).holds(need.charged)
+    });
+    if let Some((worker, room)) = promised.map(|(worker, room)| (*worker, *room)) {
+        freed.insert(worker, room.without(need.charged));
+        return;
+    }
+    let best = state
+        .workers
+        .all
+        .iter()
+        .filter(|(_, worker)| matches(worker, need) && worker.takes_work(state.now))
+        .filter_map(|(worker, _)| {
+            victims(state, worker, need, priority).map(|(cost, runs)| (cost, worker, runs))
+        })
+        .min_by_key(|(cost, ..)| *cost);
+    let Some((_, worker, runs)) = best else { return };
+    let reason = format!("{} runs make room for {name}", runs.len());
+    state::record(out, Subject::Job(name.job), "preempt", reason);
+    for run in runs {
+        let charged = state.runs[run].charged;
+        let room = freed.entry(worker).or_default();
+        *room = room.with(charged);
+        control::stop(state, run, "more urgent work needs the room", out);
+    }
+    let room = freed.entry(worker).or_default();
+    *room = room.without(need.charged);
+}
+
+fn matches(worker: &Worker, need: &Need) -> bool {
+    worker.report.as_ref().is_some_and(|report| {
+        report.service == need.service
+            && need.requires.as_ref().is_none_or(|label| report.labels.contains(label))
+    })
+}
+
+/// Room of the runs that are being stopped, by worker.
+fn stopping(state: &super::State) -> Map<Key, Room> {
+    let mut rooms: Map<Key, Room> = Map::default();
+    for run in state.runs.values().filter(|run| matches!(run.phase, Phase::Stopping { .. })) {
+        let room = rooms.entry(run.worker).or_default();
+        *room = room.with(run.charged);
+    }
+    rooms
+}
+
+/// Runs on a worker whose end makes room for a task, with the work that is thrown away.
+fn victims(state: &super::State, key: Key, need: &Need, priority: u32) -> Option<(u64, Vec<run::Key>)> {
+    let worker = &state.workers.all[key];
+    let mut able: Vec<(u64, run::Key, Room)> = worker
+        .runs
+        .iter()
+        .filter_map(|key| {
+            let run = state.runs.get(*key)?;
+            let job = state.jobs.all.get(state.jobs.find(run.name.job)?)?;
+            let step = job.spec.steps.get(run.name.step as usize)?;
+            let can = matches!(run.phase, Phase::Active { .. })
+                && job.priority > priority
+                && !step.lasting
+                && !step.gang
+                && job.phase == ask::Phase::Running;
+            can.then(|| (waste(state, run, step), *key, run.charged))
+        })
+        .collect();
+    able.sort_unstable_by_key(|(waste, ..)| *waste);
+    let mut room = worker.free();
+    let mut cost = 0;
+    let mut runs = Vec::new();
+    for (waste, key, charged) in able {
+        if room.holds(need.charged) {
+            break;
+        }
+        if charged.cpu == 0 && room.cpu < need.charged.cpu && room.memory_mb >= need.charged.memory_mb {
+            continue;
+        }
+        room = room.with(charged);
+        cost += waste;
+        runs.push(key);
+    }
+    (room.holds(need.charged) && !runs.is_empty()).then_some((cost, runs))
+}
+
+/// Work that a stop throws away, in core-milliseconds; a task that saves its progress loses only its restoration.
+fn waste(state: &super::State, run: &run::Run, step: &Step) -> u64 {
+    const RESTORE_MS: u64 = 300;
+    let ran = state.now.since(run.started).as_millis() as u64;
+    u64::from(step.room.cpu) * if step.checkpoint { RESTORE_MS } else { RESTORE_MS + ran }
+}
--- /dev/null
+++ b/src/core/work/roster.rs
@@ -0,0 +1,68 @@
+//! Workers as the store lists them.
+
+use super::store::{Change, Item, Removed, Revision};
+use super::worker::{Report, Standing};
+use super::{hold, journal, state};
+use crate::core::effect::Effect;
+use crate::core::trace::Subject;
+
+/// Takes over a whole list.
+pub(super) fn listed(state: &mut super::State, items: Vec<(Item, Revision)>, out: &mut Vec<Effect>) {
+    let mut named = crate::hash::Set::default();
+    for (item, _) in items {
+        if let Item::Worker(id, Some(report)) = item {
+            reported(state, &id, report, out);
+            named.insert(id);
+        }
+    }
+    let missing: Vec<String> = state
+        .workers
+        .all
+        .values()
+        .filter(|worker| worker.is_listed && !named.contains(&worker.id))
+        .map(|worker| worker.id.clone())
+        .collect();
+    for id in missing {
+        removed(state, &id, out);
+    }
+    journal::enroll(state, out);
+    state.place_soon();
+}
+
+/// Takes over changes.
+pub(super) fn changed(state: &mut super::State, changes: Vec<Change>, out: &mut Vec<Effect>) {
+    for change in changes {
+        match change {
+            Change::Set(Item::Worker(id, Some(report)), _) => reported(state, &id, report, out),
+            Change::Removed(Removed::Worker(id)) => removed(state, &id, out),
+            _ => {}
+        }
+    }
+    journal::enroll(state, out);
+    state.place_soon();
+}
+
+fn reported(state: &mut super::State, id: &str, report: Report, out: &mut Vec<Effect>) {
+    let key = state.workers.enter(id, report.address, state.now);
+    let worker = &mut state.workers.all[key];
+    let is_new = !worker.is_listed;
+    let leaves = report.standing == Standing::Draining
+        && worker.report.as_ref().is_none_or(|old| old.standing == Standing::Ready);
+    if leaves {
+        state::record(out, Subject::Process, "worker-drains", id.to_owned());
+    }
+    worker.address = report.address;
+    worker.is_listed = true;
+    worker.report = Some(report);
+    if is_new && state.load.is_none() {
+        hold::soon(state, key);
+        hold::call(state, key, out);
+    }
+}
+
+fn removed(state: &mut super::State, id: &str, out: &mut Vec<Effect>) {
+    let Some(key) = state.workers.by_id.get(id).copied() else { return };
+    let worker = &mut state.workers.all[key];
+    worker.is_listed = false;
+    state::record(out, Subject::Process, "worker-unlisted", id.to_owned());
+}
--- /dev/null
+++ b/src/core/work/run.rs
@@ -0,0 +1,77 @@
+//! Runs: each a start of one task on one worker, until the worker says that it is gone.
+
+use slotmap::SlotMap;
+
+use super::spec::{Name, Room};
+use super::{task, worker};
+use crate::core::time::Instant;
+
+slotmap::new_key_type! {
+    /// A run.
+    pub struct Key;
+}
+
+/// State of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// The order to start is under way.
+    Starting,
+    /// The order got no answer, so the run may start late.
+    Doubtful {
+        /// When the wait for the answer ended.
+        since: Instant,
+    },
+    /// The worker has it.
+    Active {
+        /// When this became known.
+        since: Instant,
+    },
+    /// It is being stopped.
+    Stopping {
+        /// When the order was sent last.
+        sent: Instant,
+        /// When the worker confirmed the order; nothing starts there under this number after that.
+        confirmed: Option<Instant>,
+    },
+}
+
+/// How a run shares its worker with others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Share {
+    /// Processor time that it can use of what others leave, in thousandths of a core; 0 if it does not fill.
+    pub filling_cpu: u32,
+    /// Whether it has users of its own.
+    pub serves: bool,
+}
+
+/// A run.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Task; `None` for a run that belongs to no known task.
+    pub task: Option<task::Key>,
+    /// Name of the task.
+    pub name: Name,
+    /// Number of the run.
+    pub number: u32,
+    /// Where it is.
+    pub worker: worker::Key,
+    /// Room that it takes.
+    pub charged: Room,
+    /// What it does to its neighbours, and they to it.
+    pub share: Share,
+    /// State.
+    pub phase: Phase,
+    /// When it was ordered or first seen.
+    pub started: Instant,
+    /// Progress in percent.
+    pub percent: u32,
+    /// When the progress last changed.
+    pub progressed: Instant,
+    /// Newest observation of the worker.
+    pub observed: Option<u32>,
+    /// Share at which it works, in percent.
+    pub pace: u32,
+}
+
+/// Runs of the deployment.
+pub type Table = SlotMap<Key, Run>;
--- /dev/null
+++ b/src/core/work/state.rs
@@ -0,0 +1,228 @@
+//! State of the scheduling of jobs in one entry VM.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::config::Config;
+use super::effect::Effect;
+use super::order::Order;
+use super::store::{Call, Range, Request};
+use super::timer::Timer;
+use super::tuning::Tuning;
+use super::{front, job, journal, lead, load, place, run, worker};
+use crate::core::effect::Effect as Any;
+use crate::core::time::Instant;
+use crate::core::timer::Queue;
+use crate::core::trace::{Entry, Subject};
+use crate::hash::{self, Map};
+
+/// This process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// Name of its VM.
+    pub vm: String,
+    /// Address for other entry VMs.
+    pub address: SocketAddr,
+    /// Distinguishes processes.
+    pub nonce: u64,
+}
+
+/// What a store call is for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Purpose {
+    /// A page of a range that is followed.
+    Follow(Range),
+    /// Changes of a range that is followed.
+    Watch(Range),
+    /// The lease of a campaign.
+    Lease,
+    /// The transaction of a campaign.
+    Campaign,
+    /// A renewal of the leadership.
+    Renew,
+    /// Records at the start of a term.
+    Load(load::Part),
+    /// Records that must last.
+    Commit,
+    /// The end of the leadership.
+    Resign,
+}
+
+/// A store call in flight.
+#[derive(Debug, Clone)]
+pub struct Pending {
+    /// What it is for.
+    pub purpose: Purpose,
+    /// When it was made.
+    pub sent: Instant,
+}
+
+/// How a range of the store is followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Follow {
+    /// Revision from which to watch; 0 before the range was listed.
+    pub after: u64,
+    /// Call in flight.
+    pub call: Option<Call>,
+    /// Whether the range was read at least once.
+    pub is_known: bool,
+}
+
+/// State of the scheduling of jobs.
+#[derive(Debug, Clone)]
+pub struct State {
+    /// Time of the input being reduced.
+    pub now: Instant,
+    /// Time of day of the input, in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+    /// Times and limits.
+    pub tuning: Tuning,
+    /// What is due when.
+    pub timers: Queue<Timer>,
+    /// This process.
+    pub me: Identity,
+    /// Configuration in force.
+    pub config: Config,
+    /// Who leads.
+    pub lead: lead::State,
+    /// Reading of the records at the start of a term.
+    pub load: Option<load::State>,
+    /// Workers.
+    pub workers: worker::Table,
+    /// Runs.
+    pub runs: run::Table,
+    /// Jobs.
+    pub jobs: job::Table,
+    /// Records that wait for the store.
+    pub journal: journal::State,
+    /// Requests that wait.
+    pub front: front::State,
+    /// Ranges of the store that are followed.
+    pub follow: Map<Range, Follow>,
+    /// When the next placement pass is due, if one is.
+    pub place_at: Option<Instant>,
+    /// How the worker of a task is chosen.
+    pub policy: place::Policy,
+    /// Whether a graceful stop has begun.
+    pub is_stopping: bool,
+    /// When a graceful stop ends at the latest.
+    pub stop_by: Instant,
+    calls: Map<Call, Pending>,
+    last_call: u64,
+    random: u64,
+}
+
+impl State {
+    /// State of a process that starts at `now`.
+    pub fn new(me: Identity, tuning: Tuning, now: Instant) -> Self {
+        let mut timers = Queue::default();
+        timers.set(now, Timer::Follow(Range::Config));
+        timers.set(now, Timer::Follow(Range::Leadership));
+        Self {
+            now,
+            unix_ms: 0,
+            tuning,
+            timers,
+            me,
+            config: Config::default(),
+            lead: lead::State::default(),
+            load: None,
+            workers: worker::Table::default(),
+            runs: run::Table::default(),
+            jobs: job::Table::default(),
+            journal: journal::State::default(),
+            front: front::State::default(),
+            follow: Map::default(),
+            place_at: None,
+            policy: place::PACKED,
+            is_stopping: false,
+            stop_by: Instant::default(),
+            calls: Map::default(),
+            last_call: 0,
+            random: 0,
+        }
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.config.version > 0 && !self.is_stopping
+    }
+
+    /// Takes over time and randomness of an input.
+    pub(super) fn advance(&mut self, now: Instant, unix_ms: u64, entropy: u64) {
+        self.now = self.now.max(now);
+        self.unix_ms = unix_ms;
+        self.random = entropy;
+    }
+
+    /// Next pseudo-random number, derived from the input's entropy.
+    pub(super) fn draw(&mut self) -> u64 {
+        self.random = hash::numbers([self.random, 0x9e37_79b9_7f4a_7c15]);
+        self.random
+    }
+
+    /// A random share of `span`.
+    pub(super) fn jitter(&mut self, span: Duration) -> Duration {
+        span.mul_f64((self.draw() % 1_000) as f64 / 1_000.0)
+    }
+
+    /// Calls the store.
+    pub(super) fn call_store(&mut self, purpose: Purpose, request: Request, out: &mut Vec<Any>) -> Call {
+        self.last_call += 1;
+        let call = Call(self.last_call);
+        self.calls.insert(call, Pending { purpose, sent: self.now });
+        out.push(Any::Work(Effect::Store { call, request }));
+        call
+    }
+
+    /// What a call was for, when it is answered.
+    pub(super) fn take_call(&mut self, call: Call) -> Option<Pending> {
+        self.calls.remove(&call)
+    }
+
+    /// Whether a call for this purpose is in flight.
+    pub(super) fn is_calling(&self, purpose: &Purpose) -> bool {
+        self.calls.values().any(|pending| pending.purpose == *purpose)
+    }
+
+    /// Forgets the calls of the term that has ended; their answers are no longer of interest.
+    pub(super) fn forget_calls(&mut self) {
+        self.calls.retain(|_, pending| matches!(pending.purpose, Purpose::Follow(_) | Purpose::Watch(_)));
+    }
+
+    /// Sends an order to a worker, unless this process may not act.
+    pub(super) fn order(&self, key: worker::Key, order: Order, out: &mut Vec<Any>) {
+        let Some(worker) = self.workers.all.get(key) else { return };
+        out.push(Any::Work(Effect::Worker {
+            id: worker.id.clone(),
+            address: worker.address,
+            fence: self.lead.term(),
+            order,
+            sent: self.now,
+            not_after: self.lead.valid_until(&self.tuning),
+        }));
+    }
+
+    /// Lets a placement pass follow soon.
+    pub(super) fn place_soon(&mut self) {
+        self.place_by(self.now + self.tuning.place_interval);
+    }
+
+    /// Lets a placement pass follow at `at`, unless one is due earlier; each pass says when the next is due.
+    pub(super) fn place_by(&mut self, at: Instant) {
+        if self.place_at.is_none_or(|due| due > at) {
+            self.place_at = Some(at);
+            self.timers.set(at, Timer::Place);
+        }
+    }
+}
+
+/// Adds a decision to the time line.
+pub(super) fn record(
+    out: &mut Vec<Any>,
+    subject: Subject,
+    decision: &'static str,
+    reason: impl Into<String>,
+) {
+    out.push(Any::Record(Entry { subject, decision, reason: reason.into() }));
+}
--- /dev/null
+++ b/src/core/work/timer.rs
@@ -0,0 +1,29 @@
+//! Timers of the scheduling of jobs.
+
+use super::store::Range;
+use super::{job, worker};
+
+/// What is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    /// List or watch a range of the store.
+    Follow(Range),
+    /// Try to become the leader.
+    Campaign,
+    /// Renew the leadership.
+    Renew,
+    /// Go on with reading the records after a fault.
+    Load,
+    /// Write waiting records.
+    Commit,
+    /// Contact a worker.
+    Hold(worker::Key),
+    /// Start tasks.
+    Place,
+    /// Release the next occurrence of a job.
+    Release(job::Key),
+    /// Remove a job that ended long ago.
+    Forget(job::Key),
+    /// End of the graceful stop.
+    Stop,
+}
--- /dev/null
+++ b/src/core/work/tuning.rs
@@ -0,0 +1,99 @@
+//! Times and limits of the scheduling of jobs.
+
+use std::time::Duration;
+
+/// Times and limits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tuning {
+    /// Life of the leader's key in the store without a renewal.
+    pub leader_ttl: Duration,
+    /// Interval between renewals; several fit into the life of the key.
+    pub leader_renewal: Duration,
+    /// How long a leader acts after its last confirmed renewal was sent.
+    pub validity: Duration,
+    /// Length of a worker's lease; bridges the change of the leader.
+    pub worker_lease: Duration,
+    /// Longest lease that workers grant.
+    pub worker_lease_max: Duration,
+    /// Added to the computed end of a lease before it is taken as lapsed.
+    pub margin: Duration,
+    /// How long a worker may wait for an end before it answers a renewal.
+    pub poll: Duration,
+    /// The same on workers where response times are observed.
+    pub poll_observed: Duration,
+    /// Interval between contacts to a worker that runs nothing.
+    pub poll_idle: Duration,
+    /// Wait before a worker that did not answer is called again.
+    pub worker_retry: Duration,
+    /// Longest wait for an answer of a worker, besides the wait that the call asks for.
+    pub worker_timeout: Duration,
+    /// Shortest time between two commits.
+    pub commit_interval: Duration,
+    /// Keys that one commit may set or delete; the rest of the store's limit are its conditions.
+    pub commit_keys: usize,
+    /// Time without a successful commit after which new jobs are refused.
+    pub commit_patience: Duration,
+    /// Wait before a store call is repeated.
+    pub store_retry: Duration,
+    /// Longest wait for an answer of the store.
+    pub store_timeout: Duration,
+    /// Wait of a watch for an event; short, since a connection may have gone silent.
+    pub watch: Duration,
+    /// Shortest time between two placement passes.
+    pub place_interval: Duration,
+    /// Time that a caller is told to wait when its request was refused, in seconds.
+    pub come_back_s: u32,
+    /// How long the state of an ended job is kept.
+    pub retention: Duration,
+    /// Failures of different jobs' tasks, with no success between, that keep a worker from placement.
+    pub suspect_failures: u32,
+    /// How long such a worker is kept from placement.
+    pub suspect: Duration,
+    /// Time without progress after which a task is stopped and started elsewhere.
+    pub stall: Duration,
+    /// How long a task of a failed run waits before it is started again.
+    pub task_retry: Duration,
+    /// Wait of a task of priority 0 after which it may preempt others.
+    pub preempt_after: Duration,
+    /// Share to which filling tasks are paced down while a serving task misses its target, in percent.
+    pub paced: u32,
+    /// Time below the target after which filling tasks work at full share again.
+    pub unpace: Duration,
+    /// Longest wait of a graceful stop for requests in progress.
+    pub stop_wait: Duration,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            leader_ttl: Duration::from_millis(2_000),
+            leader_renewal: Duration::from_millis(400),
+            validity: Duration::from_millis(5_000),
+            worker_lease: Duration::from_millis(4_500),
+            worker_lease_max: Duration::from_millis(6_000),
+            margin: Duration::from_millis(150),
+            poll: Duration::from_millis(1_000),
+            poll_observed: Duration::from_millis(500),
+            poll_idle: Duration::from_millis(2_500),
+            worker_retry: Duration::from_millis(250),
+            worker_timeout: Duration::from_millis(800),
+            commit_interval: Duration::from_millis(12),
+            commit_keys: 28,
+            commit_patience: Duration::from_millis(400),
+            store_retry: Duration::from_millis(100),
+            store_timeout: Duration::from_millis(1_500),
+            watch: Duration::from_millis(2_000),
+            place_interval: Duration::from_millis(4),
+            come_back_s: 1,
+            retention: Duration::from_secs(150),
+            suspect_failures: 2,
+            suspect: Duration::from_secs(6),
+            stall: Duration::from_millis(1_500),
+            task_retry: Duration::from_millis(20),
+            preempt_after: Duration::from_millis(150),
+            paced: 0,
+            unpace: Duration::from_millis(3_000),
+            stop_wait: Duration::from_millis(2_000),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod hash;
 pub mod local;
 pub mod node;
+pub mod platform;
 pub mod port;
 pub mod session;
 pub mod settings;
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -127,10 +127,11 @@
             name: name.clone(),
             zone: zone.to_owned(),
             listen: Listen { caller: loopback(), admin: loopback(), peer: loopback() },
-            platform: Platform { store: self.store.address(), listing: self.listing.address() },
+            platform: Platform { store: self.store.address(), listing: Some(self.listing.address()) },
             tls: None,
             log: Log::default(),
             limits: Limits::default(),
+            jobs: None,
         };
         let arbiter = Arbiter::new();
         let (sender, receiver) = oneshot::channel();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! An actor owns the [`State`], feeds events to the reducer, and hands effects to the ports. It makes no decision.
 
+pub mod jobs;
 pub mod start;
 
 use std::sync::Arc;
@@ -90,7 +91,8 @@
 impl Node {
     /// Reduces one event and performs its effects.
     fn step(&mut self, event: Event, context: &mut Context<Self>) {
-        let input = Input { at: self.clock.now(), entropy: self.random.random(), event };
+        let input =
+            Input { at: self.clock.now(), unix_ms: port::unix_ms(), entropy: self.random.random(), event };
         let mut effects = Vec::new();
         reduce(&mut self.state, input, &mut effects);
         for effect in effects {
@@ -117,6 +119,8 @@
                 self.metrics.decision(entry.decision);
                 self.timeline.record(self.state.now, &entry);
             }
+            // This process schedules declared work only.
+            Effect::Work(_) => {}
             Effect::Ready(ready) => self.ready.store(ready, Ordering::Relaxed),
             Effect::StopListening => {
                 let caller = self.ports.caller.clone();
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -25,7 +25,7 @@
 use crate::timeline::writer::{CAPACITY, Writer};
 
 /// How long an operator's call waits for the reducer.
-const ADMIN_DEADLINE: Duration = Duration::from_secs(10);
+pub(super) const ADMIN_DEADLINE: Duration = Duration::from_secs(10);
 
 /// Longest wait for the VM list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -96,6 +96,9 @@
 ///
 /// An address cannot be used, or a file of the settings cannot be read.
 pub fn start(settings: &Settings) -> Result<Running> {
+    let Some(listing) = settings.platform.listing else {
+        return Err(Error::call("start", "the settings name no VM list"));
+    };
     let (inbox, events) = Inbox::new();
     let clock = Clock::start();
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -142,7 +145,7 @@
         ),
         store: port::store::Port::new(settings.platform.store, timeout, inbox.clone()),
         worker: port::worker::Port::new(timeout, clock, inbox.clone()),
-        _listing: port::listing::Port::new(settings.platform.listing, LIST_TIMEOUT, inbox.clone()),
+        _listing: port::listing::Port::new(listing, LIST_TIMEOUT, inbox.clone()),
         bodies,
         caller,
         peer,
@@ -186,7 +189,7 @@
     })
 }
 
-fn open_timeline(settings: &Settings, id: member::Id) -> Result<Writer> {
+pub(super) fn open_timeline(settings: &Settings, id: member::Id) -> Result<Writer> {
     let origin = Origin { process: settings.name.clone(), instance: id.0, zone: settings.zone.clone() };
     match &settings.log.timeline {
         Some(path) => Writer::with_file(origin, CAPACITY, path),
@@ -204,7 +207,7 @@
 }
 
 /// Starts the administration API and returns its address.
-fn listen(admin: &port::admin::Port, address: SocketAddr) -> Result<SocketAddr> {
+pub(super) fn listen(admin: &port::admin::Port, address: SocketAddr) -> Result<SocketAddr> {
     let listener =
         TcpListener::bind(address).map_err(|error| Error::io(format!("listen on {address}"), error))?;
     let local = listener.local_addr().map_err(|error| Error::io("read the address of a socket", error))?;
--- /dev/null
+++ b/src/platform/entry.rs
@@ -0,0 +1,62 @@
+//! Entries of workers in the store.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use crate::core::work::spec::Room;
+use crate::core::work::worker::{Report, Standing};
+
+/// Resources as the platform writes them.
+#[derive(Deserialize)]
+pub(super) struct Capacity {
+    #[serde(default)]
+    cpu: u32,
+    #[serde(default)]
+    mem_mb: u32,
+    #[serde(default)]
+    gpu: u32,
+}
+
+impl From<Capacity> for Room {
+    fn from(capacity: Capacity) -> Self {
+        Self { cpu: capacity.cpu, memory_mb: capacity.mem_mb, gpu: capacity.gpu }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Ready,
+    Draining,
+}
+
+#[derive(Deserialize)]
+struct Entry {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    state: State,
+    capacity: Option<Capacity>,
+    #[serde(default)]
+    labels: Vec<String>,
+    /// Start of the worker's life in milliseconds since the Unix epoch.
+    born: Option<u64>,
+}
+
+/// Report of a worker; `None` if another writer left bytes that describe no worker.
+pub(super) fn decode(bytes: &[u8]) -> Option<Report> {
+    let entry: Entry = serde_json::from_slice(bytes).ok()?;
+    Some(Report {
+        service: entry.service,
+        address: entry.address,
+        zone: entry.zone,
+        standing: match entry.state {
+            State::Ready => Standing::Ready,
+            State::Draining => Standing::Draining,
+        },
+        capacity: entry.capacity.map(Room::from),
+        labels: entry.labels,
+        born: entry.born,
+    })
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,306 @@
+//! Calls to the platform's store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::rt;
+use awc::Client;
+use awc::http::StatusCode;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::{config, entry};
+use crate::core::event::Event;
+use crate::core::work::event::Event as WorkEvent;
+use crate::core::work::store::{
+    Call, Change, Item, Key, Range, Removed, Reply, Request, Revision, Transaction, Value,
+};
+use crate::port::Inbox;
+use crate::port::http::{self, Answer, Fault};
+use crate::wire::job as wire;
+
+/// Prefix of the keys that the operator writes.
+const OPERATOR: &str = "op/";
+
+/// Key of the operator's configuration.
+const CONFIG: &str = "op/config";
+
+/// Prefix of the entries of workers.
+const WORKERS: &str = "servers/";
+
+/// Sends calls to the store from the arbiter it was created on.
+#[derive(Clone)]
+pub struct Port {
+    client: Client,
+    base: String,
+    timeout: Duration,
+    inbox: Inbox,
+}
+
+#[derive(Deserialize)]
+struct Row {
+    key: String,
+    value: Option<String>,
+    #[serde(default)]
+    revision: Revision,
+    #[serde(default)]
+    removed: bool,
+}
+
+#[derive(Deserialize)]
+struct Page {
+    items: Vec<Row>,
+    #[serde(default)]
+    truncated: bool,
+    as_of: Revision,
+}
+
+#[derive(Deserialize)]
+struct Events {
+    #[serde(default)]
+    events: Vec<Row>,
+    as_of: Revision,
+}
+
+#[derive(Deserialize)]
+struct Conflict {
+    #[serde(default)]
+    items: Vec<Row>,
+}
+
+#[derive(Deserialize)]
+struct Stamp {
+    revision: Revision,
+}
+
+#[derive(Deserialize)]
+struct Lease {
+    lease: u64,
+}
+
+#[derive(Serialize)]
+struct Expect {
+    key: String,
+    revision: Revision,
+}
+
+#[derive(Serialize)]
+struct Put {
+    key: String,
+    value: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    lease: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct Txn {
+    expect: Vec<Expect>,
+    set_keys: Vec<Put>,
+    delete: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct Ttl {
+    ttl_ms: u64,
+}
+
+impl Port {
+    /// A port to the store at `address`; `timeout` is the longest wait for an answer, besides that of a watch.
+    pub fn new(address: SocketAddr, timeout: Duration, inbox: Inbox) -> Self {
+        Self { client: http::client(timeout), base: format!("http://{address}"), timeout, inbox }
+    }
+
+    /// Starts a call; the answer arrives as an event.
+    pub fn call(&self, call: Call, request: Request) {
+        let port = self.clone();
+        rt::spawn(async move {
+            let (Ok(reply) | Err(reply)) = port.execute(request).await;
+            port.inbox.send(Event::Work(WorkEvent::Store { call, reply }));
+        });
+    }
+
+    /// Both sides are replies: the error side ends the decoding early.
+    async fn execute(&self, request: Request) -> Result<Reply, Reply> {
+        match request {
+            Request::Lease { ttl } => {
+                let body = Ttl { ttl_ms: ttl.as_millis() as u64 };
+                let answer = self.post("/kv-lease", &body).await?;
+                let lease: Lease = parse(&answer)?;
+                Ok(Reply::Leased(lease.lease))
+            }
+            Request::Renew { lease } => {
+                let url = format!("{}/kv-keep/{lease}", self.base);
+                let answer = self.receive(self.client.post(url).send(), Duration::ZERO).await?;
+                match answer.status {
+                    StatusCode::OK => Ok(Reply::Renewed),
+                    StatusCode::NOT_FOUND => Err(Reply::Gone),
+                    status => Err(refusal(status)),
+                }
+            }
+            Request::Commit(transaction) => self.commit(transaction).await,
+            Request::Read(key) => self.read(key).await,
+            Request::List { range, after } => self.list(range, after).await,
+            Request::Watch { range, after, wait } => self.watch(range, after, wait).await,
+        }
+    }
+
+    async fn commit(&self, transaction: Transaction) -> Result<Reply, Reply> {
+        let expect = |(key, revision)| Expect { key: wire::key_text(key), revision };
+        let put = |(key, value, lease): (Key, Value, Option<u64>)| Put {
+            key: wire::key_text(key),
+            value: STANDARD.encode(wire::encode(&value)),
+            lease,
+        };
+        let body = Txn {
+            expect: transaction.expect.into_iter().map(expect).collect(),
+            set_keys: transaction.put.into_iter().map(put).collect(),
+            delete: transaction.delete.into_iter().map(wire::key_text).collect(),
+        };
+        let answer = self.post_any("/kv-txn", &body).await?;
+        match answer.status {
+            StatusCode::OK => Ok(Reply::Committed(parse::<Stamp>(&answer)?.revision)),
+            StatusCode::PRECONDITION_FAILED => {
+                let conflict: Conflict = parse(&answer)?;
+                Err(Reply::Conflict(conflict.items.into_iter().filter_map(own).collect()))
+            }
+            StatusCode::NOT_FOUND => Err(Reply::Gone),
+            status => Err(refusal(status)),
+        }
+    }
+
+    async fn read(&self, key: Key) -> Result<Reply, Reply> {
+        let url = format!("{}/kv-key?key={}", self.base, wire::key_text(key));
+        let answer = self.receive(self.client.get(url).send(), Duration::ZERO).await?;
+        match answer.status {
+            StatusCode::OK => {
+                let found = own(parse(&answer)?).map(|(_, value, revision)| (value, revision));
+                Ok(Reply::Read(found))
+            }
+            StatusCode::NOT_FOUND => Ok(Reply::Read(None)),
+            status => Err(refusal(status)),
+        }
+    }
+
+    async fn list(&self, range: Range, after: Option<String>) -> Result<Reply, Reply> {
+        let mut url = format!("{}/kv-range?prefix={}", self.base, prefix(range));
+        if let Some(after) = after {
+            url = format!("{url}&after={after}");
+        }
+        let answer = self.receive(self.client.get(url).send(), Duration::ZERO).await?;
+        if answer.status != StatusCode::OK {
+            return Err(refusal(answer.status));
+        }
+        let page: Page = parse(&answer)?;
+        let next = page.items.last().filter(|_| page.truncated).map(|row| row.key.clone());
+        let items = page.items.into_iter().map(|row| (row.revision, row));
+        let items = items.map(|(revision, row)| (item(row), revision)).collect();
+        Ok(Reply::Page { items, next, as_of: page.as_of })
+    }
+
+    async fn watch(&self, range: Range, after: Revision, wait: Duration) -> Result<Reply, Reply> {
+        let (base, prefix, wait_ms) = (&self.base, prefix(range), wait.as_millis());
+        let url = format!("{base}/kv-watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        let answer = self.receive(self.client.get(url).send(), wait).await?;
+        match answer.status {
+            StatusCode::OK => {
+                let Events { events, as_of } = parse(&answer)?;
+                Ok(Reply::Changes { changes: events.into_iter().map(change).collect(), as_of })
+            }
+            StatusCode::GONE => Err(Reply::Gone),
+            status => Err(refusal(status)),
+        }
+    }
+
+    async fn post(&self, path: &str, body: &impl Serialize) -> Result<Answer, Reply> {
+        let answer = self.post_any(path, body).await?;
+        if answer.status == StatusCode::OK { Ok(answer) } else { Err(refusal(answer.status)) }
+    }
+
+    async fn post_any(&self, path: &str, body: &impl Serialize) -> Result<Answer, Reply> {
+        let request = self.client.post(format!("{}{path}", self.base)).send_json(body);
+        self.receive(request, Duration::ZERO).await
+    }
+
+    async fn receive(&self, request: awc::SendClientRequest, wait: Duration) -> Result<Answer, Reply> {
+        http::receive(request, self.timeout + wait).await.map_err(|fault| match fault {
+            Fault::Refused | Fault::NotWritten => Reply::Refused,
+            Fault::Lost => Reply::Lost,
+        })
+    }
+}
+
+fn prefix(range: Range) -> &'static str {
+    match range {
+        Range::Leadership => wire::LEADERSHIP,
+        Range::Jobs => wire::JOBS,
+        Range::Progress => wire::PROGRESS,
+        Range::Workers => WORKERS,
+        Range::Config => OPERATOR,
+    }
+}
+
+/// The store answers these before it does anything.
+fn refusal(status: StatusCode) -> Reply {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Reply::Refused,
+        _ => {
+            log::warn!("the store answered with {status}");
+            Reply::Lost
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(answer: &Answer) -> Result<T, Reply> {
+    serde_json::from_slice(&answer.body).map_err(|error| {
+        log::warn!("the store sent an unreadable answer: {error}");
+        Reply::Lost
+    })
+}
+
+fn bytes(row: &Row) -> Result<Vec<u8>, String> {
+    STANDARD.decode(row.value.as_deref().unwrap_or_default()).map_err(|error| error.to_string())
+}
+
+/// A key of this project with its value; `None` for a key that does not exist, or cannot be read.
+fn own(row: Row) -> Option<(Key, Value, Revision)> {
+    row.value.as_ref()?;
+    let key = wire::key(&row.key)?;
+    let value = bytes(&row).and_then(|bytes| wire::decode(key, &bytes).map_err(|error| error.to_string()));
+    match value {
+        Ok(value) => Some((key, value, row.revision)),
+        Err(error) => {
+            log::error!("value of {} cannot be read: {error}", row.key);
+            None
+        }
+    }
+}
+
+fn item(row: Row) -> Item {
+    if let Some(id) = row.key.strip_prefix(WORKERS) {
+        return Item::Worker(id.to_owned(), bytes(&row).ok().and_then(|bytes| entry::decode(&bytes)));
+    }
+    if row.key == CONFIG {
+        let config = bytes(&row).and_then(|bytes| config::decode(&bytes));
+        return config.map_or_else(Item::Unreadable, Item::Config);
+    }
+    let text = row.key.clone();
+    match own(row) {
+        Some((key, value, _)) => Item::Own(key, value),
+        None => Item::Unreadable(text),
+    }
+}
+
+fn change(row: Row) -> Change {
+    if !row.removed {
+        let revision = row.revision;
+        return Change::Set(item(row), revision);
+    }
+    let removed = match (row.key.strip_prefix(WORKERS), wire::key(&row.key)) {
+        (Some(id), _) => Removed::Worker(id.to_owned()),
+        (_, Some(key)) => Removed::Own(key),
+        _ => Removed::Other,
+    };
+    Change::Removed(removed)
+}
--- /dev/null
+++ b/src/platform/worker.rs
@@ -0,0 +1,219 @@
+//! Orders to workers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::rt;
+use awc::Client;
+use awc::http::StatusCode;
+use serde::{Deserialize, Serialize};
+
+use super::task::{EndedRow, RunningRow};
+use crate::core::event::Event;
+use crate::core::time::Instant;
+use crate::core::work::event::{Event as WorkEvent, Fault};
+use crate::core::work::order::{Listing, Order, Refusal, Reply};
+use crate::port::http::{self, Answer, Timed};
+use crate::port::{Clock, Inbox};
+
+const HOLD: &str = "/hold";
+const START: &str = "/run-start";
+const STOP: &str = "/run-stop";
+const PACE: &str = "/pace";
+
+/// Names the worker that an order is meant for.
+const TARGET: &str = "X-Target-Instance";
+
+/// Sends orders from the arbiter it was created on.
+#[derive(Clone)]
+pub struct Port {
+    client: Client,
+    timeout: Duration,
+    clock: Clock,
+    inbox: Inbox,
+}
+
+/// An order on its way.
+#[derive(Debug)]
+pub struct Parcel {
+    /// Identity of the worker that is meant.
+    pub id: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Term of the sender.
+    pub fence: u64,
+    /// The order.
+    pub order: Order,
+    /// When it was decided.
+    pub sent: Instant,
+    /// Nothing is written after this time.
+    pub not_after: Instant,
+}
+
+#[derive(Serialize)]
+struct HoldBody {
+    fence: u64,
+    acked_upto: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    deadline_ms: Option<u64>,
+    #[serde(skip_serializing_if = "is_zero")]
+    wait_ms: u64,
+}
+
+#[derive(Serialize)]
+struct StartBody<'a> {
+    task: String,
+    run: u32,
+    spec: &'a str,
+    deadline_ms: u64,
+    fence: u64,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    saved: &'a str,
+}
+
+#[derive(Serialize)]
+struct StopBody {
+    task: String,
+    run: u32,
+    fence: u64,
+}
+
+#[derive(Serialize)]
+struct PaceBody {
+    task: String,
+    run: u32,
+    percent: u32,
+    fence: u64,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    clock_ms: Option<u64>,
+    reason: Option<String>,
+    born: Option<u64>,
+    #[serde(default)]
+    running: Vec<RunningRow>,
+    #[serde(default)]
+    ended: Vec<EndedRow>,
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+impl Port {
+    /// A port that waits for an answer for `timeout`, in addition to the wait that an order asks for.
+    pub fn new(timeout: Duration, clock: Clock, inbox: Inbox) -> Self {
+        Self { client: http::client(timeout), timeout, clock, inbox }
+    }
+
+    /// Sends an order; the answer, or its absence, arrives as an event.
+    pub fn send(&self, parcel: Parcel) {
+        let port = self.clone();
+        rt::spawn(async move {
+            let event = port.execute(parcel).await;
+            port.inbox.send(Event::Work(event));
+        });
+    }
+
+    async fn execute(&self, parcel: Parcel) -> WorkEvent {
+        match &parcel.order {
+            Order::Hold { worker, until_ms, acknowledged, wait_ms } => {
+                let body = HoldBody {
+                    fence: parcel.fence,
+                    acked_upto: *acknowledged,
+                    deadline_ms: *until_ms,
+                    wait_ms: *wait_ms,
+                };
+                let wait = Duration::from_millis(*wait_ms);
+                let result = self.call(&parcel, HOLD, &body, wait).await.and_then(listing);
+                WorkEvent::Held { worker: *worker, sent: parcel.sent, result }
+            }
+            Order::Start { run, name, number, text, until_ms, saved } => {
+                let body = StartBody {
+                    task: name.to_string(),
+                    run: *number,
+                    spec: text,
+                    deadline_ms: *until_ms,
+                    fence: parcel.fence,
+                    saved,
+                };
+                let result = self.call(&parcel, START, &body, Duration::ZERO).await.map(plain);
+                WorkEvent::Started { run: *run, result }
+            }
+            Order::Stop { run, name, number } => {
+                let body = StopBody { task: name.to_string(), run: *number, fence: parcel.fence };
+                let result = self.call(&parcel, STOP, &body, Duration::ZERO).await.map(plain);
+                WorkEvent::Stopped { run: *run, result }
+            }
+            Order::Pace { run, name, number, percent } => {
+                let (task, fence) = (name.to_string(), parcel.fence);
+                let body = PaceBody { task, run: *number, percent: *percent, fence };
+                let result = self.call(&parcel, PACE, &body, Duration::ZERO).await.map(plain);
+                WorkEvent::Paced { run: *run, percent: *percent, result }
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        parcel: &Parcel,
+        path: &str,
+        body: &impl Serialize,
+        wait: Duration,
+    ) -> Result<Answer, Fault> {
+        let body = serde_json::to_vec(body).map_err(|error| {
+            log::error!("order cannot be encoded: {error}");
+            Fault::NotSent
+        })?;
+        if self.clock.now() > parcel.not_after {
+            return Err(Fault::NotSent);
+        }
+        let request = self
+            .client
+            .post(format!("http://{}{path}", parcel.address))
+            .insert_header((TARGET, parcel.id.as_str()))
+            .content_type("application/json")
+            .send_body(Timed::new(body, self.clock, parcel.not_after));
+        http::receive(request, self.timeout + wait).await.map_err(|fault| match fault {
+            http::Fault::Refused => Fault::Refused,
+            http::Fault::NotWritten => Fault::NotSent,
+            http::Fault::Lost => Fault::Lost,
+        })
+    }
+}
+
+fn plain(answer: Answer) -> Reply<()> {
+    let body: Option<Body> = serde_json::from_slice(&answer.body).ok();
+    let clock_ms = body.as_ref().and_then(|body| body.clock_ms);
+    let reason = body.as_ref().and_then(|body| body.reason.as_deref());
+    Reply { clock_ms, outcome: outcome(answer.status, reason) }
+}
+
+fn listing(answer: Answer) -> Result<Reply<Listing>, Fault> {
+    if answer.status != StatusCode::OK {
+        let Reply { clock_ms, outcome } = plain(answer);
+        return Ok(Reply { clock_ms, outcome: outcome.map(|()| Listing::default()) });
+    }
+    let body: Body = serde_json::from_slice(&answer.body).map_err(|error| {
+        log::warn!("a worker sent an unreadable list: {error}");
+        Fault::Lost
+    })?;
+    let Body { clock_ms, born, running, ended, .. } = body;
+    let running = running.into_iter().filter_map(RunningRow::decode).collect();
+    let ended = ended.into_iter().filter_map(EndedRow::decode).collect();
+    Ok(Reply { clock_ms, outcome: Ok(Listing { born, running, ended }) })
+}
+
+fn outcome(status: StatusCode, reason: Option<&str>) -> Result<(), Refusal> {
+    match (status, reason) {
+        (StatusCode::OK, _) => Ok(()),
+        (StatusCode::CONFLICT, Some("fence")) => Err(Refusal::Fence),
+        (StatusCode::CONFLICT, Some("old")) => Err(Refusal::Old),
+        (StatusCode::CONFLICT, Some("late")) => Err(Refusal::Late),
+        (StatusCode::CONFLICT, Some("room")) => Err(Refusal::Room),
+        (StatusCode::MISDIRECTED_REQUEST, _) => Err(Refusal::Instance),
+        (StatusCode::BAD_REQUEST, _) => Err(Refusal::Malformed),
+        _ => Err(Refusal::Busy),
+    }
+}
--- a/src/port/http.rs
+++ b/src/port/http.rs
@@ -19,6 +19,8 @@
 /// Why there is no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fault {
+    /// Nothing listens at the address.
+    Refused,
     /// The request was not written completely, so it was not executed.
     NotWritten,
     /// The request may have been executed.
@@ -57,6 +59,11 @@
 /// `Disconnected` is no failure to connect: awc reports it when the connection ends before the answer.
 fn fault(error: &SendRequestError) -> Fault {
     match error {
+        SendRequestError::Connect(ConnectError::Io(cause))
+            if cause.kind() == std::io::ErrorKind::ConnectionRefused =>
+        {
+            Fault::Refused
+        }
         SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => Fault::Lost,
         SendRequestError::Connect(_) | SendRequestError::Url(_) | SendRequestError::Body(_) => {
             Fault::NotWritten
--- /dev/null
+++ b/src/port/job.rs
@@ -0,0 +1,146 @@
+//! Requests about jobs between entry VMs, over tonic.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tonic::transport::server::TcpIncoming;
+use tonic::transport::{Channel, Endpoint, Server};
+use tonic::{Code, Request, Response, Status};
+
+use super::Inbox;
+use super::peer::is_refused;
+use super::pending::Table;
+use crate::core::event::Event;
+use crate::core::work::ask::{Answer, Ask, Ticket};
+use crate::core::work::event::{Event as WorkEvent, Fault};
+use crate::error::{Error, Result};
+use crate::hash::Map;
+use crate::wire::generated::job as proto;
+use crate::wire::generated::job::jobs_client::JobsClient;
+use crate::wire::generated::job::jobs_server::{Jobs, JobsServer};
+
+/// Longest wait for a connection.
+const CONNECT_TIME: Duration = Duration::from_millis(400);
+
+/// Longest wait for the answer of another entry VM; it answers at once unless it is gone.
+const ANSWER_TIME: Duration = Duration::from_millis(1_200);
+
+/// Interval of pings on a connection, and the longest wait for their answer.
+const PING_TIME: Duration = Duration::from_millis(700);
+
+/// Sends requests to other entry VMs, and receives theirs.
+#[derive(Clone)]
+pub struct Port {
+    inbox: Inbox,
+    links: Rc<RefCell<Map<SocketAddr, Channel>>>,
+    stop: watch::Sender<bool>,
+    ended: watch::Receiver<bool>,
+}
+
+struct Service {
+    table: Table,
+}
+
+impl Port {
+    /// Starts to listen on `listen`; must be called inside a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be used.
+    pub fn start(listen: SocketAddr, inbox: Inbox, table: Table) -> Result<Self> {
+        let failed = |source| Error::io(format!("listening for entry VMs on {listen}"), source);
+        let incoming = TcpIncoming::bind(listen).map_err(failed)?.with_nodelay(Some(true));
+        let (stop, mut stopped) = watch::channel(false);
+        let (end, ended) = watch::channel(false);
+        let server = Server::builder()
+            .http2_keepalive_interval(Some(PING_TIME))
+            .http2_keepalive_timeout(Some(PING_TIME))
+            .add_service(JobsServer::new(Service { table }));
+        tokio::spawn(async move {
+            let signal = async move {
+                // An error means that the port is gone, which ends the server as well.
+                let _ = stopped.wait_for(|stopped| *stopped).await;
+            };
+            if let Err(error) = server.serve_with_incoming_shutdown(incoming, signal).await {
+                log::error!("the server for entry VMs failed: {error}");
+            }
+            end.send_replace(true);
+        });
+        Ok(Self { inbox, links: Rc::default(), stop, ended })
+    }
+
+    /// Stops listening, and returns when all calls have ended.
+    pub async fn stop(&self) {
+        self.stop.send_replace(true);
+        let mut ended = self.ended.clone();
+        // An error means that the server task is gone, so it has ended as well.
+        let _ = ended.wait_for(|ended| *ended).await;
+    }
+
+    /// Hands a request on; the answer, or its absence, arrives as an event.
+    pub fn forward(&self, ticket: Ticket, to: SocketAddr, ask: Ask) {
+        let port = self.clone();
+        actix_web::rt::spawn(async move {
+            let result = port.call(to, &ask).await;
+            if result.is_err() {
+                port.links.borrow_mut().remove(&to);
+            }
+            port.inbox.send(Event::Work(WorkEvent::Forwarded { ticket, result }));
+        });
+    }
+
+    async fn call(&self, to: SocketAddr, ask: &Ask) -> std::result::Result<Answer, Fault> {
+        let mut client = JobsClient::new(self.link(to));
+        let time = ask.timeout.min(ANSWER_TIME);
+        let answer = tokio::time::timeout(time, client.ask(proto::Query::from(ask))).await;
+        let response = answer.map_err(|_| Fault::Lost)?.map_err(|status| fault(&status))?;
+        Answer::try_from(response.into_inner()).map_err(|error| {
+            log::warn!("entry VM {to} sent an unreadable answer: {error}");
+            Fault::Lost
+        })
+    }
+
+    fn link(&self, to: SocketAddr) -> Channel {
+        let mut links = self.links.borrow_mut();
+        let channel = links.entry(to).or_insert_with(|| {
+            Endpoint::from_shared(format!("http://{to}"))
+                .expect("an address makes a valid URI")
+                .connect_timeout(CONNECT_TIME)
+                .http2_keep_alive_interval(PING_TIME)
+                .keep_alive_timeout(PING_TIME)
+                .tcp_nodelay(true)
+                .connect_lazy()
+        });
+        channel.clone()
+    }
+}
+
+fn fault(status: &Status) -> Fault {
+    if is_refused(status) {
+        Fault::Refused
+    } else if super::peer::is_unconnected(status) {
+        Fault::NotSent
+    } else {
+        if status.code() != Code::Unavailable {
+            log::debug!("call to an entry VM failed: {status}");
+        }
+        Fault::Lost
+    }
+}
+
+#[tonic::async_trait]
+impl Jobs for Service {
+    async fn ask(
+        &self,
+        request: Request<proto::Query>,
+    ) -> std::result::Result<Response<proto::Answer>, Status> {
+        let ask = Ask::try_from(request.into_inner())
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let patience = ask.timeout;
+        let answer = self.table.ask(ask, true, patience).await;
+        Ok(Response::new(answer.into()))
+    }
+}
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -5,17 +5,22 @@
 pub mod admin;
 pub mod body;
 pub mod caller;
-mod http;
+pub(crate) mod http;
+pub mod job;
 pub mod listing;
 pub mod message;
 pub mod operator;
 pub mod peer;
+pub mod pending;
 pub mod store;
 mod stream;
 pub mod traffic;
 pub mod upstream;
 pub mod worker;
 
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use nix::time::{ClockId, clock_gettime};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
 use crate::core::event::Event;
@@ -42,20 +47,29 @@
     }
 }
 
-/// Monotonic clock of the process.
+/// Time of day in milliseconds since the Unix epoch; 0 if the clock is set before it.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Monotonic clock of the process, which goes on while the VM is suspended.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: std::time::Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Self { start: std::time::Instant::now() }
+        Self { start: boot_time() }
     }
 
     /// Current time.
     pub fn now(self) -> Instant {
-        Instant(self.start.elapsed().as_micros() as u64)
+        Instant(boot_time().saturating_sub(self.start).as_micros() as u64)
     }
 }
+
+fn boot_time() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux has this clock").into()
+}
--- a/src/port/peer/link.rs
+++ b/src/port/peer/link.rs
@@ -31,15 +31,24 @@
 }
 
 /// Whether a call failed because there was no connection, so that nothing of it was written.
-pub(super) fn is_unconnected(status: &Status) -> bool {
-    let mut source = status.source();
-    while let Some(error) = source {
-        if error.is::<tonic::ConnectError>() {
-            return true;
-        }
-        source = error.source();
+pub(in crate::port) fn is_unconnected(status: &Status) -> bool {
+    causes(status).any(|error| error.is::<tonic::ConnectError>())
+}
+
+/// Whether a call failed because nothing listens at the address.
+pub(in crate::port) fn is_refused(status: &Status) -> bool {
+    causes(status)
+        .filter_map(|error| error.downcast_ref::<std::io::Error>())
+        .any(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+type Cause<'a> = &'a (dyn Error + 'static);
+
+fn causes(status: &Status) -> impl Iterator<Item = Cause<'_>> {
+    fn next<'a>(error: &Cause<'a>) -> Option<Cause<'a>> {
+        (*error).source()
     }
-    false
+    std::iter::successors(status.source(), next)
 }
 
 /// Connections by address, with what is under way to each; clones share them.
--- a/src/port/peer/mod.rs
+++ b/src/port/peer/mod.rs
@@ -26,6 +26,7 @@
 use crate::wire::generated::peer as proto;
 use crate::wire::peer::Parcel;
 
+pub(super) use link::{is_refused, is_unconnected};
 pub use tls::Tls;
 
 /// Limits on messages between entry VMs.
--- /dev/null
+++ b/src/port/pending.rs
@@ -0,0 +1,91 @@
+//! Requests about jobs that wait for the reducer's answer.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::Inbox;
+use crate::core::event::Event;
+use crate::core::work;
+use crate::core::work::ask::{Answer, Ask, Ticket};
+use crate::hash::Map;
+
+/// The waiting requests; clones share them.
+#[derive(Debug, Clone)]
+pub struct Table {
+    inbox: Inbox,
+    shared: Arc<Mutex<Entries>>,
+}
+
+#[derive(Debug, Default)]
+struct Entries {
+    last: u64,
+    open: Map<Ticket, oneshot::Sender<Answer>>,
+}
+
+impl Table {
+    /// A table whose requests go to `inbox`.
+    pub fn new(inbox: Inbox) -> Self {
+        Self { inbox, shared: Arc::default() }
+    }
+
+    /// Hands a request to the reducer and waits for its answer, for at most `patience`.
+    ///
+    /// Without an answer in time the outcome is unknown: the reducer may still carry the request out.
+    pub async fn ask(&self, ask: Ask, forwarded: bool, patience: Duration) -> Answer {
+        let (sender, receiver) = oneshot::channel();
+        let ticket = self.open(sender);
+        let guard = Guard { table: self, ticket };
+        self.inbox.send(Event::Work(work::event::Event::Ask { ticket, ask, forwarded }));
+        let answer = tokio::time::timeout(patience, receiver).await;
+        drop(guard);
+        match answer {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => Answer::Unknown,
+        }
+    }
+
+    /// Hands over an answer; it is dropped if the caller is gone.
+    pub fn answer(&self, ticket: Ticket, answer: Answer) {
+        let sender = self.lock().open.remove(&ticket);
+        if sender.is_none_or(|sender| sender.send(answer).is_err()) {
+            log::debug!("answer to request {} dropped: its caller is gone", ticket.0);
+        }
+    }
+
+    /// Number of requests that wait.
+    pub fn len(&self) -> usize {
+        self.lock().open.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn open(&self, sender: oneshot::Sender<Answer>) -> Ticket {
+        let mut entries = self.lock();
+        entries.last += 1;
+        let ticket = Ticket(entries.last);
+        entries.open.insert(ticket, sender);
+        ticket
+    }
+
+    /// A panic elsewhere cannot leave the entries half changed, so a poisoned lock is used on.
+    fn lock(&self) -> MutexGuard<'_, Entries> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Removes the entry of a request whose caller no longer waits.
+struct Guard<'a> {
+    table: &'a Table,
+    ticket: Ticket,
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        self.table.lock().open.remove(&self.ticket);
+    }
+}
--- a/src/port/store.rs
+++ b/src/port/store.rs
@@ -171,7 +171,7 @@
 
     async fn receive(&self, request: awc::SendClientRequest) -> Result<Answer, Reply> {
         http::receive(request, self.timeout).await.map_err(|fault| match fault {
-            Fault::NotWritten => Reply::Refused,
+            Fault::Refused | Fault::NotWritten => Reply::Refused,
             Fault::Lost => Reply::Unknown,
         })
     }
--- a/src/port/worker.rs
+++ b/src/port/worker.rs
@@ -37,7 +37,7 @@
         rt::spawn(async move {
             let sequence = call.sequence;
             let result = port.execute(address, call, not_after).await;
-            let unsent = matches!(result, Err(Fault::NotWritten));
+            let unsent = matches!(result, Err(Fault::Refused | Fault::NotWritten));
             port.inbox.send(Event::Worker { worker: key, sequence, reply: result.ok(), unsent });
         });
     }
--- a/src/session/mod.rs
+++ b/src/session/mod.rs
@@ -498,7 +498,7 @@
     }
 
     fn reduce(&mut self, at: u16, run: u32, event: Event) {
-        let input = Input { at: self.now, entropy: self.draw(), event };
+        let input = Input { at: self.now, unix_ms: self.now.0 / 1_000, entropy: self.draw(), event };
         let vm = &mut self.vms[usize::from(at)];
         if vm.run != run {
             return;
@@ -542,7 +542,8 @@
             }
             Effect::Exit => self.end(at),
             Effect::StopListening => self.vms[usize::from(at)].is_listening = false,
-            Effect::Ready(_) => {}
+            // Sessions have declared work only.
+            Effect::Ready(_) | Effect::Work(_) => {}
         }
     }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Settings differ between VMs and are read once at the start; what must be equal everywhere is declared instead.
 
+pub mod jobs;
 pub mod level;
 pub mod limit;
 pub mod listen;
@@ -14,6 +15,7 @@
 use crate::declare::table::Table;
 use crate::declare::value;
 use crate::finding::Finding;
+use jobs::Jobs;
 use limit::Limits;
 use listen::Listen;
 use log::Log;
@@ -37,6 +39,8 @@
     pub log: Log,
     /// Limits on callers.
     pub limits: Limits,
+    /// Set in a process that schedules the jobs that callers hand in, instead of declared work.
+    pub jobs: Option<Jobs>,
 }
 
 /// Parses and checks settings; `file` names them in findings.
@@ -57,13 +61,15 @@
 
 /// Reads all sections; `None` if a required address was reported.
 fn read(root: &Table<'_>, report: &mut Report) -> Option<Settings> {
-    root.only(report, &["name", "zone", "listen", "platform", "tls", "log", "limits"]);
+    root.only(report, &["name", "zone", "listen", "platform", "tls", "log", "limits", "jobs"]);
     let name = root.need(report, "name", value::name).value;
     let zone = root.need(report, "zone", value::name).value;
     let listen = listen::read(root, report);
-    let platform = platform::read(root, report);
+    let jobs = jobs::read(root, report);
+    let needs_listing = root.keys().all(|key| key != "jobs");
+    let platform = platform::read(root, report, needs_listing);
     let tls = tls::read(root, report);
     let log = log::read(root, report);
     let limits = limit::read(root, report);
-    Some(Settings { name, zone, listen: listen?, platform: platform?, tls, log, limits })
+    Some(Settings { name, zone, listen: listen?, platform: platform?, tls, log, limits, jobs })
 }
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -11,14 +11,19 @@
 pub struct Platform {
     /// Key-value store.
     pub store: SocketAddr,
-    /// VM list.
-    pub listing: SocketAddr,
+    /// VM list; only a process that serves callers' jobs can do without.
+    pub listing: Option<SocketAddr>,
 }
 
-pub(super) fn read(root: &Table<'_>, report: &mut Report) -> Option<Platform> {
+/// Reads the section; `needs_listing` says whether the VM list must be there.
+pub(super) fn read(root: &Table<'_>, report: &mut Report, needs_listing: bool) -> Option<Platform> {
     let table = root.section(report, "platform")?;
     table.only(report, &["store", "listing"]);
     let store = table.must(report, "store", value::target);
-    let listing = table.must(report, "listing", value::target);
-    Some(Platform { store: store?.value, listing: listing?.value })
+    let listing = if needs_listing {
+        Some(table.must(report, "listing", value::target)?)
+    } else {
+        table.maybe(report, "listing", value::target)
+    };
+    Some(Platform { store: store?.value, listing: listing.map(|spot| spot.value) })
 }
--- a/src/timeline/entry.rs
+++ b/src/timeline/entry.rs
@@ -94,6 +94,7 @@
         Subject::Task(id) => format!("task:{:016x}:{}", id.job.0, id.index),
         Subject::Replica(id) => format!("replica:{:016x}", id.0),
         Subject::Exchange(id) => format!("request:{:016x}", id.0),
+        Subject::Job(id) => format!("job:{id}"),
         Subject::Config(version) => format!("config:{version}"),
     }
 }
--- a/src/timeline/writer.rs
+++ b/src/timeline/writer.rs
@@ -21,6 +21,9 @@
 /// Entries kept in memory by default, about 6 MB.
 pub const CAPACITY: usize = 20_000;
 
+/// Stands for standard output in place of a file.
+pub const STDOUT: &str = "-";
+
 /// Entries that wait for the file at most.
 const QUEUE: usize = 4_096;
 
@@ -95,6 +98,22 @@
     }
 }
 
+/// Where the entries go.
+#[derive(Debug)]
+enum Output {
+    Stdout,
+    File(fs::File),
+}
+
+impl Output {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        match self {
+            Self::Stdout => std::io::stdout().lock().write_all(bytes),
+            Self::File(file) => file.write_all(bytes),
+        }
+    }
+}
+
 /// Queue of the thread that writes the file; dropping it waits until the queue is written.
 #[derive(Debug)]
 struct File {
@@ -106,9 +125,12 @@
 impl File {
     fn open(path: &Path) -> Result<Self> {
         let open = || -> std::io::Result<_> {
+            if path == Path::new(STDOUT) {
+                return Ok((Output::Stdout, false));
+            }
             let file = OpenOptions::new().create(true).append(true).open(path)?;
             let used = file.metadata()?.len() > 0;
-            Ok((file, used))
+            Ok((Output::File(file), used))
         };
         let (file, used) = open().map_err(|e| Error::io(format!("open timeline {}", path.display()), e))?;
         let (sender, receiver) = mpsc::sync_channel(QUEUE);
@@ -143,7 +165,7 @@
 /// Writes lines in batches of what has arrived.
 ///
 /// `torn` says that the file may end within a line: it then goes on with a line end.
-fn drain(receiver: Receiver<String>, mut file: fs::File, mut torn: bool, lost: Arc<AtomicU64>) {
+fn drain(receiver: Receiver<String>, mut output: Output, mut torn: bool, lost: Arc<AtomicU64>) {
     while let Ok(first) = receiver.recv() {
         let mut batch = if torn { "\n".to_owned() } else { String::new() };
         let mut count = 0;
@@ -152,7 +174,7 @@
             batch.push('\n');
             count += 1;
         }
-        let written = file.write_all(batch.as_bytes());
+        let written = output.write(batch.as_bytes());
         torn = written.is_err();
         if let Err(error) = written {
             lost.fetch_add(count, Ordering::Relaxed);
--- a/src/wire/envelope.rs
+++ b/src/wire/envelope.rs
@@ -21,6 +21,16 @@
     Index = 4,
     /// Text of a document.
     Document = 5,
+    /// Who schedules jobs.
+    Leader = 6,
+    /// Identity of the newest commit of records of jobs.
+    Tip = 7,
+    /// Workers that may run tasks of jobs.
+    Roster = 8,
+    /// An accepted job.
+    Job = 9,
+    /// Progress of a job.
+    Progress = 10,
 }
 
 /// The body is the last field, so that a value cut short cannot be decoded.
--- /dev/null
+++ b/src/wire/job.rs
@@ -0,0 +1,361 @@
+//! Encoding of jobs: calls between entry VMs, and records in the store.
+
+use std::time::Duration;
+
+use prost::Message;
+
+use super::envelope::{self, Kind};
+use super::generated::job as proto;
+use crate::core::work::ask::{Answer, Ask, Phase, Verb};
+use crate::core::work::spec::{Id, Room, Schedule, Spec, Step};
+use crate::core::work::store::{Key, Leader, Mark, Member, Progress, Record, Value};
+use crate::error::Decode;
+
+/// Prefix of the keys of accepted jobs.
+pub const JOBS: &str = "jobs/";
+
+/// Prefix of the keys of progress.
+pub const PROGRESS: &str = "progress/";
+
+/// Prefix of the keys of the leadership.
+pub const LEADERSHIP: &str = "lead/";
+
+const LEADER: &str = "lead/holder";
+const TERM: &str = "lead/term";
+const TIP: &str = "tip";
+const ROSTER: &str = "roster";
+
+/// Text of a key.
+pub fn key_text(key: Key) -> String {
+    match key {
+        Key::Leader => LEADER.to_owned(),
+        Key::Term => TERM.to_owned(),
+        Key::Tip => TIP.to_owned(),
+        Key::Roster => ROSTER.to_owned(),
+        Key::Job(id) => format!("{JOBS}{id}"),
+        Key::Progress(id) => format!("{PROGRESS}{id}"),
+    }
+}
+
+/// Key with this text; `None` if it is not one of this project.
+pub fn key(text: &str) -> Option<Key> {
+    let id = |hex: &str| u64::from_str_radix(hex, 16).ok().map(Id);
+    match text {
+        LEADER => Some(Key::Leader),
+        TERM => Some(Key::Term),
+        TIP => Some(Key::Tip),
+        ROSTER => Some(Key::Roster),
+        _ => match (text.strip_prefix(JOBS), text.strip_prefix(PROGRESS)) {
+            (Some(hex), _) => id(hex).map(Key::Job),
+            (_, Some(hex)) => id(hex).map(Key::Progress),
+            _ => None,
+        },
+    }
+}
+
+/// Bytes of a value.
+pub fn encode(value: &Value) -> Vec<u8> {
+    match value {
+        Value::Leader(leader) => envelope::seal(Kind::Leader, proto::Leader::from(leader).encode_to_vec()),
+        Value::Tip(write) => envelope::seal(Kind::Tip, proto::Tip { write: *write }.encode_to_vec()),
+        Value::Roster(members) => {
+            let workers = members.iter().map(proto::Member::from).collect();
+            envelope::seal(Kind::Roster, proto::Roster { workers }.encode_to_vec())
+        }
+        Value::Job(record) => envelope::seal(Kind::Job, proto::Job::from(&**record).encode_to_vec()),
+        Value::Progress(progress) => {
+            envelope::seal(Kind::Progress, proto::Progress::from(progress).encode_to_vec())
+        }
+    }
+}
+
+/// Value of a key from its bytes.
+///
+/// # Errors
+///
+/// The bytes are malformed or hold something else.
+pub fn decode(key: Key, bytes: &[u8]) -> Result<Value, Decode> {
+    match key {
+        Key::Leader | Key::Term => {
+            let body = envelope::open(Kind::Leader, bytes)?;
+            Ok(Value::Leader(proto::Leader::decode(body.as_slice())?.try_into()?))
+        }
+        Key::Tip => {
+            let body = envelope::open(Kind::Tip, bytes)?;
+            Ok(Value::Tip(proto::Tip::decode(body.as_slice())?.write))
+        }
+        Key::Roster => {
+            let body = envelope::open(Kind::Roster, bytes)?;
+            let roster = proto::Roster::decode(body.as_slice())?;
+            Ok(Value::Roster(roster.workers.into_iter().map(Member::try_from).collect::<Result<_, _>>()?))
+        }
+        Key::Job(_) => {
+            let body = envelope::open(Kind::Job, bytes)?;
+            Ok(Value::Job(Box::new(proto::Job::decode(body.as_slice())?.try_into()?)))
+        }
+        Key::Progress(_) => {
+            let body = envelope::open(Kind::Progress, bytes)?;
+            Ok(Value::Progress(proto::Progress::decode(body.as_slice())?.into()))
+        }
+    }
+}
+
+impl From<&Leader> for proto::Leader {
+    fn from(leader: &Leader) -> Self {
+        Self {
+            vm: leader.vm.clone(),
+            address: leader.address.to_string(),
+            term: leader.term,
+            nonce: leader.nonce,
+        }
+    }
+}
+
+impl TryFrom<proto::Leader> for Leader {
+    type Error = Decode;
+
+    fn try_from(leader: proto::Leader) -> Result<Self, Decode> {
+        let address = leader.address.parse().map_err(|_| Decode::Field("address"))?;
+        Ok(Self { vm: leader.vm, address, term: leader.term, nonce: leader.nonce })
+    }
+}
+
+impl From<&Member> for proto::Member {
+    fn from(member: &Member) -> Self {
+        Self { id: member.id.clone(), address: member.address.to_string() }
+    }
+}
+
+impl TryFrom<proto::Member> for Member {
+    type Error = Decode;
+
+    fn try_from(member: proto::Member) -> Result<Self, Decode> {
+        let address = member.address.parse().map_err(|_| Decode::Field("address"))?;
+        Ok(Self { id: member.id, address })
+    }
+}
+
+impl From<&Record> for proto::Job {
+    fn from(record: &Record) -> Self {
+        Self {
+            queue: record.queue.clone(),
+            service: record.service.clone(),
+            spec: Some((&record.spec).into()),
+            accepted_unix_ms: record.accepted_unix_ms,
+        }
+    }
+}
+
+impl TryFrom<proto::Job> for Record {
+    type Error = Decode;
+
+    fn try_from(job: proto::Job) -> Result<Self, Decode> {
+        Ok(Self {
+            queue: job.queue,
+            service: job.service,
+            spec: job.spec.ok_or(Decode::Field("spec"))?.into(),
+            accepted_unix_ms: job.accepted_unix_ms,
+        })
+    }
+}
+
+impl From<Phase> for proto::Phase {
+    fn from(phase: Phase) -> Self {
+        match phase {
+            Phase::Queued => Self::Queued,
+            Phase::Running => Self::Running,
+            Phase::Completed => Self::Completed,
+            Phase::Failed => Self::Failed,
+            Phase::Cancelled => Self::Cancelled,
+        }
+    }
+}
+
+impl From<proto::Phase> for Phase {
+    fn from(phase: proto::Phase) -> Self {
+        match phase {
+            proto::Phase::Queued => Self::Queued,
+            proto::Phase::Running => Self::Running,
+            proto::Phase::Completed => Self::Completed,
+            proto::Phase::Failed => Self::Failed,
+            proto::Phase::Cancelled => Self::Cancelled,
+        }
+    }
+}
+
+impl From<&Progress> for proto::Progress {
+    fn from(progress: &Progress) -> Self {
+        let mark = |mark: &Mark| proto::Mark {
+            occurrence: mark.occurrence,
+            step: mark.step,
+            index: mark.index,
+            done: mark.done,
+            failures: mark.failures,
+        };
+        Self {
+            phase: proto::Phase::from(progress.phase).into(),
+            marks: progress.marks.iter().map(mark).collect(),
+            finished_unix_ms: progress.finished_unix_ms,
+        }
+    }
+}
+
+impl From<proto::Progress> for Progress {
+    fn from(progress: proto::Progress) -> Self {
+        let mark = |mark: proto::Mark| Mark {
+            occurrence: mark.occurrence,
+            step: mark.step,
+            index: mark.index,
+            done: mark.done,
+            failures: mark.failures,
+        };
+        Self {
+            phase: progress.phase().into(),
+            finished_unix_ms: progress.finished_unix_ms,
+            marks: progress.marks.into_iter().map(mark).collect(),
+        }
+    }
+}
+
+impl From<&Spec> for proto::Spec {
+    fn from(spec: &Spec) -> Self {
+        let schedule = spec.schedule.map(|schedule| proto::Schedule {
+            start_unix_ms: schedule.start_unix_ms,
+            interval_ms: schedule.interval_ms,
+            times: schedule.times,
+        });
+        Self { text: spec.text.clone(), steps: spec.steps.iter().map(proto::Step::from).collect(), schedule }
+    }
+}
+
+impl From<proto::Spec> for Spec {
+    fn from(spec: proto::Spec) -> Self {
+        let schedule = spec.schedule.map(|schedule| Schedule {
+            start_unix_ms: schedule.start_unix_ms,
+            interval_ms: schedule.interval_ms,
+            times: schedule.times,
+        });
+        Self { text: spec.text, steps: spec.steps.into_iter().map(Step::from).collect(), schedule }
+    }
+}
+
+impl From<&Step> for proto::Step {
+    fn from(step: &Step) -> Self {
+        Self {
+            count: step.count,
+            cpu: step.room.cpu,
+            memory_mb: step.room.memory_mb,
+            gpu: step.room.gpu,
+            estimate_ms: step.estimate.as_millis() as u64,
+            after: step.after.clone(),
+            checkpoint: step.checkpoint,
+            gang: step.gang,
+            same_rack: step.same_rack,
+            requires: step.requires.clone().unwrap_or_default(),
+            affinity: step.affinity.clone().unwrap_or_default(),
+            max_per_worker: step.max_per_worker.unwrap_or_default(),
+            speculative: step.speculative,
+            lasting: step.lasting,
+            image: step.image.clone(),
+            target_ms: step.target.unwrap_or_default().as_millis() as u64,
+            fills: step.fills,
+            may_miss: step.may_miss,
+        }
+    }
+}
+
+impl From<proto::Step> for Step {
+    fn from(step: proto::Step) -> Self {
+        let text = |text: String| (!text.is_empty()).then_some(text);
+        Self {
+            count: step.count,
+            room: Room { cpu: step.cpu, memory_mb: step.memory_mb, gpu: step.gpu },
+            estimate: Duration::from_millis(step.estimate_ms),
+            after: step.after,
+            checkpoint: step.checkpoint,
+            gang: step.gang,
+            same_rack: step.same_rack,
+            requires: text(step.requires),
+            affinity: text(step.affinity),
+            max_per_worker: (step.max_per_worker > 0).then_some(step.max_per_worker),
+            speculative: step.speculative,
+            lasting: step.lasting,
+            image: step.image,
+            target: (step.target_ms > 0).then(|| Duration::from_millis(step.target_ms)),
+            fills: step.fills,
+            may_miss: step.may_miss,
+        }
+    }
+}
+
+impl From<&Ask> for proto::Query {
+    fn from(ask: &Ask) -> Self {
+        use proto::query::Verb as Wire;
+        let verb = match &ask.verb {
+            Verb::Submit(spec) => Wire::Submit(spec.into()),
+            Verb::Read => Wire::Read(proto::Empty {}),
+            Verb::Cancel => Wire::Cancel(proto::Empty {}),
+        };
+        Self {
+            host: ask.host.clone(),
+            path: ask.path.clone(),
+            timeout_ms: ask.timeout.as_millis() as u64,
+            verb: Some(verb),
+        }
+    }
+}
+
+impl TryFrom<proto::Query> for Ask {
+    type Error = Decode;
+
+    fn try_from(query: proto::Query) -> Result<Self, Decode> {
+        use proto::query::Verb as Wire;
+        let verb = match query.verb.ok_or(Decode::Field("verb"))? {
+            Wire::Submit(spec) => Verb::Submit(spec.into()),
+            Wire::Read(_) => Verb::Read,
+            Wire::Cancel(_) => Verb::Cancel,
+        };
+        let timeout = Duration::from_millis(query.timeout_ms);
+        Ok(Self { host: query.host, path: query.path, verb, timeout })
+    }
+}
+
+impl From<Answer> for proto::Answer {
+    fn from(answer: Answer) -> Self {
+        use proto::answer::Answer as Wire;
+        let empty = proto::Empty {};
+        let answer = match answer {
+            Answer::Accepted => Wire::Accepted(empty),
+            Answer::Cancelled => Wire::Cancelled(empty),
+            Answer::Phase(phase) => Wire::Phase(proto::Phase::from(phase).into()),
+            Answer::Pending(count) => Wire::Pending(count),
+            Answer::UnknownJob => Wire::UnknownJob(empty),
+            Answer::UnknownQueue => Wire::UnknownQueue(empty),
+            Answer::Refused(wait) => Wire::Refused(wait),
+            Answer::Unknown => Wire::Unknown(empty),
+            Answer::Malformed(reason) => Wire::Malformed(reason),
+        };
+        Self { answer: Some(answer) }
+    }
+}
+
+impl TryFrom<proto::Answer> for Answer {
+    type Error = Decode;
+
+    fn try_from(answer: proto::Answer) -> Result<Self, Decode> {
+        use proto::answer::Answer as Wire;
+        Ok(match answer.answer.ok_or(Decode::Field("answer"))? {
+            Wire::Accepted(_) => Answer::Accepted,
+            Wire::Cancelled(_) => Answer::Cancelled,
+            Wire::Phase(phase) => {
+                Answer::Phase(proto::Phase::try_from(phase).map_err(|_| Decode::Field("phase"))?.into())
+            }
+            Wire::Pending(count) => Answer::Pending(count),
+            Wire::UnknownJob(_) => Answer::UnknownJob,
+            Wire::UnknownQueue(_) => Answer::UnknownQueue,
+            Wire::Refused(wait) => Answer::Refused(wait),
+            Wire::Unknown(_) => Answer::Unknown,
+            Wire::Malformed(reason) => Answer::Malformed(reason),
+        })
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod envelope;
 pub mod generated;
+pub mod job;
 pub mod journal;
 pub mod listing;
 pub mod peer;
