Learn which images disturb each other, and place and pace by it

A fit of the logarithm of the response time over 41,000 readings gives each serving image two or three filling images with 0.3 to 0.57 per core, and 0.05 to 0.15 for the others.

Change: image::Table learns a weight per pair of images; a filling task is placed only where every serving task keeps a reserve; serving tasks of one image are kept together; the worst filling run is slowed down first.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -37,22 +37,24 @@
     let job = &mut state.jobs.all[task.job];
     let step = &job.spec.steps[task.name.step as usize];
     let charged = step.charged();
+    let share = step.share(&mut state.images);
     let run = state.runs.insert(Run {
         task: Some(task_key),
         name: task.name,
         number,
         worker: worker_key,
         charged,
-        share: step.share(),
+        share,
         phase: Phase::Starting,
         started: now,
         percent: 0,
         progressed: now,
         observed: None,
+        excess: 0.0,
         pace: 100,
     });
     worker.lapses = worker.lapses.max(lapses);
-    worker.attach(run, charged, step.share());
+    worker.attach(run, charged, share);
     task.phase = task::Phase::Active;
     task.next_run = number + 1;
     task.runs.push(run);
@@ -262,7 +264,8 @@
         });
     let step = step_of(state, row.name);
     let charged = step.map(super::spec::Step::charged).unwrap_or_default();
-    let share = step.map(super::spec::Step::share).unwrap_or_default();
+    let step = step.cloned();
+    let share = step.map(|step| step.share(&mut state.images)).unwrap_or_default();
     let key = state.runs.insert(Run {
         task: task_key.filter(|_| is_wanted),
         name: row.name,
@@ -275,6 +278,7 @@
         percent: row.percent,
         progressed: now,
         observed: row.observed,
+        excess: 0.0,
         pace: 100,
     });
     let Some(worker) = state.workers.all.get_mut(worker_key) else { return };
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -13,6 +13,7 @@
 mod follow;
 pub mod front;
 mod hold;
+pub mod image;
 pub mod job;
 pub mod journal;
 pub mod lead;
--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -1,67 +1,201 @@
-//! Interference: filling tasks give way while a serving task beside them misses its target.
+//! Interference: filling tasks are placed and paced so that the serving tasks beside them meet their targets.
+//!
+//! Placement asks for the [`Slack`] of a worker's serving tasks before it adds a filling one. Where a serving task comes
+//! near its target all the same, the filling run that disturbs it most is slowed down step by step, and speeds up again
+//! once there is room.
 
 use super::control::step_of;
+use super::image::{self, Load};
 use super::order::{Order, Refusal, Reply};
 use super::run::{self, Phase};
 use super::worker::Key;
 use super::{event::Fault, lead, state};
 use crate::core::effect::Effect;
+use crate::core::time::Instant;
 use crate::core::trace::Subject;
 
-/// Share of its target that a serving task may reach before filling tasks give way, in percent.
-const ALARM_PERCENT: u128 = 100;
+/// Distance to its target, as a logarithm, at which a serving task counts as in danger.
+const DANGER: f64 = 0.1;
+
+/// Distance to its target, as a logarithm, that a placement or a faster pace must leave.
+const RESERVE: f64 = 0.3;
+
+/// Share of a reading's error that is taken as the current load of the task.
+const EXCESS_STEP: f64 = 0.3;
+
+/// Share that a slower pace keeps, and what a faster one adds, in percent.
+const SLOWER: u32 = 40;
+const FASTER: u32 = 25;
+
+/// Paces below this are no work worth its disturbance, in percent.
+const SLOWEST: u32 = 10;
+
+/// Time that a reading needs to show a change of pace: the window that it covers.
+const WINDOW: std::time::Duration = std::time::Duration::from_millis(600);
+
+/// Part of its request that a filling task uses, as far as nothing is known.
+const USE: f64 = 0.9;
+
+/// How far a serving task is from its target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Slack {
+    /// Image of the task.
+    pub image: image::Key,
+    /// Logarithm of the target over the expected response time.
+    pub left: f64,
+}
 
 /// Whether response times on a worker are of interest: it has serving tasks and filling ones.
 pub(super) fn is_observed(state: &super::State, key: Key) -> bool {
     state.workers.all.get(key).is_some_and(|worker| worker.serving > 0 && worker.filling > 0)
 }
 
-/// Paces the filling tasks of a worker by the response times of its serving ones.
+/// Filling loads on a worker as far as they are expected soon.
+fn expected_loads(state: &super::State, key: Key) -> Vec<Load> {
+    let fills = |run: &run::Key| {
+        let run = state.runs.get(*run)?;
+        let stops = matches!(run.phase, Phase::Stopping { .. });
+        let cores = f64::from(run.share.filling_cpu) / 1_000.0 * f64::from(run.pace.min(100)) / 100.0 * USE;
+        (run.share.filling_cpu > 0 && !stops).then_some((run.share.image?, cores))
+    };
+    state.workers.all[key].runs.iter().filter_map(fills).collect()
+}
+
+/// Distances of the serving tasks on a worker from their targets, with what runs there now.
+pub(super) fn slack(state: &super::State, key: Key) -> Vec<Slack> {
+    let loads = expected_loads(state, key);
+    let serving = |run: &run::Key| {
+        let run = state.runs.get(*run)?;
+        let target = step_of(state, run.name)?.target?;
+        let image = run.share.image?;
+        let expected = state.images.expect(image, loads.iter().copied()) + run.excess;
+        Some(Slack { image, left: (target.as_secs_f64() * 1_000.0).max(1.0).ln() - expected })
+    };
+    state.workers.all[key].runs.iter().filter_map(serving).collect()
+}
+
+/// Worst distance that is left when a filling task is added, above the reserve; negative if the reserve is touched.
+pub(super) fn after(state: &super::State, slack: &[Slack], image: image::Key, cpu: u32) -> f64 {
+    let cores = f64::from(cpu) / 1_000.0 * USE;
+    let left = |slack: &Slack| slack.left - state.images.weight(slack.image, image) * cores;
+    slack.iter().map(left).fold(f64::INFINITY, f64::min) - RESERVE
+}
+
+/// Learns from the readings of a worker, and paces its filling tasks.
 pub(super) fn review(state: &mut super::State, key: Key, out: &mut Vec<Effect>) {
-    if !is_observed(state, key) {
+    if state.workers.all[key].serving == 0 {
         return;
     }
-    let now = state.now;
-    let is_missed = state.workers.all[key].runs.iter().any(|run| misses(state, *run));
-    let worker = &mut state.workers.all[key];
-    if is_missed {
-        worker.calm_since = now;
+    learn(state, key);
+    if state.workers.all[key].filling == 0 {
+        return;
+    }
+    if !slow_down(state, key, out) {
+        speed_up(state, key, out);
     }
-    let is_calm = now.since(worker.calm_since) >= state.tuning.unpace;
-    let percent = match (is_missed, is_calm) {
-        (true, _) => state.tuning.paced,
-        (false, true) => 100,
-        (false, false) => return,
+}
+
+fn learn(state: &mut super::State, key: Key) {
+    let runs = &state.workers.all[key].runs;
+    let used = |run: &run::Key| {
+        let run = state.runs.get(*run)?;
+        let cores = f64::from(run.observed.unwrap_or_default()) / 1_000.0;
+        (run.share.filling_cpu > 0).then_some((run.share.image?, cores))
     };
-    for run in worker.runs.clone() {
-        set(state, run, percent, out);
+    let loads: Vec<Load> = runs.iter().filter_map(used).collect();
+    for run_key in runs.clone() {
+        let Some(run) = state.runs.get_mut(run_key) else { continue };
+        let (true, Some(image), Some(reading)) = (run.share.serves, run.share.image, run.observed) else {
+            continue;
+        };
+        if run.percent < 100 || reading == 0 || state.now.since(run.started) < WINDOW * 2 {
+            continue;
+        }
+        let error = state.images.learn(image, &loads, run.excess, f64::from(reading).ln());
+        run.excess += EXCESS_STEP * error;
+    }
+}
+
+/// Slows down the filling run that disturbs a serving task in danger most. Whether one was in danger.
+fn slow_down(state: &mut super::State, key: Key, out: &mut Vec<Effect>) -> bool {
+    let now = state.now;
+    let mut in_danger = Vec::new();
+    for run in state.workers.all[key].runs.clone() {
+        if let Some(image) = endangered(state, run) {
+            in_danger.push(image);
+        }
+    }
+    if in_danger.is_empty() {
+        return false;
     }
+    if now.since(state.workers.all[key].paced_at) < WINDOW {
+        return true;
+    }
+    let harm = |run: &run::Run| -> Option<f64> {
+        let image = run.share.image?;
+        let cores = f64::from(run.share.filling_cpu) / 1_000.0 * f64::from(run.pace.min(100)) / 100.0;
+        let weight: f64 = in_danger.iter().map(|serving| state.images.weight(*serving, image)).sum();
+        (run.share.filling_cpu > 0 && run.pace > 0 && matches!(run.phase, Phase::Active { .. }))
+            .then_some(weight * cores)
+    };
+    let runs = state.workers.all[key].runs.iter();
+    let worst = runs
+        .filter_map(|run| Some((*run, harm(state.runs.get(*run)?)?)))
+        .max_by(|(_, one), (_, other)| one.total_cmp(other));
+    let Some((run, _)) = worst else { return true };
+    let slower = state.runs[run].pace.min(100) * SLOWER / 100;
+    set(state, run, if slower < SLOWEST { 0 } else { slower }, out);
+    state.workers.all[key].paced_at = now;
+    true
 }
 
-/// Whether a run serves and is over its target.
-fn misses(state: &super::State, key: run::Key) -> bool {
-    let Some(run) = state.runs.get(key) else { return false };
-    let Some(target) = step_of(state, run.name).and_then(|step| step.target) else { return false };
-    let observed = run.observed.map_or(0, u128::from);
-    run.percent == 100 && observed * 100 > target.as_millis() * ALARM_PERCENT
+/// Image of a serving run that is over its target or near it.
+fn endangered(state: &super::State, key: run::Key) -> Option<image::Key> {
+    let run = state.runs.get(key)?;
+    let target = step_of(state, run.name)?.target?;
+    let observed = f64::from(run.observed.filter(|observed| *observed > 0)?);
+    let is_near = observed.ln() + DANGER > (target.as_secs_f64() * 1_000.0).ln();
+    (run.percent == 100 && is_near).then_some(run.share.image?)
+}
+
+/// Speeds up the slowest filling run if the serving tasks keep their reserve.
+fn speed_up(state: &mut super::State, key: Key, out: &mut Vec<Effect>) {
+    let now = state.now;
+    if now.since(state.workers.all[key].paced_at) < WINDOW {
+        return;
+    }
+    let paced = |run: &run::Key| {
+        let found = state.runs.get(*run)?;
+        let is_paced = found.share.filling_cpu > 0 && found.pace < 100;
+        (is_paced && matches!(found.phase, Phase::Active { .. })).then_some((found.started, *run))
+    };
+    let Some((_, run)) = state.workers.all[key].runs.iter().filter_map(paced).min() else { return };
+    let found = &state.runs[run];
+    let Some(image) = found.share.image else { return };
+    let pace = (found.pace + FASTER).min(100);
+    let more = found.share.filling_cpu * (pace - found.pace) / 100;
+    if after(state, &slack(state, key), image, more) >= 0.0 {
+        set(state, run, pace, out);
+        state.workers.all[key].paced_at = now;
+    }
 }
 
 /// Lets a filling run work at a share of its speed.
 fn set(state: &mut super::State, key: run::Key, percent: u32, out: &mut Vec<Effect>) {
-    let Some(run) = state.runs.get(key) else { return };
-    let fills = step_of(state, run.name).is_some_and(|step| step.fills);
-    if !fills || run.pace == percent || !matches!(run.phase, Phase::Active { .. }) {
+    let Some(run) = state.runs.get_mut(key) else { return };
+    if run.pace == percent {
         return;
     }
     let order = Order::Pace { run: key, name: run.name, number: run.number, percent };
     let reason = format!("run {} of {}: {} to {percent}%", run.number, run.name, run.pace);
     let (job, worker) = (run.name.job, run.worker);
-    state.runs[key].pace = percent;
+    run.pace = percent;
     state::record(out, Subject::Job(job), "pace", reason);
     state.order(worker, order, out);
 }
 
-/// Takes over the answer to a change of pace; one that failed is tried again at the next review.
+/// Takes over the answer to a change of pace. Whether one that failed took effect is not known, so the run counts as one
+/// at full speed, and is slowed down again if need be.
 pub(super) fn paced(
     state: &mut super::State,
     key: run::Key,
@@ -78,8 +212,11 @@
             if let Some(run) = state.runs.get_mut(key)
                 && run.pace == percent
             {
-                // No share that is ever asked for, so that the next review sends the order again.
-                run.pace = u32::MAX;
+                run.pace = 100;
+                let worker = run.worker;
+                if let Some(worker) = state.workers.all.get_mut(worker) {
+                    worker.paced_at = Instant::default();
+                }
             }
         }
     }
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -8,7 +8,7 @@
 use super::run::Phase;
 use super::spec::{Room, Step};
 use super::worker::{Key, Worker};
-use super::{control, run, state, task};
+use super::{control, image, pace, run, state, task};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -20,14 +20,24 @@
 /// Score of a worker away from the data of a task.
 const FAR: i64 = -100_000_000;
 
-/// Score of each serving task beside a filling one, which it would disturb.
-const DISTURBED: i64 = -8_000;
+/// Score of a worker with serving tasks of other images: filling tasks that disturb one image often leave another alone,
+/// so equal images are kept together.
+const MIXED: i64 = -30_000;
 
 /// How a task's worker is chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct Policy {
     /// Score of a worker with room for the task; the highest is taken.
-    pub score: fn(&Need, &Worker) -> i64,
+    pub score: fn(&Need, &Offer<'_>) -> i64,
+}
+
+/// A worker with room for a task.
+#[derive(Debug, Clone, Copy)]
+pub struct Offer<'a> {
+    /// The worker.
+    pub worker: &'a Worker,
+    /// Serving runs there of another image than the task's.
+    pub strangers: u32,
 }
 
 /// What a task needs.
@@ -47,26 +57,29 @@
     pub lasting: bool,
     /// Whether it uses only what others leave.
     pub fills: bool,
+    /// Image that it runs, if it says so.
+    pub image: Option<image::Key>,
     /// Worker to avoid.
     pub avoid: Option<Key>,
 }
 
-/// Packs batch work, spreads lasting work, and puts filling work where most is left unused.
+/// Packs batch work, keeps serving tasks of an image together, and puts filling work where most is left unused.
 pub const PACKED: Policy = Policy { score: packed };
 
 /// Puts every task on the worker with most free cores; the baseline that [`PACKED`] is compared with.
-pub const SPREAD: Policy = Policy { score: |_, worker| i64::from(worker.free().cpu) };
+pub const SPREAD: Policy = Policy { score: |_, offer| i64::from(offer.worker.free().cpu) };
 
-fn packed(need: &Need, worker: &Worker) -> i64 {
+fn packed(need: &Need, offer: &Offer<'_>) -> i64 {
+    let worker = offer.worker;
     let free = i64::from(worker.free().cpu);
     let far = need
         .affinity
         .as_ref()
         .is_some_and(|rack| worker.report.as_ref().is_some_and(|report| !report.labels.contains(rack)));
     let base = if need.fills {
-        free - i64::from(worker.filling_cpu) + DISTURBED * i64::from(worker.serving)
+        free - i64::from(worker.filling_cpu)
     } else if need.lasting {
-        free
+        free + MIXED * i64::from(offer.strangers)
     } else {
         -free
     };
@@ -163,6 +176,7 @@
         affinity: step.affinity.clone(),
         lasting: step.lasting,
         fills: step.fills,
+        image: (!step.image.is_empty()).then(|| state.images.enter(&step.image)),
         avoid: None,
     };
     if step.gang {
@@ -190,7 +204,9 @@
 
 /// Whether a task surely finds no worker since one that needs less found none.
 fn is_harder(need: &Need, failed: &Need) -> bool {
-    need.service == failed.service && need.charged.holds(failed.charged)
+    let is_same_kind = need.fills == failed.fills && (!need.fills || need.image == failed.image);
+    let needs_more = need.charged.holds(failed.charged) && need.cpu >= failed.cpu;
+    need.service == failed.service && is_same_kind && needs_more
 }
 
 fn take(state: &mut super::State, group: Group, key: task::Key) {
@@ -218,12 +234,26 @@
     };
     let score = |key: Key, worker: &Worker| {
         let avoided = if need.avoid == Some(key) { AVOIDED } else { 0 };
-        (state.policy.score)(need, worker) + avoided
+        let strangers = if need.lasting { strangers(state, worker, need.image) } else { 0 };
+        (state.policy.score)(need, &Offer { worker, strangers }) + avoided
+    };
+    // Work that would disturb the serving tasks of a worker waits for another one.
+    let is_bearable = |key: Key| match need.image {
+        Some(image) if need.fills => pace::after(state, &pace::slack(state, key), image, need.cpu) >= 0.0,
+        _ => true,
     };
-    let all = state.workers.all.iter().filter(fits);
+    let all = state.workers.all.iter().filter(fits).filter(|(key, _)| is_bearable(*key));
     all.max_by_key(|(key, worker)| score(*key, worker)).map(|(key, _)| key)
 }
 
+/// Serving runs of other images on a worker.
+fn strangers(state: &super::State, worker: &Worker, image: Option<image::Key>) -> u32 {
+    let is_strange = |run: &&run::Key| {
+        state.runs.get(**run).is_some_and(|run| run.share.serves && run.share.image != image)
+    };
+    worker.runs.iter().filter(is_strange).count() as u32
+}
+
 /// Runs of the same step and occurrence on a worker.
 fn beside(state: &super::State, worker: &Worker, group: Group) -> u32 {
     let Some(job) = state.jobs.all.get(group.job) else { return 0 };
--- a/src/core/work/run.rs
+++ b/src/core/work/run.rs
@@ -3,7 +3,7 @@
 use slotmap::SlotMap;
 
 use super::spec::{Name, Room};
-use super::{task, worker};
+use super::{image, task, worker};
 use crate::core::time::Instant;
 
 slotmap::new_key_type! {
@@ -42,6 +42,8 @@
     pub filling_cpu: u32,
     /// Whether it has users of its own.
     pub serves: bool,
+    /// Image that it runs, if that is known.
+    pub image: Option<image::Key>,
 }
 
 /// A run.
@@ -69,6 +71,8 @@
     pub progressed: Instant,
     /// Newest observation of the worker.
     pub observed: Option<u32>,
+    /// Part of the logarithm of its response time that its own load explains.
+    pub excess: f64,
     /// Share at which it works, in percent.
     pub pace: u32,
 }
--- a/src/core/work/spec.rs
+++ b/src/core/work/spec.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use super::run;
+use super::{image, run};
 
 /// Most tasks of one occurrence of a job; a larger job is malformed, since it could exhaust the memory of an entry VM.
 pub const TASKS_MAX: u64 = 20_000;
@@ -120,8 +120,12 @@
     }
 
     /// How a task shares its worker with others.
-    pub fn share(&self) -> run::Share {
-        run::Share { filling_cpu: if self.fills { self.room.cpu } else { 0 }, serves: self.serves() }
+    pub fn share(&self, images: &mut image::Table) -> run::Share {
+        run::Share {
+            filling_cpu: if self.fills { self.room.cpu } else { 0 },
+            serves: self.serves(),
+            image: (!self.image.is_empty()).then(|| images.enter(&self.image)),
+        }
     }
 
     /// Whether the tasks have users of their own.
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -9,7 +9,7 @@
 use super::store::{Call, Range, Request};
 use super::timer::Timer;
 use super::tuning::Tuning;
-use super::{front, job, journal, lead, load, place, run, worker};
+use super::{front, image, job, journal, lead, load, place, run, worker};
 use crate::core::effect::Effect as Any;
 use crate::core::time::Instant;
 use crate::core::timer::Queue;
@@ -91,6 +91,8 @@
     pub workers: worker::Table,
     /// Runs.
     pub runs: run::Table,
+    /// Images of tasks, and how they disturb each other.
+    pub images: image::Table,
     /// Jobs.
     pub jobs: job::Table,
     /// Records that wait for the store.
@@ -129,6 +131,7 @@
             load: None,
             workers: worker::Table::default(),
             runs: run::Table::default(),
+            images: image::Table::default(),
             jobs: job::Table::default(),
             journal: journal::State::default(),
             front: front::State::default(),
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -55,10 +55,6 @@
     pub task_retry: Duration,
     /// Wait of a task of priority 0 after which it may preempt others.
     pub preempt_after: Duration,
-    /// Share to which filling tasks are paced down while a serving task misses its target, in percent.
-    pub paced: u32,
-    /// Time below the target after which filling tasks work at full share again.
-    pub unpace: Duration,
     /// Longest wait of a graceful stop for requests in progress.
     pub stop_wait: Duration,
 }
@@ -91,8 +87,6 @@
             stall: Duration::from_millis(1_500),
             task_retry: Duration::from_millis(20),
             preempt_after: Duration::from_millis(150),
-            paced: 0,
-            unpace: Duration::from_millis(3_000),
             stop_wait: Duration::from_millis(2_000),
         }
     }
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -112,8 +112,8 @@
     pub failures: Vec<super::spec::Id>,
     /// Until when it gets no new runs, after failures.
     pub suspect_until: Instant,
-    /// Since when its serving tasks meet their targets.
-    pub calm_since: Instant,
+    /// When the pace of a run was changed last.
+    pub paced_at: Instant,
 }
 
 impl Worker {
@@ -143,7 +143,7 @@
             serving: 0,
             failures: Vec::new(),
             suspect_until: Instant::default(),
-            calm_since: Instant::default(),
+            paced_at: Instant::default(),
         }
     }
 
