--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -51,6 +51,7 @@
         progressed: now,
         observed: None,
         excess: 0.0,
+        over_since: None,
         pace: 100,
     });
     worker.lapses = worker.lapses.max(lapses);
@@ -279,6 +280,7 @@
         progressed: now,
         observed: row.observed,
         excess: 0.0,
+        over_since: None,
         pace: 100,
     });
     let Some(worker) = state.workers.all.get_mut(worker_key) else { return };
--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -117,38 +117,62 @@
 }
 
 /// Slows down the filling run that disturbs a serving task in danger most. Whether one was in danger.
+///
+/// A task that stays in danger pauses everything that fills beside it.
 fn slow_down(state: &mut super::State, key: Key, out: &mut Vec<Effect>) -> bool {
     let now = state.now;
+    let runs = state.workers.all[key].runs.clone();
     let mut in_danger = Vec::new();
-    for run in state.workers.all[key].runs.clone() {
-        if let Some(image) = endangered(state, run) {
-            in_danger.push(image);
-        }
+    let mut is_long = false;
+    for run in runs.iter().copied() {
+        let danger = endangered(state, run);
+        let Some(found) = state.runs.get_mut(run) else { continue };
+        let Some(image) = danger else {
+            found.over_since = None;
+            continue;
+        };
+        let since = *found.over_since.get_or_insert(now);
+        is_long |= now.since(since) >= state.tuning.harm_patience;
+        in_danger.push(image);
     }
     if in_danger.is_empty() {
         return false;
     }
+    let mut filling: Vec<run::Key> = runs.into_iter().filter(|run| is_filling(state, *run)).collect();
+    if is_long {
+        for run in filling {
+            set(state, run, 0, out);
+        }
+        state.workers.all[key].paced_at = now;
+        return true;
+    }
     if now.since(state.workers.all[key].paced_at) < WINDOW {
         return true;
     }
-    let harm = |run: &run::Run| -> Option<f64> {
-        let image = run.share.image?;
-        let cores = f64::from(run.share.filling_cpu) / 1_000.0 * f64::from(run.pace.min(100)) / 100.0;
-        let weight: f64 = in_danger.iter().map(|serving| state.images.weight(*serving, image)).sum();
-        (run.share.filling_cpu > 0 && run.pace > 0 && matches!(run.phase, Phase::Active { .. }))
-            .then_some(weight * cores)
-    };
-    let runs = state.workers.all[key].runs.iter();
-    let worst = runs
-        .filter_map(|run| Some((*run, harm(state.runs.get(*run)?)?)))
-        .max_by(|(_, one), (_, other)| one.total_cmp(other));
-    let Some((run, _)) = worst else { return true };
-    let slower = state.runs[run].pace.min(100) * SLOWER / 100;
-    set(state, run, if slower < SLOWEST { 0 } else { slower }, out);
-    state.workers.all[key].paced_at = now;
+    filling.sort_by(|one, other| harm(state, &in_danger, *other).total_cmp(&harm(state, &in_danger, *one)));
+    if let Some(run) = filling.first().copied() {
+        let slower = state.runs[run].pace.min(100) * SLOWER / 100;
+        set(state, run, if slower < SLOWEST { 0 } else { slower }, out);
+        state.workers.all[key].paced_at = now;
+    }
     true
 }
 
+/// Whether a run fills and works.
+fn is_filling(state: &super::State, key: run::Key) -> bool {
+    state.runs.get(key).is_some_and(|run| {
+        run.share.filling_cpu > 0 && run.pace > 0 && matches!(run.phase, Phase::Active { .. })
+    })
+}
+
+/// What a filling run adds to the logarithms of the response times in danger.
+fn harm(state: &super::State, in_danger: &[image::Key], key: run::Key) -> f64 {
+    let Some(run) = state.runs.get(key) else { return 0.0 };
+    let Some(image) = run.share.image else { return 0.0 };
+    let cores = f64::from(run.share.filling_cpu) / 1_000.0 * f64::from(run.pace.min(100)) / 100.0;
+    in_danger.iter().map(|serving| state.images.weight(*serving, image)).sum::<f64>() * cores
+}
+
 /// Image of a serving run that is over its target or near it.
 fn endangered(state: &super::State, key: run::Key) -> Option<image::Key> {
     let run = state.runs.get(key)?;
--- a/src/core/work/run.rs
+++ b/src/core/work/run.rs
@@ -73,6 +73,8 @@
     pub observed: Option<u32>,
     /// Part of the logarithm of its response time that its own load explains.
     pub excess: f64,
+    /// Since when its response time is over its target, or near it.
+    pub over_since: Option<Instant>,
     /// Share at which it works, in percent.
     pub pace: u32,
 }
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -55,6 +55,9 @@
     pub task_retry: Duration,
     /// Wait of a task of priority 0 after which it may preempt others.
     pub preempt_after: Duration,
+    /// Time near or over its target after which everything that fills beside a serving task pauses; well below the time
+    /// that users bear.
+    pub harm_patience: Duration,
     /// Longest wait of a graceful stop for requests in progress.
     pub stop_wait: Duration,
 }
@@ -87,6 +90,7 @@
             stall: Duration::from_millis(1_500),
             task_retry: Duration::from_millis(20),
             preempt_after: Duration::from_millis(150),
+            harm_patience: Duration::from_millis(2_000),
             stop_wait: Duration::from_millis(2_000),
         }
     }
