--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -118,12 +118,12 @@
 
 /// Slows down the filling run that disturbs a serving task in danger most. Whether one was in danger.
 ///
-/// A task that stays in danger pauses everything that fills beside it.
+/// A task that stays in danger slows down, and in the end pauses, everything that fills beside it.
 fn slow_down(state: &mut super::State, key: Key, out: &mut Vec<Effect>) -> bool {
     let now = state.now;
     let runs = state.workers.all[key].runs.clone();
     let mut in_danger = Vec::new();
-    let mut is_long = false;
+    let mut longest = std::time::Duration::ZERO;
     for run in runs.iter().copied() {
         let danger = endangered(state, run);
         let Some(found) = state.runs.get_mut(run) else { continue };
@@ -132,14 +132,14 @@
             continue;
         };
         let since = *found.over_since.get_or_insert(now);
-        is_long |= now.since(since) >= state.tuning.harm_patience;
+        longest = longest.max(now.since(since));
         in_danger.push(image);
     }
     if in_danger.is_empty() {
         return false;
     }
     let mut filling: Vec<run::Key> = runs.into_iter().filter(|run| is_filling(state, *run)).collect();
-    if is_long {
+    if longest >= state.tuning.harm_limit {
         for run in filling {
             set(state, run, 0, out);
         }
@@ -149,8 +149,9 @@
     if now.since(state.workers.all[key].paced_at) < WINDOW {
         return true;
     }
+    let count = if longest >= state.tuning.harm_patience { filling.len() } else { 1 };
     filling.sort_by(|one, other| harm(state, &in_danger, *other).total_cmp(&harm(state, &in_danger, *one)));
-    if let Some(run) = filling.first().copied() {
+    for run in filling.into_iter().take(count) {
         let slower = state.runs[run].pace.min(100) * SLOWER / 100;
         set(state, run, if slower < SLOWEST { 0 } else { slower }, out);
         state.workers.all[key].paced_at = now;
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -55,9 +55,10 @@
     pub task_retry: Duration,
     /// Wait of a task of priority 0 after which it may preempt others.
     pub preempt_after: Duration,
-    /// Time near or over its target after which everything that fills beside a serving task pauses; well below the time
-    /// that users bear.
+    /// Time near or over its target after which everything that fills beside a serving task is slowed down.
     pub harm_patience: Duration,
+    /// Time after which it pauses; well below the time that users bear.
+    pub harm_limit: Duration,
     /// Longest wait of a graceful stop for requests in progress.
     pub stop_wait: Duration,
 }
@@ -90,7 +91,8 @@
             stall: Duration::from_millis(1_500),
             task_retry: Duration::from_millis(20),
             preempt_after: Duration::from_millis(150),
-            harm_patience: Duration::from_millis(2_000),
+            harm_patience: Duration::from_millis(1_400),
+            harm_limit: Duration::from_millis(2_500),
             stop_wait: Duration::from_millis(2_000),
         }
     }
