Keep takeovers from starting tasks twice, and let silent leases lapse

Ruled out: that the gate's time was too short (it was 11 to 16 s; it now uses the lease that leaders give, 9.7 s).

--- a/src/core/work/book.rs
+++ b/src/core/work/book.rs
@@ -144,14 +144,17 @@
 }
 
 /// Notes that a run of a task failed. Returns the number of the change that stores it.
-pub(super) fn failed(state: &mut super::State, key: task::Key, out: &mut Vec<Effect>) -> u64 {
+pub(super) fn failed(state: &mut super::State, key: task::Key, run: u32, out: &mut Vec<Effect>) -> u64 {
     let task = &mut state.jobs.tasks[key];
     let job_key = task.job;
     let job = &state.jobs.all[job_key];
-    task.failures += 1;
+    if !task.failed_runs.contains(&run) {
+        task.failed_runs.push(run);
+    }
+    let failures = task.failed_runs.len();
     let is_lasting = job.spec.steps[task.name.step as usize].lasting;
-    if !is_lasting && task.failures >= job.attempts {
-        let reason = format!("{} failed {} times", task.name, task.failures);
+    if !is_lasting && failures >= job.attempts as usize {
+        let reason = format!("{} failed {failures} times", task.name);
         state::record(out, Subject::Job(job.id), "give-up", reason);
         return end(state, job_key, Phase::Failed, out);
     }
--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -89,6 +89,16 @@
     state.order(worker, Order::Stop { run: key, name, number }, out);
 }
 
+/// Stops the lasting runs of a worker that leaves, so that they go on elsewhere; the others end in time by themselves.
+pub(super) fn vacate(state: &mut super::State, worker: worker::Key, out: &mut Vec<Effect>) {
+    for key in state.workers.all[worker].runs.clone() {
+        let Some(run) = state.runs.get(key) else { continue };
+        if step_of(state, run.name).is_some_and(|step| step.lasting) {
+            stop(state, key, "its worker leaves", out);
+        }
+    }
+}
+
 /// Sends orders to stop again that got no answer.
 pub(super) fn repeat_stops(state: &mut super::State, worker: worker::Key, out: &mut Vec<Effect>) {
     let Some(worker) = state.workers.all.get(worker) else { return };
@@ -148,7 +158,7 @@
 fn refused(state: &mut super::State, key: run::Key, refusal: Refusal, out: &mut Vec<Effect>) {
     let now = state.now;
     let Some(run) = state.runs.get(key) else { return };
-    let (worker, task) = (run.worker, run.task);
+    let (worker, task, number) = (run.worker, run.task, run.number);
     let reason = format!("run {} of {}: {refusal:?}", run.number, run.name);
     state::record(out, Subject::Job(run.name.job), "start-refused", reason);
     if refusal == Refusal::Fence {
@@ -164,7 +174,7 @@
     }
     if let (Refusal::Malformed, Some(task)) = (refusal, task) {
         drop_run(state, key, now);
-        book::failed(state, task, out);
+        book::failed(state, task, number, out);
         return book::requeue(state, task, now + state.tuning.task_retry);
     }
     drop_run(state, key, now + state.tuning.task_retry);
@@ -257,12 +267,10 @@
     let now = state.now;
     let task_key = state.jobs.find_task(row.name);
     let task = task_key.and_then(|key| state.jobs.tasks.get(key));
-    let is_wanted = task.is_some_and(|task| task.phase == task::Phase::Ready && task.runs.is_empty());
-    let is_wanted = is_wanted
-        && state.jobs.find(row.name.job).is_some_and(|job| {
-            let job = &state.jobs.all[job];
-            state.workers.all[worker_key].report.as_ref().is_none_or(|report| report.service == job.service)
-        });
+    // A task is blocked here while the ends of the steps before it have not been read yet.
+    let is_wanted = task.is_some_and(|task| {
+        matches!(task.phase, task::Phase::Ready | task::Phase::Blocked) && task.runs.is_empty()
+    });
     let step = step_of(state, row.name);
     let charged = step.map(super::spec::Step::charged).unwrap_or_default();
     let step = step.cloned();
@@ -328,12 +336,14 @@
     state::record(out, Subject::Job(end.name.job), "ended", reason);
     let task_key = match run {
         Some(run) => run.task,
-        // Of an earlier term, or taken as lapsed: it counts unless the task runs elsewhere by now.
-        None => state.jobs.find_task(end.name).filter(|task| state.jobs.tasks[*task].runs.is_empty()),
+        // Of an earlier term, or taken as lapsed: a failure counts, anything else unless the task runs elsewhere by now.
+        None => state.jobs.find_task(end.name).filter(|task| {
+            let task = &state.jobs.tasks[*task];
+            task.runs.is_empty() || (end.how == How::Failed && task.phase != task::Phase::Done)
+        }),
     };
     let step = step_of(state, end.name).cloned();
     if let Some(task) = task_key.and_then(|task| state.jobs.tasks.get_mut(task)) {
-        task.may_be_hidden = false;
         task.next_run = task.next_run.max(end.run + 1);
         if step.as_ref().is_some_and(|step| step.checkpoint) && !end.saved.is_empty() {
             task.saved.clone_from(&end.saved);
@@ -360,7 +370,7 @@
                 unqueue(state, group, task);
                 sequence = book::done(state, task, out);
             }
-            How::Failed if !is_lasting => sequence = book::failed(state, task, out),
+            How::Failed if !is_lasting => sequence = book::failed(state, task, end.run, out),
             _ => {}
         }
     }
--- a/src/core/work/hold.rs
+++ b/src/core/work/hold.rs
@@ -58,7 +58,9 @@
         return arm(state, key);
     }
     let lease = worker.lease(now, state.tuning.worker_lease, state.tuning.margin);
-    let until_ms = lease.filter(|_| !worker.runs.is_empty()).map(|(until_ms, lapses)| {
+    // A silent worker's lease is left to lapse, so that its tasks can start elsewhere.
+    let is_renewed = !worker.runs.is_empty() && worker.silent_since.is_none();
+    let until_ms = lease.filter(|_| is_renewed).map(|(until_ms, lapses)| {
         worker.lapses = worker.lapses.max(lapses);
         until_ms
     });
@@ -115,11 +117,13 @@
             lose_all(state, key, "another worker has its address", out);
             silence(state, key, out);
         }
-        Err(Fault::Refused) => {
+        Err(Fault::Refused) if !worker.is_listed => {
+            // Neither the store nor the address knows the worker any more.
             state.workers.reached(key);
+            lose_all(state, key, "its worker is gone", out);
             silence(state, key, out);
         }
-        Ok(_) | Err(Fault::NotSent | Fault::Lost) => silence(state, key, out),
+        Ok(_) | Err(Fault::Refused | Fault::NotSent | Fault::Lost) => silence(state, key, out),
     }
     arm(state, key);
 }
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -133,7 +133,7 @@
             .marks
             .iter()
             .filter(|mark| mark.occurrence == number)
-            .map(|mark| ((mark.step, mark.index), *mark))
+            .map(|mark| ((mark.step, mark.index), mark.clone()))
             .collect();
         let first_run = term.map_or(1, |term| (term as u32).saturating_mul(RUNS_PER_TERM));
         let mut occurrence = Occurrence { tasks: Vec::new(), left: Vec::new() };
@@ -150,7 +150,7 @@
                     phase: if is_done { task::Phase::Done } else { task::Phase::Blocked },
                     runs: Vec::new(),
                     next_run: first_run,
-                    failures: mark.map_or(0, |mark| mark.failures),
+                    failed_runs: mark.map_or_else(Vec::new, |mark| mark.failed_runs.clone()),
                     saved: String::new(),
                     avoid: None,
                     ready_at: now,
@@ -235,7 +235,7 @@
         for task in occurrence.tasks.into_iter().flatten() {
             if let Some(task) = self.tasks.remove(task) {
                 let Name { occurrence, step, index, .. } = task.name;
-                job.marks.push(Mark { occurrence, step, index, done: true, failures: task.failures });
+                job.marks.push(Mark { occurrence, step, index, done: true, failed_runs: task.failed_runs });
             }
         }
         job.open.is_empty() && job.released == job.spec.occurrences()
@@ -260,9 +260,10 @@
         for occurrence in job.open.values() {
             for task in occurrence.tasks.iter().flatten().filter_map(|task| self.tasks.get(*task)) {
                 let done = task.phase == task::Phase::Done;
-                if done || task.failures > 0 {
+                if done || !task.failed_runs.is_empty() {
                     let Name { occurrence, step, index, .. } = task.name;
-                    marks.push(Mark { occurrence, step, index, done, failures: task.failures });
+                    let failed_runs = task.failed_runs.clone();
+                    marks.push(Mark { occurrence, step, index, done, failed_runs });
                 }
             }
         }
--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -139,8 +139,7 @@
     restore(state, load.jobs, load.progress);
     let (begun, tuning) = (load.begun, state.tuning);
     if count > 0 {
-        let lapse = tuning.worker_lease_max.max(tuning.worker_lease);
-        let until = begun + tuning.validity + lapse * 102 / 100 + tuning.margin;
+        let until = begun + tuning.validity + tuning.worker_lease * 102 / 100 + tuning.margin;
         state.workers.gate = Some(Gate { waiting: state.workers.all.keys().collect(), until });
     }
     let took = state.now.since(begun).as_millis();
--- a/src/core/work/roster.rs
+++ b/src/core/work/roster.rs
@@ -2,7 +2,7 @@
 
 use super::store::{Change, Item, Removed, Revision};
 use super::worker::{Report, Standing};
-use super::{hold, journal, state};
+use super::{control, hold, journal, state};
 use crate::core::effect::Effect;
 use crate::core::trace::Subject;
 
@@ -54,6 +54,9 @@
     worker.address = report.address;
     worker.is_listed = true;
     worker.report = Some(report);
+    if leaves {
+        control::vacate(state, key, out);
+    }
     if is_new && state.load.is_none() {
         hold::soon(state, key);
         hold::call(state, key, out);
--- a/src/core/work/store.rs
+++ b/src/core/work/store.rs
@@ -94,7 +94,7 @@
 }
 
 /// What must last of one task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Mark {
     /// Occurrence of the job.
     pub occurrence: u32,
@@ -104,8 +104,8 @@
     pub index: u32,
     /// Whether it is done.
     pub done: bool,
-    /// Runs that failed.
-    pub failures: u32,
+    /// Numbers of the runs that failed.
+    pub failed_runs: Vec<u32>,
 }
 
 /// Part of the store that is listed or watched.
--- a/src/core/work/task.rs
+++ b/src/core/work/task.rs
@@ -37,8 +37,8 @@
     pub runs: Vec<run::Key>,
     /// Number of the next run.
     pub next_run: u32,
-    /// Runs that failed.
-    pub failures: u32,
+    /// Numbers of the runs that failed; an end that is read twice counts once.
+    pub failed_runs: Vec<u32>,
     /// Progress to resume from.
     pub saved: String,
     /// Worker where the last run failed or made no progress.
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -13,8 +13,6 @@
     pub validity: Duration,
     /// Length of a worker's lease; bridges the change of the leader.
     pub worker_lease: Duration,
-    /// Longest lease that workers grant.
-    pub worker_lease_max: Duration,
     /// Added to the computed end of a lease before it is taken as lapsed.
     pub margin: Duration,
     /// How long a worker may wait for an end before it answers a renewal.
@@ -70,7 +68,6 @@
             leader_renewal: Duration::from_millis(400),
             validity: Duration::from_millis(5_000),
             worker_lease: Duration::from_millis(4_500),
-            worker_lease_max: Duration::from_millis(6_000),
             margin: Duration::from_millis(150),
             poll: Duration::from_millis(1_000),
             poll_observed: Duration::from_millis(500),
--- a/src/settings/jobs.rs
+++ b/src/settings/jobs.rs
@@ -25,7 +25,6 @@
         let default = Tuning::default();
         Tuning {
             worker_lease: default.worker_lease.min(self.lease_max),
-            worker_lease_max: self.lease_max,
             retention: default.retention.max(self.retention),
             ..default
         }
@@ -36,7 +35,7 @@
     let default = Tuning::default();
     let table = root.table(report, "jobs")?;
     table.only(report, &["ready", "lease_max", "retention"]);
-    let lease_max = table.or(report, "lease_max", default.worker_lease_max, value::duration).value;
+    let lease_max = table.or(report, "lease_max", default.worker_lease, value::duration).value;
     let retention = table.or(report, "retention", default.retention, value::duration).value;
     let ready = table.must(report, "ready", value::address)?.value;
     Some(Jobs { ready, lease_max, retention })
--- a/src/wire/job.rs
+++ b/src/wire/job.rs
@@ -190,7 +190,7 @@
             step: mark.step,
             index: mark.index,
             done: mark.done,
-            failures: mark.failures,
+            failed_runs: mark.failed_runs.clone(),
         };
         Self {
             phase: proto::Phase::from(progress.phase).into(),
@@ -207,7 +207,7 @@
             step: mark.step,
             index: mark.index,
             done: mark.done,
-            failures: mark.failures,
+            failed_runs: mark.failed_runs,
         };
         Self {
             phase: progress.phase().into(),
