--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -73,6 +73,8 @@
     let reason = format!("run {number} of {} on {}", task.name, worker.id);
     state::record(out, Subject::Job(job.id), "start", reason);
     state.order(worker_key, order, out);
+    // A worker that ran nothing is called rarely; its next end is awaited from now on.
+    super::hold::soon(state, worker_key);
     true
 }
 
--- a/src/core/work/hold.rs
+++ b/src/core/work/hold.rs
@@ -65,10 +65,11 @@
         until_ms
     });
     worker.holding = Some(now);
+    worker.acknowledging = worker.next_acknowledgement();
     let order = Order::Hold {
         worker: key,
         until_ms,
-        acknowledged: worker.acknowledged,
+        acknowledged: worker.acknowledging,
         wait_ms: wait.as_millis() as u64,
     };
     state.order(key, order, out);
@@ -139,10 +140,12 @@
     let now = state.now;
     let worker = &mut state.workers.all[key];
     if worker.born.is_some() && worker.born != listing.born {
-        reborn(state, key, listing.born, out);
+        worker.acknowledging = 0;
+        reborn(state, key, sent, &listing, out);
     }
     let worker = &mut state.workers.all[key];
     worker.born = listing.born;
+    worker.confirmed = worker.confirmed.max(worker.acknowledging);
     worker.read_clock(clock_ms, now);
     worker.answered = Some(now);
     if worker.silent_since.take().is_some() {
@@ -185,7 +188,7 @@
     let wait = if !worker.unacknowledged.is_empty() {
         // The commit that is awaited calls earlier.
         state.tuning.poll
-    } else if worker.runs.is_empty() && worker.acknowledged >= worker.seen {
+    } else if worker.runs.is_empty() && worker.confirmed >= worker.seen {
         state.tuning.poll_idle
     } else if is_urgent {
         state.tuning.worker_retry / 4
@@ -226,22 +229,32 @@
     }
 }
 
-/// Forgets the runs of a worker's earlier life. A start without an answer may still reach the new life.
-fn reborn(state: &mut super::State, key: Key, born: Option<u64>, out: &mut Vec<Effect>) {
+/// Forgets the runs of a worker's earlier life.
+///
+/// Runs that the new life lists were started there already. A start or a stop that may reach it only now is settled with
+/// the new life.
+fn reborn(state: &mut super::State, key: Key, sent: Instant, listing: &Listing, out: &mut Vec<Effect>) {
     let now = state.now;
     let id = state.workers.all[key].id.clone();
     state::record(out, Subject::Process, "worker-reborn", id);
     for run_key in state.workers.all[key].runs.clone() {
         let Some(run) = state.runs.get_mut(run_key) else { continue };
+        let is_there = listing.running.iter().any(|row| row.name == run.name && row.number == run.number)
+            || listing.ended.iter().any(|end| end.name == run.name && end.run == run.number);
         match run.phase {
-            Phase::Starting | Phase::Doubtful { .. } => run.phase = Phase::Doubtful { since: now },
-            Phase::Stopping { .. } if run.task.is_none() => {
+            _ if is_there => {}
+            Phase::Active { since } if since < sent => {
+                control::lose(state, run_key, "its worker started anew", out);
+            }
+            Phase::Stopping { .. } => {
                 run.phase = Phase::Stopping { sent: Instant::default(), confirmed: None };
             }
-            _ => control::lose(state, run_key, "its worker started anew", out),
+            Phase::Starting | Phase::Doubtful { .. } | Phase::Active { .. } => {
+                run.phase = Phase::Doubtful { since: now };
+            }
         }
     }
-    state.workers.all[key].rebirth(born);
+    state.workers.all[key].rebirth(listing.born);
 }
 
 /// Acknowledges the ends whose records are durable.
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -96,6 +96,10 @@
     pub seen: u64,
     /// Highest end that may be acknowledged.
     pub acknowledged: u64,
+    /// Highest end whose acknowledgement the worker has confirmed.
+    pub confirmed: u64,
+    /// Highest end that the renewal in flight acknowledges.
+    pub acknowledging: u64,
     /// Ends that wait for a commit: sequence of the commit, number of the end.
     pub unacknowledged: VecDeque<(u64, u64)>,
     /// Runs that take room.
@@ -135,6 +139,8 @@
             armed: None,
             seen: 0,
             acknowledged: 0,
+            confirmed: 0,
+            acknowledging: 0,
             unacknowledged: VecDeque::new(),
             runs: Vec::new(),
             used: Room::default(),
@@ -196,12 +202,22 @@
         self.born = born;
         self.seen = 0;
         self.acknowledged = 0;
+        self.confirmed = 0;
         self.unacknowledged.clear();
         self.failures.clear();
         self.reading = None;
         self.suspect_until = Instant::default();
     }
 
+    /// Highest end to acknowledge now; 0 for none.
+    ///
+    /// A worker that starts anew numbers its ends from 1 again, so an old number could make it forget ends that nobody
+    /// has read. It is sent only right after the ends were read, and never after a call without an answer.
+    pub fn next_acknowledgement(&self) -> u64 {
+        let is_due = self.acknowledged > self.confirmed && self.silent_since.is_none();
+        if is_due { self.acknowledged } else { 0 }
+    }
+
     /// Notes a reading of the worker's clock.
     pub fn read_clock(&mut self, clock_ms: Option<u64>, at: Instant) {
         if let Some(clock_ms) = clock_ms {
--- /dev/null
+++ b/tests/emulator/store.rs
@@ -0,0 +1,219 @@
+//! The platform's store: keys with revisions, conditional transactions, leases and watches.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use nutmegfold::core::time::Instant;
+use nutmegfold::core::work::config::Config;
+use nutmegfold::core::work::store::{
+    Change, Item, Key, Range, Removed, Reply, Request, Revision, Transaction, Value,
+};
+use nutmegfold::hash::Map;
+
+use super::worker::Worker;
+
+/// What a call leads to.
+#[derive(Debug)]
+pub enum Outcome {
+    Reply(Reply),
+    /// Look again later.
+    Wait,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    item: Item,
+    revision: Revision,
+    lease: Option<u64>,
+}
+
+/// The store.
+pub struct Store {
+    pub is_down: bool,
+    /// Writes that take effect although their answer is lost.
+    pub lost_answers: u32,
+    revision: Revision,
+    entries: BTreeMap<String, Entry>,
+    history: Vec<(Revision, Range, Change)>,
+    leases: Map<u64, (Instant, Duration)>,
+    last_lease: u64,
+}
+
+fn range_of(key: Key) -> Range {
+    match key {
+        Key::Leader | Key::Term => Range::Leadership,
+        Key::Job(_) => Range::Jobs,
+        // The tip and the roster are never listed; they share the range of the progress here.
+        Key::Progress(_) | Key::Tip | Key::Roster => Range::Progress,
+    }
+}
+
+impl Store {
+    /// A store that holds a configuration.
+    pub fn new(config: Config) -> Self {
+        let mut store = Self {
+            is_down: false,
+            lost_answers: 0,
+            revision: 0,
+            entries: BTreeMap::new(),
+            history: Vec::new(),
+            leases: Map::default(),
+            last_lease: 0,
+        };
+        store.set("op/config".into(), Range::Config, Item::Config(config), None);
+        store
+    }
+
+    /// Lists a worker, as the worker itself does.
+    pub fn list_worker(&mut self, worker: &Worker) {
+        let item = Item::Worker(worker.id.clone(), Some(worker.report()));
+        self.set(format!("servers/{}", worker.id), Range::Workers, item, None);
+    }
+
+    /// Removes a worker from the list.
+    pub fn unlist_worker(&mut self, worker: &Worker) {
+        self.entries.remove(&format!("servers/{}", worker.id));
+        self.note(Range::Workers, Change::Removed(Removed::Worker(worker.id.clone())));
+    }
+
+    /// Removes the keys of leases that have ended.
+    pub fn expire(&mut self, now: Instant) {
+        let ended: Vec<u64> =
+            self.leases.iter().filter(|(_, (until, _))| *until <= now).map(|(lease, _)| *lease).collect();
+        for lease in ended {
+            self.end(lease);
+        }
+    }
+
+    /// Ends all leases at once, without a word to their holders.
+    pub fn revoke(&mut self) {
+        for lease in self.leases.keys().copied().collect::<Vec<_>>() {
+            self.end(lease);
+        }
+    }
+
+    fn end(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.lease == Some(lease))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            if let Some(Entry { item: Item::Own(own, _), .. }) = self.entries.remove(&key) {
+                self.note(range_of(own), Change::Removed(Removed::Own(own)));
+            }
+        }
+    }
+
+    fn note(&mut self, range: Range, change: Change) {
+        self.revision += 1;
+        self.history.push((self.revision, range, change));
+    }
+
+    fn set(&mut self, key: String, range: Range, item: Item, lease: Option<u64>) {
+        let revision = self.revision + 1;
+        self.note(range, Change::Set(item.clone(), revision));
+        self.entries.insert(key, Entry { item, revision, lease });
+    }
+
+    /// Executes a call; a watch waits until `until`.
+    pub fn execute(&mut self, request: &Request, now: Instant, until: Instant) -> Outcome {
+        if self.is_down {
+            return if now >= until { Outcome::Reply(Reply::Lost) } else { Outcome::Wait };
+        }
+        if let Request::Watch { range, after, .. } = request {
+            return self.watch(*range, *after, now, until);
+        }
+        let reply = self.answer(request, now);
+        if matches!(request, Request::Commit(_)) && self.lost_answers > 0 {
+            self.lost_answers -= 1;
+            return Outcome::Reply(Reply::Lost);
+        }
+        Outcome::Reply(reply)
+    }
+
+    fn watch(&self, range: Range, after: Revision, now: Instant, until: Instant) -> Outcome {
+        let seen = self.history.iter().filter(|(revision, of, _)| *revision > after && *of == range);
+        let changes: Vec<Change> = seen.map(|(.., change)| change.clone()).collect();
+        if changes.is_empty() && now < until {
+            return Outcome::Wait;
+        }
+        Outcome::Reply(Reply::Changes { changes, as_of: self.revision })
+    }
+
+    fn answer(&mut self, request: &Request, now: Instant) -> Reply {
+        match request {
+            Request::Lease { ttl } => {
+                self.last_lease += 1;
+                self.leases.insert(self.last_lease, (now + *ttl, *ttl));
+                Reply::Leased(self.last_lease)
+            }
+            Request::Renew { lease } => match self.leases.get_mut(lease) {
+                Some((until, ttl)) => {
+                    *until = now + *ttl;
+                    Reply::Renewed
+                }
+                None => Reply::Gone,
+            },
+            Request::Commit(transaction) => self.commit(transaction),
+            Request::Read(key) => Reply::Read(self.own(*key)),
+            Request::List { range, .. } => {
+                let prefix = match range {
+                    Range::Leadership => "lead/",
+                    Range::Jobs => "jobs/",
+                    Range::Progress => "progress/",
+                    Range::Workers => "servers/",
+                    Range::Config => "op/",
+                };
+                let found = self.entries.iter().filter(|(key, _)| key.starts_with(prefix));
+                let items = found.map(|(_, entry)| (entry.item.clone(), entry.revision)).collect();
+                Reply::Page { items, next: None, as_of: self.revision }
+            }
+            Request::Watch { .. } => unreachable!("handled before"),
+        }
+    }
+
+    fn own(&self, key: Key) -> Option<(Value, Revision)> {
+        match self.entries.get(&text(key)) {
+            Some(Entry { item: Item::Own(_, value), revision, .. }) => Some((value.clone(), *revision)),
+            _ => None,
+        }
+    }
+
+    fn commit(&mut self, transaction: &Transaction) -> Reply {
+        let holds =
+            |(key, revision): &(Key, Revision)| self.own(*key).map_or(0, |(_, found)| found) == *revision;
+        if !transaction.expect.iter().all(holds) {
+            let current = transaction
+                .expect
+                .iter()
+                .filter_map(|(key, _)| self.own(*key).map(|(value, revision)| (*key, value, revision)));
+            return Reply::Conflict(current.collect());
+        }
+        if transaction
+            .put
+            .iter()
+            .any(|(.., lease)| lease.is_some_and(|lease| !self.leases.contains_key(&lease)))
+        {
+            return Reply::Gone;
+        }
+        for key in &transaction.delete {
+            if self.entries.remove(&text(*key)).is_some() {
+                self.note(range_of(*key), Change::Removed(Removed::Own(*key)));
+            }
+        }
+        // All keys of a transaction get one revision.
+        let first = self.revision;
+        for (key, value, lease) in &transaction.put {
+            self.revision = first;
+            self.set(text(*key), range_of(*key), Item::Own(*key, value.clone()), *lease);
+        }
+        Reply::Committed(self.revision)
+    }
+}
+
+fn text(key: Key) -> String {
+    nutmegfold::wire::job::key_text(key)
+}
--- /dev/null
+++ b/tests/emulator/worker.rs
@@ -0,0 +1,351 @@
+//! Workers of the platform, and the observer of what they run.
+
+use std::time::Duration;
+
+use nutmegfold::core::time::Instant;
+use nutmegfold::core::work::event::{Event, Fault};
+use nutmegfold::core::work::order::{Ended, How, Listing, Order, Refusal, Reply, Running};
+use nutmegfold::core::work::spec::{Id, Name, Room, Spec, Step};
+use nutmegfold::core::work::worker::{Report, Standing};
+use nutmegfold::hash::{Map, Set};
+
+use super::Parcel;
+
+/// Cores of a worker, in thousandths.
+const CPU: u32 = 8_000;
+
+/// What an order leads to.
+#[derive(Debug)]
+pub enum Outcome {
+    Event(Event),
+    /// Look again later.
+    Wait,
+}
+
+#[derive(Debug, Clone)]
+struct Run {
+    name: Name,
+    number: u32,
+    started: Instant,
+    length: Duration,
+    lasts: bool,
+    fails: bool,
+}
+
+/// Counts broken promises.
+#[derive(Debug, Default)]
+pub struct Observer {
+    jobs: Map<Id, Spec>,
+    /// Runs by task, with the worker.
+    running: Map<Name, Set<(String, u32)>>,
+    /// Tasks that were done.
+    pub done: Set<Name>,
+    /// Tasks whose end was acknowledged as done.
+    noted: Set<Name>,
+    /// Runs that were done, by task.
+    done_runs: Map<Name, Vec<u32>>,
+    /// Runs that were done before their task was started once more.
+    repeated: Set<(Name, u32)>,
+    failed: Map<Name, u32>,
+    /// Every broken promise.
+    pub broken: Vec<String>,
+    /// Starts of tasks.
+    pub starts: u32,
+    /// Tasks that fail when they run, each this many times.
+    pub failing: Map<Name, u32>,
+}
+
+impl Observer {
+    /// Notes a job that a caller submitted.
+    pub fn submitted(&mut self, id: Id, spec: &Spec) {
+        self.jobs.insert(id, spec.clone());
+    }
+
+    fn step(&self, name: Name) -> Option<&Step> {
+        self.jobs.get(&name.job)?.steps.get(name.step as usize)
+    }
+
+    fn started(&mut self, worker: &str, name: Name, number: u32) {
+        self.starts += 1;
+        let others = self.running.entry(name).or_default();
+        if !others.is_empty() {
+            self.broken.push(format!("{name}: run {number} on {worker} beside {others:?}"));
+        }
+        others.insert((worker.to_owned(), number));
+        if self.noted.contains(&name) {
+            self.broken.push(format!("{name}: run {number} on {worker} after its end was acknowledged"));
+        }
+        let before = self.done_runs.get(&name).into_iter().flatten();
+        self.repeated.extend(before.map(|run| (name, *run)));
+        if self.failed.get(&name).is_some_and(|count| *count >= 3) {
+            self.broken.push(format!("{name}: run {number} on {worker} after 3 failures"));
+        }
+        let steps = self.step(name).map(|step| step.after.clone()).unwrap_or_default();
+        for before in steps {
+            let count = self.jobs[&name.job].steps[before as usize].count;
+            let is_done = (0..count).all(|index| self.done.contains(&Name { step: before, index, ..name }));
+            if !is_done {
+                self.broken.push(format!("{name} started before step {before} was done"));
+            }
+        }
+    }
+
+    fn ended(&mut self, worker: &str, name: Name, number: u32, how: How) {
+        if let Some(others) = self.running.get_mut(&name) {
+            others.remove(&(worker.to_owned(), number));
+        }
+        match how {
+            How::Done => {
+                self.done.insert(name);
+                self.done_runs.entry(name).or_default().push(number);
+            }
+            How::Failed => *self.failed.entry(name).or_default() += 1,
+            _ => {}
+        }
+    }
+
+    /// Notes that an end was acknowledged. One after which the lease lapsed does not count: its work may be repeated.
+    fn acknowledged(&mut self, end: &Ended, has_lapsed: bool) {
+        if end.how != How::Done || has_lapsed {
+            return;
+        }
+        if self.repeated.contains(&(end.name, end.run)) {
+            self.broken.push(format!("{}: run {} is acknowledged after a repetition", end.name, end.run));
+        }
+        self.noted.insert(end.name);
+    }
+
+    /// Whether a run of the task is there.
+    pub fn is_running(&self, name: Name) -> bool {
+        self.running.get(&name).is_some_and(|runs| !runs.is_empty())
+    }
+}
+
+/// A worker.
+#[derive(Debug)]
+pub struct Worker {
+    pub id: String,
+    /// Whether it answers; its tasks go on if it does not.
+    pub is_silent: bool,
+    /// Orders to start that are carried out although nobody gets the answer.
+    pub lost_starts: u32,
+    number: usize,
+    born: u64,
+    born_at: Instant,
+    fence: u64,
+    deadline_ms: u64,
+    runs: Vec<Run>,
+    /// Ends, and whether the lease has lapsed since.
+    ended: Vec<(Ended, bool)>,
+    last_end: u64,
+    /// Highest number of a run that was stopped or has ended, by task.
+    past: Map<Name, u32>,
+}
+
+impl Worker {
+    pub(super) fn new(number: usize) -> Self {
+        Self {
+            id: format!("w-{number}"),
+            is_silent: false,
+            lost_starts: 0,
+            number,
+            born: 1,
+            born_at: Instant::default(),
+            fence: 0,
+            deadline_ms: 0,
+            runs: Vec::new(),
+            ended: Vec::new(),
+            last_end: 0,
+            past: Map::default(),
+        }
+    }
+
+    /// What the worker writes to the store.
+    pub fn report(&self) -> Report {
+        Report {
+            service: "desk".into(),
+            address: format!("10.1.0.{}:8000", self.number + 1).parse().expect("address"),
+            zone: "z".into(),
+            standing: Standing::Ready,
+            capacity: Some(Room { cpu: CPU, memory_mb: 32_000, gpu: 0 }),
+            labels: vec!["a".into(), format!("r-{}", self.number / 3)],
+            born: Some(self.born),
+        }
+    }
+
+    /// Crashes and starts anew under the same identity.
+    pub fn restart(&mut self, now: Instant, observer: &mut Observer) {
+        for run in self.runs.drain(..) {
+            observer.ended(&self.id, run.name, run.number, How::Lapsed);
+        }
+        (self.born, self.born_at) = (self.born + 1, now);
+        (self.fence, self.deadline_ms, self.last_end) = (0, 0, 0);
+        self.ended.clear();
+        self.past.clear();
+    }
+
+    fn clock(&self, now: Instant) -> u64 {
+        now.since(self.born_at).as_millis() as u64
+    }
+
+    /// Ends what is finished, or whose lease is over.
+    pub(super) fn advance(&mut self, now: Instant, observer: &mut Observer) {
+        let clock = self.clock(now);
+        let has_lapsed = clock >= self.deadline_ms;
+        for (_, lapsed_since) in &mut self.ended {
+            *lapsed_since |= has_lapsed;
+        }
+        for run in std::mem::take(&mut self.runs) {
+            let is_over = !run.lasts && now.since(run.started) >= run.length;
+            match (is_over, has_lapsed) {
+                (true, _) if run.fails => self.end(run, How::Failed, observer),
+                (true, _) => self.end(run, How::Done, observer),
+                (_, true) => self.end(run, How::Lapsed, observer),
+                _ => self.runs.push(run),
+            }
+        }
+    }
+
+    fn end(&mut self, run: Run, how: How, observer: &mut Observer) {
+        observer.ended(&self.id, run.name, run.number, how);
+        self.last_end += 1;
+        let past = self.past.entry(run.name).or_default();
+        *past = (*past).max(run.number);
+        let (number, saved) = (self.last_end, String::new());
+        self.ended.push((Ended { number, name: run.name, run: run.number, how, saved }, false));
+    }
+
+    /// Carries out an order; a renewal waits until there is an end.
+    pub(super) fn take(
+        &mut self,
+        parcel: &mut Parcel,
+        now: Instant,
+        until: Instant,
+        observer: &mut Observer,
+    ) -> Outcome {
+        if parcel.reader.is_some_and(|born| born != self.born) {
+            return Outcome::Event(lost(parcel));
+        }
+        if self.is_silent {
+            return if now >= until { Outcome::Event(lost(parcel)) } else { Outcome::Wait };
+        }
+        if parcel.fence < self.fence {
+            return Outcome::Event(self.refuse(parcel, Refusal::Fence, now));
+        }
+        self.fence = parcel.fence;
+        parcel.reader = Some(self.born);
+        match &parcel.order {
+            Order::Hold { worker, until_ms, acknowledged, wait_ms } => {
+                self.deadline_ms = self.deadline_ms.max(until_ms.unwrap_or_default());
+                for (end, has_lapsed) in self.ended.extract_if(.., |(end, _)| end.number <= *acknowledged) {
+                    observer.acknowledged(&end, has_lapsed);
+                }
+                let waited = now.since(parcel.sent) >= Duration::from_millis(*wait_ms);
+                if self.ended.is_empty() && !waited {
+                    return Outcome::Wait;
+                }
+                let result = Ok(Reply { clock_ms: Some(self.clock(now)), outcome: Ok(self.list(now)) });
+                Outcome::Event(Event::Held { worker: *worker, sent: parcel.sent, result })
+            }
+            Order::Start { run, name, number, until_ms, .. } => {
+                let outcome = self.start(*name, *number, *until_ms, now, observer);
+                if self.lost_starts > 0 {
+                    self.lost_starts -= 1;
+                    return Outcome::Event(lost(parcel));
+                }
+                let result = Ok(Reply { clock_ms: Some(self.clock(now)), outcome });
+                Outcome::Event(Event::Started { run: *run, result })
+            }
+            Order::Stop { run, name, number } => {
+                let past = self.past.entry(*name).or_default();
+                *past = (*past).max(*number);
+                let there = self.runs.iter().position(|run| run.name == *name && run.number == *number);
+                if let Some(there) = there {
+                    let run = self.runs.remove(there);
+                    self.end(run, How::Stopped, observer);
+                }
+                let result = Ok(Reply { clock_ms: Some(self.clock(now)), outcome: Ok(()) });
+                Outcome::Event(Event::Stopped { run: *run, result })
+            }
+            Order::Pace { run, percent, .. } => {
+                let result = Ok(Reply { clock_ms: Some(self.clock(now)), outcome: Ok(()) });
+                Outcome::Event(Event::Paced { run: *run, percent: *percent, result })
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        name: Name,
+        number: u32,
+        until_ms: u64,
+        now: Instant,
+        observer: &mut Observer,
+    ) -> Result<(), Refusal> {
+        if self.runs.iter().any(|run| run.name == name && run.number == number) {
+            return Ok(());
+        }
+        if self.past.get(&name).is_some_and(|past| number <= *past) {
+            return Err(Refusal::Old);
+        }
+        if until_ms <= self.clock(now) {
+            return Err(Refusal::Late);
+        }
+        self.deadline_ms = self.deadline_ms.max(until_ms);
+        observer.started(&self.id, name, number);
+        let step = observer.step(name).cloned().unwrap_or_default();
+        let failing = observer.failing.get_mut(&name).filter(|left| **left > 0);
+        let fails = failing.map(|left| *left -= 1).is_some();
+        self.runs.push(Run { name, number, started: now, length: step.estimate, lasts: step.lasting, fails });
+        let used: u32 =
+            self.runs.iter().filter_map(|run| observer.step(run.name)).map(|step| step.charged().cpu).sum();
+        if used > CPU {
+            observer.broken.push(format!("{} runs {used} thousandths of a core", self.id));
+        }
+        Ok(())
+    }
+
+    fn list(&self, now: Instant) -> Listing {
+        let running = self.runs.iter().map(|run| Running {
+            name: run.name,
+            number: run.number,
+            saved: String::new(),
+            percent: (now.since(run.started).as_millis() * 100 / run.length.as_millis().max(1)).min(99)
+                as u32,
+            observed: None,
+        });
+        Listing {
+            born: Some(self.born),
+            running: running.collect(),
+            ended: self.ended.iter().map(|(end, _)| end.clone()).collect(),
+        }
+    }
+
+    fn refuse(&self, parcel: &Parcel, refusal: Refusal, now: Instant) -> Event {
+        let clock_ms = Some(self.clock(now));
+        let plain = Ok(Reply { clock_ms, outcome: Err(refusal) });
+        match &parcel.order {
+            Order::Hold { worker, .. } => Event::Held {
+                worker: *worker,
+                sent: parcel.sent,
+                result: Ok(Reply { clock_ms, outcome: Err(refusal) }),
+            },
+            Order::Start { run, .. } => Event::Started { run: *run, result: plain },
+            Order::Stop { run, .. } => Event::Stopped { run: *run, result: plain },
+            Order::Pace { run, percent, .. } => Event::Paced { run: *run, percent: *percent, result: plain },
+        }
+    }
+}
+
+fn lost(parcel: &Parcel) -> Event {
+    match &parcel.order {
+        Order::Hold { worker, .. } => {
+            Event::Held { worker: *worker, sent: parcel.sent, result: Err(Fault::Lost) }
+        }
+        Order::Start { run, .. } => Event::Started { run: *run, result: Err(Fault::Lost) },
+        Order::Stop { run, .. } => Event::Stopped { run: *run, result: Err(Fault::Lost) },
+        Order::Pace { run, percent, .. } => {
+            Event::Paced { run: *run, percent: *percent, result: Err(Fault::Lost) }
+        }
+    }
+}
--- /dev/null
+++ b/tests/work.rs
@@ -0,0 +1,328 @@
+//! Scheduling of jobs under failures, on the emulator.
+
+mod emulator;
+
+use std::time::Duration;
+
+use emulator::{Emulator, job, step};
+use nutmegfold::core::work::ask::{Answer, Phase, Verb};
+use nutmegfold::core::work::spec::{Id, Name, Step};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn name(job: u64, step: u32, index: u32) -> Name {
+    Name { job: Id(job), occurrence: 0, step, index }
+}
+
+/// A deployment that has a leader and knows its workers.
+fn ready(seed: u64, vms: usize, workers: usize) -> Emulator {
+    let mut emulator = Emulator::new(seed, vms, workers);
+    emulator.run_for(SECOND);
+    assert!(emulator.leader().is_some(), "no leader after a second: {:#?}", emulator.log);
+    emulator
+}
+
+fn check(emulator: &Emulator) {
+    assert!(emulator.observer.broken.is_empty(), "{:#?}", emulator.observer.broken);
+}
+
+fn completed(emulator: &mut Emulator, vm: usize, id: u64) -> bool {
+    emulator.phase(vm, id) == Some(Answer::Phase(Phase::Completed))
+}
+
+/// Guards against candidates that depose one another: a watch names the leader while a campaign waits for its lease.
+#[test]
+fn one_campaign_wins() {
+    for seed in 0..30 {
+        let emulator = ready(seed, 7, 1);
+        let leaders = emulator.log.iter().filter(|line| line.contains("\"lead\"")).count();
+        assert_eq!(leaders, 1, "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against a path that does not work without any failure, from every entry VM.
+#[test]
+fn jobs_run_in_the_order_of_their_steps() {
+    let mut emulator = ready(1, 3, 4);
+    for vm in 0..3 {
+        let id = vm as u64 + 1;
+        let last = Step { after: vec![0], ..step(2) };
+        let ticket = emulator.submit(vm, id, job([step(3), last]));
+        emulator.run_for(SECOND / 10);
+        assert_eq!(emulator.answers.get(&ticket), Some(&Answer::Accepted));
+    }
+    emulator.run_for(3 * SECOND);
+    for vm in 0..3 {
+        assert!(completed(&mut emulator, 2 - vm, vm as u64 + 1));
+    }
+    assert_eq!(emulator.observer.starts, 15);
+    check(&emulator);
+}
+
+/// Guards against a second job from a request that is repeated, and against an answer to a job that was never accepted.
+#[test]
+fn a_repeated_request_names_the_same_job() {
+    let mut emulator = ready(2, 2, 2);
+    let first = emulator.submit(0, 7, job([step(1)]));
+    let second = emulator.submit(1, 7, job([step(1)]));
+    emulator.run_for(2 * SECOND);
+    let third = emulator.submit(1, 7, job([step(1)]));
+    emulator.run_for(SECOND);
+    for ticket in [first, second, third] {
+        assert_eq!(emulator.answers.get(&ticket), Some(&Answer::Accepted));
+    }
+    assert_eq!(emulator.observer.starts, 1);
+    assert_eq!(emulator.phase(0, 8), Some(Answer::UnknownJob));
+}
+
+/// Guards against a new leader that starts tasks anew while the old runs go on, and stops runs whose earlier steps it has
+/// not read as done yet.
+#[test]
+fn a_new_leader_adopts_what_runs() {
+    for seed in 0..20 {
+        let mut emulator = ready(seed, 3, 6);
+        for id in 1..=5 {
+            let last = Step { after: vec![0], ..step(2) };
+            emulator.submit(0, id, job([step(2), last]));
+        }
+        emulator.run_for(SECOND / 2 + Duration::from_millis(seed * 50));
+        let leader = emulator.leader().expect("a leader");
+        emulator.kill(leader);
+        emulator.run_for(12 * SECOND);
+        let other = emulator.leader().expect("another leader");
+        assert_ne!(other, leader);
+        for id in 1..=5 {
+            assert!(completed(&mut emulator, other, id), "seed {seed}, job {id}: {:#?}", emulator.log);
+        }
+        check(&emulator);
+    }
+}
+
+/// Guards against an unread end of an earlier run that lets a new leader start a task whose later run it has not seen.
+#[test]
+fn an_old_end_does_not_hide_a_later_run() {
+    let mut emulator = ready(3, 2, 4);
+    let long = Step { estimate: 4 * SECOND, ..step(1) };
+    emulator.observer.failing.insert(name(1, 0, 0), 1);
+    emulator.submit(0, 1, job([long]));
+    // The first run fails after four seconds, and the second one goes on while the leader is killed.
+    emulator.run_for(5 * SECOND);
+    let running = emulator.workers.iter().position(|worker| {
+        emulator.log.iter().any(|line| line.contains("run 2 of") && line.contains(&worker.id))
+    });
+    let running = running.expect("a second run");
+    emulator.workers[running].is_silent = true;
+    let leader = emulator.leader().expect("a leader");
+    emulator.kill(leader);
+    emulator.run_for(3 * SECOND);
+    emulator.workers[running].is_silent = false;
+    emulator.run_for(15 * SECOND);
+    check(&emulator);
+}
+
+/// Guards against failures that are forgotten, or counted twice, when the leader changes: a task that always fails is
+/// started exactly as often as its queue allows.
+#[test]
+fn failures_count_once_over_all_leaders() {
+    for seed in 0..20 {
+        let mut emulator = ready(seed, 3, 4);
+        let short = Step { estimate: SECOND / 2, ..step(1) };
+        emulator.observer.failing.insert(name(1, 0, 0), 100);
+        emulator.submit(0, 1, job([short]));
+        emulator.run_for(SECOND / 2 + Duration::from_millis(seed * 40));
+        let leader = emulator.leader().expect("a leader");
+        emulator.kill(leader);
+        emulator.run_for(15 * SECOND);
+        let other = emulator.leader().expect("another leader");
+        assert_eq!(emulator.phase(other, 1), Some(Answer::Phase(Phase::Failed)), "seed {seed}");
+        assert_eq!(emulator.observer.starts, 3, "seed {seed}: {:#?}", emulator.log);
+        check(&emulator);
+    }
+}
+
+/// Guards against renewals that keep the lease of a silent worker alive for ever, so that its tasks are never given up.
+#[test]
+fn tasks_of_a_silent_worker_start_elsewhere() {
+    let mut emulator = ready(4, 2, 2);
+    let lasting = Step { lasting: true, ..step(1) };
+    emulator.submit(0, 1, job([lasting]));
+    emulator.run_for(2 * SECOND);
+    assert!(emulator.observer.is_running(name(1, 0, 0)));
+    let first = emulator.workers.iter().position(|worker| {
+        emulator.log.iter().any(|line| line.contains("run 1 of") && line.contains(&worker.id))
+    });
+    emulator.workers[first.expect("a first run")].is_silent = true;
+    emulator.run_for(8 * SECOND);
+    assert_eq!(emulator.observer.starts, 2, "{:#?}", emulator.log);
+    assert!(emulator.observer.is_running(name(1, 0, 0)));
+    check(&emulator);
+}
+
+/// Guards against a task that runs twice because the order to start it was carried out without an answer.
+#[test]
+fn an_unanswered_start_is_settled_before_another_one() {
+    let mut emulator = ready(5, 2, 3);
+    for worker in &mut emulator.workers {
+        worker.lost_starts = 1;
+    }
+    emulator.submit(0, 1, job([step(6)]));
+    emulator.run_for(8 * SECOND);
+    assert!(completed(&mut emulator, 0, 1), "{:#?}", emulator.log);
+    check(&emulator);
+}
+
+/// Guards against an acknowledgement that reaches the next life of a worker and makes it forget an end that nobody read.
+#[test]
+fn a_restarted_worker_keeps_its_new_ends() {
+    let mut emulator = ready(10, 2, 1);
+    let short = |count| job([Step { estimate: SECOND / 10, ..step(count) }]);
+    emulator.submit(0, 1, short(3));
+    emulator.run_for(SECOND);
+    emulator.restart_worker(0);
+    // The ends of the new life begin at 1, below those that were acknowledged.
+    emulator.submit(0, 2, short(2));
+    emulator.run_for(5 * SECOND);
+    assert!(completed(&mut emulator, 0, 2), "{:#?}", emulator.log);
+    assert_eq!(emulator.observer.starts, 5, "{:#?}", emulator.log);
+    check(&emulator);
+}
+
+/// Guards against a lost answer to a commit that is taken for a failure, or written twice.
+#[test]
+fn a_commit_without_an_answer_is_settled() {
+    let mut emulator = ready(6, 2, 2);
+    emulator.store.lost_answers = 1;
+    let ticket = emulator.submit(0, 1, job([step(1)]));
+    emulator.run_for(4 * SECOND);
+    assert_eq!(emulator.answers.get(&ticket), Some(&Answer::Accepted), "{:#?}", emulator.log);
+    assert!(completed(&mut emulator, 1, 1));
+    check(&emulator);
+}
+
+/// Guards against leaders that both act when the store takes their keys away without a word.
+#[test]
+fn a_revoked_leader_does_no_harm() {
+    for seed in 0..20 {
+        let mut emulator = ready(seed, 3, 4);
+        for id in 1..=6 {
+            emulator.submit(0, id, job([step(3)]));
+        }
+        emulator.run_for(Duration::from_millis(300 + seed * 30));
+        emulator.store.revoke();
+        emulator.run_for(14 * SECOND);
+        for id in 1..=6 {
+            assert!(completed(&mut emulator, 1, id), "seed {seed}, job {id}: {:#?}", emulator.log);
+        }
+        check(&emulator);
+    }
+}
+
+/// Guards against jobs that are lost, and refused requests that run, in an outage of the store.
+#[test]
+fn an_outage_of_the_store_loses_nothing() {
+    let mut emulator = ready(7, 2, 3);
+    emulator.submit(0, 1, job([step(4)]));
+    emulator.run_for(SECOND / 2);
+    emulator.store.is_down = true;
+    emulator.run_for(3 * SECOND);
+    let refused = emulator.submit(0, 2, job([step(1)]));
+    emulator.run_for(2 * SECOND);
+    emulator.store.is_down = false;
+    emulator.run_for(10 * SECOND);
+    assert!(completed(&mut emulator, 0, 1), "{:#?}", emulator.log);
+    if matches!(emulator.answers.get(&refused), Some(Answer::Refused(_))) {
+        assert_eq!(emulator.phase(0, 2), Some(Answer::UnknownJob));
+    }
+    check(&emulator);
+}
+
+/// Guards against runs that go on after their job was cancelled.
+#[test]
+fn a_cancelled_job_stops() {
+    let mut emulator = ready(8, 2, 2);
+    emulator.submit(0, 1, job([Step { lasting: true, ..step(3) }]));
+    emulator.run_for(SECOND);
+    let ticket = emulator.ask(1, &format!("{}{}", emulator::PREFIX, Id(1)), Verb::Cancel);
+    emulator.run_for(SECOND / 2);
+    assert_eq!(emulator.answers.get(&ticket), Some(&Answer::Cancelled));
+    assert!((0..3).all(|index| !emulator.observer.is_running(name(1, 0, index))));
+    emulator.run_for(3 * SECOND);
+    assert_eq!(emulator.observer.starts, 3);
+    assert_eq!(emulator.phase(0, 1), Some(Answer::Phase(Phase::Cancelled)));
+}
+
+/// Guards against timers that arm one another: an idle deployment must not work more and more.
+#[test]
+fn an_idle_deployment_stays_idle() {
+    let mut emulator = ready(9, 3, 20);
+    let before = emulator.events;
+    emulator.run_for(10 * SECOND);
+    let first = emulator.events - before;
+    emulator.run_for(10 * SECOND);
+    let second = emulator.events - before - first;
+    assert!(second <= first + first / 4, "{first} events in ten seconds, then {second}");
+}
+
+/// Guards against faults that only come together: workers and entry VMs that fail by turns while jobs arrive.
+#[test]
+fn random_faults_break_no_promise() {
+    let seeds = std::env::var("NUTMEGFOLD_SCHEDULES").ok().and_then(|text| text.parse().ok()).unwrap_or(60);
+    for seed in 0..seeds {
+        let mut emulator = ready(seed, 4, 6);
+        for round in 0..12 {
+            let id = round + 1;
+            let last = Step { after: vec![0], ..step(2) };
+            let vm = (0..4).find(|vm| emulator.is_up(*vm)).expect("a VM is up");
+            emulator.submit(vm, id, job([step(3), last]));
+            fault(&mut emulator);
+            emulator.run_for(Duration::from_millis(400));
+        }
+        heal(&mut emulator);
+        emulator.run_for(40 * SECOND);
+        if std::env::var_os("NUTMEGFOLD_TRACE").is_some() && !emulator.observer.broken.is_empty() {
+            println!("{}", emulator.log.join("\n"));
+        }
+        assert!(emulator.observer.broken.is_empty(), "seed {seed}: {:#?}", emulator.observer.broken);
+        let vm = emulator.leader().expect("a leader");
+        for id in 1..=12 {
+            let answer = emulator.phase(vm, id);
+            let is_settled =
+                matches!(answer, Some(Answer::Phase(Phase::Completed | Phase::Failed) | Answer::UnknownJob));
+            assert!(is_settled, "seed {seed}, job {id}: {answer:?}");
+        }
+    }
+}
+
+fn fault(emulator: &mut Emulator) {
+    let worker = (emulator.draw() % 6) as usize;
+    match emulator.draw() % 9 {
+        0 => {
+            let vm = (emulator.draw() % 4) as usize;
+            if emulator.is_up(vm) && (0..4).filter(|vm| emulator.is_up(*vm)).count() > 1 {
+                emulator.kill(vm);
+            }
+        }
+        1 => {
+            if let Some(vm) = (0..4).find(|vm| !emulator.is_up(*vm)) {
+                emulator.start(vm);
+            }
+        }
+        2 => emulator.workers[worker].is_silent = true,
+        3 => emulator.workers.iter_mut().for_each(|worker| worker.is_silent = false),
+        4 => emulator.workers[worker].lost_starts = 2,
+        5 => emulator.restart_worker(worker),
+        6 => emulator.store.revoke(),
+        7 => emulator.store.lost_answers = 2,
+        _ => emulator.store.is_down = !emulator.store.is_down,
+    }
+}
+
+fn heal(emulator: &mut Emulator) {
+    emulator.store.is_down = false;
+    emulator.workers.iter_mut().for_each(|worker| worker.is_silent = false);
+    for vm in 0..4 {
+        if !emulator.is_up(vm) {
+            emulator.start(vm);
+        }
+    }
+}
