--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -53,6 +53,7 @@
         excess: 0.0,
         over_since: None,
         pace: 100,
+        paced_at: now,
     });
     worker.lapses = worker.lapses.max(lapses);
     worker.attach(run, charged, share);
@@ -292,6 +293,7 @@
         excess: 0.0,
         over_since: None,
         pace: 100,
+        paced_at: now,
     });
     let Some(worker) = state.workers.all.get_mut(worker_key) else { return };
     worker.attach(key, charged, share);
--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -4,12 +4,12 @@
 //! near its target all the same, the filling run that disturbs it most is slowed down step by step, and speeds up again
 //! once there is room.
 
-use super::control::step_of;
+use super::control::{self, step_of};
 use super::image::{self, Load};
 use super::order::{Order, Refusal, Reply};
 use super::run::{self, Phase};
 use super::worker::Key;
-use super::{event::Fault, lead, state};
+use super::{event::Fault, lead, place, state};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -27,6 +27,9 @@
 const SLOWER: u32 = 40;
 const FASTER: u32 = 25;
 
+/// Pace at which a filling run is better off elsewhere, in percent.
+const SLOW: u32 = 40;
+
 /// Paces below this are no work worth its disturbance, in percent.
 const SLOWEST: u32 = 10;
 
@@ -93,6 +96,26 @@
     if !slow_down(state, key, out) {
         speed_up(state, key, out);
     }
+    move_away(state, key, out);
+}
+
+/// Stops one filling run that was slowed down and can work at full speed elsewhere; it resumes from its saved progress.
+fn move_away(state: &mut super::State, key: Key, out: &mut Vec<Effect>) {
+    let now = state.now;
+    let is_slow = |run: &run::Key| {
+        let Some(run) = state.runs.get(*run) else { return false };
+        run.share.filling_cpu > 0
+            && run.pace <= SLOW
+            && matches!(run.phase, Phase::Active { .. })
+            && now.since(run.paced_at) >= state.tuning.slow_patience
+            && step_of(state, run.name).is_some_and(|step| step.checkpoint)
+    };
+    let slow = state.workers.all[key].runs.iter().copied().find(is_slow);
+    let Some(run) = slow.filter(|run| place::has_better(state, *run)) else { return };
+    if let Some(task) = state.runs[run].task.and_then(|task| state.jobs.tasks.get_mut(task)) {
+        task.avoid = Some(key);
+    }
+    control::stop(state, run, "it works at full speed elsewhere", out);
 }
 
 fn learn(state: &mut super::State, key: Key) {
@@ -215,6 +238,7 @@
     let reason = format!("run {} of {}: {} to {percent}%", run.number, run.name, run.pace);
     let (job, worker) = (run.name.job, run.worker);
     run.pace = percent;
+    run.paced_at = state.now;
     state::record(out, Subject::Job(job), "pace", reason);
     state.order(worker, order, out);
 }
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -246,6 +246,24 @@
     all.max_by_key(|(key, worker)| score(*key, worker)).map(|(key, _)| key)
 }
 
+/// Whether another worker has room for a filling run, and serving tasks that bear it at full speed.
+pub(super) fn has_better(state: &super::State, key: run::Key) -> bool {
+    let run = &state.runs[key];
+    let Some(image) = run.share.image else { return false };
+    let Some(job) = state.jobs.find(run.name.job).and_then(|job| state.jobs.all.get(job)) else {
+        return false;
+    };
+    let is_better = |(key, worker): (Key, &Worker)| {
+        key != run.worker
+            && worker.report.as_ref().is_some_and(|report| report.service == job.service)
+            && worker.takes_work(state.now)
+            && worker.free().holds(run.charged)
+            && worker.free().cpu > worker.filling_cpu + run.share.filling_cpu
+            && pace::after(state, &pace::slack(state, key), image, run.share.filling_cpu) >= 0.0
+    };
+    state.workers.all.iter().any(is_better)
+}
+
 /// Serving runs of other images on a worker.
 fn strangers(state: &super::State, worker: &Worker, image: Option<image::Key>) -> u32 {
     let is_strange = |run: &&run::Key| {
--- a/src/core/work/run.rs
+++ b/src/core/work/run.rs
@@ -77,6 +77,8 @@
     pub over_since: Option<Instant>,
     /// Share at which it works, in percent.
     pub pace: u32,
+    /// When its pace was changed last.
+    pub paced_at: Instant,
 }
 
 /// Runs of the deployment.
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -57,6 +57,8 @@
     pub harm_patience: Duration,
     /// Time after which it pauses; well below the time that users bear.
     pub harm_limit: Duration,
+    /// Time at a slow pace after which a filling task that can resume is moved to another worker.
+    pub slow_patience: Duration,
     /// Longest wait of a graceful stop for requests in progress.
     pub stop_wait: Duration,
 }
@@ -90,6 +92,7 @@
             preempt_after: Duration::from_millis(150),
             harm_patience: Duration::from_millis(1_400),
             harm_limit: Duration::from_millis(2_500),
+            slow_patience: Duration::from_millis(800),
             stop_wait: Duration::from_millis(2_000),
         }
     }
