Count what serving tasks leave unused when fillers are spread

Cause: filling work was spread by reserved cores, of which serving tasks use about half, so workers with much room to fill looked full.

--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -77,7 +77,7 @@
         .as_ref()
         .is_some_and(|rack| worker.report.as_ref().is_some_and(|report| !report.labels.contains(rack)));
     let base = if need.fills {
-        free - i64::from(worker.filling_cpu)
+        worker.leftover()
     } else if need.lasting {
         free + MIXED * i64::from(offer.strangers)
     } else {
@@ -258,7 +258,7 @@
             && worker.report.as_ref().is_some_and(|report| report.service == job.service)
             && worker.takes_work(state.now)
             && worker.free().holds(run.charged)
-            && worker.free().cpu > worker.filling_cpu + run.share.filling_cpu
+            && worker.leftover() >= i64::from(run.share.filling_cpu)
             && pace::after(state, &pace::slack(state, key), image, run.share.filling_cpu) >= 0.0
     };
     state.workers.all.iter().any(is_better)
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -19,6 +19,9 @@
 /// Rate by which a worker's clock may be slow, in thousandths.
 const CLOCK_SLOW_PER_MILLE: u64 = 20;
 
+/// Part of what serving runs reserve that they leave unused at a usual load, in percent.
+const SERVING_IDLE_PERCENT: i64 = 50;
+
 /// Whether a worker takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -108,6 +111,8 @@
     pub used: Room,
     /// Processor time that filling runs can use, in thousandths of a core.
     pub filling_cpu: u32,
+    /// Processor time that serving runs reserve, in thousandths of a core.
+    pub serving_cpu: u32,
     /// Filling runs.
     pub filling: u32,
     /// Runs with users of their own.
@@ -145,6 +150,7 @@
             runs: Vec::new(),
             used: Room::default(),
             filling_cpu: 0,
+            serving_cpu: 0,
             filling: 0,
             serving: 0,
             failures: Vec::new(),
@@ -158,6 +164,12 @@
         self.report.as_ref().and_then(|report| report.capacity).unwrap_or_default().without(self.used)
     }
 
+    /// Processor time that is expected to be left for filling runs beside those that are there, in thousandths of a core.
+    pub fn leftover(&self) -> i64 {
+        let reserved = i64::from(self.serving_cpu) * SERVING_IDLE_PERCENT / 100;
+        i64::from(self.free().cpu) + reserved - i64::from(self.filling_cpu)
+    }
+
     /// Whether new runs may be sent there.
     pub fn takes_work(&self, now: Instant) -> bool {
         let is_ready = self.report.as_ref().is_some_and(|report| report.standing == Standing::Ready);
@@ -186,6 +198,7 @@
         self.filling_cpu += share.filling_cpu;
         self.filling += u32::from(share.filling_cpu > 0);
         self.serving += u32::from(share.serves);
+        self.serving_cpu += if share.serves { charged.cpu } else { 0 };
     }
 
     /// Removes a run and gives its room back.
@@ -195,6 +208,7 @@
         self.filling_cpu -= share.filling_cpu;
         self.filling -= u32::from(share.filling_cpu > 0);
         self.serving -= u32::from(share.serves);
+        self.serving_cpu -= if share.serves { charged.cpu } else { 0 };
     }
 
     /// Forgets what belonged to an earlier life.
