Store what is known of images for the next leader

Ruled out: the hand-over itself, which took 60 to 90 ms from resignation to the loaded records.

Change: weights and bases are written every 2 s with a commit that is made anyway, and read at the start of a term. Timers of a term carry its number, so that a process that leads twice has one chain of each.

--- a/src/core/work/image.rs
+++ b/src/core/work/image.rs
@@ -35,6 +35,15 @@
     bases: Vec<f64>,
 }
 
+/// What is known of all images, as it is stored.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Knowledge {
+    /// Names, with the logarithm of the response time that nothing disturbs.
+    pub images: Vec<(String, f64)>,
+    /// Serving and filling image by position, with the weight of the pair.
+    pub pairs: Vec<(usize, usize, f64)>,
+}
+
 /// Processor time in cores that filling tasks of an image use.
 pub type Load = (Key, f64);
 
@@ -54,6 +63,32 @@
         key
     }
 
+    /// Everything that is known, without pairs of which nothing is.
+    pub fn knowledge(&self) -> Knowledge {
+        let mut images = vec![(String::new(), BASE); self.bases.len()];
+        for (name, key) in &self.by_name {
+            images[usize::from(key.0)] = (name.clone(), self.bases[usize::from(key.0)]);
+        }
+        let rows = self.weights.iter().enumerate();
+        let pairs = rows.flat_map(|(serving, row)| {
+            row.iter().enumerate().map(move |(filling, weight)| (serving, filling, *weight))
+        });
+        Knowledge { images, pairs: pairs.filter(|(.., weight)| *weight != PRIOR).collect() }
+    }
+
+    /// Takes over what an earlier leader knew.
+    pub fn restore(&mut self, knowledge: &Knowledge) {
+        let keys: Vec<Key> = knowledge.images.iter().map(|(name, _)| self.enter(name)).collect();
+        for (key, (_, base)) in keys.iter().zip(&knowledge.images) {
+            self.bases[usize::from(key.0)] = *base;
+        }
+        for (serving, filling, weight) in &knowledge.pairs {
+            if let (Some(serving), Some(filling)) = (keys.get(*serving), keys.get(*filling)) {
+                self.weights[usize::from(serving.0)][usize::from(filling.0)] = *weight;
+            }
+        }
+    }
+
     /// What a core of a filling image adds to the logarithm of a serving image's response time.
     pub fn weight(&self, serving: Key, filling: Key) -> f64 {
         self.weights[usize::from(serving.0)][usize::from(filling.0)]
@@ -99,6 +134,21 @@
         assert!(table.weight(serving, light) < 0.1, "{}", table.weight(serving, light));
     }
 
+    /// Guards against a new leader that has to learn again what its predecessor knew.
+    #[test]
+    fn knowledge_survives_a_change_of_the_leader() {
+        let mut table = Table::default();
+        let (serving, filling) = (table.enter("desk"), table.enter("test"));
+        for _ in 0..200 {
+            table.learn(serving, &[(filling, 2.0)], 0.0, 4.0);
+        }
+        let mut other = Table::default();
+        let (filling_there, serving_there) = (other.enter("test"), other.enter("desk"));
+        other.restore(&table.knowledge());
+        assert_eq!(other.weight(serving_there, filling_there), table.weight(serving, filling));
+        assert_eq!(other.expect(serving_there, []), table.expect(serving, []));
+    }
+
     /// Guards against a weight that becomes negative, which would make crowding look useful.
     #[test]
     fn weights_stay_at_zero_or_above() {
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -32,6 +32,8 @@
     Forget(Id),
     /// The workers that may run tasks.
     Roster,
+    /// What is known of images.
+    Images,
 }
 
 /// A commit in flight.
@@ -162,6 +164,9 @@
             transaction.put.push((Key::Progress(job.id), Value::Progress(progress), None));
         }
         Change::Forget(id) => transaction.delete.push(Key::Progress(id)),
+        Change::Images => {
+            transaction.put.push((Key::Images, Value::Images(state.images.knowledge()), None));
+        }
         Change::Roster => {
             let roster = state
                 .workers
@@ -270,7 +275,7 @@
                 job.is_final = true;
             }
         }
-        Change::Forget(_) => {}
+        Change::Forget(_) | Change::Images => {}
         Change::Roster => {
             if !state.journal.queued.contains_key(&Change::Roster) {
                 for worker in state.workers.all.values_mut() {
--- a/src/core/work/lead.rs
+++ b/src/core/work/lead.rs
@@ -208,16 +208,19 @@
     let leader = Leader { vm: me.vm.clone(), address: me.address, term, nonce: me.nonce };
     state.lead.holder = Some((leader, revision));
     state.lead.newest = (term, revision);
-    state.timers.set(state.now + state.tuning.leader_renewal, Timer::Renew);
+    state.timers.set(state.now + state.tuning.leader_renewal, Timer::Renew(term));
     state::record(out, Subject::Process, "lead", format!("term {term}, revision {revision}"));
     load::begin(state, out);
 }
 
 /// Renews the leader's lease.
-pub(super) fn renew(state: &mut super::State, out: &mut Vec<Effect>) {
-    let Role::Leader { lease, .. } = state.lead.role else { return };
+pub(super) fn renew(state: &mut super::State, due: u64, out: &mut Vec<Effect>) {
+    let Role::Leader { lease, term, .. } = state.lead.role else { return };
+    if term != due {
+        return;
+    }
     state.call_store(Purpose::Renew, Request::Renew { lease }, out);
-    state.timers.set(state.now + state.tuning.leader_renewal, Timer::Renew);
+    state.timers.set(state.now + state.tuning.leader_renewal, Timer::Renew(term));
 }
 
 /// Notes the answer to a renewal.
--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -22,13 +22,15 @@
     Tip,
     /// Workers that may run tasks.
     Roster,
+    /// What is known of images.
+    Images,
     /// Accepted jobs.
     Jobs,
     /// Progress of jobs.
     Progress,
 }
 
-const PARTS: [Part; 4] = [Part::Tip, Part::Roster, Part::Jobs, Part::Progress];
+const PARTS: [Part; 5] = [Part::Tip, Part::Roster, Part::Images, Part::Jobs, Part::Progress];
 
 /// Records read so far.
 #[derive(Debug, Clone, Default)]
@@ -57,6 +59,7 @@
     let request = match part {
         Part::Tip => Request::Read(Key::Tip),
         Part::Roster => Request::Read(Key::Roster),
+        Part::Images => Request::Read(Key::Images),
         Part::Jobs => Request::List { range: Range::Jobs, after },
         Part::Progress => Request::List { range: Range::Progress, after },
     };
@@ -79,6 +82,7 @@
             match found {
                 Some((Value::Tip(_), revision)) => load.tip = revision,
                 Some((Value::Roster(roster), _)) => load.roster = roster,
+                Some((Value::Images(knowledge), _)) => state.images.restore(&knowledge),
                 _ => {}
             }
             load.missing.retain(|missing| *missing != part);
@@ -148,6 +152,7 @@
     for key in state.workers.all.keys().collect::<Vec<_>>() {
         hold::call(state, key, out);
     }
+    state.timers.set(state.now + tuning.images_interval, Timer::Images(state.lead.term()));
     state.place_soon();
     front::resume(state, out);
 }
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -66,10 +66,11 @@
         match timer {
             Timer::Follow(range) => follow::step(state, range, out),
             Timer::Campaign => lead::campaign(state, out),
-            Timer::Renew => lead::renew(state, out),
+            Timer::Renew(term) => lead::renew(state, term, out),
             Timer::Load => load::retry(state, out),
             Timer::Commit => journal::flush(state, out),
             Timer::Hold(worker) => hold::due(state, worker, out),
+            Timer::Images(term) => pace::store(state, term),
             Timer::Place => place::due(state, out),
             Timer::Release(job) => book::release_due(state, job, None),
             Timer::Forget(job) => book::forget(state, job),
--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -8,8 +8,9 @@
 use super::image::{self, Load};
 use super::order::{Order, Refusal, Reply};
 use super::run::{self, Phase};
+use super::timer::Timer;
 use super::worker::Key;
-use super::{event::Fault, lead, place, state};
+use super::{event::Fault, journal, lead, place, state};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -243,6 +244,15 @@
     state.order(worker, order, out);
 }
 
+/// Stores what is known of images, for the next leader.
+pub(super) fn store(state: &mut super::State, term: u64) {
+    if state.lead.term() != term {
+        return;
+    }
+    journal::add(state, journal::Change::Images);
+    state.timers.set(state.now + state.tuning.images_interval, Timer::Images(term));
+}
+
 /// Takes over the answer to a change of pace. Whether one that failed took effect is not known, so the run counts as one
 /// at full speed, and is slowed down again if need be.
 pub(super) fn paced(
--- a/src/core/work/store.rs
+++ b/src/core/work/store.rs
@@ -5,6 +5,7 @@
 
 use super::ask::Phase;
 use super::config::Config;
+use super::image::Knowledge;
 use super::spec::{Id, Spec};
 use super::worker::Report;
 
@@ -26,6 +27,8 @@
     Tip,
     /// Workers that may run tasks.
     Roster,
+    /// What is known of images.
+    Images,
     /// An accepted job.
     Job(Id),
     /// Progress of a job.
@@ -41,6 +44,8 @@
     Tip(u64),
     /// Of [`Key::Roster`].
     Roster(Vec<Member>),
+    /// Of [`Key::Images`].
+    Images(Knowledge),
     /// Of [`Key::Job`].
     Job(Box<Record>),
     /// Of [`Key::Progress`].
--- a/src/core/work/timer.rs
+++ b/src/core/work/timer.rs
@@ -10,14 +10,16 @@
     Follow(Range),
     /// Try to become the leader.
     Campaign,
-    /// Renew the leadership.
-    Renew,
+    /// Renew the leadership of a term.
+    Renew(u64),
     /// Go on with reading the records after a fault.
     Load,
     /// Write waiting records.
     Commit,
     /// Contact a worker.
     Hold(worker::Key),
+    /// Store what is known of images, in a term.
+    Images(u64),
     /// Start tasks.
     Place,
     /// Release the next occurrence of a job.
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -59,6 +59,8 @@
     pub harm_limit: Duration,
     /// Time at a slow pace after which a filling task that can resume is moved to another worker.
     pub slow_patience: Duration,
+    /// Interval at which what is known of images is stored.
+    pub images_interval: Duration,
     /// Longest wait of a graceful stop for requests in progress.
     pub stop_wait: Duration,
 }
@@ -93,6 +95,7 @@
             harm_patience: Duration::from_millis(1_400),
             harm_limit: Duration::from_millis(2_500),
             slow_patience: Duration::from_millis(800),
+            images_interval: Duration::from_millis(2_000),
             stop_wait: Duration::from_millis(2_000),
         }
     }
--- a/src/wire/envelope.rs
+++ b/src/wire/envelope.rs
@@ -31,6 +31,8 @@
     Job = 9,
     /// Progress of a job.
     Progress = 10,
+    /// What is known of images.
+    Images = 11,
 }
 
 /// The body is the last field, so that a value cut short cannot be decoded.
--- a/src/wire/job.rs
+++ b/src/wire/job.rs
@@ -7,6 +7,7 @@
 use super::envelope::{self, Kind};
 use super::generated::job as proto;
 use crate::core::work::ask::{Answer, Ask, Phase, Verb};
+use crate::core::work::image::Knowledge;
 use crate::core::work::spec::{Id, Room, Schedule, Spec, Step};
 use crate::core::work::store::{Key, Leader, Mark, Member, Progress, Record, Value};
 use crate::error::Decode;
@@ -24,6 +25,7 @@
 const TERM: &str = "lead/term";
 const TIP: &str = "tip";
 const ROSTER: &str = "roster";
+const IMAGES: &str = "images";
 
 /// Text of a key.
 pub fn key_text(key: Key) -> String {
@@ -32,6 +34,7 @@
         Key::Term => TERM.to_owned(),
         Key::Tip => TIP.to_owned(),
         Key::Roster => ROSTER.to_owned(),
+        Key::Images => IMAGES.to_owned(),
         Key::Job(id) => format!("{JOBS}{id}"),
         Key::Progress(id) => format!("{PROGRESS}{id}"),
     }
@@ -45,6 +48,7 @@
         TERM => Some(Key::Term),
         TIP => Some(Key::Tip),
         ROSTER => Some(Key::Roster),
+        IMAGES => Some(Key::Images),
         _ => match (text.strip_prefix(JOBS), text.strip_prefix(PROGRESS)) {
             (Some(hex), _) => id(hex).map(Key::Job),
             (_, Some(hex)) => id(hex).map(Key::Progress),
@@ -62,6 +66,9 @@
             let workers = members.iter().map(proto::Member::from).collect();
             envelope::seal(Kind::Roster, proto::Roster { workers }.encode_to_vec())
         }
+        Value::Images(knowledge) => {
+            envelope::seal(Kind::Images, proto::Images::from(knowledge).encode_to_vec())
+        }
         Value::Job(record) => envelope::seal(Kind::Job, proto::Job::from(&**record).encode_to_vec()),
         Value::Progress(progress) => {
             envelope::seal(Kind::Progress, proto::Progress::from(progress).encode_to_vec())
@@ -89,6 +96,10 @@
             let roster = proto::Roster::decode(body.as_slice())?;
             Ok(Value::Roster(roster.workers.into_iter().map(Member::try_from).collect::<Result<_, _>>()?))
         }
+        Key::Images => {
+            let body = envelope::open(Kind::Images, bytes)?;
+            Ok(Value::Images(proto::Images::decode(body.as_slice())?.into()))
+        }
         Key::Job(_) => {
             let body = envelope::open(Kind::Job, bytes)?;
             Ok(Value::Job(Box::new(proto::Job::decode(body.as_slice())?.try_into()?)))
@@ -135,6 +146,31 @@
     }
 }
 
+impl From<&Knowledge> for proto::Images {
+    fn from(knowledge: &Knowledge) -> Self {
+        let image = |(name, base): &(String, f64)| proto::Image { name: name.clone(), base: *base };
+        let pair = |(serving, filling, weight): &(usize, usize, f64)| proto::Pair {
+            serving: *serving as u32,
+            filling: *filling as u32,
+            weight: *weight,
+        };
+        Self {
+            images: knowledge.images.iter().map(image).collect(),
+            pairs: knowledge.pairs.iter().map(pair).collect(),
+        }
+    }
+}
+
+impl From<proto::Images> for Knowledge {
+    fn from(images: proto::Images) -> Self {
+        let pair = |pair: proto::Pair| (pair.serving as usize, pair.filling as usize, pair.weight);
+        Self {
+            images: images.images.into_iter().map(|image| (image.name, image.base)).collect(),
+            pairs: images.pairs.into_iter().map(pair).collect(),
+        }
+    }
+}
+
 impl From<&Record> for proto::Job {
     fn from(record: &Record) -> Self {
         Self {
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -43,8 +43,8 @@
     match key {
         Key::Leader | Key::Term => Range::Leadership,
         Key::Job(_) => Range::Jobs,
-        // The tip and the roster are never listed; they share the range of the progress here.
-        Key::Progress(_) | Key::Tip | Key::Roster => Range::Progress,
+        // The others are never listed; they share the range of the progress here.
+        Key::Progress(_) | Key::Tip | Key::Roster | Key::Images => Range::Progress,
     }
 }
 
