Speed up what a former leader slowed down

Cause: the pace of a run is not listed, so a new leader took adopted fillers to work at full speed and never sped them up (test a_new_leader_speeds_ adopted_work_up: pace 16% twelve seconds after the change, 100% expected).

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -292,7 +292,7 @@
         observed: row.observed,
         excess: 0.0,
         over_since: None,
-        pace: 100,
+        pace: if share.filling_cpu > 0 { pace::ADOPTED } else { 100 },
         paced_at: now,
     });
     let Some(worker) = state.workers.all.get_mut(worker_key) else { return };
--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -31,6 +31,10 @@
 /// Pace at which a filling run is better off elsewhere, in percent.
 const SLOW: u32 = 40;
 
+/// Pace that a filling run of a former leader is taken to have, in percent, so that it is sped up as soon as that is
+/// bearable.
+pub(super) const ADOPTED: u32 = 40;
+
 /// Paces below this are no work worth its disturbance, in percent.
 const SLOWEST: u32 = 10;
 
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -30,6 +30,8 @@
     length: Duration,
     lasts: bool,
     fails: bool,
+    serves: bool,
+    pace: u32,
 }
 
 /// Counts broken promises.
@@ -127,6 +129,8 @@
     pub id: String,
     /// Whether it answers; its tasks go on if it does not.
     pub is_silent: bool,
+    /// Response time of its serving tasks in milliseconds.
+    pub response_ms: u32,
     /// Orders to start that are carried out although nobody gets the answer.
     pub lost_starts: u32,
     number: usize,
@@ -147,6 +151,7 @@
         Self {
             id: format!("w-{number}"),
             is_silent: false,
+            response_ms: 10,
             lost_starts: 0,
             number,
             born: 1,
@@ -184,6 +189,11 @@
         self.past.clear();
     }
 
+    /// Share at which a task works there, in percent.
+    pub fn pace(&self, name: Name) -> Option<u32> {
+        self.runs.iter().find(|run| run.name == name).map(|run| run.pace)
+    }
+
     fn clock(&self, now: Instant) -> u64 {
         now.since(self.born_at).as_millis() as u64
     }
@@ -267,7 +277,10 @@
                 let result = Ok(Reply { clock_ms: Some(self.clock(now)), outcome: Ok(()) });
                 Outcome::Event(Event::Stopped { run: *run, result })
             }
-            Order::Pace { run, percent, .. } => {
+            Order::Pace { run, name, percent, .. } => {
+                for run in self.runs.iter_mut().filter(|run| run.name == *name) {
+                    run.pace = *percent;
+                }
                 let result = Ok(Reply { clock_ms: Some(self.clock(now)), outcome: Ok(()) });
                 Outcome::Event(Event::Paced { run: *run, percent: *percent, result })
             }
@@ -296,7 +309,16 @@
         let step = observer.step(name).cloned().unwrap_or_default();
         let failing = observer.failing.get_mut(&name).filter(|left| **left > 0);
         let fails = failing.map(|left| *left -= 1).is_some();
-        self.runs.push(Run { name, number, started: now, length: step.estimate, lasts: step.lasting, fails });
+        self.runs.push(Run {
+            name,
+            number,
+            started: now,
+            length: step.estimate,
+            lasts: step.lasting,
+            fails,
+            serves: step.serves(),
+            pace: 100,
+        });
         let used: u32 =
             self.runs.iter().filter_map(|run| observer.step(run.name)).map(|step| step.charged().cpu).sum();
         if used > CPU {
@@ -310,9 +332,8 @@
             name: run.name,
             number: run.number,
             saved: String::new(),
-            percent: (now.since(run.started).as_millis() * 100 / run.length.as_millis().max(1)).min(99)
-                as u32,
-            observed: None,
+            percent: if run.lasts { 100 } else { progress(run, now) },
+            observed: run.serves.then_some(self.response_ms),
         });
         Listing {
             born: Some(self.born),
@@ -337,6 +358,10 @@
     }
 }
 
+fn progress(run: &Run, now: Instant) -> u32 {
+    (now.since(run.started).as_millis() * 100 / run.length.as_millis().max(1)).min(99) as u32
+}
+
 fn lost(parcel: &Parcel) -> Event {
     match &parcel.order {
         Order::Hold { worker, .. } => {
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -251,6 +251,28 @@
     assert_eq!(emulator.phase(0, 1), Some(Answer::Phase(Phase::Cancelled)));
 }
 
+/// Guards against a filling task that a former leader slowed down and that nobody speeds up again.
+#[test]
+fn a_new_leader_speeds_adopted_work_up() {
+    let mut emulator = ready(11, 2, 1);
+    let target = Some(Duration::from_millis(50));
+    let serving = Step { lasting: true, target, image: "desk".into(), ..step(1) };
+    let filling = Step { fills: true, image: "test".into(), estimate: 60 * SECOND, ..step(1) };
+    emulator.submit(0, 1, job([serving]));
+    emulator.submit(0, 2, job([filling]));
+    emulator.run_for(2 * SECOND);
+    emulator.workers[0].response_ms = 200;
+    emulator.run_for(2 * SECOND);
+    let slowed = emulator.workers[0].pace(name(2, 0, 0)).expect("it runs");
+    assert!(slowed < 100, "{:#?}", emulator.log);
+    emulator.workers[0].response_ms = 10;
+    let leader = emulator.leader().expect("a leader");
+    emulator.kill(leader);
+    emulator.run_for(12 * SECOND);
+    assert_eq!(emulator.workers[0].pace(name(2, 0, 0)), Some(100), "{:#?}", emulator.log);
+    check(&emulator);
+}
+
 /// Guards against timers that arm one another: an idle deployment must not work more and more.
 #[test]
 fn an_idle_deployment_stays_idle() {
