--- a/src/core/work/image.rs
+++ b/src/core/work/image.rs
@@ -3,7 +3,7 @@
 //! Workers report the response time of each serving task. The model explains its logarithm by a base for the image, the
 //! current load of the task, and a weight for each core that filling tasks of another image use beside it. Readings are
 //! rough and late, so each one moves the estimates by a small step (normalised least mean squares). An image that was
-//! never seen beside another has the weight [`PRIOR`], so that it is tried with care.
+//! never seen beside another has a weight in between, so that it is tried with care.
 
 use crate::hash::Map;
 
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -1,7 +1,7 @@
 //! Scheduling of the jobs that callers hand in.
 //!
 //! One entry VM leads: it accepts jobs, stores them, and starts their tasks on workers. The others hand requests on to
-//! it, and one of them takes its place when it is gone. [`reduce`] takes one event; all decisions are here, and time, the
+//! it, and one of them takes its place when it is gone. `reduce` takes one event; all decisions are here, and time, the
 //! time of day and randomness come with the input.
 
 pub mod ask;
--- a/src/node/jobs.rs
+++ b/src/node/jobs.rs
@@ -16,11 +16,14 @@
 use crate::core::effect::Effect;
 use crate::core::event::{Event, Input};
 use crate::core::time::Instant;
+use crate::core::work::ask::Ticket;
 use crate::core::work::effect::Effect as WorkEffect;
+use crate::core::work::event::Event as WorkEvent;
 use crate::core::work::{self, state::Identity};
 use crate::core::{State, member, reduce};
 use crate::declare::zone;
 use crate::error::{Error, Result};
+use crate::hash::Map;
 use crate::platform::{front, store, worker};
 use crate::port::{self, Clock, Inbox, pending};
 use crate::settings::Settings;
@@ -45,6 +48,7 @@
     timeline: Writer,
     metrics: Metrics,
     ready: Arc<AtomicBool>,
+    requests: Map<Ticket, Instant>,
     wake: Option<(Instant, SpawnHandle)>,
     ended: Option<oneshot::Sender<()>>,
 }
@@ -79,6 +83,9 @@
 
 impl StreamHandler<Event> for Node {
     fn handle(&mut self, event: Event, context: &mut Context<Self>) {
+        if let Event::Work(WorkEvent::Ask { ticket, .. }) = &event {
+            self.requests.insert(*ticket, self.clock.now());
+        }
         self.step(event, context);
     }
 }
@@ -98,7 +105,12 @@
 
     fn perform(&mut self, effect: Effect, at: Instant, context: &mut Context<Self>) {
         match effect {
-            Effect::Work(WorkEffect::Answer { ticket, answer }) => self.ports.table.answer(ticket, answer),
+            Effect::Work(WorkEffect::Answer { ticket, answer }) => {
+                if let Some(since) = self.requests.remove(&ticket) {
+                    self.metrics.request(answer.name(), at.since(since));
+                }
+                self.ports.table.answer(ticket, answer);
+            }
             Effect::Work(WorkEffect::Forward { ticket, to, ask }) => self.ports.peer.forward(ticket, to, ask),
             Effect::Work(WorkEffect::Store { call, request }) => self.ports.store.call(call, request),
             Effect::Work(WorkEffect::Worker { id, address, fence, order, sent, not_after }) => {
@@ -214,6 +226,7 @@
         timeline,
         metrics,
         ready,
+        requests: Map::default(),
         wake: None,
         ended: Some(done),
     };
