Answer callers at once when the store does not take records

Change: after 0.7 s without a successful commit, what is in flight is answered as unknown and the rest refused; requests to a former leader are given up when another one is known.

--- a/src/core/work/front.rs
+++ b/src/core/work/front.rs
@@ -112,6 +112,19 @@
     }
 }
 
+/// Gives up the requests that were handed to an entry VM that does not lead any more.
+pub(super) fn give_up(state: &mut super::State, out: &mut Vec<Effect>) {
+    let leader = state.lead.holder.as_ref().map(|(holder, _)| holder.address);
+    let gone = state.front.forwards.extract_if(|_, forward| Some(forward.to) != leader).collect::<Vec<_>>();
+    for (ticket, forward) in gone {
+        if forward.changes {
+            answer(ticket, Answer::Unknown, out);
+        } else {
+            refuse(state, ticket, "the leader has changed", out);
+        }
+    }
+}
+
 /// Serves the requests that waited for the records.
 pub(super) fn resume(state: &mut super::State, out: &mut Vec<Effect>) {
     for (ticket, ask) in std::mem::take(&mut state.front.early) {
@@ -170,6 +183,9 @@
         if state.jobs.all[key].is_stored {
             return answer(ticket, Answer::Accepted, out);
         }
+        if journal::is_failing(state) {
+            return answer(ticket, Answer::Unknown, out);
+        }
         let sequence = journal::add(state, journal::Change::Accept(key));
         return journal::answer_after(state, sequence, ticket, Answer::Accepted);
     }
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -67,7 +67,7 @@
     flight: Option<Commit>,
     waiting: Vec<(u64, Ticket, Answer)>,
     next: Instant,
-    /// Since when no commit has succeeded although one was tried.
+    /// When the oldest commit without a success was tried first.
     pub failing_since: Option<Instant>,
 }
 
@@ -79,7 +79,7 @@
 
     /// Requests in a commit whose outcome is not known, and requests that surely were not written.
     pub fn split(&mut self) -> (Vec<Ticket>, Vec<Ticket>) {
-        let upto = self.flight.as_ref().filter(|commit| commit.is_doubtful).map_or(0, Commit::upto);
+        let upto = self.flight.as_ref().map_or(0, Commit::upto);
         let (flying, waiting): (Vec<_>, Vec<_>) = self.waiting.drain(..).partition(|(at, ..)| *at <= upto);
         let tickets =
             |list: Vec<(u64, Ticket, Answer)>| list.into_iter().map(|(_, ticket, _)| ticket).collect();
@@ -120,6 +120,7 @@
     if state.load.is_some() || state.now < state.journal.next {
         return;
     }
+    shed(state, out);
     if let Some(commit) = &state.journal.flight {
         let request = Request::Commit(commit.transaction.clone());
         if !state.is_calling(&Purpose::Commit) {
@@ -145,6 +146,8 @@
     state.journal.flight =
         Some(Commit { write, changes, transaction: transaction.clone(), is_doubtful: false });
     state.call_store(Purpose::Commit, Request::Commit(transaction), out);
+    state.journal.failing_since.get_or_insert(state.now);
+    state.timers.set(state.now + state.tuning.commit_patience, Timer::Commit);
 }
 
 /// Adds the newest value of what changed.
@@ -209,7 +212,6 @@
 /// Tries a commit again after a wait; one that surely did not take effect is taken apart.
 fn postpone(state: &mut super::State, mut commit: Commit, is_refused: bool, out: &mut Vec<Effect>) {
     let journal = &mut state.journal;
-    journal.failing_since.get_or_insert(state.now);
     commit.is_doubtful |= !is_refused;
     if commit.is_doubtful {
         journal.flight = Some(commit);
@@ -230,24 +232,47 @@
     since.is_some_and(|since| state.now.since(since) >= state.tuning.commit_patience)
 }
 
-/// Refuses the jobs that wait for a commit and are surely not stored, once commits have failed for a while.
+/// Answers the requests that wait for a commit, once commits have failed for a while.
+///
+/// What is surely not written is refused; what is in flight may still take effect, so its outcome is unknown.
 fn shed(state: &mut super::State, out: &mut Vec<Effect>) {
     if !is_failing(state) {
         return;
     }
-    let (accepts, rest): (VecDeque<_>, VecDeque<_>) =
-        state.journal.queue.drain(..).partition(|(_, change)| matches!(change, Change::Accept(_)));
+    let flying: Vec<Change> = state
+        .journal
+        .flight
+        .iter()
+        .flat_map(|commit| commit.changes.iter().map(|(_, change)| *change))
+        .collect();
+    let (accepts, rest): (VecDeque<_>, VecDeque<_>) = state
+        .journal
+        .queue
+        .drain(..)
+        .partition(|(_, change)| matches!(change, Change::Accept(_)) && !flying.contains(change));
     state.journal.queue = rest;
+    let mut withdrawn = Vec::new();
     for (sequence, change) in accepts {
         state.journal.queued.remove(&change);
+        withdrawn.push(sequence);
         if let Change::Accept(key) = change {
             book::withdraw(state, key);
         }
-        let waiting = state.journal.waiting.extract_if(.., |(at, ..)| *at == sequence).collect::<Vec<_>>();
-        for (_, ticket, _) in waiting {
-            let answer = Answer::Refused(state.tuning.come_back_s);
-            out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
-        }
+    }
+    let upto = state.journal.flight.as_ref().map_or(0, Commit::upto);
+    for (sequence, ticket, _) in std::mem::take(&mut state.journal.waiting) {
+        let answer = if withdrawn.contains(&sequence) {
+            Answer::Refused(state.tuning.come_back_s)
+        } else {
+            Answer::Unknown
+        };
+        state::record(
+            out,
+            Subject::Process,
+            "give-up-commit",
+            format!("change {sequence}, in flight {upto}"),
+        );
+        out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
     }
 }
 
--- a/src/core/work/lead.rs
+++ b/src/core/work/lead.rs
@@ -131,6 +131,7 @@
             _ => step_down(state, "the store names another leader, or none", out),
         }
     }
+    front::give_up(state, out);
     if state.lead.role == Role::Follower && is_vacant(state) && !state.is_stopping {
         let wait = state.lead.round_trip * ROUND_TRIPS + state.jitter(SPREAD);
         state.timers.set(state.now + wait, Timer::Campaign);
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -29,7 +29,8 @@
     pub commit_interval: Duration,
     /// Keys that one commit may set or delete; the rest of the store's limit are its conditions.
     pub commit_keys: usize,
-    /// Time without a successful commit after which new jobs are refused.
+    /// Time without a successful commit after which waiting requests are answered and new jobs refused; above what a slow
+    /// store needs.
     pub commit_patience: Duration,
     /// Wait before a store call is repeated.
     pub store_retry: Duration,
@@ -80,7 +81,7 @@
             worker_timeout: Duration::from_millis(800),
             commit_interval: Duration::from_millis(12),
             commit_keys: 28,
-            commit_patience: Duration::from_millis(400),
+            commit_patience: Duration::from_millis(700),
             store_retry: Duration::from_millis(100),
             store_timeout: Duration::from_millis(1_500),
             watch: Duration::from_millis(2_000),
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -117,6 +117,11 @@
         self.noted.insert(end.name);
     }
 
+    /// Whether any task of a job was ever started.
+    pub fn has_started(&self, job: Id) -> bool {
+        self.running.keys().any(|name| name.job == job)
+    }
+
     /// Whether a run of the task is there.
     pub fn is_running(&self, name: Name) -> bool {
         self.running.get(&name).is_some_and(|runs| !runs.is_empty())
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -236,6 +236,25 @@
     check(&emulator);
 }
 
+/// Guards against callers that are held until their deadline although the store does not answer.
+#[test]
+fn callers_are_not_held_in_an_outage() {
+    let mut emulator = ready(12, 2, 2);
+    emulator.store.is_down = true;
+    let first = emulator.submit(0, 1, job([step(1)]));
+    emulator.run_for(SECOND / 10);
+    let second = emulator.submit(0, 2, job([step(1)]));
+    emulator.run_for(SECOND);
+    // The first one is in flight and may still be stored; the second one surely is not.
+    assert_eq!(emulator.answers.get(&first), Some(&Answer::Unknown), "{:#?}", emulator.log);
+    assert!(matches!(emulator.answers.get(&second), Some(Answer::Refused(_))), "{:#?}", emulator.log);
+    emulator.store.is_down = false;
+    emulator.run_for(6 * SECOND);
+    assert!(!emulator.observer.is_running(name(2, 0, 0)));
+    assert_eq!(emulator.phase(0, 2), Some(Answer::UnknownJob));
+    check(&emulator);
+}
+
 /// Guards against runs that go on after their job was cancelled.
 #[test]
 fn a_cancelled_job_stops() {
@@ -291,11 +310,12 @@
     let seeds = std::env::var("NUTMEGFOLD_SCHEDULES").ok().and_then(|text| text.parse().ok()).unwrap_or(60);
     for seed in 0..seeds {
         let mut emulator = ready(seed, 4, 6);
+        let mut tickets = Vec::new();
         for round in 0..12 {
             let id = round + 1;
             let last = Step { after: vec![0], ..step(2) };
             let vm = (0..4).find(|vm| emulator.is_up(*vm)).expect("a VM is up");
-            emulator.submit(vm, id, job([step(3), last]));
+            tickets.push(emulator.submit(vm, id, job([step(3), last])));
             fault(&mut emulator);
             emulator.run_for(Duration::from_millis(400));
         }
@@ -305,6 +325,11 @@
             println!("{}", emulator.log.join("\n"));
         }
         assert!(emulator.observer.broken.is_empty(), "seed {seed}: {:#?}", emulator.observer.broken);
+        for (ticket, id) in tickets.iter().zip(1..) {
+            if matches!(emulator.answers.get(ticket), Some(Answer::Refused(_))) {
+                assert!(!emulator.observer.has_started(Id(id)), "seed {seed}: job {id} was refused and ran");
+            }
+        }
         let vm = emulator.leader().expect("a leader");
         for id in 1..=12 {
             let answer = emulator.phase(vm, id);
