--- /dev/null
+++ b/tests/front.rs
@@ -0,0 +1,125 @@
+//! The job interface over real sockets: readiness, answers, and hostile requests.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use actix_web::rt;
+use awc::Client;
+use nutmegfold::core::event::Event;
+use nutmegfold::core::work::ask::{Answer, Phase, Verb};
+use nutmegfold::core::work::event::Event as WorkEvent;
+use nutmegfold::platform::front::{self, Setup};
+use nutmegfold::port::Inbox;
+use nutmegfold::port::pending::Table;
+
+/// Largest body of the server under test, in bytes.
+const BODY: usize = 10_000;
+
+struct Server {
+    setup: Setup,
+    ready: Arc<AtomicBool>,
+    handle: front::Handle,
+}
+
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback is there");
+    listener.local_addr().expect("it is bound")
+}
+
+/// A server whose requests are answered by `reply`.
+fn serve(reply: impl Fn(&Verb) -> Answer + 'static) -> Server {
+    let (inbox, mut events) = Inbox::new();
+    let table = Table::new(inbox);
+    let setup = Setup { caller: free(), ready: free(), body: BODY };
+    let ready = Arc::new(AtomicBool::new(false));
+    let handle = front::serve(setup, table.clone(), Arc::clone(&ready)).expect("addresses are free");
+    rt::spawn(async move {
+        while let Some(event) = events.recv().await {
+            if let Event::Work(WorkEvent::Ask { ticket, ask, .. }) = event {
+                table.answer(ticket, reply(&ask.verb));
+            }
+        }
+    });
+    Server { setup, ready, handle }
+}
+
+async fn post(server: &Server, body: impl Into<String>) -> (u16, String) {
+    let request = Client::default().post(format!("http://{}/q/0000000000000001", server.setup.caller));
+    let mut response = request.send_body(body.into()).await.expect("an answer");
+    let text = response.body().await.expect("a whole body");
+    (response.status().as_u16(), String::from_utf8_lossy(&text).into_owned())
+}
+
+/// Guards against a load balancer that is sent to a process without a configuration.
+#[actix_web::test]
+async fn readiness_follows_the_reducer() {
+    let server = serve(|_| Answer::Unknown);
+    let url = format!("http://{}/ready", server.setup.ready);
+    let client = Client::default();
+    assert_eq!(client.get(&url).send().await.expect("an answer").status(), 503);
+    server.ready.store(true, Ordering::Relaxed);
+    assert_eq!(client.get(&url).send().await.expect("an answer").status(), 200);
+    server.handle.stop().await;
+}
+
+/// Guards against answers that say something else than the reducer decided.
+#[actix_web::test]
+async fn answers_have_their_status() {
+    let server = serve(|verb| match verb {
+        Verb::Submit(spec) if spec.steps[0].count == 1 => Answer::Accepted,
+        Verb::Submit(_) => Answer::Refused(2),
+        Verb::Read => Answer::Phase(Phase::Completed),
+        Verb::Cancel => Answer::UnknownJob,
+    });
+    let url = format!("http://{}/q/0000000000000001", server.setup.caller);
+    assert_eq!(post(&server, r#"{"spec":"s","steps":[{"count":1,"cpu":500}]}"#).await.0, 200);
+    let client = Client::default();
+    let refused = client.post(&url).send_body(r#"{"steps":[{"count":2}]}"#).await.expect("an answer");
+    assert_eq!(refused.status(), 503);
+    assert_eq!(refused.headers().get("retry-after").map(|value| value.as_bytes()), Some(&b"2"[..]));
+    let mut state = client.get(&url).send().await.expect("an answer");
+    assert_eq!(state.body().await.expect("a body"), r#"{"state":"completed"}"#);
+    assert_eq!(client.delete(&url).send().await.expect("an answer").status(), 410);
+    server.handle.stop().await;
+}
+
+/// Guards against malformed requests that end the process, reach the reducer, or get no clear answer.
+#[actix_web::test]
+async fn hostile_requests_get_one_clear_refusal() {
+    let server = serve(|_| panic!("a malformed request reached the reducer"));
+    let deep = "[".repeat(3_000);
+    let malformed = [
+        "",
+        "null",
+        "{",
+        "{\"steps\":7}",
+        "{\"steps\":[{\"count\":-1}]}",
+        "{\"steps\":[{\"count\":99999999999}]}",
+        "{\"steps\":[{\"estimate_ms\":-5}]}",
+        "{\"steps\":[{\"estimate_ms\":1e300}]}",
+        "{\"steps\":[{\"after\":[\"x\"]}]}",
+        &deep,
+    ];
+    for body in malformed {
+        let (status, text) = post(&server, body).await;
+        assert_eq!(status, 400, "{body:.40}");
+        assert!(text.contains("error"), "{body:.40}: {text}");
+    }
+    let (status, _) = post(&server, "x".repeat(BODY + 1)).await;
+    assert_eq!(status, 413);
+    server.handle.stop().await;
+}
+
+/// Guards against a caller that waits for ever when the reducer gives no answer.
+#[actix_web::test]
+async fn a_request_without_an_answer_ends_in_time() {
+    let (inbox, _events) = Inbox::new();
+    let setup = Setup { caller: free(), ready: free(), body: BODY };
+    let handle = front::serve(setup, Table::new(inbox), Arc::default()).expect("addresses are free");
+    let request = Client::builder().timeout(Duration::from_secs(5)).finish();
+    let request = request.get(format!("http://{}/q/", setup.caller)).insert_header(("x-timeout-ms", "200"));
+    assert_eq!(request.send().await.expect("an answer").status(), 504);
+    handle.stop().await;
+}
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -255,6 +255,27 @@
     check(&emulator);
 }
 
+/// Guards against jobs that can never run and would exhaust the memory of an entry VM.
+#[test]
+fn impossible_jobs_are_refused_with_a_reason() {
+    let mut emulator = ready(13, 1, 1);
+    let faulty = [
+        job([]),
+        job([step(0)]),
+        job([step(u32::MAX)]),
+        job([Step { after: vec![0], ..step(1) }]),
+        job([Step { after: vec![5], ..step(1) }]),
+        job((0..300).map(|_| step(1))),
+    ];
+    for (id, spec) in (1..).zip(faulty) {
+        let ticket = emulator.submit(0, id, spec);
+        emulator.run_for(SECOND / 10);
+        let answer = emulator.answers.get(&ticket);
+        assert!(matches!(answer, Some(Answer::Malformed(_))), "job {id}: {answer:?}");
+    }
+    assert_eq!(emulator.observer.starts, 0);
+}
+
 /// Guards against runs that go on after their job was cancelled.
 #[test]
 fn a_cancelled_job_stops() {
