Collect the pages of a list before it counts

Cause: each page of a list of workers was taken for the whole list, so workers of the other pages counted as unlisted, and a page without an answer left the rest out until the next change (found by reading; needs more than about 500 workers). Test a_list_in_pages_names_every_worker: 4 of 36 tasks ran before the change, 36 after, also with lost pages.

Ruled out: other ranges. The records are collected by the loading already.

--- a/src/core/work/follow.rs
+++ b/src/core/work/follow.rs
@@ -14,16 +14,21 @@
     if range == Range::Workers && state.lead.term() == 0 {
         return;
     }
-    let follow = state.follow.get(&range).copied().unwrap_or_default();
+    let follow = state.follow.entry(range).or_default();
     if follow.call.is_some() {
         return;
     }
-    let call = if follow.after == 0 {
-        state.call_store(Purpose::Follow(range), Request::List { range, after: None }, out)
-    } else {
-        let request = Request::Watch { range, after: follow.after, wait: state.tuning.watch };
-        state.call_store(Purpose::Watch(range), request, out)
-    };
+    if follow.after == 0 {
+        return list(state, range, None, out);
+    }
+    let request = Request::Watch { range, after: follow.after, wait: state.tuning.watch };
+    let call = state.call_store(Purpose::Watch(range), request, out);
+    state.follow.entry(range).or_default().call = Some(call);
+}
+
+/// Reads a page of a range, or the first one.
+fn list(state: &mut super::State, range: Range, after: Option<String>, out: &mut Vec<Effect>) {
+    let call = state.call_store(Purpose::Follow(range), Request::List { range, after }, out);
     state.follow.entry(range).or_default().call = Some(call);
 }
 
@@ -37,29 +42,33 @@
 pub(super) fn forget(state: &mut super::State, range: Range) {
     let follow = state.follow.entry(range).or_default();
     follow.after = 0;
+    follow.pages.clear();
+    follow.pages_from = 0;
     if let Some(call) = follow.call.take() {
         state.take_call(call);
     }
 }
 
-/// Takes over a page. The pages of a range that needs several are one list.
+/// Takes over a page; the list counts once all of its pages are read.
 pub(super) fn listed(state: &mut super::State, range: Range, reply: Reply, out: &mut Vec<Effect>) {
     let follow = state.follow.entry(range).or_default();
     follow.call = None;
     let Reply::Page { items, next, as_of } = reply else {
         let wait = state.tuning.store_retry + state.jitter(state.tuning.store_retry);
-        state.timers.set(state.now + wait, Timer::Follow(range));
-        return;
+        return restart(state, range, wait);
     };
-    follow.after = as_of.max(1);
+    // Pages are not a snapshot: the watch begins at the first one, so that no change between them is missed.
+    if follow.pages_from == 0 {
+        follow.pages_from = as_of.max(1);
+    }
+    follow.pages.extend(items);
+    if next.is_some() {
+        return list(state, range, next, out);
+    }
+    follow.after = std::mem::take(&mut follow.pages_from);
     follow.is_known = true;
+    let items = std::mem::take(&mut follow.pages);
     take_list(state, range, items, out);
-    if let Some(after) = next {
-        // The rest of a long list; the watch starts at its revision, so that nothing between the pages is missed.
-        let call = state.call_store(Purpose::Follow(range), Request::List { range, after: Some(after) }, out);
-        state.follow.entry(range).or_default().call = Some(call);
-        return;
-    }
     step(state, range, out);
 }
 
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -6,7 +6,7 @@
 use super::config::Config;
 use super::effect::Effect;
 use super::order::Order;
-use super::store::{Call, Range, Request};
+use super::store::{Call, Item, Range, Request, Revision};
 use super::timer::Timer;
 use super::tuning::Tuning;
 use super::{front, image, job, journal, lead, load, place, run, worker};
@@ -58,10 +58,14 @@
 }
 
 /// How a range of the store is followed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Follow {
     /// Revision from which to watch; 0 before the range was listed.
     pub after: u64,
+    /// Pages of a list that is being read.
+    pub pages: Vec<(Item, Revision)>,
+    /// Revision of the first of these pages; 0 if there is none.
+    pub pages_from: Revision,
     /// Call in flight.
     pub call: Option<Call>,
     /// Whether the range was read at least once.
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -32,6 +32,10 @@
     pub is_down: bool,
     /// Writes that take effect although their answer is lost.
     pub lost_answers: u32,
+    /// Most items of a page.
+    pub page: usize,
+    /// Later pages of a list that get no answer.
+    pub lost_pages: u32,
     revision: Revision,
     entries: BTreeMap<String, Entry>,
     history: Vec<(Revision, Range, Change)>,
@@ -54,6 +58,8 @@
         let mut store = Self {
             is_down: false,
             lost_answers: 0,
+            page: 500,
+            lost_pages: 0,
             revision: 0,
             entries: BTreeMap::new(),
             history: Vec::new(),
@@ -159,22 +165,31 @@
             },
             Request::Commit(transaction) => self.commit(transaction),
             Request::Read(key) => Reply::Read(self.own(*key)),
-            Request::List { range, .. } => {
-                let prefix = match range {
-                    Range::Leadership => "lead/",
-                    Range::Jobs => "jobs/",
-                    Range::Progress => "progress/",
-                    Range::Workers => "servers/",
-                    Range::Config => "op/",
-                };
-                let found = self.entries.iter().filter(|(key, _)| key.starts_with(prefix));
-                let items = found.map(|(_, entry)| (entry.item.clone(), entry.revision)).collect();
-                Reply::Page { items, next: None, as_of: self.revision }
-            }
+            Request::List { range, after } => self.list(*range, after.as_deref()),
             Request::Watch { .. } => unreachable!("handled before"),
         }
     }
 
+    fn list(&mut self, range: Range, after: Option<&str>) -> Reply {
+        if after.is_some() && self.lost_pages > 0 {
+            self.lost_pages -= 1;
+            return Reply::Lost;
+        }
+        let prefix = match range {
+            Range::Leadership => "lead/",
+            Range::Jobs => "jobs/",
+            Range::Progress => "progress/",
+            Range::Workers => "servers/",
+            Range::Config => "op/",
+        };
+        let is_listed = |key: &str| key.starts_with(prefix) && after.is_none_or(|after| key > after);
+        let found: Vec<_> = self.entries.iter().filter(|(key, _)| is_listed(key)).collect();
+        let page = &found[..found.len().min(self.page)];
+        let next = page.last().filter(|_| page.len() < found.len()).map(|(key, _)| (*key).clone());
+        let items = page.iter().map(|(_, entry)| (entry.item.clone(), entry.revision)).collect();
+        Reply::Page { items, next, as_of: self.revision }
+    }
+
     fn own(&self, key: Key) -> Option<(Value, Revision)> {
         match self.entries.get(&text(key)) {
             Some(Entry { item: Item::Own(_, value), revision, .. }) => Some((value.clone(), *revision)),
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -313,6 +313,24 @@
     check(&emulator);
 }
 
+/// Guards against a list of workers in several pages of which only the last one counts, or of which a page is missing when
+/// one gets no answer.
+#[test]
+fn a_list_in_pages_names_every_worker() {
+    for lost_pages in 0..3 {
+        let mut emulator = Emulator::new(14, 2, 9);
+        emulator.store.page = 2;
+        emulator.store.lost_pages = lost_pages;
+        emulator.run_for(3 * SECOND);
+        // Nine workers of eight cores hold 36 tasks of two cores, and no fewer.
+        emulator.submit(0, 1, job([Step { lasting: true, ..step(36) }]));
+        emulator.run_for(SECOND);
+        let running = (0..36).filter(|index| emulator.observer.is_running(name(1, 0, *index))).count();
+        assert_eq!(running, 36, "{lost_pages} lost pages: {:#?}", emulator.log);
+        check(&emulator);
+    }
+}
+
 /// Guards against timers that arm one another: an idle deployment must not work more and more.
 #[test]
 fn an_idle_deployment_stays_idle() {
