Give each worker's long poll a connection of its own

Cause: the HTTP client keeps at most 100 connections by default, and a long poll holds one per worker.

Ruled out: a wrong lease computation; the runs that were repeated had ended in a list whose answer was waited for too long.

--- a/src/port/http.rs
+++ b/src/port/http.rs
@@ -16,6 +16,10 @@
 /// Largest answer in bytes; the VM list of 30,000 workers is about 5 MB.
 const ANSWER_LIMIT: usize = 64 << 20;
 
+/// Most open connections of a client. Each worker holds one for its long poll, and orders need others beside them; the
+/// rest of the 4,096 descriptors of a small VM are for callers and peers.
+const CONNECTIONS: usize = 3_000;
+
 /// Why there is no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -36,7 +40,7 @@
 
 /// A client whose attempts to connect end before `timeout`, so that they are known as not written.
 pub(crate) fn client(timeout: Duration) -> Client {
-    let connector = Connector::new().timeout(timeout / 2);
+    let connector = Connector::new().timeout(timeout / 2).limit(CONNECTIONS);
     Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
 }
 
