Model interference as the load of a queue, with a variance for each weight

Cause: the logarithm of a response time is no sum of own load and disturbance, so weights were mixed up with the swing of a task's own users, and pairs were paced that disturb nobody.

Change: weights with variances, learned from changes between two readings and from levels; placement leaves room for a high own load and takes the current one after 0.5 s; only as much is slowed down as a task in danger needs.

--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -5,6 +5,7 @@
 
 use super::ask;
 use super::job::Group;
+use super::pace::Urgency;
 use super::run::Phase;
 use super::spec::{Room, Step};
 use super::worker::{Key, Worker};
@@ -24,6 +25,9 @@
 /// so equal images are kept together.
 const MIXED: i64 = -30_000;
 
+/// Score of a load that a filling task adds to serving tasks; 1 is all that one bears.
+const PRESSURE: f64 = -100_000.0;
+
 /// How a task's worker is chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct Policy {
@@ -38,6 +42,8 @@
     pub worker: &'a Worker,
     /// Serving runs there of another image than the task's.
     pub strangers: u32,
+    /// Load that the task adds to the serving task there that it disturbs most.
+    pub pressure: f64,
 }
 
 /// What a task needs.
@@ -59,6 +65,8 @@
     pub fills: bool,
     /// Image that it runs, if it says so.
     pub image: Option<image::Key>,
+    /// Whether a filling task can wait for a place where it surely disturbs nobody.
+    pub urgency: Urgency,
     /// Worker to avoid.
     pub avoid: Option<Key>,
 }
@@ -77,7 +85,7 @@
         .as_ref()
         .is_some_and(|rack| worker.report.as_ref().is_some_and(|report| !report.labels.contains(rack)));
     let base = if need.fills {
-        worker.leftover()
+        worker.leftover() + (PRESSURE * offer.pressure) as i64
     } else if need.lasting {
         free + MIXED * i64::from(offer.strangers)
     } else {
@@ -104,7 +112,14 @@
     fn is_bearable(&mut self, state: &super::State, key: Key, need: &Need) -> bool {
         let Some(image) = need.image.filter(|_| need.fills) else { return true };
         let slack = self.slack.entry(key).or_insert_with(|| pace::slack(state, key));
-        pace::after(state, slack, image, need.cpu) >= 0.0
+        pace::after(state, slack, image, need.cpu, need.urgency) >= 0.0
+    }
+
+    /// Load that a filling task adds to the serving task of a worker that it disturbs most.
+    fn pressure(&mut self, state: &super::State, key: Key, need: &Need) -> f64 {
+        let Some(image) = need.image.filter(|_| need.fills) else { return 0.0 };
+        let slack = self.slack.entry(key).or_insert_with(|| pace::slack(state, key));
+        pace::pressure(state, slack, image, need.cpu)
     }
 }
 
@@ -129,7 +144,8 @@
 fn next(state: &super::State) -> Option<Instant> {
     let now = state.now;
     let tasks = state.jobs.ready.values().flatten().filter_map(|key| state.jobs.tasks.get(*key));
-    let tasks = tasks.flat_map(|task| [task.not_before, task.ready_at + state.tuning.preempt_after]);
+    let waits = [state.tuning.preempt_after, state.tuning.calm_patience];
+    let tasks = tasks.flat_map(|task| [task.not_before, task.ready_at + waits[0], task.ready_at + waits[1]]);
     let workers = state.workers.all.values().map(|worker| worker.suspect_until);
     let gate = state.workers.gate.iter().map(|gate| gate.until);
     if state.jobs.ready.is_empty() {
@@ -192,13 +208,17 @@
         lasting: step.lasting,
         fills: step.fills,
         image: (!step.image.is_empty()).then(|| state.images.enter(&step.image)),
+        urgency: Urgency::Patient,
         avoid: None,
     };
     if step.gang {
         return place_gang(state, group, &step, need, candidates, pass, out);
     }
     for key in candidates {
-        let need = Need { avoid: state.jobs.tasks[key].avoid, ..need.clone() };
+        let task = &state.jobs.tasks[key];
+        let has_waited = now.since(task.ready_at) >= state.tuning.calm_patience;
+        let urgency = if has_waited { Urgency::Pressing } else { Urgency::Patient };
+        let need = Need { avoid: task.avoid, urgency, ..need.clone() };
         if pass.failed.iter().any(|other| is_harder(&need, other)) {
             make_room(state, key, &need, priority, &mut pass.freed, out);
             continue;
@@ -220,7 +240,8 @@
 
 /// Whether a task surely finds no worker since one that needs less found none.
 fn is_harder(need: &Need, failed: &Need) -> bool {
-    let is_same_kind = need.fills == failed.fills && (!need.fills || need.image == failed.image);
+    let is_same_kind = need.fills == failed.fills
+        && (!need.fills || (need.image == failed.image && need.urgency == failed.urgency));
     let needs_more = need.charged.holds(failed.charged) && need.cpu >= failed.cpu;
     need.service == failed.service && is_same_kind && needs_more
 }
@@ -249,14 +270,17 @@
             && need.requires.as_ref().is_none_or(|label| report.labels.contains(label))
             && step.max_per_worker.is_none_or(|most| beside(state, worker, group) + count < most)
     };
-    let score = |key: Key, worker: &Worker| {
+    let mut score = |(key, worker): (Key, &Worker)| {
+        // Work that would disturb the serving tasks of a worker waits for another one.
+        if !pass.is_bearable(state, key, need) {
+            return None;
+        }
         let avoided = if need.avoid == Some(key) { AVOIDED } else { 0 };
         let strangers = if need.lasting { strangers(state, worker, need.image) } else { 0 };
-        (state.policy.score)(need, &Offer { worker, strangers }) + avoided
+        let pressure = pass.pressure(state, key, need);
+        Some(((state.policy.score)(need, &Offer { worker, strangers, pressure }) + avoided, key))
     };
-    // Work that would disturb the serving tasks of a worker waits for another one.
-    let all = state.workers.all.iter().filter(fits).filter(|(key, _)| pass.is_bearable(state, *key, need));
-    all.max_by_key(|(key, worker)| score(*key, worker)).map(|(key, _)| key)
+    state.workers.all.iter().filter(fits).filter_map(&mut score).max().map(|(_, key)| key)
 }
 
 /// Whether another worker has room for a filling run, and serving tasks that bear it at full speed.
@@ -272,7 +296,8 @@
             && worker.takes_work(state.now)
             && worker.free().holds(run.charged)
             && worker.leftover() >= i64::from(run.share.filling_cpu)
-            && pace::after(state, &pace::slack(state, key), image, run.share.filling_cpu) >= 0.0
+            && pace::after(state, &pace::slack(state, key), image, run.share.filling_cpu, Urgency::Patient)
+                >= 0.0
     };
     state.workers.all.iter().any(is_better)
 }
--- a/src/core/work/run.rs
+++ b/src/core/work/run.rs
@@ -71,8 +71,10 @@
     pub progressed: Instant,
     /// Newest observation of the worker.
     pub observed: Option<u32>,
-    /// Part of the logarithm of its response time that its own load explains.
-    pub excess: f64,
+    /// Load of a serving task at its last reading.
+    pub load: Option<f64>,
+    /// Part of the load that is its own, smoothed.
+    pub own: Option<f64>,
     /// Since when its response time is over its target, or near it.
     pub over_since: Option<Instant>,
     /// Share at which it works, in percent.
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -58,6 +58,8 @@
     pub harm_patience: Duration,
     /// Time after which it pauses; well below the time that users bear.
     pub harm_limit: Duration,
+    /// Wait of a filling task after which it starts where it disturbs nobody now, though it may later.
+    pub calm_patience: Duration,
     /// Time at a slow pace after which a filling task that can resume is moved to another worker.
     pub slow_patience: Duration,
     /// Interval at which what is known of images is stored.
@@ -95,6 +97,7 @@
             preempt_after: Duration::from_millis(150),
             harm_patience: Duration::from_millis(1_400),
             harm_limit: Duration::from_millis(2_500),
+            calm_patience: Duration::from_millis(500),
             slow_patience: Duration::from_millis(800),
             images_interval: Duration::from_millis(2_000),
             stop_wait: Duration::from_millis(2_000),
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -6,8 +6,8 @@
 
 use slotmap::SlotMap;
 
-use super::run;
 use super::spec::Room;
+use super::{image, run};
 use crate::core::time::Instant;
 use crate::hash::Map;
 
@@ -123,6 +123,8 @@
     pub suspect_until: Instant,
     /// When the pace of a run was changed last.
     pub paced_at: Instant,
+    /// Processor time that the filling runs used at the last reading, by image.
+    pub loads: Vec<image::Load>,
 }
 
 impl Worker {
@@ -156,6 +158,7 @@
             failures: Vec::new(),
             suspect_until: Instant::default(),
             paced_at: Instant::default(),
+            loads: Vec::new(),
         }
     }
 
@@ -219,6 +222,7 @@
         self.confirmed = 0;
         self.unacknowledged.clear();
         self.failures.clear();
+        self.loads.clear();
         self.reading = None;
         self.suspect_until = Instant::default();
     }
--- a/src/wire/job.rs
+++ b/src/wire/job.rs
@@ -7,7 +7,7 @@
 use super::envelope::{self, Kind};
 use super::generated::job as proto;
 use crate::core::work::ask::{Answer, Ask, Phase, Verb};
-use crate::core::work::image::Knowledge;
+use crate::core::work::image::{Image, Knowledge, Pair};
 use crate::core::work::spec::{Id, Room, Schedule, Spec, Step};
 use crate::core::work::store::{Key, Leader, Mark, Member, Progress, Record, Value};
 use crate::error::Decode;
@@ -149,11 +149,17 @@
 
 impl From<&Knowledge> for proto::Images {
     fn from(knowledge: &Knowledge) -> Self {
-        let image = |(name, base): &(String, f64)| proto::Image { name: name.clone(), base: *base };
-        let pair = |(serving, filling, weight): &(usize, usize, f64)| proto::Pair {
+        let image = |(name, image): &(String, Image)| proto::Image {
+            name: name.clone(),
+            floor: image.floor.unwrap_or_default(),
+            mean: image.mean,
+            peak: image.peak,
+        };
+        let pair = |(serving, filling, pair): &(usize, usize, Pair)| proto::Pair {
             serving: *serving as u32,
             filling: *filling as u32,
-            weight: *weight,
+            weight: pair.weight,
+            variance: pair.variance,
         };
         Self {
             images: knowledge.images.iter().map(image).collect(),
@@ -164,9 +170,16 @@
 
 impl From<proto::Images> for Knowledge {
     fn from(images: proto::Images) -> Self {
-        let pair = |pair: proto::Pair| (pair.serving as usize, pair.filling as usize, pair.weight);
+        let image = |image: proto::Image| {
+            let floor = (image.floor > 0.0).then_some(image.floor);
+            (image.name, Image { floor, mean: image.mean, peak: image.peak })
+        };
+        let pair = |pair: proto::Pair| {
+            let known = Pair { weight: pair.weight, variance: pair.variance };
+            (pair.serving as usize, pair.filling as usize, known)
+        };
         Self {
-            images: images.images.into_iter().map(|image| (image.name, image.base)).collect(),
+            images: images.images.into_iter().map(image).collect(),
             pairs: images.pairs.into_iter().map(pair).collect(),
         }
     }
