Keep room for images that few workers bear, and judge danger by smoothed loads

Filling tasks that disturb nobody took the room on workers that alone bear the heavy ones. Twelve of them, 27 cores, went to one worker in one pass after a burst. Of 1,229 times that a reading went over its target, 401 had less than 0.05 of load from neighbours and no new one: single readings are rough. And a worker that stood still for 5 s taught the model loads of 0.95.

Change: placement prefers workers that fewer images can use, needs half of the cores unused, and takes an urgent move; danger is judged by the smoothed own load; only what disturbs is slowed down; readings of workers that stand still are ignored. The emulator's workers disturb one another, work at their pace, and the observer counts the time over targets: test filling_work_goes_where_it_ disturbs_least plays one load under both policies.

--- a/src/core/work/image.rs
+++ b/src/core/work/image.rs
@@ -54,6 +54,9 @@
 /// Knowledge of a pair before any reading: disturbed a little, so that it is tried with care.
 const PRIOR: Pair = Pair { weight: 0.03, variance: 0.001 };
 
+/// Weight below which a filling image hardly disturbs a serving one.
+const LIGHT: f64 = 0.04;
+
 /// Lowest variance of a weight, so that it can still change.
 const VARIANCE_MIN: f64 = 0.000_02;
 
@@ -77,6 +80,8 @@
     images: Vec<Image>,
     /// Pairs by serving image, then filling image.
     pairs: Vec<Vec<Pair>>,
+    /// Images of tasks that fill.
+    filling: Vec<Key>,
 }
 
 /// What is known of all images, as it is stored.
@@ -107,6 +112,19 @@
         key
     }
 
+    /// Notes that tasks of an image fill.
+    pub fn note_filling(&mut self, key: Key) {
+        if !self.filling.contains(&key) {
+            self.filling.push(key);
+        }
+    }
+
+    /// Share of the filling images that hardly disturb serving tasks of an image.
+    pub fn openness(&self, serving: Key) -> f64 {
+        let light = self.filling.iter().filter(|filling| self.weight(serving, **filling) < LIGHT).count();
+        if self.filling.is_empty() { 1.0 } else { light as f64 / self.filling.len() as f64 }
+    }
+
     /// Everything that is known, without pairs of which nothing is.
     pub fn knowledge(&self) -> Knowledge {
         let mut images = vec![(String::new(), UNKNOWN); self.images.len()];
--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -36,6 +36,12 @@
 /// Share that a slower pace keeps when everything beside a task in danger is slowed down, in percent.
 const SLOWER: u32 = 40;
 
+/// Pace that a slowed filling run is counted with at least, since it may speed up again, in percent.
+const PACE_COUNTED: u32 = 30;
+
+/// Response time, in targets, above which a worker stands still; no neighbour explains that.
+const STUCK: f64 = 20.0;
+
 /// Smallest step to a faster pace, in percent.
 const FASTER: u32 = 10;
 
@@ -52,6 +58,9 @@
 /// Part of its request that a filling task uses, as far as nothing is known.
 const USE: f64 = 0.9;
 
+/// Load that a filling run must add to be slowed down for a serving task that stays in danger.
+const HARM_SMALL: f64 = 0.004;
+
 /// How much load a serving task bears until it is at its target.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Slack {
@@ -63,6 +72,17 @@
     pub at_present: f64,
 }
 
+/// What a worker offers to filling tasks, with what runs there now.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outlook {
+    /// What its serving tasks bear.
+    pub slack: Vec<Slack>,
+    /// Processor time that is expected to be left, in thousandths of a core.
+    pub spare: i64,
+    /// Share of the filling images that hardly disturb any of its serving tasks.
+    pub openness: f64,
+}
+
 /// How long a filling task can wait for a place where it surely disturbs nobody.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Urgency {
@@ -88,8 +108,21 @@
     state.workers.all[key].runs.iter().filter_map(fills).collect()
 }
 
+/// What a worker offers to filling tasks.
+pub(super) fn outlook(state: &super::State, key: Key) -> Outlook {
+    let worker = &state.workers.all[key];
+    let used = |run: &run::Key| {
+        let run = state.runs.get(*run)?;
+        Some(i64::from(run.share.filling_cpu) * i64::from(run.pace.clamp(PACE_COUNTED, 100)) / 100)
+    };
+    let used: i64 = worker.runs.iter().filter_map(used).sum();
+    let slack = slack(state, key);
+    let openness = slack.iter().map(|slack| state.images.openness(slack.image)).fold(1.0, f64::min);
+    Outlook { slack, spare: worker.fillable() - used, openness }
+}
+
 /// What the serving tasks on a worker bear, with what runs there now.
-pub(super) fn slack(state: &super::State, key: Key) -> Vec<Slack> {
+fn slack(state: &super::State, key: Key) -> Vec<Slack> {
     let loads = expected_loads(state, key);
     let serving = |run: &run::Key| {
         let run = state.runs.get(*run)?;
@@ -160,7 +193,11 @@
             && step_of(state, run.name).is_some_and(|step| step.checkpoint)
     };
     let slow = state.workers.all[key].runs.iter().copied().find(is_slow);
-    let Some(run) = slow.filter(|run| place::has_better(state, *run)) else { return };
+    let urgency = |run: run::Key| {
+        let has_waited = now.since(state.runs[run].paced_at) >= state.tuning.slow_patience * 2;
+        if has_waited { Urgency::Pressing } else { Urgency::Patient }
+    };
+    let Some(run) = slow.filter(|run| place::has_better(state, *run, urgency(*run))) else { return };
     if let Some(task) = state.runs[run].task.and_then(|task| state.jobs.tasks.get_mut(task)) {
         task.avoid = Some(key);
     }
@@ -172,15 +209,17 @@
     let loads = observed_loads(state, &runs);
     let changes = changes(&state.workers.all[key].loads, &loads);
     for run_key in runs {
-        let Some(run) = state.runs.get_mut(run_key) else { continue };
+        let Some(run) = state.runs.get(run_key) else { continue };
         let (true, Some(image), Some(reading)) = (run.share.serves, run.share.image, run.observed) else {
             continue;
         };
-        if run.percent < 100 || reading == 0 || state.now.since(run.started) < WINDOW * 2 {
-            run.load = None;
+        let is_settled = run.percent == 100 && state.now.since(run.started) >= WINDOW * 2;
+        if !is_settled || reading == 0 || is_stuck(state, run_key) {
+            state.runs[run_key].load = None;
             continue;
         }
         let load = state.images.read(image, f64::from(reading));
+        let run = &mut state.runs[run_key];
         if let Some(before) = run.load.filter(|_| !changes.is_empty()) {
             state.images.learn_change(image, &changes, load - before);
         }
@@ -193,6 +232,13 @@
     state.workers.all[key].loads = loads;
 }
 
+/// Whether a serving task is so slow that its worker stands still.
+fn is_stuck(state: &super::State, key: run::Key) -> bool {
+    let run = &state.runs[key];
+    let target = step_of(state, run.name).and_then(|step| step.target).unwrap_or_default();
+    f64::from(run.observed.unwrap_or_default()) > STUCK * target.as_secs_f64() * 1_000.0
+}
+
 /// Processor time that the filling runs among these used at their last reading, by image.
 fn observed_loads(state: &super::State, runs: &[run::Key]) -> Vec<Load> {
     let mut loads: Vec<Load> = Vec::new();
@@ -263,8 +309,10 @@
     }
     if longest >= state.tuning.harm_patience {
         for run in filling {
-            let slower = state.runs[run].pace.min(100) * SLOWER / 100;
-            set(state, run, slower, out);
+            if harm(state, worst.image, run) >= HARM_SMALL {
+                let slower = state.runs[run].pace.min(100) * SLOWER / 100;
+                set(state, run, slower, out);
+            }
         }
         state.workers.all[key].paced_at = now;
         return true;
@@ -312,13 +360,15 @@
     state.images.weight(serving, image) * cores
 }
 
-/// Whether a serving run is over its target or near it, and by how much.
+/// Whether a serving run is over its target or near it, and by how much. Single readings are rough, so the smoothed own
+/// load counts, with what was read beside it.
 fn danger(state: &super::State, key: run::Key) -> Option<Danger> {
     let run = state.runs.get(key)?;
     let image = run.share.image?;
     let limit = limit(state, run)?;
-    let load = run.load.filter(|_| run.percent == 100)?;
-    (load + DANGER > limit).then(|| Danger { image, excess: load + RESERVE + DANGER - limit })
+    let own = run.own.filter(|_| run.percent == 100 && run.load.is_some())?;
+    let load = own + state.images.pressure(image, state.workers.all[run.worker].loads.iter().copied());
+    (load + DANGER > limit).then_some(Danger { image, excess: load + RESERVE + DANGER - limit })
 }
 
 /// Speeds the filling run up that disturbs least, as far as the serving tasks keep their reserve.
@@ -340,7 +390,7 @@
     let is_bearable =
         |faster: &u32| after(state, &slack, image, cpu * (faster - pace) / 100, Urgency::Pressing) >= 0.0;
     let steps = (pace + FASTER..100).step_by(FASTER as usize).chain([100]);
-    if let Some(faster) = steps.filter(is_bearable).last() {
+    if let Some(faster) = steps.rev().find(is_bearable) {
         set(state, run, faster, out);
         state.workers.all[key].paced_at = now;
     }
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -5,7 +5,7 @@
 
 use super::ask;
 use super::job::Group;
-use super::pace::Urgency;
+use super::pace::{Outlook, Urgency};
 use super::run::Phase;
 use super::spec::{Room, Step};
 use super::worker::{Key, Worker};
@@ -28,6 +28,12 @@
 /// Score of a load that a filling task adds to serving tasks; 1 is all that one bears.
 const PRESSURE: f64 = -100_000.0;
 
+/// Score of a worker that bears all filling images: its room is kept for those that few others bear.
+const OPENNESS: f64 = -8_000.0;
+
+/// Part of its request that a filling task must find unused, as a divisor.
+const SPARE_PART: i64 = 2;
+
 /// How a task's worker is chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct Policy {
@@ -42,8 +48,19 @@
     pub worker: &'a Worker,
     /// Serving runs there of another image than the task's.
     pub strangers: u32,
+    /// What it offers to a filling task.
+    pub filling: Filling,
+}
+
+/// What a worker offers to a filling task.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Filling {
+    /// Processor time that is expected to be left, in thousandths of a core.
+    pub spare: i64,
     /// Load that the task adds to the serving task there that it disturbs most.
     pub pressure: f64,
+    /// Share of the filling images that hardly disturb any serving task there.
+    pub openness: f64,
 }
 
 /// What a task needs.
@@ -85,7 +102,8 @@
         .as_ref()
         .is_some_and(|rack| worker.report.as_ref().is_some_and(|report| !report.labels.contains(rack)));
     let base = if need.fills {
-        worker.leftover() + (PRESSURE * offer.pressure) as i64
+        let Filling { spare, pressure, openness } = offer.filling;
+        spare + (PRESSURE * pressure + OPENNESS * openness) as i64
     } else if need.lasting {
         free + MIXED * i64::from(offer.strangers)
     } else {
@@ -103,23 +121,22 @@
     failed: Vec<Need>,
     /// Room that becomes free by orders to stop and is not promised to a task.
     freed: Map<Key, Room>,
-    /// Distances of the serving tasks of a worker from their targets, while no run is added there.
-    slack: Map<Key, Vec<pace::Slack>>,
+    /// What workers offer to filling tasks, while no run is added there.
+    outlooks: Map<Key, Outlook>,
 }
 
 impl Pass {
-    /// Whether the serving tasks of a worker bear a filling task beside them.
-    fn is_bearable(&mut self, state: &super::State, key: Key, need: &Need) -> bool {
-        let Some(image) = need.image.filter(|_| need.fills) else { return true };
-        let slack = self.slack.entry(key).or_insert_with(|| pace::slack(state, key));
-        pace::after(state, slack, image, need.cpu, need.urgency) >= 0.0
-    }
-
-    /// Load that a filling task adds to the serving task of a worker that it disturbs most.
-    fn pressure(&mut self, state: &super::State, key: Key, need: &Need) -> f64 {
-        let Some(image) = need.image.filter(|_| need.fills) else { return 0.0 };
-        let slack = self.slack.entry(key).or_insert_with(|| pace::slack(state, key));
-        pace::pressure(state, slack, image, need.cpu)
+    /// What a worker offers to a filling task, if its serving tasks bear it and it would get processor time.
+    fn filling(&mut self, state: &super::State, key: Key, need: &Need) -> Option<Filling> {
+        let Some(image) = need.image.filter(|_| need.fills) else { return Some(Filling::default()) };
+        let outlook = self.outlooks.entry(key).or_insert_with(|| pace::outlook(state, key));
+        let is_bearable = pace::after(state, &outlook.slack, image, need.cpu, need.urgency) >= 0.0
+            && outlook.spare >= i64::from(need.cpu) / SPARE_PART;
+        is_bearable.then(|| Filling {
+            spare: outlook.spare,
+            pressure: pace::pressure(state, &outlook.slack, image, need.cpu),
+            openness: outlook.openness,
+        })
     }
 }
 
@@ -233,7 +250,7 @@
         let number = state.jobs.tasks[key].next_run;
         if control::start(state, key, worker, number, out) {
             take(state, group, key);
-            pass.slack.remove(&worker);
+            pass.outlooks.remove(&worker);
         }
     }
 }
@@ -272,32 +289,32 @@
     };
     let mut score = |(key, worker): (Key, &Worker)| {
         // Work that would disturb the serving tasks of a worker waits for another one.
-        if !pass.is_bearable(state, key, need) {
-            return None;
-        }
+        let filling = pass.filling(state, key, need)?;
         let avoided = if need.avoid == Some(key) { AVOIDED } else { 0 };
         let strangers = if need.lasting { strangers(state, worker, need.image) } else { 0 };
-        let pressure = pass.pressure(state, key, need);
-        Some(((state.policy.score)(need, &Offer { worker, strangers, pressure }) + avoided, key))
+        Some(((state.policy.score)(need, &Offer { worker, strangers, filling }) + avoided, key))
     };
     state.workers.all.iter().filter(fits).filter_map(&mut score).max().map(|(_, key)| key)
 }
 
 /// Whether another worker has room for a filling run, and serving tasks that bear it at full speed.
-pub(super) fn has_better(state: &super::State, key: run::Key) -> bool {
+pub(super) fn has_better(state: &super::State, key: run::Key, urgency: Urgency) -> bool {
     let run = &state.runs[key];
     let Some(image) = run.share.image else { return false };
     let Some(job) = state.jobs.find(run.name.job).and_then(|job| state.jobs.all.get(job)) else {
         return false;
     };
+    let cpu = run.share.filling_cpu;
     let is_better = |(key, worker): (Key, &Worker)| {
-        key != run.worker
+        let is_able = key != run.worker
             && worker.report.as_ref().is_some_and(|report| report.service == job.service)
             && worker.takes_work(state.now)
             && worker.free().holds(run.charged)
-            && worker.leftover() >= i64::from(run.share.filling_cpu)
-            && pace::after(state, &pace::slack(state, key), image, run.share.filling_cpu, Urgency::Patient)
-                >= 0.0
+            && worker.fillable() >= i64::from(cpu);
+        is_able && {
+            let outlook = pace::outlook(state, key);
+            outlook.spare >= i64::from(cpu) && pace::after(state, &outlook.slack, image, cpu, urgency) >= 0.0
+        }
     };
     state.workers.all.iter().any(is_better)
 }
@@ -342,7 +359,7 @@
         state.jobs.tasks[key].saved.clone_from(&saved);
         if control::start(state, key, worker, number, out) {
             take(state, group, key);
-            pass.slack.remove(&worker);
+            pass.outlooks.remove(&worker);
         }
     }
 }
--- a/src/core/work/spec.rs
+++ b/src/core/work/spec.rs
@@ -121,11 +121,11 @@
 
     /// How a task shares its worker with others.
     pub fn share(&self, images: &mut image::Table) -> run::Share {
-        run::Share {
-            filling_cpu: if self.fills { self.room.cpu } else { 0 },
-            serves: self.serves(),
-            image: (!self.image.is_empty()).then(|| images.enter(&self.image)),
+        let image = (!self.image.is_empty()).then(|| images.enter(&self.image));
+        if let Some(image) = image.filter(|_| self.fills) {
+            images.note_filling(image);
         }
+        run::Share { filling_cpu: if self.fills { self.room.cpu } else { 0 }, serves: self.serves(), image }
     }
 
     /// Whether the tasks have users of their own.
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -109,8 +109,6 @@
     pub runs: Vec<run::Key>,
     /// Room that the runs take.
     pub used: Room,
-    /// Processor time that filling runs can use, in thousandths of a core.
-    pub filling_cpu: u32,
     /// Processor time that serving runs reserve, in thousandths of a core.
     pub serving_cpu: u32,
     /// Filling runs.
@@ -151,7 +149,6 @@
             unacknowledged: VecDeque::new(),
             runs: Vec::new(),
             used: Room::default(),
-            filling_cpu: 0,
             serving_cpu: 0,
             filling: 0,
             serving: 0,
@@ -167,10 +164,10 @@
         self.report.as_ref().and_then(|report| report.capacity).unwrap_or_default().without(self.used)
     }
 
-    /// Processor time that is expected to be left for filling runs beside those that are there, in thousandths of a core.
-    pub fn leftover(&self) -> i64 {
+    /// Processor time that is expected to be left for filling runs if none is there, in thousandths of a core.
+    pub fn fillable(&self) -> i64 {
         let reserved = i64::from(self.serving_cpu) * SERVING_IDLE_PERCENT / 100;
-        i64::from(self.free().cpu) + reserved - i64::from(self.filling_cpu)
+        i64::from(self.free().cpu) + reserved
     }
 
     /// Whether new runs may be sent there.
@@ -198,7 +195,6 @@
     pub fn attach(&mut self, run: run::Key, charged: Room, share: run::Share) {
         self.runs.push(run);
         self.used = self.used.with(charged);
-        self.filling_cpu += share.filling_cpu;
         self.filling += u32::from(share.filling_cpu > 0);
         self.serving += u32::from(share.serves);
         self.serving_cpu += if share.serves { charged.cpu } else { 0 };
@@ -208,7 +204,6 @@
     pub fn detach(&mut self, run: run::Key, charged: Room, share: run::Share) {
         self.runs.retain(|other| *other != run);
         self.used = self.used.without(charged);
-        self.filling_cpu -= share.filling_cpu;
         self.filling -= u32::from(share.filling_cpu > 0);
         self.serving -= u32::from(share.serves);
         self.serving_cpu -= if share.serves { charged.cpu } else { 0 };
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -198,6 +198,13 @@
         self.vms[vm].is_up
     }
 
+    /// Lets the entry VMs choose workers by another policy.
+    pub fn place_by(&mut self, policy: work::place::Policy) {
+        for vm in &mut self.vms {
+            vm.state.work.as_mut().expect("it schedules jobs").policy = policy;
+        }
+    }
+
     /// Lets a worker crash and start anew under its identity.
     pub fn restart_worker(&mut self, worker: usize) {
         self.workers[worker].restart(self.now, &mut self.observer);
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -14,6 +14,17 @@
 /// Cores of a worker, in thousandths.
 const CPU: u32 = 8_000;
 
+/// Own load of a serving task, its swing, and the period of the swing in seconds.
+const OWN_LOAD: f64 = 0.45;
+const OWN_SWING: f64 = 0.2;
+const SWING_S: f64 = 14.0;
+
+/// Response time of an idle serving task in milliseconds, where tasks disturb one another.
+const FLOOR_MS: f64 = 10.0;
+
+/// Load that a core of a filling image adds to serving tasks of an image: serving image, filling image, load.
+pub type Disturbance = (&'static str, &'static str, f64);
+
 /// What an order leads to.
 #[derive(Debug)]
 pub enum Outcome {
@@ -26,12 +37,28 @@
 struct Run {
     name: Name,
     number: u32,
-    started: Instant,
     length: Duration,
     lasts: bool,
     fails: bool,
     serves: bool,
     pace: u32,
+    image: String,
+    /// Cores that it uses beside serving tasks, if it fills.
+    filling: f64,
+    target_ms: f64,
+    /// Work done, and when that was counted last.
+    worked: Duration,
+    counted: Instant,
+}
+
+impl Run {
+    /// Own load of a serving task; it swings with its users.
+    fn own(&self, now: Instant) -> f64 {
+        let phase = f64::from(self.name.index) + self.name.job.0 as f64 * 0.7;
+        OWN_LOAD
+            + OWN_SWING
+                * (now.since(Instant(0)).as_secs_f64() / SWING_S * std::f64::consts::TAU + phase).sin()
+    }
 }
 
 /// Counts broken promises.
@@ -55,6 +82,8 @@
     pub starts: u32,
     /// Tasks that fail when they run, each this many times.
     pub failing: Map<Name, u32>,
+    /// Time of serving tasks over their targets.
+    pub over: Duration,
 }
 
 impl Observer {
@@ -136,6 +165,8 @@
     pub is_silent: bool,
     /// Response time of its serving tasks in milliseconds.
     pub response_ms: u32,
+    /// How tasks disturb one another; where it is empty, response times are as stated.
+    pub disturbances: Vec<Disturbance>,
     /// Orders to start that are carried out although nobody gets the answer.
     pub lost_starts: u32,
     number: usize,
@@ -157,6 +188,7 @@
             id: format!("w-{number}"),
             is_silent: false,
             response_ms: 10,
+            disturbances: Vec::new(),
             lost_starts: 0,
             number,
             born: 1,
@@ -212,8 +244,11 @@
         for (_, lapsed_since) in &mut self.ended {
             *lapsed_since |= has_lapsed;
         }
-        for run in std::mem::take(&mut self.runs) {
-            let is_over = !run.lasts && now.since(run.started) >= run.length;
+        self.count_over(now, observer);
+        for mut run in std::mem::take(&mut self.runs) {
+            run.worked += now.since(run.counted) * run.pace / 100;
+            run.counted = now;
+            let is_over = !run.lasts && run.worked >= run.length;
             match (is_over, has_lapsed) {
                 (true, _) if run.fails => self.end(run, How::Failed, observer),
                 (true, _) => self.end(run, How::Done, observer),
@@ -223,6 +258,29 @@
         }
     }
 
+    /// Counts the time of serving tasks over their targets.
+    fn count_over(&self, now: Instant, observer: &mut Observer) {
+        for run in self.runs.iter().filter(|run| run.serves && !self.disturbances.is_empty()) {
+            if self.response(run, now) > run.target_ms {
+                observer.over += now.since(run.counted);
+            }
+        }
+    }
+
+    /// Response time of a serving task in milliseconds.
+    fn response(&self, serving: &Run, now: Instant) -> f64 {
+        if self.disturbances.is_empty() {
+            return f64::from(self.response_ms);
+        }
+        let weight = |filling: &Run| {
+            let is_pair = |(one, other, _): &&Disturbance| *one == serving.image && *other == filling.image;
+            self.disturbances.iter().find(is_pair).map_or(0.0, |(.., weight)| *weight)
+        };
+        let pressure: f64 =
+            self.runs.iter().map(|run| weight(run) * run.filling * f64::from(run.pace) / 100.0).sum();
+        FLOOR_MS / (1.0 - (serving.own(now) + pressure).min(0.99))
+    }
+
     fn end(&mut self, run: Run, how: How, observer: &mut Observer) {
         observer.ended(&self.id, run.name, run.number, how);
         self.last_end += 1;
@@ -319,12 +377,16 @@
         self.runs.push(Run {
             name,
             number,
-            started: now,
             length: step.estimate,
             lasts: step.lasting,
             fails,
             serves: step.serves(),
             pace: 100,
+            image: step.image.clone(),
+            filling: if step.fills { f64::from(step.room.cpu) / 1_000.0 } else { 0.0 },
+            target_ms: step.target.unwrap_or_default().as_secs_f64() * 1_000.0,
+            worked: Duration::ZERO,
+            counted: now,
         });
         let used: u32 =
             self.runs.iter().filter_map(|run| observer.step(run.name)).map(|step| step.charged().cpu).sum();
@@ -339,8 +401,8 @@
             name: run.name,
             number: run.number,
             saved: String::new(),
-            percent: if run.lasts { 100 } else { progress(run, now) },
-            observed: run.serves.then_some(self.response_ms),
+            percent: if run.lasts { 100 } else { progress(run) },
+            observed: self.observe(run, now),
         });
         Listing {
             born: Some(self.born),
@@ -349,6 +411,13 @@
         }
     }
 
+    fn observe(&self, run: &Run, now: Instant) -> Option<u32> {
+        if run.serves {
+            return Some(self.response(run, now) as u32);
+        }
+        Some((run.filling * f64::from(run.pace) * 10.0) as u32)
+    }
+
     fn refuse(&self, parcel: &Parcel, refusal: Refusal, now: Instant) -> Event {
         let clock_ms = Some(self.clock(now));
         let plain = Ok(Reply { clock_ms, outcome: Err(refusal) });
@@ -365,8 +434,8 @@
     }
 }
 
-fn progress(run: &Run, now: Instant) -> u32 {
-    (now.since(run.started).as_millis() * 100 / run.length.as_millis().max(1)).min(99) as u32
+fn progress(run: &Run) -> u32 {
+    (run.worked.as_millis() * 100 / run.length.as_millis().max(1)).min(99) as u32
 }
 
 fn lost(parcel: &Parcel) -> Event {
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
+use emulator::worker::Disturbance;
 use emulator::{Emulator, job, step};
 use nutmegfold::core::work::ask::{Answer, Phase, Verb};
-use nutmegfold::core::work::spec::{Id, Name, Step};
+use nutmegfold::core::work::place::{PACKED, Policy, SPREAD};
+use nutmegfold::core::work::spec::{Id, Name, Room, Step};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -357,6 +359,57 @@
     }
 }
 
+/// What a load of serving and filling tasks led to.
+struct Colocation {
+    /// Time of serving tasks over their targets.
+    over: Duration,
+    /// Filling jobs that were done in time.
+    done: usize,
+}
+
+/// Plays 20 s of a load in which each filling image disturbs one of two serving images, under a policy.
+fn colocate(seed: u64, policy: Policy) -> Colocation {
+    const DISTURBANCES: [Disturbance; 4] = [
+        ("desk", "rope", 0.08),
+        ("desk", "fibre", 0.005),
+        ("ledger", "rope", 0.005),
+        ("ledger", "fibre", 0.08),
+    ];
+    let mut emulator = ready(seed, 2, 8);
+    emulator.place_by(policy);
+    for worker in &mut emulator.workers {
+        worker.disturbances = DISTURBANCES.to_vec();
+    }
+    for (id, image) in (1..).zip(["desk", "ledger", "desk", "ledger"]) {
+        let room = Room { cpu: 3_000, memory_mb: 1_000, gpu: 0 };
+        let target = Some(Duration::from_millis(50));
+        emulator.submit(0, id, job([Step { lasting: true, target, image: image.into(), room, ..step(4) }]));
+    }
+    emulator.run_for(3 * SECOND);
+    emulator.observer.over = Duration::ZERO;
+    for (id, image) in (10..50).zip(["rope", "fibre"].into_iter().cycle()) {
+        let filling = Step { fills: true, checkpoint: true, image: image.into(), ..step(5) };
+        emulator.submit(0, id, job([filling]));
+        emulator.run_for(SECOND / 2);
+    }
+    let over = emulator.observer.over;
+    let done = (10..50).filter(|id| completed(&mut emulator, 0, *id)).count();
+    check(&emulator);
+    Colocation { over, done }
+}
+
+/// Guards against batch work that is spread by free cores only and disturbs serving tasks, and against one that spares
+/// them by not running.
+#[test]
+fn filling_work_goes_where_it_disturbs_least() {
+    for seed in 0..3 {
+        let (packed, spread) = (colocate(seed, PACKED), colocate(seed, SPREAD));
+        assert!(spread.over > SECOND, "seed {seed}: the load disturbs nobody: {:?}", spread.over);
+        assert!(packed.over * 2 <= spread.over, "seed {seed}: {:?} against {:?}", packed.over, spread.over);
+        assert!(packed.done >= spread.done, "seed {seed}: {} against {}", packed.done, spread.done);
+    }
+}
+
 /// Guards against timers that arm one another: an idle deployment must not work more and more.
 #[test]
 fn an_idle_deployment_stays_idle() {
