Count stuck serving tasks as endangered, and start the clock at the first reading

Readings above 20 targets were taken for a worker that stands still and left out, also where the neighbours caused them, so nothing was slowed down and more was placed there. The time until everything pauses also began late, with the smoothed load; it now begins with the first reading over the target.

--- a/src/core/work/image.rs
+++ b/src/core/work/image.rs
@@ -20,7 +20,7 @@
 const FLOOR_GUESS: f64 = 0.25;
 
 /// Highest load that a reading is taken for; above it the response time hardly depends on the load.
-const LOAD_MAX: f64 = 0.95;
+pub(super) const LOAD_MAX: f64 = 0.95;
 
 /// Own load of a serving task before anything is known.
 const MEAN_GUESS: f64 = 0.5;
--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -39,7 +39,8 @@
 /// Pace that a slowed filling run is counted with at least, since it may speed up again, in percent.
 const PACE_COUNTED: u32 = 30;
 
-/// Response time, in targets, above which a worker stands still; no neighbour explains that.
+/// Response time, in targets, above which nothing is learned: the worker may stand still, or be far beyond what the model
+/// describes.
 const STUCK: f64 = 20.0;
 
 /// Smallest step to a faster pace, in percent.
@@ -214,25 +215,30 @@
             continue;
         };
         let is_settled = run.percent == 100 && state.now.since(run.started) >= WINDOW * 2;
-        if !is_settled || reading == 0 || is_stuck(state, run_key) {
+        if !is_settled || reading == 0 {
             state.runs[run_key].load = None;
             continue;
         }
-        let load = state.images.read(image, f64::from(reading));
+        let is_stuck = is_stuck(state, run_key);
         let run = &mut state.runs[run_key];
-        if let Some(before) = run.load.filter(|_| !changes.is_empty()) {
+        let load = if is_stuck { image::LOAD_MAX } else { state.images.read(image, f64::from(reading)) };
+        let own = load - state.images.pressure(image, loads.iter().copied());
+        let own = run.own.map_or(own, |before| before + OWN_STEP * (own - before));
+        let before = run.load.filter(|_| !changes.is_empty());
+        (run.load, run.own) = (Some(load).filter(|_| !is_stuck), Some(own));
+        if is_stuck {
+            continue;
+        }
+        if let Some(before) = before {
             state.images.learn_change(image, &changes, load - before);
         }
         state.images.learn_level(image, &loads, load);
-        let own = load - state.images.pressure(image, loads.iter().copied());
-        let own = run.own.map_or(own, |before| before + OWN_STEP * (own - before));
         state.images.note_own(image, own);
-        (run.load, run.own) = (Some(load), Some(own));
     }
     state.workers.all[key].loads = loads;
 }
 
-/// Whether a serving task is so slow that its worker stands still.
+/// Whether a serving task is so slow that its worker may stand still.
 fn is_stuck(state: &super::State, key: run::Key) -> bool {
     let run = &state.runs[key];
     let target = step_of(state, run.name).and_then(|step| step.target).unwrap_or_default();
@@ -270,7 +276,7 @@
 /// A serving task that is over its target or near it.
 struct Danger {
     image: image::Key,
-    /// Load that must go.
+    /// Load that must go; not above zero if a single reading was high.
     excess: f64,
 }
 
@@ -360,15 +366,17 @@
     state.images.weight(serving, image) * cores
 }
 
-/// Whether a serving run is over its target or near it, and by how much. Single readings are rough, so the smoothed own
-/// load counts, with what was read beside it.
+/// Whether a serving run is over its target or near it, and by how much. Single readings are rough, so what has to go is
+/// taken from the smoothed own load, with what was read beside it.
 fn danger(state: &super::State, key: run::Key) -> Option<Danger> {
     let run = state.runs.get(key)?;
     let image = run.share.image?;
     let limit = limit(state, run)?;
-    let own = run.own.filter(|_| run.percent == 100 && run.load.is_some())?;
+    let own = run.own.filter(|_| run.percent == 100)?;
     let load = own + state.images.pressure(image, state.workers.all[run.worker].loads.iter().copied());
-    (load + DANGER > limit).then_some(Danger { image, excess: load + RESERVE + DANGER - limit })
+    let is_over = state.images.load(image, f64::from(run.observed.unwrap_or_default())) > limit;
+    let is_near = load + DANGER > limit;
+    (is_over || is_near).then_some(Danger { image, excess: load + RESERVE + DANGER - limit })
 }
 
 /// Speeds the filling run up that disturbs least, as far as the serving tasks keep their reserve.
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -49,6 +49,8 @@
     /// Work done, and when that was counted last.
     worked: Duration,
     counted: Instant,
+    /// Time over its target until now.
+    over: Duration,
 }
 
 impl Run {
@@ -84,6 +86,8 @@
     pub failing: Map<Name, u32>,
     /// Time of serving tasks over their targets.
     pub over: Duration,
+    /// Longest time on end of one of them.
+    pub longest_over: Duration,
 }
 
 impl Observer {
@@ -259,11 +263,18 @@
     }
 
     /// Counts the time of serving tasks over their targets.
-    fn count_over(&self, now: Instant, observer: &mut Observer) {
-        for run in self.runs.iter().filter(|run| run.serves && !self.disturbances.is_empty()) {
-            if self.response(run, now) > run.target_ms {
-                observer.over += now.since(run.counted);
-            }
+    fn count_over(&mut self, now: Instant, observer: &mut Observer) {
+        if self.disturbances.is_empty() {
+            return;
+        }
+        for index in 0..self.runs.len() {
+            let is_over =
+                self.runs[index].serves && self.response(&self.runs[index], now) > self.runs[index].target_ms;
+            let run = &mut self.runs[index];
+            let span = if is_over { now.since(run.counted) } else { Duration::ZERO };
+            run.over = if is_over { run.over + span } else { Duration::ZERO };
+            observer.over += span;
+            observer.longest_over = observer.longest_over.max(run.over);
         }
     }
 
@@ -278,7 +289,7 @@
         };
         let pressure: f64 =
             self.runs.iter().map(|run| weight(run) * run.filling * f64::from(run.pace) / 100.0).sum();
-        FLOOR_MS / (1.0 - (serving.own(now) + pressure).min(0.99))
+        FLOOR_MS / (1.0 - (serving.own(now) + pressure).min(0.999))
     }
 
     fn end(&mut self, run: Run, how: How, observer: &mut Observer) {
@@ -387,6 +398,7 @@
             target_ms: step.target.unwrap_or_default().as_secs_f64() * 1_000.0,
             worked: Duration::ZERO,
             counted: now,
+            over: Duration::ZERO,
         });
         let used: u32 =
             self.runs.iter().filter_map(|run| observer.step(run.name)).map(|step| step.charged().cpu).sum();
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -12,6 +12,9 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Time on end for which users bear a serving task over its target.
+const HARM: Duration = Duration::from_secs(4);
+
 fn name(job: u64, step: u32, index: u32) -> Name {
     Name { job: Id(job), occurrence: 0, step, index }
 }
@@ -393,6 +396,7 @@
         emulator.run_for(SECOND / 2);
     }
     let over = emulator.observer.over;
+    assert!(emulator.observer.longest_over < HARM, "seed {seed}: {:?}", emulator.observer.longest_over);
     let done = (10..50).filter(|id| completed(&mut emulator, 0, *id)).count();
     check(&emulator);
     Colocation { over, done }
@@ -410,6 +414,30 @@
     }
 }
 
+/// Guards against a task whose neighbours slow it down so much that it is taken for one on a worker that stands still, and
+/// whose neighbours then work on.
+#[test]
+fn the_worst_disturbance_is_ended_in_time() {
+    for seed in 0..5 {
+        let mut emulator = ready(seed, 2, 1);
+        emulator.workers[0].disturbances = vec![("desk", "rope", 0.4)];
+        let target = Some(Duration::from_millis(50));
+        let room = Room { cpu: 1_000, memory_mb: 1_000, gpu: 0 };
+        let serving = Step { lasting: true, target, image: "desk".into(), room, ..step(3) };
+        let estimate = 60 * SECOND;
+        let filling = Step { fills: true, checkpoint: true, image: "rope".into(), estimate, ..step(1) };
+        emulator.submit(0, 1, job([serving]));
+        // The filling tasks come before anything is known of the serving ones.
+        emulator.submit(0, 2, job([filling.clone()]));
+        emulator.submit(0, 3, job([filling]));
+        emulator.run_for(20 * SECOND);
+        let longest = emulator.observer.longest_over;
+        assert!(longest > Duration::ZERO, "seed {seed}: the load disturbs nobody");
+        assert!(longest < HARM, "seed {seed}: over its target for {longest:?}: {:#?}", emulator.log);
+        check(&emulator);
+    }
+}
+
 /// Guards against timers that arm one another: an idle deployment must not work more and more.
 #[test]
 fn an_idle_deployment_stays_idle() {
