--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -7,7 +7,7 @@
 use super::event::Fault;
 use super::order::{Ended, How, Order, Refusal, Reply, Running};
 use super::run::{self, Phase, Run};
-use super::spec::Name;
+use super::spec::{Name, Room};
 use super::{book, job, lead, pace, state, task, worker};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
@@ -17,6 +17,10 @@
 /// Wait before an order to stop is sent again.
 const STOP_RETRY: Duration = Duration::from_millis(500);
 
+/// Room of a run whose job is not known any more, above that of any worker, so that nothing starts beside it until it is
+/// gone.
+const UNKNOWN_ROOM: Room = Room { cpu: 1_000_000, memory_mb: 10_000_000, gpu: 10_000 };
+
 /// How long a worker that said it is unhealthy gets no new runs.
 const BUSY_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -276,7 +280,7 @@
         matches!(task.phase, task::Phase::Ready | task::Phase::Blocked) && task.runs.is_empty()
     });
     let step = step_of(state, row.name);
-    let charged = step.map(super::spec::Step::charged).unwrap_or_default();
+    let charged = step.map_or(UNKNOWN_ROOM, super::spec::Step::charged);
     let step = step.cloned();
     let share = step.map(|step| step.share(&mut state.images)).unwrap_or_default();
     let key = state.runs.insert(Run {
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -34,6 +34,12 @@
 /// Part of its request that a filling task must find unused, as a divisor.
 const SPARE_PART: i64 = 2;
 
+/// Looks at a worker's runs count as this many visits of a worker.
+const VICTIMS_VISITS: u64 = 4;
+
+/// Most visits that the rest after a pass is computed from; the rest stays below two seconds.
+const VISITS_MAX: u64 = 4_000_000;
+
 /// How a task's worker is chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct Policy {
@@ -119,8 +125,12 @@
     is_gated: bool,
     /// Needs that no worker has room for.
     failed: Vec<Need>,
-    /// Room that becomes free by orders to stop and is not promised to a task.
-    freed: Map<Key, Room>,
+    /// Needs that no worker has victims for.
+    cramped: Vec<Need>,
+    /// Room that becomes free by orders to stop and is not promised to a task, once it was looked for.
+    freed: Option<Map<Key, Room>>,
+    /// Workers looked at, over all tasks.
+    visits: u64,
     /// What workers offer to filling tasks, while no run is added there.
     outlooks: Map<Key, Outlook>,
 }
@@ -181,6 +191,8 @@
         place_group(state, waiting.group, &mut pass, out);
     }
     state.jobs.ready.retain(|_, tasks| !tasks.is_empty());
+    state.place_visits += pass.visits;
+    state.place_from = state.now + state.tuning.place_rest * pass.visits.min(VISITS_MAX) as u32;
 }
 
 /// Waiting groups, most urgent first. Groups that are late already come after those that can still be in time.
@@ -237,14 +249,14 @@
         let urgency = if has_waited { Urgency::Pressing } else { Urgency::Patient };
         let need = Need { avoid: task.avoid, urgency, ..need.clone() };
         if pass.failed.iter().any(|other| is_harder(&need, other)) {
-            make_room(state, key, &need, priority, &mut pass.freed, out);
+            make_room(state, key, &need, priority, pass, out);
             continue;
         }
         let Some(worker) = choose(state, &need, &step, group, &Map::default(), pass) else {
             if step.max_per_worker.is_none() && need.requires.is_none() {
                 pass.failed.push(need.clone());
             }
-            make_room(state, key, &need, priority, &mut pass.freed, out);
+            make_room(state, key, &need, priority, pass, out);
             continue;
         };
         let number = state.jobs.tasks[key].next_run;
@@ -278,6 +290,7 @@
     planned: &Map<Key, (Room, u32)>,
     pass: &mut Pass,
 ) -> Option<Key> {
+    pass.visits += state.workers.all.len() as u64;
     let fits = |(key, worker): &(Key, &Worker)| {
         let Some(report) = &worker.report else { return false };
         let (room, count) = planned.get(key).copied().unwrap_or_default();
@@ -411,7 +424,7 @@
     key: task::Key,
     need: &Need,
     priority: u32,
-    freed: &mut Map<Key, Room>,
+    pass: &mut Pass,
     out: &mut Vec<Effect>,
 ) {
     let task = &state.jobs.tasks[key];
@@ -420,9 +433,10 @@
         return;
     }
     let name = task.name;
-    if freed.is_empty() {
-        *freed = stopping(state);
+    if pass.cramped.iter().any(|other| is_harder(need, other)) {
+        return;
     }
+    let freed = pass.freed.get_or_insert_with(|| stopping(state));
     let promised = freed.iter().find(|(worker, room)| {
         let Some(worker) = state.workers.all.get(**worker) else { return false };
         matches(worker, need)
@@ -433,6 +447,7 @@
         freed.insert(worker, room.without(need.charged));
         return;
     }
+    pass.visits += state.workers.all.len() as u64 * VICTIMS_VISITS;
     let best = state
         .workers
         .all
@@ -442,7 +457,12 @@
             victims(state, worker, need, priority).map(|(cost, runs)| (cost, worker, runs))
         })
         .min_by_key(|(cost, ..)| *cost);
-    let Some((_, worker, runs)) = best else { return };
+    let Some((_, worker, runs)) = best else {
+        if need.requires.is_none() {
+            pass.cramped.push(need.clone());
+        }
+        return;
+    };
     let reason = format!("{} runs make room for {name}", runs.len());
     state::record(out, Subject::Job(name.job), "preempt", reason);
     for run in runs {
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -116,6 +116,10 @@
     pub follow: Map<Range, Follow>,
     /// When the next placement pass is due, if one is.
     pub place_at: Option<Instant>,
+    /// The next placement pass is not made before this time.
+    pub place_from: Instant,
+    /// Workers that placement has looked at, over all tasks and passes.
+    pub place_visits: u64,
     /// How the worker of a task is chosen.
     pub policy: place::Policy,
     /// Whether a graceful stop has begun.
@@ -150,6 +154,8 @@
             front: front::State::default(),
             follow: Map::default(),
             place_at: None,
+            place_from: Instant::default(),
+            place_visits: 0,
             policy: place::PACKED,
             is_stopping: false,
             stop_by: Instant::default(),
@@ -226,6 +232,7 @@
 
     /// Lets a placement pass follow at `at`, unless one is due earlier; each pass says when the next is due.
     pub(super) fn place_by(&mut self, at: Instant) {
+        let at = at.max(self.place_from);
         if self.place_at.is_none_or(|due| due > at) {
             self.place_at = Some(at);
             self.timers.set(at, Timer::Place);
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -40,6 +40,9 @@
     pub watch: Duration,
     /// Shortest time between two placement passes.
     pub place_interval: Duration,
+    /// Rest after a pass for each worker that it looked at, several times what the look takes on a small VM, so that a long
+    /// queue leaves processor time for everything else.
+    pub place_rest: Duration,
     /// Time that a caller is told to wait when its request was refused, in seconds.
     pub come_back_s: u32,
     /// How long the state of an ended job is kept.
@@ -88,6 +91,7 @@
             store_timeout: Duration::from_millis(1_500),
             watch: Duration::from_millis(2_000),
             place_interval: Duration::from_millis(4),
+            place_rest: Duration::from_nanos(500),
             come_back_s: 1,
             retention: Duration::from_secs(150),
             suspect_failures: 2,
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -198,6 +198,11 @@
         self.vms[vm].is_up
     }
 
+    /// Workers that placement has looked at in all entry VMs.
+    pub fn visits(&self) -> u64 {
+        self.vms.iter().map(|vm| vm.state.work.as_ref().expect("it schedules jobs").place_visits).sum()
+    }
+
     /// Lets the entry VMs choose workers by another policy.
     pub fn place_by(&mut self, policy: work::place::Policy) {
         for vm in &mut self.vms {
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -51,6 +51,8 @@
     counted: Instant,
     /// Time over its target until now.
     over: Duration,
+    /// When an order to stop takes effect.
+    stops_at: Option<Instant>,
 }
 
 impl Run {
@@ -169,6 +171,8 @@
     pub is_silent: bool,
     /// Response time of its serving tasks in milliseconds.
     pub response_ms: u32,
+    /// Time that a stop takes.
+    pub stop_time: Duration,
     /// How tasks disturb one another; where it is empty, response times are as stated.
     pub disturbances: Vec<Disturbance>,
     /// Orders to start that are carried out although nobody gets the answer.
@@ -192,6 +196,7 @@
             id: format!("w-{number}"),
             is_silent: false,
             response_ms: 10,
+            stop_time: Duration::ZERO,
             disturbances: Vec::new(),
             lost_starts: 0,
             number,
@@ -253,7 +258,9 @@
             run.worked += now.since(run.counted) * run.pace / 100;
             run.counted = now;
             let is_over = !run.lasts && run.worked >= run.length;
+            let is_stopped = run.stops_at.is_some_and(|at| at <= now);
             match (is_over, has_lapsed) {
+                _ if is_stopped => self.end(run, How::Stopped, observer),
                 (true, _) if run.fails => self.end(run, How::Failed, observer),
                 (true, _) => self.end(run, How::Done, observer),
                 (_, true) => self.end(run, How::Lapsed, observer),
@@ -347,8 +354,10 @@
                 *past = (*past).max(*number);
                 let there = self.runs.iter().position(|run| run.name == *name && run.number == *number);
                 if let Some(there) = there {
-                    let run = self.runs.remove(there);
-                    self.end(run, How::Stopped, observer);
+                    let stops_at = now + self.stop_time;
+                    let run = &mut self.runs[there];
+                    run.stops_at = Some(run.stops_at.map_or(stops_at, |at| at.min(stops_at)));
+                    self.advance(now, observer);
                 }
                 let result = Ok(Reply { clock_ms: Some(self.clock(now)), outcome: Ok(()) });
                 Outcome::Event(Event::Stopped { run: *run, result })
@@ -399,6 +408,7 @@
             worked: Duration::ZERO,
             counted: now,
             over: Duration::ZERO,
+            stops_at: None,
         });
         let used: u32 =
             self.runs.iter().filter_map(|run| observer.step(run.name)).map(|step| step.charged().cpu).sum();
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -9,6 +9,7 @@
 use nutmegfold::core::work::ask::{Answer, Phase, Verb};
 use nutmegfold::core::work::place::{PACKED, Policy, SPREAD};
 use nutmegfold::core::work::spec::{Id, Name, Room, Step};
+use nutmegfold::core::work::tuning::Tuning;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -307,6 +308,33 @@
     assert_eq!(emulator.observer.starts, 0);
 }
 
+/// Guards against a new leader that takes the room of a run for free because its job has ended and only the run is left.
+#[test]
+fn runs_of_ended_jobs_take_their_room() {
+    for seed in 0..5 {
+        let mut emulator = ready(seed, 2, 1);
+        emulator.workers[0].stop_time = SECOND / 2;
+        emulator.submit(0, 1, job([Step { lasting: true, ..step(4) }]));
+        emulator.run_for(SECOND);
+        let leader = emulator.leader().expect("a leader");
+        emulator.workers[0].is_silent = true;
+        emulator.ask(leader, &format!("{}{}", emulator::PREFIX, Id(1)), Verb::Cancel);
+        emulator.run_for(SECOND / 10);
+        emulator.kill(leader);
+        emulator.run_for(SECOND / 10);
+        let other = 1 - leader;
+        emulator.submit(other, 2, job([Step { lasting: true, ..step(4) }]));
+        emulator.workers[0].is_silent = false;
+        for _ in 0..40 {
+            emulator.submit(other, 2, job([Step { lasting: true, ..step(4) }]));
+            emulator.run_for(SECOND / 10);
+        }
+        check(&emulator);
+        emulator.run_for(10 * SECOND);
+        assert!((0..4).all(|index| emulator.observer.is_running(name(2, 0, index))), "{:#?}", emulator.log);
+    }
+}
+
 /// Guards against runs that go on after their job was cancelled.
 #[test]
 fn a_cancelled_job_stops() {
@@ -438,6 +466,35 @@
     }
 }
 
+/// Guards against a long queue that takes all processor time: each answer of a worker let a pass follow that looked at
+/// every worker for every waiting task.
+#[test]
+fn a_long_queue_leaves_time_for_other_work() {
+    let mut emulator = ready(15, 1, 60);
+    let mut id = 0;
+    let mut submit = |emulator: &mut Emulator, step: Step| {
+        id += 1;
+        emulator.submit(0, id, job([step]));
+        emulator.run_for(SECOND / 100);
+    };
+    for _ in 0..12 {
+        submit(&mut emulator, Step { lasting: true, ..step(20) });
+    }
+    // Sizes differ, so that no waiting task stands for all others.
+    for number in 0..60 {
+        let room = Room { cpu: 2_000 + number, memory_mb: 1_000 - number, gpu: 0 };
+        submit(&mut emulator, Step { room, ..step(20) });
+        let room = Room { cpu: 1_000, memory_mb: 20_000 - number, gpu: 0 };
+        submit(&mut emulator, Step { fills: true, room, image: format!("f{number}"), ..step(20) });
+    }
+    let before = emulator.visits();
+    emulator.run_for(5 * SECOND);
+    let visits = emulator.visits() - before;
+    let most = (5 * SECOND).as_nanos() / Tuning::default().place_rest.as_nanos();
+    assert!(u128::from(visits) <= most, "{visits} looks at workers in 5 s, of at most {most}");
+    check(&emulator);
+}
+
 /// Guards against timers that arm one another: an idle deployment must not work more and more.
 #[test]
 fn an_idle_deployment_stays_idle() {
