Call all workers when a leader may act again

Cause: while a leader's last confirmed renewal is older than its validity, calls to workers are dropped, and with them the timers of the next ones. Test a_leader_that_may_act_again_renews_all_leases: 0 of 9 tasks run after an outage of 7 s before, all 9 and none started anew after.

Ruled out: processor time alone; the leader answered within its limits again, and the workers that it called went on.

--- a/src/core/work/lead.rs
+++ b/src/core/work/lead.rs
@@ -11,7 +11,7 @@
 use super::store::{Change, Item, Key, Leader, Removed, Reply, Request, Revision, Transaction, Value};
 use super::timer::Timer;
 use super::tuning::Tuning;
-use super::{front, load};
+use super::{front, hold, load};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -262,14 +262,29 @@
 
 /// Notes the answer to a renewal.
 pub(super) fn renewed(state: &mut super::State, sent: Instant, reply: &Reply, out: &mut Vec<Effect>) {
+    let could_act = state.lead.may_act(state.now, &state.tuning);
     let Role::Leader { confirmed, .. } = &mut state.lead.role else { return };
     match reply {
-        Reply::Renewed => *confirmed = (*confirmed).max(sent),
+        Reply::Renewed => {
+            *confirmed = (*confirmed).max(sent);
+            if !could_act && state.lead.may_act(state.now, &state.tuning) {
+                resume(state, out);
+            }
+        }
         Reply::Gone => step_down(state, "the lease has ended", out),
         _ => {}
     }
 }
 
+/// Goes on as the leader after a time in which it could not act.
+fn resume(state: &mut super::State, out: &mut Vec<Effect>) {
+    state::record(out, Subject::Process, "resume", format!("term {}", state.lead.term()));
+    for worker in state.workers.all.keys().collect::<Vec<_>>() {
+        hold::soon(state, worker);
+    }
+    state.place_soon();
+}
+
 /// Stops to act as the leader, and forgets what only a leader knows.
 pub(super) fn step_down(state: &mut super::State, reason: &str, out: &mut Vec<Effect>) {
     let Role::Leader { term, .. } = state.lead.role else { return };
--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -185,6 +185,9 @@
 /// Stops one filling run that was slowed down and can work at full speed elsewhere; it resumes from its saved progress.
 fn move_away(state: &mut super::State, key: Key, out: &mut Vec<Effect>) {
     let now = state.now;
+    if now < state.workers.all[key].move_from {
+        return;
+    }
     let is_slow = |run: &run::Key| {
         let Some(run) = state.runs.get(*run) else { return false };
         run.share.filling_cpu > 0
@@ -198,7 +201,11 @@
         let has_waited = now.since(state.runs[run].paced_at) >= state.tuning.slow_patience * 2;
         if has_waited { Urgency::Pressing } else { Urgency::Patient }
     };
-    let Some(run) = slow.filter(|run| place::has_better(state, *run, urgency(*run))) else { return };
+    let Some((run, urgency)) = slow.map(|run| (run, urgency(run))) else { return };
+    state.workers.all[key].move_from = now + state.tuning.slow_patience;
+    if !place::has_better(state, run, urgency) {
+        return;
+    }
     if let Some(task) = state.runs[run].task.and_then(|task| state.jobs.tasks.get_mut(task)) {
         task.avoid = Some(key);
     }
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -34,6 +34,9 @@
 /// Part of its request that a filling task must find unused, as a divisor.
 const SPARE_PART: i64 = 2;
 
+/// Workers that are looked at for a better place of a run; one is found soon where there are many.
+const SAMPLE: usize = 24;
+
 /// Looks at a worker's runs count as this many visits of a worker.
 const VICTIMS_VISITS: u64 = 4;
 
@@ -310,8 +313,11 @@
     state.workers.all.iter().filter(fits).filter_map(&mut score).max().map(|(_, key)| key)
 }
 
-/// Whether another worker has room for a filling run, and serving tasks that bear it at full speed.
-pub(super) fn has_better(state: &super::State, key: run::Key, urgency: Urgency) -> bool {
+/// Whether another worker has room for a filling run, and serving tasks that bear it at full speed. Only some workers are
+/// looked at, from a random one on.
+pub(super) fn has_better(state: &mut super::State, key: run::Key, urgency: Urgency) -> bool {
+    let first = state.draw() as usize % state.workers.all.len().max(1);
+    let state = &*state;
     let run = &state.runs[key];
     let Some(image) = run.share.image else { return false };
     let Some(job) = state.jobs.find(run.name.job).and_then(|job| state.jobs.all.get(job)) else {
@@ -329,7 +335,7 @@
             outlook.spare >= i64::from(cpu) && pace::after(state, &outlook.slack, image, cpu, urgency) >= 0.0
         }
     };
-    state.workers.all.iter().any(is_better)
+    state.workers.all.iter().cycle().skip(first).take(SAMPLE.min(state.workers.all.len())).any(is_better)
 }
 
 /// Serving runs of other images on a worker.
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -121,6 +121,8 @@
     pub suspect_until: Instant,
     /// When the pace of a run was changed last.
     pub paced_at: Instant,
+    /// Before this no better place is looked for its slow filling runs.
+    pub move_from: Instant,
     /// Processor time that the filling runs used at the last reading, by image.
     pub loads: Vec<image::Load>,
 }
@@ -155,6 +157,7 @@
             failures: Vec::new(),
             suspect_until: Instant::default(),
             paced_at: Instant::default(),
+            move_from: Instant::default(),
             loads: Vec::new(),
         }
     }
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -30,6 +30,8 @@
 /// The store.
 pub struct Store {
     pub is_down: bool,
+    /// Whether leases pause while the store is down.
+    pub pauses_leases: bool,
     /// Writes that take effect although their answer is lost.
     pub lost_answers: u32,
     /// Most items of a page.
@@ -57,6 +59,7 @@
     pub fn new(config: Config) -> Self {
         let mut store = Self {
             is_down: false,
+            pauses_leases: false,
             lost_answers: 0,
             page: 500,
             lost_pages: 0,
@@ -84,6 +87,11 @@
 
     /// Removes the keys of leases that have ended.
     pub fn expire(&mut self, now: Instant) {
+        if self.is_down && self.pauses_leases {
+            for (until, ttl) in self.leases.values_mut() {
+                *until = now + *ttl;
+            }
+        }
         let ended: Vec<u64> =
             self.leases.iter().filter(|(_, (until, _))| *until <= now).map(|(lease, _)| *lease).collect();
         for lease in ended {
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -268,6 +268,23 @@
     check(&emulator);
 }
 
+/// Guards against a leader that may act again after an outage and does not call the workers that wait for nothing, so that
+/// their leases lapse.
+#[test]
+fn a_leader_that_may_act_again_renews_all_leases() {
+    let mut emulator = ready(16, 2, 3);
+    emulator.store.pauses_leases = true;
+    emulator.submit(0, 1, job([Step { lasting: true, ..step(9) }]));
+    emulator.run_for(SECOND);
+    emulator.store.is_down = true;
+    emulator.run_for(7 * SECOND);
+    emulator.store.is_down = false;
+    emulator.run_for(8 * SECOND);
+    let running = (0..9).filter(|index| emulator.observer.is_running(name(1, 0, *index))).count();
+    assert_eq!((running, emulator.observer.starts), (9, 9), "{:#?}", emulator.log);
+    check(&emulator);
+}
+
 /// Guards against callers that are held until their deadline although the store does not answer.
 #[test]
 fn callers_are_not_held_in_an_outage() {
