Name the job in lines about requests, log the loss and return of the store

Lines about requests now have the job's id as their subject on each entry VM, with forward, refuse and answer-unknown; store-lost and store-back say when calls began to fail and worked again. Checked in callers_are_not_held_in_an_outage, which fails before.

Clean-up: a task is taken out of those that wait in one place, its group is made in one place, and two fields without a reader are gone.

--- a/src/core/work/ask.rs
+++ b/src/core/work/ask.rs
@@ -32,6 +32,16 @@
     pub timeout: Duration,
 }
 
+impl Ask {
+    /// Job that the path ends in, if it ends in one.
+    pub fn job(&self) -> Option<Id> {
+        match subject(self.path.rsplit('/').next()?) {
+            Some(Subject::Job(id)) => Some(id),
+            _ => None,
+        }
+    }
+}
+
 /// State of a job as callers see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Phase {
--- a/src/core/work/config.rs
+++ b/src/core/work/config.rs
@@ -35,8 +35,6 @@
 pub struct Service {
     /// Name.
     pub name: String,
-    /// Whether its workers refuse what does not fit.
-    pub guards: bool,
 }
 
 /// Configuration in force.
--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -8,7 +8,7 @@
 use super::order::{Ended, How, Order, Refusal, Reply, Running};
 use super::run::{self, Phase, Run};
 use super::spec::{Name, Room};
-use super::{book, job, lead, pace, state, task, worker};
+use super::{book, lead, pace, state, task, worker};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -315,11 +315,9 @@
     task.next_run = task.next_run.max(row.number + 1);
     task.saved.clone_from(&row.saved);
     task.may_be_hidden = false;
-    let group = job::Group { job: task.job, occurrence: task.name.occurrence, step: task.name.step };
-    if let Some(ready) = state.jobs.ready.get_mut(&group) {
-        ready.retain(|other| *other != task_key);
-    }
-    let job = &mut state.jobs.all[group.job];
+    let job_key = task.job;
+    state.jobs.unqueue(task_key);
+    let job = &mut state.jobs.all[job_key];
     if job.phase == ask::Phase::Queued {
         job.phase = ask::Phase::Running;
     }
@@ -376,8 +374,7 @@
                 if let Some(key) = key {
                     detach(state, key, task);
                 }
-                let group = state.jobs.tasks[task].job;
-                unqueue(state, group, task);
+                state.jobs.unqueue(task);
                 sequence = book::done(state, task, out);
             }
             How::Failed if !is_lasting => sequence = book::failed(state, task, end.run, out),
@@ -396,15 +393,6 @@
     state.jobs.tasks[task].runs.retain(|other| *other != key);
 }
 
-/// Takes a task that is done elsewhere out of the tasks that wait.
-fn unqueue(state: &mut super::State, job: job::Key, task_key: task::Key) {
-    let name = state.jobs.tasks[task_key].name;
-    let group = job::Group { job, occurrence: name.occurrence, step: name.step };
-    if let Some(ready) = state.jobs.ready.get_mut(&group) {
-        ready.retain(|other| *other != task_key);
-    }
-}
-
 /// Keeps a worker from placement that fails the tasks of several jobs and completes none.
 fn note_health(state: &mut super::State, key: worker::Key, end: &Ended, out: &mut Vec<Effect>) {
     let now = state.now;
--- a/src/core/work/front.rs
+++ b/src/core/work/front.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Clone)]
 struct Forward {
     to: SocketAddr,
+    /// Job that it is about.
+    job: Option<Id>,
     /// Whether the request changes something.
     changes: bool,
 }
@@ -50,13 +52,14 @@
     forwarded: bool,
     out: &mut Vec<Effect>,
 ) {
+    let job = ask.job();
     if state.config.version == 0 {
-        return refuse(state, ticket, "no configuration", out);
+        return refuse(state, ticket, job, "no configuration", out);
     }
     let Some(target) = target(state, &ask) else {
         // Another entry VM may have a newer configuration than this one.
         return if forwarded {
-            refuse(state, ticket, "the queue is not known here", out)
+            refuse(state, ticket, job, "the queue is not known here", out)
         } else {
             answer(ticket, Answer::UnknownQueue, out)
         };
@@ -64,10 +67,10 @@
     match state.lead.role {
         Role::Leader { .. } if state.load.is_some() => state.front.early.push((ticket, ask)),
         Role::Leader { .. } if !state.lead.may_act(state.now, &state.tuning) => {
-            refuse(state, ticket, "the leadership is not confirmed", out);
+            refuse(state, ticket, job, "the leadership is not confirmed", out);
         }
         Role::Leader { .. } => serve(state, ticket, target, ask.verb, out),
-        _ if forwarded => refuse(state, ticket, "this process does not lead", out),
+        _ if forwarded => refuse(state, ticket, job, "this process does not lead", out),
         _ => forward(state, ticket, ask, out),
     }
 }
@@ -81,10 +84,14 @@
 
 fn forward(state: &mut super::State, ticket: Ticket, ask: Ask, out: &mut Vec<Effect>) {
     let holder = state.lead.holder.as_ref().filter(|(_, revision)| state.lead.dead != Some(*revision));
-    let Some((leader, _)) = holder else { return refuse(state, ticket, "no leader is known", out) };
+    let job = ask.job();
+    let Some((leader, _)) = holder else { return refuse(state, ticket, job, "no leader is known", out) };
     let to = leader.address;
     let changes = !matches!(ask.verb, Verb::Read);
-    state.front.forwards.insert(ticket, Forward { to, changes });
+    if changes {
+        state::record(out, about(job), "forward", format!("to {} at {to}", leader.vm));
+    }
+    state.front.forwards.insert(ticket, Forward { to, job, changes });
     out.push(Effect::Work(WorkEffect::Forward { ticket, to, ask }));
 }
 
@@ -95,19 +102,19 @@
     result: Result<Answer, Fault>,
     out: &mut Vec<Effect>,
 ) {
-    let Some(Forward { to, changes }) = state.front.forwards.remove(&ticket) else { return };
+    let Some(Forward { to, job, changes }) = state.front.forwards.remove(&ticket) else { return };
     match result {
         Ok(reply) => answer(ticket, reply, out),
         Err(Fault::Lost) if changes => {
             let reason = format!("no answer from {to}");
-            state::record(out, trace::Subject::Process, "answer-unknown", reason);
+            state::record(out, about(job), "answer-unknown", reason);
             answer(ticket, Answer::Unknown, out);
         }
         Err(fault) => {
             if fault == Fault::Refused {
                 lead::refused(state, to, out);
             }
-            refuse(state, ticket, "the leader cannot be reached", out);
+            refuse(state, ticket, job, "the leader cannot be reached", out);
         }
     }
 }
@@ -118,9 +125,10 @@
     let gone = state.front.forwards.extract_if(|_, forward| Some(forward.to) != leader).collect::<Vec<_>>();
     for (ticket, forward) in gone {
         if forward.changes {
+            state::record(out, about(forward.job), "answer-unknown", "the leader has changed");
             answer(ticket, Answer::Unknown, out);
         } else {
-            refuse(state, ticket, "the leader has changed", out);
+            refuse(state, ticket, forward.job, "the leader has changed", out);
         }
     }
 }
@@ -135,14 +143,15 @@
 /// Answers the requests that this process can no longer serve, since it does not lead any more.
 pub(super) fn disown(state: &mut super::State, out: &mut Vec<Effect>) {
     let (flying, waiting) = state.journal.split();
-    for ticket in flying {
+    for (ticket, job) in flying {
+        state::record(out, about(Some(job)), "answer-unknown", "the leadership ended during its commit");
         answer(ticket, Answer::Unknown, out);
     }
-    for ticket in waiting {
-        refuse(state, ticket, "this process does not lead any more", out);
+    for (ticket, job) in waiting {
+        refuse(state, ticket, Some(job), "this process does not lead any more", out);
     }
-    for (ticket, _) in std::mem::take(&mut state.front.early) {
-        refuse(state, ticket, "this process does not lead any more", out);
+    for (ticket, ask) in std::mem::take(&mut state.front.early) {
+        refuse(state, ticket, ask.job(), "this process does not lead any more", out);
     }
 }
 
@@ -187,13 +196,13 @@
             return answer(ticket, Answer::Unknown, out);
         }
         let sequence = journal::add(state, journal::Change::Accept(key));
-        return journal::answer_after(state, sequence, ticket, Answer::Accepted);
+        return journal::answer_after(state, sequence, ticket, id, Answer::Accepted);
     }
     if let Some(fault) = spec.fault() {
         return answer(ticket, Answer::Malformed(fault), out);
     }
     if journal::is_failing(state) {
-        return refuse(state, ticket, "the store does not take records", out);
+        return refuse(state, ticket, Some(id), "the store does not take records", out);
     }
     let service = state.config.queue(&queue).map(|queue| queue.service.clone()).unwrap_or_default();
     let record = Record { queue, service, spec, accepted_unix_ms: state.unix_ms };
@@ -203,7 +212,7 @@
     let key = state.jobs.all.insert(job);
     state.jobs.by_id.insert(id, key);
     let sequence = journal::add(state, journal::Change::Accept(key));
-    journal::answer_after(state, sequence, ticket, Answer::Accepted);
+    journal::answer_after(state, sequence, ticket, id, Answer::Accepted);
 }
 
 fn cancel(state: &mut super::State, ticket: Ticket, id: Id, out: &mut Vec<Effect>) {
@@ -214,11 +223,22 @@
     }
     state::record(out, trace::Subject::Job(id), "cancel", format!("was {:?}", job.phase));
     let sequence = book::end(state, key, super::ask::Phase::Cancelled, out);
-    journal::answer_after(state, sequence, ticket, Answer::Cancelled);
+    journal::answer_after(state, sequence, ticket, id, Answer::Cancelled);
+}
+
+/// Subject of a log line about a request.
+fn about(job: Option<Id>) -> trace::Subject {
+    job.map_or(trace::Subject::Process, trace::Subject::Job)
 }
 
-fn refuse(state: &super::State, ticket: Ticket, reason: &'static str, out: &mut Vec<Effect>) {
-    state::record(out, trace::Subject::Process, "refuse", reason);
+fn refuse(
+    state: &super::State,
+    ticket: Ticket,
+    job: Option<Id>,
+    reason: &'static str,
+    out: &mut Vec<Effect>,
+) {
+    state::record(out, about(job), "refuse", reason);
     answer(ticket, Answer::Refused(state.tuning.come_back_s), out);
 }
 
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -78,11 +78,6 @@
     pub fn shown(&self) -> Phase {
         if self.phase.has_ended() && !self.is_final { Phase::Running } else { self.phase }
     }
-
-    /// Whether any task has started.
-    pub fn has_started(&self) -> bool {
-        self.phase != Phase::Queued
-    }
 }
 
 /// Tasks of one step of one occurrence that wait for workers.
@@ -199,8 +194,15 @@
         }
         task.phase = task::Phase::Ready;
         task.ready_at = now;
-        let group = Group { job: task.job, occurrence: task.name.occurrence, step: task.name.step };
-        self.ready.entry(group).or_default().push_back(key);
+        self.ready.entry(task.group()).or_default().push_back(key);
+    }
+
+    /// Takes a task out of those that wait for a worker.
+    pub fn unqueue(&mut self, key: task::Key) {
+        let Some(task) = self.tasks.get(key) else { return };
+        if let Some(tasks) = self.ready.get_mut(&task.group()) {
+            tasks.retain(|other| *other != key);
+        }
     }
 
     /// Marks a task as done and releases the steps after it. Whether all tasks of the job are done.
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -54,6 +54,19 @@
     }
 }
 
+/// A request that waits, and the job that it is about.
+pub type Caller = (Ticket, Id);
+
+/// A request that is answered once a change is durable.
+#[derive(Debug, Clone)]
+struct Waiting {
+    /// Number of the change.
+    sequence: u64,
+    ticket: Ticket,
+    job: Id,
+    answer: Answer,
+}
+
 /// Waiting records.
 #[derive(Debug, Clone, Default)]
 pub struct State {
@@ -65,7 +78,7 @@
     /// Changes up to this one are durable.
     pub durable: u64,
     flight: Option<Commit>,
-    waiting: Vec<(u64, Ticket, Answer)>,
+    waiting: Vec<Waiting>,
     next: Instant,
     /// When the oldest commit without a success was tried first.
     pub failing_since: Option<Instant>,
@@ -78,12 +91,13 @@
     }
 
     /// Requests in a commit whose outcome is not known, and requests that surely were not written.
-    pub fn split(&mut self) -> (Vec<Ticket>, Vec<Ticket>) {
+    pub fn split(&mut self) -> (Vec<Caller>, Vec<Caller>) {
         let upto = self.flight.as_ref().map_or(0, Commit::upto);
-        let (flying, waiting): (Vec<_>, Vec<_>) = self.waiting.drain(..).partition(|(at, ..)| *at <= upto);
-        let tickets =
-            |list: Vec<(u64, Ticket, Answer)>| list.into_iter().map(|(_, ticket, _)| ticket).collect();
-        (tickets(flying), tickets(waiting))
+        let (flying, waiting): (Vec<_>, Vec<_>) =
+            self.waiting.drain(..).partition(|waiting| waiting.sequence <= upto);
+        let callers =
+            |list: Vec<Waiting>| list.into_iter().map(|waiting| (waiting.ticket, waiting.job)).collect();
+        (callers(flying), callers(waiting))
     }
 
     /// Whether everything is written.
@@ -110,8 +124,8 @@
 }
 
 /// Answers a request once the change with this number is durable.
-pub(super) fn answer_after(state: &mut super::State, sequence: u64, ticket: Ticket, answer: Answer) {
-    state.journal.waiting.push((sequence, ticket, answer));
+pub(super) fn answer_after(state: &mut super::State, sequence: u64, ticket: Ticket, job: Id, answer: Answer) {
+    state.journal.waiting.push(Waiting { sequence, ticket, job, answer });
 }
 
 /// Starts the next commit, or repeats the one whose answer was lost.
@@ -260,18 +274,14 @@
         }
     }
     let upto = state.journal.flight.as_ref().map_or(0, Commit::upto);
-    for (sequence, ticket, _) in std::mem::take(&mut state.journal.waiting) {
-        let answer = if withdrawn.contains(&sequence) {
-            Answer::Refused(state.tuning.come_back_s)
+    for Waiting { sequence, ticket, job, .. } in std::mem::take(&mut state.journal.waiting) {
+        let (decision, answer) = if withdrawn.contains(&sequence) {
+            ("refuse", Answer::Refused(state.tuning.come_back_s))
         } else {
-            Answer::Unknown
+            ("answer-unknown", Answer::Unknown)
         };
-        state::record(
-            out,
-            Subject::Process,
-            "give-up-commit",
-            format!("change {sequence}, in flight {upto}"),
-        );
+        let reason = format!("the store does not take records: change {sequence}, in flight {upto}");
+        state::record(out, Subject::Job(job), decision, reason);
         out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
     }
 }
@@ -315,9 +325,9 @@
 fn release(state: &mut super::State, out: &mut Vec<Effect>) {
     let durable = state.journal.durable;
     let (ready, waiting): (Vec<_>, Vec<_>) =
-        state.journal.waiting.drain(..).partition(|(sequence, ..)| *sequence <= durable);
+        state.journal.waiting.drain(..).partition(|waiting| waiting.sequence <= durable);
     state.journal.waiting = waiting;
-    for (_, ticket, answer) in ready {
+    for Waiting { ticket, answer, .. } in ready {
         out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
     }
 }
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -81,6 +81,7 @@
 
 fn stored(state: &mut State, call: Call, reply: Reply, out: &mut Vec<Effect>) {
     let Some(Pending { purpose, sent }) = state.take_call(call) else { return };
+    state.note_store(&reply, out);
     match purpose {
         Purpose::Follow(range) => {
             state.lead.round_trip = state.now.since(sent);
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -264,7 +264,7 @@
         };
         let number = state.jobs.tasks[key].next_run;
         if control::start(state, key, worker, number, out) {
-            take(state, group, key);
+            state.jobs.unqueue(key);
             pass.outlooks.remove(&worker);
         }
     }
@@ -278,12 +278,6 @@
     need.service == failed.service && is_same_kind && needs_more
 }
 
-fn take(state: &mut super::State, group: Group, key: task::Key) {
-    if let Some(tasks) = state.jobs.ready.get_mut(&group) {
-        tasks.retain(|other| *other != key);
-    }
-}
-
 /// Best worker with room for a task; `planned` is room that the same decision uses already.
 fn choose(
     state: &super::State,
@@ -377,7 +371,7 @@
     for (key, worker) in tasks.into_iter().zip(plan) {
         state.jobs.tasks[key].saved.clone_from(&saved);
         if control::start(state, key, worker, number, out) {
-            take(state, group, key);
+            state.jobs.unqueue(key);
             pass.outlooks.remove(&worker);
         }
     }
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -6,7 +6,7 @@
 use super::config::Config;
 use super::effect::Effect;
 use super::order::Order;
-use super::store::{Call, Item, Leader, Range, Request, Revision};
+use super::store::{Call, Item, Leader, Range, Reply, Request, Revision};
 use super::timer::Timer;
 use super::tuning::Tuning;
 use super::{front, image, job, journal, lead, load, place, run, worker};
@@ -112,6 +112,8 @@
     pub journal: journal::State,
     /// Requests that wait.
     pub front: front::State,
+    /// Since when calls to the store fail.
+    pub store_lost: Option<Instant>,
     /// Ranges of the store that are followed.
     pub follow: Map<Range, Follow>,
     /// When the next placement pass is due, if one is.
@@ -152,6 +154,7 @@
             jobs: job::Table::default(),
             journal: journal::State::default(),
             front: front::State::default(),
+            store_lost: None,
             follow: Map::default(),
             place_at: None,
             place_from: Instant::default(),
@@ -212,6 +215,23 @@
         self.calls.retain(|_, pending| matches!(pending.purpose, Purpose::Follow(_) | Purpose::Watch(_)));
     }
 
+    /// Notes whether the store answers, and when it no longer does, or does again.
+    pub(super) fn note_store(&mut self, reply: &Reply, out: &mut Vec<Any>) {
+        let has_failed = matches!(reply, Reply::Refused | Reply::Lost);
+        match (has_failed, self.store_lost) {
+            (true, None) => {
+                self.store_lost = Some(self.now);
+                record(out, Subject::Process, "store-lost", format!("a call ended as {reply:?}"));
+            }
+            (false, Some(since)) => {
+                self.store_lost = None;
+                let reason = format!("after {} ms", self.now.since(since).as_millis());
+                record(out, Subject::Process, "store-back", reason);
+            }
+            _ => {}
+        }
+    }
+
     /// Sends an order to a worker, unless this process may not act.
     pub(super) fn order(&self, key: worker::Key, order: Order, out: &mut Vec<Any>) {
         let Some(worker) = self.workers.all.get(key) else { return };
--- a/src/core/work/task.rs
+++ b/src/core/work/task.rs
@@ -51,5 +51,12 @@
     pub may_be_hidden: bool,
 }
 
+impl Task {
+    /// Step of one occurrence that the task belongs to.
+    pub fn group(&self) -> job::Group {
+        job::Group { job: self.job, occurrence: self.name.occurrence, step: self.name.step }
+    }
+}
+
 /// Tasks of the deployment.
 pub type Table = SlotMap<Key, Task>;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -37,9 +37,6 @@
 #[derive(Deserialize)]
 struct Pool {
     name: String,
-    /// Whether the workers refuse what does not fit.
-    #[serde(default)]
-    enforces_capacity: bool,
 }
 
 /// Configuration from the bytes that the operator wrote.
@@ -59,7 +56,7 @@
         stretch: route.stretch,
         objective: Duration::try_from_secs_f64(route.slo_ms / 1_000.0).unwrap_or_default(),
     };
-    let service = |pool: Pool| Service { name: pool.name, guards: pool.enforces_capacity };
+    let service = |pool: Pool| Service { name: pool.name };
     Ok(Config {
         version: document.version,
         queues: document.routes.into_iter().map(queue).collect(),
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -349,7 +349,7 @@
         stretch: 2.0,
         objective: Duration::from_secs(1),
     };
-    let service = Service { name: "desk".into(), guards: false };
+    let service = Service { name: "desk".into() };
     Config { version: 1, queues: vec![queue], services: vec![service] }
 }
 
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -294,11 +294,21 @@
     emulator.run_for(SECOND / 10);
     let second = emulator.submit(0, 2, job([step(1)]));
     emulator.run_for(SECOND);
+    let has_line = |id: u64, decision: &str| {
+        emulator.log.iter().any(|line| line.contains(&format!("Job(Id({id}))")) && line.contains(decision))
+    };
+    assert!(
+        has_line(1, "answer-unknown") && has_line(2, "refuse"),
+        "no line names a job: {:#?}",
+        emulator.log
+    );
+    assert!(emulator.log.iter().any(|line| line.contains("store-lost")), "{:#?}", emulator.log);
     // The first one is in flight and may still be stored; the second one surely is not.
     assert_eq!(emulator.answers.get(&first), Some(&Answer::Unknown), "{:#?}", emulator.log);
     assert!(matches!(emulator.answers.get(&second), Some(Answer::Refused(_))), "{:#?}", emulator.log);
     emulator.store.is_down = false;
     emulator.run_for(6 * SECOND);
+    assert!(emulator.log.iter().any(|line| line.contains("store-back")), "{:#?}", emulator.log);
     assert!(!emulator.observer.is_running(name(2, 0, 0)));
     assert_eq!(emulator.phase(0, 2), Some(Answer::UnknownJob));
     check(&emulator);
