--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -19,6 +19,7 @@
 pub mod lead;
 pub mod load;
 pub mod order;
+pub mod outlook;
 mod pace;
 pub mod place;
 mod roster;
--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -1,12 +1,13 @@
 //! Interference: filling tasks are placed and paced so that the serving tasks beside them meet their targets.
 //!
-//! Placement asks for the [`Slack`] of a worker's serving tasks before it adds a filling one. Where a serving task comes
-//! near its target all the same, the filling runs that disturb it most are slowed down as far as it needs, and speed up
-//! again once there is room.
+//! Placement asks for the [`super::outlook`] of a worker before it adds a filling task. Where a serving task comes near its
+//! target all the same, the filling runs that disturb it most are slowed down as far as it needs, and speed up again once
+//! there is room.
 
 use super::control::{self, step_of};
 use super::image::{self, Load};
 use super::order::{Order, Refusal, Reply};
+use super::outlook::{RESERVE, Urgency, after, limit, pressure, slack};
 use super::run::{self, Phase};
 use super::timer::Timer;
 use super::worker::Key;
@@ -18,12 +19,6 @@
 /// Distance of its load from that at the target at which a serving task counts as in danger.
 const DANGER: f64 = 0.02;
 
-/// Distance of the load from that at the target that a placement or a faster pace must leave.
-const RESERVE: f64 = 0.02;
-
-/// Rise of a task's own load that is expected while a filling task runs that cannot wait for a calmer place.
-const RISE: f64 = 0.06;
-
 /// Share of the distance by which one reading moves what is taken as the own load of a task.
 const OWN_STEP: f64 = 0.5;
 
@@ -36,9 +31,6 @@
 /// Share that a slower pace keeps when everything beside a task in danger is slowed down, in percent.
 const SLOWER: u32 = 40;
 
-/// Pace that a slowed filling run is counted with at least, since it may speed up again, in percent.
-const PACE_COUNTED: u32 = 30;
-
 /// Response time, in targets, above which nothing is learned: the worker may stand still, or be far beyond what the model
 /// describes.
 const STUCK: f64 = 20.0;
@@ -56,117 +48,14 @@
 /// Time that a reading needs to show a change of pace: the window that it covers.
 const WINDOW: std::time::Duration = std::time::Duration::from_millis(600);
 
-/// Part of its request that a filling task uses, as far as nothing is known.
-const USE: f64 = 0.9;
-
 /// Load that a filling run must add to be slowed down for a serving task that stays in danger.
 const HARM_SMALL: f64 = 0.004;
 
-/// How much load a serving task bears until it is at its target.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Slack {
-    /// Image of the task.
-    pub image: image::Key,
-    /// What is left when its own load is high.
-    pub at_peak: f64,
-    /// What is left at its current own load.
-    pub at_present: f64,
-}
-
-/// What a worker offers to filling tasks, with what runs there now.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Outlook {
-    /// What its serving tasks bear.
-    pub slack: Vec<Slack>,
-    /// Processor time that is expected to be left, in thousandths of a core.
-    pub spare: i64,
-    /// Share of the filling images that hardly disturb any of its serving tasks.
-    pub openness: f64,
-}
-
-/// How long a filling task can wait for a place where it surely disturbs nobody.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Urgency {
-    /// It can.
-    Patient,
-    /// It has waited long enough.
-    Pressing,
-}
-
 /// Whether response times on a worker are of interest: it has serving tasks and filling ones.
 pub(super) fn is_observed(state: &super::State, key: Key) -> bool {
     state.workers.all.get(key).is_some_and(|worker| worker.serving > 0 && worker.filling > 0)
 }
 
-/// Filling loads on a worker as far as they are expected soon.
-fn expected_loads(state: &super::State, key: Key) -> Vec<Load> {
-    let fills = |run: &run::Key| {
-        let run = state.runs.get(*run)?;
-        let stops = matches!(run.phase, Phase::Stopping { .. });
-        let cores = f64::from(run.share.filling_cpu) / 1_000.0 * f64::from(run.pace.min(100)) / 100.0 * USE;
-        (run.share.filling_cpu > 0 && !stops).then_some((run.share.image?, cores))
-    };
-    state.workers.all[key].runs.iter().filter_map(fills).collect()
-}
-
-/// What a worker offers to filling tasks.
-pub(super) fn outlook(state: &super::State, key: Key) -> Outlook {
-    let worker = &state.workers.all[key];
-    let used = |run: &run::Key| {
-        let run = state.runs.get(*run)?;
-        Some(i64::from(run.share.filling_cpu) * i64::from(run.pace.clamp(PACE_COUNTED, 100)) / 100)
-    };
-    let used: i64 = worker.runs.iter().filter_map(used).sum();
-    let slack = slack(state, key);
-    let openness = slack.iter().map(|slack| state.images.openness(slack.image)).fold(1.0, f64::min);
-    Outlook { slack, spare: worker.fillable() - used, openness }
-}
-
-/// What the serving tasks on a worker bear, with what runs there now.
-fn slack(state: &super::State, key: Key) -> Vec<Slack> {
-    let loads = expected_loads(state, key);
-    let serving = |run: &run::Key| {
-        let run = state.runs.get(*run)?;
-        let image = run.share.image?;
-        let known = state.images.image(image);
-        let own = run.own.unwrap_or(known.mean);
-        let left = limit(state, run)? - state.images.pressure(image, loads.iter().copied());
-        Some(Slack { image, at_peak: left - own.max(known.peak), at_present: left - own - RISE })
-    };
-    state.workers.all[key].runs.iter().filter_map(serving).collect()
-}
-
-/// Load at which a serving run is at its target.
-fn limit(state: &super::State, run: &run::Run) -> Option<f64> {
-    let target = step_of(state, run.name)?.target?;
-    Some(state.images.load(run.share.image?, (target.as_secs_f64() * 1_000.0).max(1.0)))
-}
-
-/// What the worst serving task bears when a filling task is added, above the reserve; negative if the reserve is touched.
-pub(super) fn after(
-    state: &super::State,
-    slack: &[Slack],
-    image: image::Key,
-    cpu: u32,
-    urgency: Urgency,
-) -> f64 {
-    let cores = f64::from(cpu) / 1_000.0 * USE;
-    let left = |slack: &Slack| {
-        let left = match urgency {
-            Urgency::Patient => slack.at_peak,
-            Urgency::Pressing => slack.at_present,
-        };
-        left - state.images.weight(slack.image, image) * cores
-    };
-    slack.iter().map(left).fold(f64::INFINITY, f64::min) - RESERVE
-}
-
-/// Load that a filling task adds to the serving task that it disturbs most.
-pub(super) fn pressure(state: &super::State, slack: &[Slack], image: image::Key, cpu: u32) -> f64 {
-    let cores = f64::from(cpu) / 1_000.0 * USE;
-    slack.iter().map(|slack| state.images.weight(slack.image, image) * cores).fold(0.0, f64::max)
-}
-
 /// Learns from the readings of a worker, and paces its filling tasks.
 pub(super) fn review(state: &mut super::State, key: Key, out: &mut Vec<Effect>) {
     if state.workers.all[key].serving == 0 {
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -5,11 +5,11 @@
 
 use super::ask;
 use super::job::Group;
-use super::pace::{Outlook, Urgency};
+use super::outlook::{Outlook, Urgency};
 use super::run::Phase;
 use super::spec::{Room, Step};
 use super::worker::{Key, Worker};
-use super::{control, image, pace, run, state, task};
+use super::{control, image, outlook, run, state, task};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -142,12 +142,12 @@
     /// What a worker offers to a filling task, if its serving tasks bear it and it would get processor time.
     fn filling(&mut self, state: &super::State, key: Key, need: &Need) -> Option<Filling> {
         let Some(image) = need.image.filter(|_| need.fills) else { return Some(Filling::default()) };
-        let outlook = self.outlooks.entry(key).or_insert_with(|| pace::outlook(state, key));
-        let is_bearable = pace::after(state, &outlook.slack, image, need.cpu, need.urgency) >= 0.0
+        let outlook = self.outlooks.entry(key).or_insert_with(|| outlook::of(state, key));
+        let is_bearable = outlook::after(state, &outlook.slack, image, need.cpu, need.urgency) >= 0.0
             && outlook.spare >= i64::from(need.cpu) / SPARE_PART;
         is_bearable.then(|| Filling {
             spare: outlook.spare,
-            pressure: pace::pressure(state, &outlook.slack, image, need.cpu),
+            pressure: outlook::pressure(state, &outlook.slack, image, need.cpu),
             openness: outlook.openness,
         })
     }
@@ -325,8 +325,9 @@
             && worker.free().holds(run.charged)
             && worker.fillable() >= i64::from(cpu);
         is_able && {
-            let outlook = pace::outlook(state, key);
-            outlook.spare >= i64::from(cpu) && pace::after(state, &outlook.slack, image, cpu, urgency) >= 0.0
+            let outlook = outlook::of(state, key);
+            outlook.spare >= i64::from(cpu)
+                && outlook::after(state, &outlook.slack, image, cpu, urgency) >= 0.0
         }
     };
     state.workers.all.iter().cycle().skip(first).take(SAMPLE.min(state.workers.all.len())).any(is_better)
