Spread filling tasks that do not say what they run

Cause: found while reading the change: without an image the score of every worker was equal, and unused cores were not asked for, so all such tasks went to one worker. Test filling_work_without_an_image_is_spread: 0 of 2 on a worker before, 2 on each of 4 after.

--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -141,13 +141,19 @@
 impl Pass {
     /// What a worker offers to a filling task, if its serving tasks bear it and it would get processor time.
     fn filling(&mut self, state: &super::State, key: Key, need: &Need) -> Option<Filling> {
-        let Some(image) = need.image.filter(|_| need.fills) else { return Some(Filling::default()) };
+        if !need.fills {
+            return Some(Filling::default());
+        }
         let outlook = self.outlooks.entry(key).or_insert_with(|| outlook::of(state, key));
-        let is_bearable = outlook::after(state, &outlook.slack, image, need.cpu, need.urgency) >= 0.0
-            && outlook.spare >= i64::from(need.cpu) / SPARE_PART;
-        is_bearable.then(|| Filling {
+        // Of a task that does not say what it runs, nothing is known but its size.
+        let is_bearable = need
+            .image
+            .is_none_or(|image| outlook::after(state, &outlook.slack, image, need.cpu, need.urgency) >= 0.0);
+        let pressure = need.image.map(|image| outlook::pressure(state, &outlook.slack, image, need.cpu));
+        let has_cores = outlook.spare >= i64::from(need.cpu) / SPARE_PART;
+        (is_bearable && has_cores).then(|| Filling {
             spare: outlook.spare,
-            pressure: outlook::pressure(state, &outlook.slack, image, need.cpu),
+            pressure: pressure.unwrap_or_default(),
             openness: outlook.openness,
         })
     }
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -522,6 +522,19 @@
     check(&emulator);
 }
 
+/// Guards against filling tasks that do not say what they run and all go to one worker.
+#[test]
+fn filling_work_without_an_image_is_spread() {
+    let mut emulator = ready(17, 1, 4);
+    emulator.submit(0, 1, job([Step { fills: true, ..step(8) }]));
+    emulator.run_for(SECOND / 2);
+    for worker in &emulator.workers {
+        let is_start = |line: &&String| line.contains("\"start\"") && line.contains(&worker.id);
+        let starts = emulator.log.iter().filter(is_start).count();
+        assert_eq!(starts, 2, "{}: {:#?}", worker.id, emulator.log);
+    }
+}
+
 /// Guards against timers that arm one another: an idle deployment must not work more and more.
 #[test]
 fn an_idle_deployment_stays_idle() {
