--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -28,7 +28,7 @@
 /// Load that a filling run must add to be slowed down for a serving task in danger.
 const HARM_MIN: f64 = 0.01;
 
-/// Share that a slower pace keeps when everything beside a task in danger is slowed down, in percent.
+/// Share that a slower pace keeps when all that disturbs a task that stays in danger is slowed down, in percent.
 const SLOWER: u32 = 40;
 
 /// Response time, in targets, above which nothing is learned: the worker may stand still, or be far beyond what the model
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -57,7 +57,7 @@
     pub task_retry: Duration,
     /// Wait of a task of priority 0 after which it may preempt others.
     pub preempt_after: Duration,
-    /// Time near or over its target after which everything that fills beside a serving task is slowed down.
+    /// Time near or over its target after which all that disturbs a serving task is slowed down.
     pub harm_patience: Duration,
     /// Time after which it pauses; well below the time that users bear.
     pub harm_limit: Duration,
