Show timeline entries that found the writer's queue full

Change: the counter nutmegfold_timeline_entries_lost_total, read at each scrape, and an entry entries-dropped with the number of dropped entries, queued with the first entry that finds room again and at most once a second. Nothing is formatted while the queue is full, and nothing waits.

--- a/src/node/jobs.rs
+++ b/src/node/jobs.rs
@@ -196,6 +196,7 @@
     let requests = pending::Table::new(inbox.clone());
     let metrics = Metrics::new()?;
     let timeline = open_timeline(settings, id)?;
+    metrics.observe_lost_entries(timeline.lost_counter());
     let setup = front::Setup {
         caller_address: settings.listen.caller,
         readiness_address: jobs.readiness_address,
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -108,6 +108,7 @@
     let bodies = port::body::Table::default();
     let timeline = open_timeline(settings, id)?;
     let metrics = Metrics::new()?;
+    metrics.observe_lost_entries(timeline.lost_counter());
     let tuning =
         Tuning { queue_limit: settings.limits.in_flight as usize / QUEUE_DIVISOR, ..Tuning::default() };
 
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -10,6 +10,9 @@
 use crate::core::store::{Reply, Request};
 use crate::error::{Error, Result};
 
+/// Name of the meter of all instruments.
+const METER: &str = "nutmegfold";
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BOUNDS_S: [f64; 14] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
@@ -18,8 +21,8 @@
 #[derive(Debug, Clone)]
 pub struct Metrics {
     registry: Registry,
-    // Held because the instruments report nothing after their provider is dropped.
-    _provider: SdkMeterProvider,
+    // The instruments report nothing after their provider is dropped.
+    provider: SdkMeterProvider,
     requests: Counter<u64>,
     request_latency: Histogram<f64>,
     decisions: Counter<u64>,
@@ -54,7 +57,7 @@
             .build()
             .map_err(|error| Error::call("start the metrics exporter", error))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("nutmegfold");
+        let meter = provider.meter(METER);
         let counter = |name, description| meter.u64_counter(name).with_description(description).build();
         let gauge = |name, description| meter.u64_gauge(name).with_description(description).build();
         Ok(Self {
@@ -71,7 +74,7 @@
             tasks: gauge("tasks", "Batch tasks of the cells owned here, by phase"),
             owned_cells: gauge("cells_owned", "Cells owned here"),
             registry,
-            _provider: provider,
+            provider,
         })
     }
 
@@ -112,6 +115,18 @@
         self.owned_cells.record(count, &[]);
     }
 
+    /// Adds a counter of the timeline entries that are missing in the file; `total` returns their number.
+    pub fn observe_lost_entries(&self, total: impl Fn() -> u64 + Send + Sync + 'static) {
+        // The provider keeps the callback, so the instrument itself is not needed any more.
+        let _ = self
+            .provider
+            .meter(METER)
+            .u64_observable_counter("timeline_entries_lost")
+            .with_description("Timeline entries that are missing in the file")
+            .with_callback(move |observer| observer.observe(total(), &[]))
+            .build();
+    }
+
     /// Renders all metrics for a scrape by Prometheus.
     ///
     /// # Errors
@@ -167,6 +182,7 @@
         metrics.set_task_count("running", 7);
         metrics.set_task_count("running", 5);
         metrics.set_owned_cell_count(2);
+        metrics.observe_lost_entries(|| 3);
         let text = metrics.render().expect("text");
         for line in [
             "nutmegfold_requests_total{outcome=\"answered\"} 2",
@@ -177,6 +193,7 @@
             "nutmegfold_peer_bytes_total{direction=\"sent\"} 100",
             "nutmegfold_tasks{phase=\"running\"} 5",
             "nutmegfold_cells_owned 2",
+            "nutmegfold_timeline_entries_lost_total 3",
         ] {
             assert!(text.lines().any(|found| found == line), "{line} is missing in:\n{text}");
         }
--- a/src/timeline/writer.rs
+++ b/src/timeline/writer.rs
@@ -1,7 +1,8 @@
 //! Recording of the entries of this process: the newest ones in memory and, optionally, all of them in a file.
 //!
 //! A separate thread writes the file, so that a slow disk does not delay decisions. An entry is counted as lost if the
-//! queue of that thread is full or if writing fails.
+//! queue of that thread is full or if writing fails. Entries that found the queue full are reported by an entry of their
+//! own once there is room again.
 
 use std::collections::VecDeque;
 use std::fs::{self, OpenOptions};
@@ -11,11 +12,11 @@
 use std::sync::mpsc::{self, Receiver, SyncSender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use super::entry::{Entry, Origin};
 use crate::core::time::Instant;
-use crate::core::trace;
+use crate::core::trace::{self, Subject};
 use crate::error::{Error, Result};
 
 /// Default number of entries kept in memory, which take about 6 MB.
@@ -27,6 +28,9 @@
 /// Maximum number of entries in the queue of the thread that writes the file.
 const QUEUE_CAPACITY: usize = 4_096;
 
+/// Minimum time between two entries that report dropped ones, which would otherwise take the room of others.
+const DROP_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Records the entries of this process; clones share the recorded entries.
 #[derive(Debug, Clone)]
 pub struct Writer {
@@ -45,6 +49,20 @@
 struct Ring {
     last_sequence: u64,
     entries: VecDeque<Entry>,
+    /// Number of entries that found the queue of the file full and have not been reported.
+    unreported_drops: u64,
+    /// Earliest time of the next report of dropped entries.
+    next_report_at: Instant,
+}
+
+impl Ring {
+    fn push(&mut self, entry: Entry, capacity: usize) {
+        self.last_sequence = entry.sequence;
+        self.entries.push_back(entry);
+        while self.entries.len() > capacity {
+            self.entries.pop_front();
+        }
+    }
 }
 
 impl Writer {
@@ -73,14 +91,22 @@
         let wall_us = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_micros() as u64);
         // Entries are queued under the lock, so that the file has them in the order of their sequence numbers.
         let mut ring = ring.lock().unwrap_or_else(PoisonError::into_inner);
-        ring.last_sequence += 1;
-        let entry = Entry::new(origin, ring.last_sequence, wall_us, at, entry);
-        if let Some(sink) = sink {
-            sink.enqueue(entry.to_line());
-        }
-        ring.entries.push_back(entry);
-        while ring.entries.len() > *capacity {
-            ring.entries.pop_front();
+        let entry = Entry::new(origin, ring.last_sequence + 1, wall_us, at, entry);
+        let is_queued = sink.as_ref().is_none_or(|sink| sink.enqueue(entry.to_line()));
+        ring.push(entry, *capacity);
+        if !is_queued {
+            sink.iter().for_each(|sink| sink.count_lost(1));
+            ring.unreported_drops += 1;
+        } else if ring.unreported_drops > 0 && ring.next_report_at <= at {
+            let reason = format!("{} entries found the queue of the file full", ring.unreported_drops);
+            let report = trace::Entry { subject: Subject::Process, decision: "entries-dropped", reason };
+            let report = Entry::new(origin, ring.last_sequence + 1, wall_us, at, &report);
+            // A report that finds the queue full is made again with one of the next entries.
+            if sink.as_ref().is_some_and(|sink| sink.enqueue(report.to_line())) {
+                ring.push(report, *capacity);
+                ring.unreported_drops = 0;
+                ring.next_report_at = at + DROP_REPORT_INTERVAL;
+            }
         }
     }
 
@@ -95,7 +121,13 @@
 
     /// Number of entries that are missing in the file.
     pub fn lost_count(&self) -> u64 {
-        self.shared.sink.as_ref().map_or(0, |sink| sink.lost_count.load(Ordering::Relaxed))
+        self.lost_counter()()
+    }
+
+    /// Function that returns the number of entries that are missing in the file. It does not keep the file open.
+    pub fn lost_counter(&self) -> impl Fn() -> u64 + Send + Sync + use<> {
+        let count = self.shared.sink.as_ref().map(|sink| Arc::clone(&sink.lost_count));
+        move || count.as_ref().map_or(0, |count| count.load(Ordering::Relaxed))
     }
 }
 
@@ -145,11 +177,13 @@
         Ok(Self { sender: Some(sender), thread: Some(thread), lost_count })
     }
 
-    fn enqueue(&self, line: String) {
-        let sent = self.sender.as_ref().is_some_and(|sender| sender.try_send(line).is_ok());
-        if !sent {
-            self.lost_count.fetch_add(1, Ordering::Relaxed);
-        }
+    /// Queues a line without waiting; returns false if the queue is full.
+    fn enqueue(&self, line: String) -> bool {
+        self.sender.as_ref().is_some_and(|sender| sender.try_send(line).is_ok())
+    }
+
+    fn count_lost(&self, count: u64) {
+        self.lost_count.fetch_add(count, Ordering::Relaxed);
     }
 }
 
@@ -193,7 +227,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::core::trace::Subject;
     use crate::timeline::entry;
 
     fn origin() -> Origin {
@@ -248,4 +281,33 @@
         drop(writer);
         assert_eq!(lost_count.load(Ordering::Relaxed), 10);
     }
+
+    /// Guards against dropped entries that the log does not show, against a line for each of them, and against a decision
+    /// that waits for the file.
+    #[test]
+    fn dropped_entries_are_reported_at_most_once_a_second() {
+        let (sender, receiver) = mpsc::sync_channel(10);
+        let sink = Sink { sender: Some(sender), thread: None, lost_count: Arc::default() };
+        let writer = Writer::with_sink(origin(), 100, Some(sink));
+        let read_reports =
+            || receiver.try_iter().filter(|line| line.contains("entries-dropped")).collect::<Vec<_>>();
+        let mut reports = Vec::new();
+        // The queue has room for 10 of 100 entries, one a millisecond, until all of it is read.
+        for number in 1..=2_000 {
+            writer.record(Instant(number * 1_000), &decision(number));
+            if number % 100 == 0 {
+                reports.extend(read_reports());
+            }
+        }
+        assert_eq!(reports.len(), 2, "{reports:#?}");
+        // The rest is reported once there is room and a second has passed.
+        writer.record(Instant(4_000_000), &decision(0));
+        reports.extend(read_reports());
+        let counts = reports.iter().map(|line| {
+            let reason = serde_json::from_str::<Entry>(line).expect("JSON").reason;
+            reason.split(' ').next().and_then(|count| count.parse::<u64>().ok()).expect("a count")
+        });
+        assert_eq!(counts.sum::<u64>(), writer.lost_count(), "{reports:#?}");
+        assert_eq!(writer.lost_count(), 2_000 - 20 * 10 + 2);
+    }
 }
