Name the change that each end and each acknowledgement rests on

Change: `ended` has the number of the end on its worker, the change that it waits for or that there is none, and whether the job is known, has ended and is durable. Its place before the entries of its consequences is unchanged. `end` has its change; the change is queued before the entry instead of after the stops, which neither its number nor its value depends on. `acknowledge` is written for each renewal that carries an acknowledgement, and for no other.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -8,7 +8,7 @@
 use super::order::{Ended, How, Order, Refusal, Reply, Running};
 use super::request;
 use super::run::{self, Phase, Run};
-use super::spec::{Name, Resources};
+use super::spec::{Id, Name, Resources};
 use super::{leadership, lifecycle, pace, state, task, worker};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
@@ -350,6 +350,33 @@
     end: &Ended,
     out: &mut Vec<Effect>,
 ) -> u64 {
+    let worker = &state.workers.all[worker_key].id;
+    let subject = format!("run {} of {} on {worker}: {:?}, end {}", end.run, end.name, end.how, end.number);
+    let job = describe_job(state, end.name.job);
+    // The change is known only after the end is applied, and its entry comes before those of the consequences.
+    let mut consequences = Vec::new();
+    let sequence = apply_end(state, worker_key, end, &mut consequences);
+    let condition = match sequence {
+        0 => "waits for no change".to_owned(),
+        _ => format!("waits for change {sequence}"),
+    };
+    state::record(out, Subject::Job(end.name.job), "ended", format!("{subject} {condition}, {job}"));
+    out.append(&mut consequences);
+    sequence
+}
+
+/// Describes for a timeline entry what this process knows of a job.
+fn describe_job(state: &super::State, id: Id) -> String {
+    match state.jobs.find(id).and_then(|key| state.jobs.all.get(key)) {
+        None => "job not known".to_owned(),
+        Some(job) if job.phase.has_ended() && !job.is_final => format!("job {:?}, not durable", job.phase),
+        Some(job) => format!("job {:?}", job.phase),
+    }
+}
+
+/// Updates run, task and job for an end. Returns the sequence number of the change that stores it, or 0 if nothing is
+/// stored.
+fn apply_end(state: &mut super::State, worker_key: worker::Key, end: &Ended, out: &mut Vec<Effect>) -> u64 {
     let now = state.now;
     let key = find_run(state, worker_key, end.name, end.run);
     let run = key.and_then(|key| state.runs.get(key));
--- a/src/core/work/lifecycle.rs
+++ b/src/core/work/lifecycle.rs
@@ -82,11 +82,12 @@
 
 /// Ends a job and stops its runs. Returns the sequence number of the change that stores the end.
 pub(super) fn end_job(state: &mut super::State, key: job::Key, phase: Phase, out: &mut Vec<Effect>) -> u64 {
+    let sequence = journal::enqueue(state, Change::Progress(key));
     let job = &mut state.jobs.all[key];
     if !job.phase.has_ended() {
         job.phase = phase;
         job.finished_unix_ms = state.unix_ms;
-        state::record(out, Subject::Job(job.id), "end", format!("{phase:?}"));
+        state::record(out, Subject::Job(job.id), "end", format!("{phase:?}, change {sequence}"));
         let tasks =
             job.open_occurrences.values().flat_map(|occurrence| occurrence.tasks.iter().flatten().copied());
         let runs: Vec<_> = tasks
@@ -102,7 +103,7 @@
         state.jobs.remove_tasks(key);
         schedule_removal(state, key);
     }
-    journal::enqueue(state, Change::Progress(key))
+    sequence
 }
 
 /// Sets the timer that removes an ended job after its retention.
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -70,6 +70,11 @@
     });
     worker.renewal_sent_at = Some(now);
     worker.acknowledging_end = worker.next_acknowledgement();
+    if worker.acknowledging_end > 0 {
+        let (end, durable) = (worker.acknowledging_end, state.journal.durable_sequence);
+        let reason = format!("ends of {} up to {end}, durable up to change {durable}", worker.id);
+        state::record(out, Subject::Process, "acknowledge", reason);
+    }
     let order = Order::Renew {
         worker: key,
         until_ms,
--- /dev/null
+++ b/tests/work_log.rs
@@ -0,0 +1,112 @@
+//! Tests of the timeline entries that lead from a task's name to the reason why it ran again.
+
+mod emulator;
+
+use std::time::Duration;
+
+use emulator::{Emulator, PREFIX, job, step};
+use nutmegfold::core::work::request::{Answer, Verb};
+use nutmegfold::core::work::spec::{Id, Step};
+use nutmegfold::core::work::tuning::Tuning;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Emulated deployment of two entry VMs after one second, in which it has elected a leader and discovered its workers.
+fn ready(seed: u64, workers: usize) -> Emulator {
+    let mut emulator = Emulator::new(seed, 2, workers);
+    emulator.run_for(SECOND);
+    assert!(emulator.leader().is_some(), "no leader after a second: {:#?}", emulator.log);
+    emulator
+}
+
+/// Entries with this decision, in the order of the log.
+fn entries(emulator: &Emulator, decision: &str) -> Vec<String> {
+    let mark = format!("decision: \"{decision}\"");
+    emulator.log.iter().filter(|line| line.contains(&mark)).cloned().collect()
+}
+
+/// The only entry with this decision.
+fn only_entry(emulator: &Emulator, decision: &str) -> String {
+    let found = entries(emulator, decision);
+    assert_eq!(found.len(), 1, "{decision}: {:#?}", emulator.log);
+    found.into_iter().next().expect("one entry")
+}
+
+/// Number that follows `label` in an entry.
+fn number_after(line: &str, label: &str) -> u64 {
+    let Some((_, rest)) = line.split_once(label) else { panic!("no {label:?} in {line}") };
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().expect("a number")
+}
+
+fn cancel(emulator: &mut Emulator, vm: usize, id: u64) {
+    emulator.request(vm, &format!("{PREFIX}{}", Id(id)), Verb::Cancel);
+    emulator.run_for(SECOND / 10);
+}
+
+/// Kills the leader and returns the entry VM that leads after `wait`.
+fn replace_leader(emulator: &mut Emulator, wait: Duration) -> usize {
+    let leader = emulator.leader().expect("a leader");
+    emulator.kill(leader);
+    emulator.run_for(wait);
+    emulator.leader().expect("another leader")
+}
+
+/// Guards against an acknowledgement that cannot be compared with the change that its end waits for, and against an
+/// entry for each renewal.
+#[test]
+fn an_acknowledged_end_cannot_be_traced_to_its_change() {
+    let mut emulator = ready(1, 1);
+    emulator.submit(0, 1, job([step(1)]));
+    emulator.run_for(2 * SECOND);
+    let ended = only_entry(&emulator, "ended");
+    assert!(
+        ended.contains("on w-0: Done, end 1 waits for change") && ended.contains("job Running"),
+        "{ended}"
+    );
+    let acknowledged = only_entry(&emulator, "acknowledge");
+    assert!(acknowledged.contains("ends of w-0 up to 1,"), "{acknowledged}");
+    let durable = number_after(&acknowledged, "durable up to change ");
+    assert!(number_after(&ended, "waits for change ") <= durable, "{ended}\n{acknowledged}");
+    emulator.run_for(10 * SECOND);
+    assert_eq!(entries(&emulator, "acknowledge").len(), 1, "{:#?}", emulator.log);
+}
+
+/// Guards against an end of a cancelled job whose entry hides that the cancellation is not durable.
+#[test]
+fn an_end_of_a_cancelled_job_hides_whether_the_cancellation_is_stored() {
+    let mut emulator = ready(2, 1);
+    emulator.workers[0].stop_duration = SECOND / 2;
+    let long_running = || job([Step { is_long_running: true, ..step(1) }]);
+    for id in 1..=2 {
+        emulator.submit(0, id, long_running());
+    }
+    emulator.run_for(SECOND);
+    let leader = emulator.leader().expect("a leader");
+    cancel(&mut emulator, leader, 1);
+    emulator.run_for(SECOND);
+    emulator.store.is_down = true;
+    cancel(&mut emulator, leader, 2);
+    emulator.run_for(SECOND);
+    let [stored, lost] = &entries(&emulator, "ended")[..] else { panic!("{:#?}", emulator.log) };
+    assert!(stored.contains("Job(Id(1))") && stored.contains("job Cancelled\""), "{stored}");
+    assert!(lost.contains("Job(Id(2))") && lost.contains("job Cancelled, not durable\""), "{lost}");
+    let ends = entries(&emulator, "end");
+    let changes: Vec<u64> = ends.iter().map(|line| number_after(line, "Cancelled, change ")).collect();
+    assert!(changes.len() == 2 && changes[0] < changes[1], "{ends:#?}");
+}
+
+/// Guards against an end of an unknown job that looks like any other in the log.
+#[test]
+fn an_end_of_an_unknown_job_looks_like_any_other() {
+    let mut emulator = ready(3, 1);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+    emulator.run_for(SECOND);
+    emulator.workers[0].is_unresponsive = true;
+    cancel(&mut emulator, 0, 1);
+    emulator.run_for(Tuning::default().retention + SECOND);
+    emulator.workers[0].is_unresponsive = false;
+    emulator.run_for(2 * SECOND);
+    let ended = only_entry(&emulator, "ended");
+    assert!(ended.contains("end 1 waits for no change, job not known"), "{ended}");
+}
