Add an entry for each job that is withdrawn in an outage of the store

Change: `withdraw` names the change, whether the job is stored, and how many of its tasks have runs.

--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -278,6 +278,13 @@
         Some(Progress { phase: job.phase, task_progress, finished_unix_ms: job.finished_unix_ms })
     }
 
+    /// Number of tasks of a job with at least one run that may still exist.
+    pub fn count_tasks_with_runs(&self, key: Key) -> usize {
+        let occurrences = self.all.get(key).into_iter().flat_map(|job| job.open_occurrences.values());
+        let tasks = occurrences.flat_map(|occurrence| occurrence.tasks.iter().flatten());
+        tasks.filter(|task| self.tasks.get(**task).is_some_and(|task| !task.runs.is_empty())).count()
+    }
+
     /// Number of accepted jobs of a queue that have not started, without jobs that have a schedule.
     pub fn queued_count(&self, queue: &str) -> u64 {
         let is_counted = |job: &&Job| {
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -283,6 +283,7 @@
         state.journal.queued_sequences.remove(&change);
         withdrawn.push(sequence);
         if let Change::Accept(key) = change {
+            record_withdrawal(state, key, sequence, out);
             lifecycle::remove_unstored(state, key);
         }
     }
@@ -300,6 +301,15 @@
     }
 }
 
+/// Adds the removal of a job whose acceptance is withdrawn to the timeline.
+fn record_withdrawal(state: &super::State, key: job::Key, sequence: u64, out: &mut Vec<Effect>) {
+    let Some(job) = state.jobs.all.get(key) else { return };
+    let stored = if job.is_stored { "stored" } else { "not stored" };
+    let count = state.jobs.count_tasks_with_runs(key);
+    let reason = format!("change {sequence}, the job is {stored}, {count} of its tasks have runs");
+    state::record(out, Subject::Job(job.id), "withdraw", reason);
+}
+
 /// Revision of the tip key if the commit with this number wrote it, so that the commit took effect.
 fn find_own_commit(current: &[(Key, Value, Revision)], id: u64) -> Option<Revision> {
     current.iter().find_map(|(key, value, revision)| {
--- a/tests/work_log.rs
+++ b/tests/work_log.rs
@@ -110,3 +110,22 @@
     let ended = only_entry(&emulator, "ended");
     assert!(ended.contains("end 1 waits for no change, job not known"), "{ended}");
 }
+
+/// Guards against a job that is withdrawn in an outage of the store without an entry that tells whether it was stored
+/// and had runs.
+#[test]
+fn a_withdrawn_job_leaves_no_entry() {
+    let mut emulator = ready(4, 1);
+    emulator.store.is_down = true;
+    let in_flight = emulator.submit(0, 1, job([step(1)]));
+    emulator.run_for(SECOND / 10);
+    let queued = emulator.submit(0, 2, job([step(1)]));
+    emulator.run_for(SECOND);
+    let withdrawn = only_entry(&emulator, "withdraw");
+    let refused = only_entry(&emulator, "refuse");
+    let change = number_after(&refused, "commits to the store fail: change ");
+    let expected = format!("change {change}, the job is not stored, 0 of its tasks have runs");
+    assert!(withdrawn.contains("Job(Id(2))") && withdrawn.contains(&expected), "{withdrawn}\n{refused}");
+    assert_eq!(emulator.answers.get(&in_flight), Some(&Answer::Unknown));
+    assert!(matches!(emulator.answers.get(&queued), Some(Answer::Refused(_))));
+}
