Add entries for the gate after a change of the leader, and mark inherited tasks

Change: `gate-close` has the number of workers and the longest wait. `gate-open` has the reason, the time and up to 20 workers that have not answered. `worker-gone` names a worker that counts as answered without a listing, with the reason, only if the gate waited for it. `start` tells whether the task is inherited from an earlier term and whether a run of it was adopted. `Table::is_gated` becomes `open_gate`, which returns the gate that it opens, so that the placement pass, which has the effects, writes the entry; the condition is the same. Emulated workers can refuse connections and lose their address to another process.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -81,7 +81,12 @@
         until_ms,
         checkpoint: task.checkpoint.clone(),
     };
-    let reason = format!("run {number} of {} on {}", task.name, worker.id);
+    let origin = match (task.is_inherited, task.may_have_unseen_run) {
+        (false, _) => "",
+        (true, true) => ", inherited from an earlier term",
+        (true, false) => ", inherited from an earlier term, a run was adopted",
+    };
+    let reason = format!("run {number} of {} on {}{origin}", task.name, worker.id);
     state::record(out, Subject::Job(job.id), "start", reason);
     state.send_order(worker_key, order, out);
     // A worker without runs is contacted at a long interval; from now on a long poll waits for the end of this run.
@@ -380,9 +385,6 @@
     let now = state.now;
     let key = find_run(state, worker_key, end.name, end.run);
     let run = key.and_then(|key| state.runs.get(key));
-    let worker = &state.workers.all[worker_key];
-    let reason = format!("run {} of {} on {}: {:?}", end.run, end.name, worker.id, end.how);
-    state::record(out, Subject::Job(end.name.job), "ended", reason);
     let task_key = match run {
         Some(run) => run.task,
         // The run is from an earlier term, or its lease was taken as expired. A failure counts unless the task is done;
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -150,6 +150,7 @@
                     avoid_worker: None,
                     ready_at: now,
                     not_before: Instant::default(),
+                    is_inherited: term.is_some(),
                     may_have_unseen_run: term.is_some(),
                 }));
             }
--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -146,7 +146,7 @@
     let (begun, tuning) = (load.started_at, state.tuning);
     if job_count > 0 {
         let until = begun + tuning.leader_validity + tuning.worker_lease * 102 / 100 + tuning.lease_margin;
-        state.workers.gate = Some(Gate { unreached: state.workers.all.keys().collect(), until });
+        close_gate(state, until, out);
     }
     let elapsed_ms = state.now.since(begun).as_millis();
     let reason = format!("{job_count} jobs, {enrolled} known workers, read in {elapsed_ms} ms");
@@ -159,6 +159,15 @@
     handler::serve_deferred(state, out);
 }
 
+/// Delays the tasks of earlier terms until all known workers have answered, or until `until`.
+fn close_gate(state: &mut super::State, until: Instant, out: &mut Vec<Effect>) {
+    let unreached: Vec<_> = state.workers.all.keys().collect();
+    let (worker_count, wait_ms) = (unreached.len(), until.since(state.now).as_millis());
+    let reason = format!("{worker_count} workers have to answer, for at most {wait_ms} ms");
+    state::record(out, Subject::Process, "gate-close", reason);
+    state.workers.gate = Some(Gate { unreached, worker_count, closed_at: state.now, until });
+}
+
 fn restore(state: &mut super::State, jobs: Map<Id, Record>, mut progress: Map<Id, Progress>) {
     for (id, record) in jobs {
         let progress = progress.remove(&id).unwrap_or_default();
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -8,7 +8,7 @@
 use super::request;
 use super::run::Phase;
 use super::spec::{Resources, Step};
-use super::worker::{Key, Worker};
+use super::worker::{Gate, Key, Worker};
 use super::{control, headroom, image, run, state, task};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
@@ -45,6 +45,9 @@
 /// Most visits from which the pause after a pass is computed, so that the pause does not exceed two seconds.
 const VISITS_MAX: u64 = 4_000_000;
 
+/// Most workers that the timeline entry about the opening of the gate names.
+const UNREACHED_NAMES_MAX: usize = 20;
+
 /// How the worker of a task is chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct Policy {
@@ -207,7 +210,10 @@
     if state.load.is_some() || !state.leadership.may_act(state.now, &state.tuning) {
         return;
     }
-    let mut pass = Pass { is_gated: state.workers.is_gated(state.now), ..Pass::default() };
+    if let Some(gate) = state.workers.open_gate(state.now) {
+        record_open_gate(state, &gate, out);
+    }
+    let mut pass = Pass { is_gated: state.workers.gate.is_some(), ..Pass::default() };
     for waiting in sort_waiting(state) {
         place_group(state, waiting.group, &mut pass, out);
     }
@@ -217,6 +223,23 @@
         state.now + state.tuning.place_rest_per_visit * pass.visits.min(VISITS_MAX) as u32;
 }
 
+/// Adds the opening of the gate to the timeline, with the workers that have not answered.
+fn record_open_gate(state: &super::State, gate: &Gate, out: &mut Vec<Effect>) {
+    let (total, elapsed_ms) = (gate.worker_count, state.now.since(gate.closed_at).as_millis());
+    let unreached = gate.unreached.len();
+    let cause = if unreached == 0 {
+        format!("all {total} workers have answered")
+    } else {
+        let names = gate.unreached.iter().filter_map(|key| state.workers.all.get(*key));
+        let names: Vec<_> = names.map(|worker| worker.id.as_str()).take(UNREACHED_NAMES_MAX).collect();
+        let names = names.join(", ");
+        format!(
+            "all leases of earlier terms have expired, {unreached} of {total} workers unanswered: {names}"
+        )
+    };
+    state::record(out, Subject::Process, "gate-open", format!("{cause}, after {elapsed_ms} ms"));
+}
+
 /// Returns the waiting groups, most urgent first. Within a priority, groups past their deadline come after those that
 /// can still meet it.
 fn sort_waiting(state: &super::State) -> Vec<Waiting> {
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -126,13 +126,13 @@
         }
         Ok(Reply { outcome: Err(Refusal::Instance), .. }) => {
             // Another worker has the address, so the process of this one has ended, with all of its runs.
-            state.workers.mark_reached(key);
+            mark_gone(state, key, "another process has its address", out);
             drop_all_lost(state, key, "another process has the address of its worker", out);
             mark_silent(state, key, out);
         }
         Err(Fault::Refused) if !worker.is_listed => {
             // Nothing listens at the worker's address and the store does not list it, so its process has ended.
-            state.workers.mark_reached(key);
+            mark_gone(state, key, "it refuses connections and the store does not list it", out);
             drop_all_lost(state, key, "its worker process has ended", out);
             mark_silent(state, key, out);
         }
@@ -210,6 +210,14 @@
     worker.next_renewal_at = now + wait;
 }
 
+/// Marks a worker whose process has ended as one that the gate does not wait for.
+fn mark_gone(state: &mut super::State, key: Key, reason: &str, out: &mut Vec<Effect>) {
+    if state.workers.mark_reached(key) {
+        let text = format!("{} counts as answered: {reason}", state.workers.all[key].id);
+        state::record(out, Subject::Process, "worker-gone", text);
+    }
+}
+
 /// Marks a worker as not answering, and schedules a retry.
 fn mark_silent(state: &mut super::State, key: Key, out: &mut Vec<Effect>) {
     let now = state.now;
--- a/src/core/work/task.rs
+++ b/src/core/work/task.rs
@@ -47,6 +47,8 @@
     pub ready_at: Instant,
     /// Earliest start of the next run.
     pub not_before: Instant,
+    /// Whether an earlier leader may have started the task.
+    pub is_inherited: bool,
     /// Whether an earlier leader may have started a run that this leader has not seen.
     pub may_have_unseen_run: bool,
 }
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -271,6 +271,10 @@
 pub struct Gate {
     /// Workers that have not answered in this term.
     pub unreached: Vec<Key>,
+    /// Number of workers that had to answer at first.
+    pub worker_count: usize,
+    /// When the gate was closed.
+    pub closed_at: Instant,
     /// Time at which all leases granted in earlier terms have expired.
     pub until: Instant,
 }
@@ -293,18 +297,16 @@
         }
     }
 
-    /// Marks a worker as one that has no unknown runs of earlier terms.
-    pub fn mark_reached(&mut self, key: Key) {
-        if let Some(gate) = &mut self.gate {
-            gate.unreached.retain(|other| *other != key);
-        }
+    /// Marks a worker as one that has no unknown runs of earlier terms. Returns whether the gate waited for it.
+    pub fn mark_reached(&mut self, key: Key) -> bool {
+        let Some(gate) = &mut self.gate else { return false };
+        let count = gate.unreached.len();
+        gate.unreached.retain(|other| *other != key);
+        gate.unreached.len() < count
     }
 
-    /// Returns whether unknown runs of earlier terms may still exist; opens the gate once they cannot.
-    pub fn is_gated(&mut self, now: Instant) -> bool {
-        if self.gate.as_ref().is_some_and(|gate| gate.unreached.is_empty() || gate.until <= now) {
-            self.gate = None;
-        }
-        self.gate.is_some()
+    /// Opens the gate if unknown runs of earlier terms cannot exist any more, and returns it if it was closed until now.
+    pub fn open_gate(&mut self, now: Instant) -> Option<Gate> {
+        self.gate.take_if(|gate| gate.unreached.is_empty() || gate.until <= now)
     }
 }
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -182,6 +182,10 @@
     pub id: String,
     /// Whether calls to the worker time out while its tasks keep running.
     pub is_unresponsive: bool,
+    /// Whether nothing listens at the worker's address any more, so that connections are refused.
+    pub refuses_connections: bool,
+    /// Whether another process has the worker's address.
+    pub is_replaced: bool,
     /// Response time of the serving tasks in milliseconds while no interference is emulated.
     pub response_ms: u32,
     /// Time from a stop order to the end of the run.
@@ -208,6 +212,8 @@
         Self {
             id: format!("w-{number}"),
             is_unresponsive: false,
+            refuses_connections: false,
+            is_replaced: false,
             response_ms: 10,
             stop_duration: Duration::ZERO,
             interferences: Vec::new(),
@@ -340,6 +346,12 @@
         if self.is_unresponsive {
             return if now >= deadline { Outcome::Event(lost_reply(envelope)) } else { Outcome::Wait };
         }
+        if self.refuses_connections {
+            return Outcome::Event(fail(envelope, Fault::Refused));
+        }
+        if self.is_replaced {
+            return Outcome::Event(self.refuse(envelope, Refusal::Instance, now));
+        }
         if envelope.fence < self.fence {
             return Outcome::Event(self.refuse(envelope, Refusal::Fence, now));
         }
@@ -487,14 +499,19 @@
 }
 
 fn lost_reply(envelope: &Envelope) -> Event {
+    fail(envelope, Fault::Lost)
+}
+
+/// Event for an order whose call failed.
+fn fail(envelope: &Envelope, fault: Fault) -> Event {
     match &envelope.order {
         Order::Renew { worker, .. } => {
-            Event::LeaseRenewed { worker: *worker, sent: envelope.sent, result: Err(Fault::Lost) }
+            Event::LeaseRenewed { worker: *worker, sent: envelope.sent, result: Err(fault) }
         }
-        Order::Start { run, .. } => Event::Started { run: *run, result: Err(Fault::Lost) },
-        Order::Stop { run, .. } => Event::Stopped { run: *run, result: Err(Fault::Lost) },
+        Order::Start { run, .. } => Event::Started { run: *run, result: Err(fault) },
+        Order::Stop { run, .. } => Event::Stopped { run: *run, result: Err(fault) },
         Order::Pace { run, percent, .. } => {
-            Event::PaceChanged { run: *run, percent: *percent, result: Err(Fault::Lost) }
+            Event::PaceChanged { run: *run, percent: *percent, result: Err(fault) }
         }
     }
 }
--- a/tests/work_log.rs
+++ b/tests/work_log.rs
@@ -129,3 +129,84 @@
     assert_eq!(emulator.answers.get(&in_flight), Some(&Answer::Unknown));
     assert!(matches!(emulator.answers.get(&queued), Some(Answer::Refused(_))));
 }
+
+/// Guards against a gate after a change of the leader of which the log does not tell why it opened.
+#[test]
+fn a_gate_opens_without_a_reason() {
+    let mut emulator = ready(5, 3);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+    emulator.run_for(SECOND);
+    assert!(entries(&emulator, "gate-close").is_empty(), "{:#?}", emulator.log);
+    replace_leader(&mut emulator, 4 * SECOND);
+    let closed = only_entry(&emulator, "gate-close");
+    assert!(closed.contains("3 workers have to answer, for at most "), "{closed}");
+    let opened = only_entry(&emulator, "gate-open");
+    assert!(opened.contains("all 3 workers have answered, after "), "{opened}");
+    assert!(number_after(&opened, "after ") < number_after(&closed, "at most "), "{closed}\n{opened}");
+}
+
+/// Guards against a task that starts again because the leases of earlier terms have expired, when neither the gate nor
+/// the start shows that, or which worker had not answered.
+#[test]
+fn a_start_after_expired_leases_shows_no_cause() {
+    let mut emulator = ready(6, 3);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+    emulator.run_for(SECOND);
+    let first = only_entry(&emulator, "start");
+    assert!(!first.contains("inherited"), "{first}");
+    let silent = emulator.workers.iter().position(|worker| first.contains(&worker.id)).expect("a worker");
+    emulator.workers[silent].is_unresponsive = true;
+    replace_leader(&mut emulator, 14 * SECOND);
+    let (closed, opened) = (only_entry(&emulator, "gate-close"), only_entry(&emulator, "gate-open"));
+    let cause = "all leases of earlier terms have expired, 1 of 3 workers unanswered: ";
+    let expected = format!("{cause}{}, after ", emulator.workers[silent].id);
+    assert!(opened.contains(&expected), "{opened}");
+    assert!(number_after(&opened, "after ") >= number_after(&closed, "at most "), "{closed}\n{opened}");
+    let starts = entries(&emulator, "start");
+    assert_eq!(starts.len(), 2, "{starts:#?}");
+    assert!(starts[1].ends_with(", inherited from an earlier term\" }"), "{starts:#?}");
+}
+
+/// Guards against a task that starts without the gate, since its run was adopted and lost, when its start looks like
+/// that of any other task.
+#[test]
+fn a_start_after_a_lost_adopted_run_shows_no_cause() {
+    let mut emulator = ready(7, 1);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+    emulator.run_for(SECOND);
+    replace_leader(&mut emulator, 4 * SECOND);
+    assert_eq!(entries(&emulator, "adopt").len(), 1, "{:#?}", emulator.log);
+    emulator.restart_worker(0);
+    emulator.run_for(3 * SECOND);
+    let starts = entries(&emulator, "start");
+    assert_eq!(starts.len(), 2, "{starts:#?}");
+    assert!(starts[1].contains("inherited from an earlier term, a run was adopted"), "{starts:#?}");
+}
+
+/// Guards against a worker that the gate does not wait for, although it sent no listing, without an entry that tells
+/// why, and against an entry for each of its refusals.
+#[test]
+fn a_worker_counts_as_answered_without_a_reason() {
+    type Fault = fn(&mut Emulator);
+    let faults: [(Fault, &str); 2] = [
+        (
+            |emulator| {
+                emulator.workers[0].refuses_connections = true;
+                emulator.store.unlist_worker(&emulator.workers[0]);
+            },
+            "it refuses connections and the store does not list it",
+        ),
+        (|emulator| emulator.workers[0].is_replaced = true, "another process has its address"),
+    ];
+    for (inject, reason) in faults {
+        let mut emulator = ready(8, 3);
+        emulator.submit(0, 1, job([Step { is_long_running: true, ..step(12) }]));
+        emulator.run_for(SECOND);
+        inject(&mut emulator);
+        replace_leader(&mut emulator, 4 * SECOND);
+        let gone = only_entry(&emulator, "worker-gone");
+        assert!(gone.contains(&format!("w-0 counts as answered: {reason}")), "{gone}");
+        let opened = only_entry(&emulator, "gate-open");
+        assert!(opened.contains("all 3 workers have answered"), "{opened}");
+    }
+}
