Add an entry when the leader answers that a job is unknown

Cause: the log does not show which process answered that an accepted job is unknown, nor when. Change: `unknown-job` names the request, whether the job is not known or not stored, and the term. Callers may ask often and for many jobs, so a job gets one entry in 10 s, and at most 64 jobs do; the process keeps just these 64 and the metric of the answers counts the rest. One entry for each job would let callers that name many jobs write one entry per request, and a common limit alone would let polls of one job hide the others. Result: 990 reads of different jobs at once fill the limit of 64 entries.

--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -1,6 +1,8 @@
 //! Handling of callers' requests: routed by the configuration, served by the leader, forwarded by all other entry VMs.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::effect::Effect as WorkEffect;
 use super::event::Fault;
@@ -11,9 +13,16 @@
 use super::store::Record;
 use super::{journal, leadership, lifecycle};
 use crate::core::effect::Effect;
+use crate::core::time::Instant;
 use crate::core::trace;
 use crate::hash::Map;
 
+/// Time in which a job gets one timeline entry as unknown, since callers may ask for the same job often.
+const UNKNOWN_JOB_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Most timeline entries about unknown jobs in that time, since callers may ask for many jobs.
+const UNKNOWN_JOB_ENTRIES_MAX: usize = 64;
+
 /// A request that was forwarded to another entry VM.
 #[derive(Debug, Clone)]
 struct Forward {
@@ -30,9 +39,22 @@
     /// Requests that wait until the leader has loaded the records.
     deferred: Vec<(Ticket, Request)>,
     forwards: Map<Ticket, Forward>,
+    /// Jobs that the timeline named as unknown, with the times of their entries, oldest first.
+    unknown_jobs: VecDeque<(Id, Instant)>,
 }
 
 impl State {
+    /// Returns whether an answer that a job is unknown gets a timeline entry, and takes note of it if so.
+    fn note_unknown_job(&mut self, id: Id, now: Instant) -> bool {
+        while self.unknown_jobs.pop_front_if(|(_, at)| now.since(*at) >= UNKNOWN_JOB_INTERVAL).is_some() {}
+        let is_noted = self.unknown_jobs.len() < UNKNOWN_JOB_ENTRIES_MAX
+            && self.unknown_jobs.iter().all(|(other, _)| *other != id);
+        if is_noted {
+            self.unknown_jobs.push_back((id, now));
+        }
+        is_noted
+    }
+
     /// Number of deferred and forwarded requests.
     pub fn len(&self) -> usize {
         self.deferred.len() + self.forwards.len()
@@ -182,19 +204,29 @@
         (Subject::Queue, Verb::Read) => answer(ticket, Answer::Pending(state.jobs.queued_count(&queue)), out),
         (Subject::Queue, _) => answer(ticket, Answer::UnknownQueue, out),
         (Subject::Job(id), Verb::Submit(spec)) => submit(state, ticket, queue, id, spec, out),
-        (Subject::Job(id), Verb::Read) => answer(ticket, read(state, id), out),
+        (Subject::Job(id), Verb::Read) => read(state, ticket, id, out),
         (Subject::Job(id), Verb::Cancel) => cancel(state, ticket, id, out),
     }
 }
 
-fn read(state: &super::State, id: Id) -> Answer {
+fn read(state: &mut super::State, ticket: Ticket, id: Id, out: &mut Vec<Effect>) {
     let job = state.jobs.find(id).and_then(|key| state.jobs.all.get(key));
     match job {
-        Some(job) if job.is_stored => Answer::Phase(job.visible_phase()),
-        _ => Answer::UnknownJob,
+        Some(job) if job.is_stored => answer(ticket, Answer::Phase(job.visible_phase()), out),
+        Some(_) => answer_unknown_job(state, ticket, id, "read of a job that is not stored", out),
+        None => answer_unknown_job(state, ticket, id, "read of a job that is not known", out),
     }
 }
 
+/// Answers that a job is unknown. Only some of these answers get a timeline entry; the metrics count all of them.
+fn answer_unknown_job(state: &mut super::State, ticket: Ticket, id: Id, reason: &str, out: &mut Vec<Effect>) {
+    if state.requests.note_unknown_job(id, state.now) {
+        let reason = format!("{reason}, term {}", state.leadership.term());
+        state::record(out, trace::Subject::Job(id), "unknown-job", reason);
+    }
+    answer(ticket, Answer::UnknownJob, out);
+}
+
 /// Stores a job and answers when it is durable. The request is idempotent: a job with the same identity is not added
 /// again.
 fn submit(
@@ -233,7 +265,9 @@
 }
 
 fn cancel(state: &mut super::State, ticket: Ticket, id: Id, out: &mut Vec<Effect>) {
-    let Some(key) = state.jobs.find(id) else { return answer(ticket, Answer::UnknownJob, out) };
+    let Some(key) = state.jobs.find(id) else {
+        return answer_unknown_job(state, ticket, id, "cancellation of a job that is not known", out);
+    };
     let job = &state.jobs.all[key];
     if job.is_final || matches!(job.phase, super::request::Phase::Completed | super::request::Phase::Failed) {
         return answer(ticket, Answer::Cancelled, out);
--- a/tests/work_log.rs
+++ b/tests/work_log.rs
@@ -210,3 +210,30 @@
         assert!(opened.contains("all 3 workers have answered"), "{opened}");
     }
 }
+
+/// Guards against a stored job that is answered as unknown without an entry, and against a log that callers flood by
+/// asking for the same unknown job, or for many.
+#[test]
+fn an_answer_that_a_job_is_unknown_leaves_no_entry_or_too_many() {
+    let mut emulator = ready(9, 1);
+    let leader = emulator.leader().expect("a leader");
+    for _ in 0..5 {
+        assert_eq!(emulator.read_job(leader, 1), Some(Answer::UnknownJob));
+    }
+    let read = only_entry(&emulator, "unknown-job");
+    assert!(
+        read.contains("Job(Id(1))") && read.contains("read of a job that is not known, term 1"),
+        "{read}"
+    );
+    cancel(&mut emulator, 1 - leader, 2);
+    let lines = entries(&emulator, "unknown-job");
+    assert_eq!(lines.len(), 2, "{lines:#?}");
+    assert!(lines[1].contains("cancellation of a job that is not known, term 1"), "{lines:#?}");
+    emulator.run_for(10 * SECOND);
+    emulator.read_job(leader, 1);
+    assert_eq!(entries(&emulator, "unknown-job").len(), 3, "{:#?}", emulator.log);
+    for id in 10..1_000 {
+        emulator.request(leader, &format!("{PREFIX}{}", Id(id)), Verb::Read);
+    }
+    assert_eq!(entries(&emulator, "unknown-job").len(), 66, "{:#?}", emulator.log);
+}
