--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -8,7 +8,7 @@
 use super::order::{Ended, How, Order, Refusal, Reply, Running};
 use super::request;
 use super::run::{self, Phase, Run};
-use super::spec::{Name, Resources};
+use super::spec::{Id, Name, Resources};
 use super::{leadership, lifecycle, pace, state, task, worker};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
@@ -81,7 +81,12 @@
         until_ms,
         checkpoint: task.checkpoint.clone(),
     };
-    let reason = format!("run {number} of {} on {}", task.name, worker.id);
+    let origin = match (task.is_inherited, task.may_have_unseen_run) {
+        (false, _) => "",
+        (true, true) => ", inherited from an earlier term",
+        (true, false) => ", inherited from an earlier term, a run was adopted",
+    };
+    let reason = format!("run {number} of {} on {}{origin}", task.name, worker.id);
     state::record(out, Subject::Job(job.id), "start", reason);
     state.send_order(worker_key, order, out);
     // A worker without runs is contacted at a long interval; from now on a long poll waits for the end of this run.
@@ -350,12 +355,36 @@
     end: &Ended,
     out: &mut Vec<Effect>,
 ) -> u64 {
+    let worker = &state.workers.all[worker_key].id;
+    let subject = format!("run {} of {} on {worker}: {:?}, end {}", end.run, end.name, end.how, end.number);
+    let job = describe_job(state, end.name.job);
+    // The change is known only after the end is applied, and its entry comes before those of the consequences.
+    let mut consequences = Vec::new();
+    let sequence = apply_end(state, worker_key, end, &mut consequences);
+    let condition = match sequence {
+        0 => "waits for no change".to_owned(),
+        _ => format!("waits for change {sequence}"),
+    };
+    state::record(out, Subject::Job(end.name.job), "ended", format!("{subject} {condition}, {job}"));
+    out.append(&mut consequences);
+    sequence
+}
+
+/// Describes for a timeline entry what this process knows of a job.
+fn describe_job(state: &super::State, id: Id) -> String {
+    match state.jobs.find(id).and_then(|key| state.jobs.all.get(key)) {
+        None => "job not known".to_owned(),
+        Some(job) if job.phase.has_ended() && !job.is_final => format!("job {:?}, not durable", job.phase),
+        Some(job) => format!("job {:?}", job.phase),
+    }
+}
+
+/// Updates run, task and job for an end. Returns the sequence number of the change that stores it, or 0 if nothing is
+/// stored.
+fn apply_end(state: &mut super::State, worker_key: worker::Key, end: &Ended, out: &mut Vec<Effect>) -> u64 {
     let now = state.now;
     let key = find_run(state, worker_key, end.name, end.run);
     let run = key.and_then(|key| state.runs.get(key));
-    let worker = &state.workers.all[worker_key];
-    let reason = format!("run {} of {} on {}: {:?}", end.run, end.name, worker.id, end.how);
-    state::record(out, Subject::Job(end.name.job), "ended", reason);
     let task_key = match run {
         Some(run) => run.task,
         // The run is from an earlier term, or its lease was taken as expired. A failure counts unless the task is done;
--- /dev/null
+++ b/tests/work_log.rs
@@ -0,0 +1,239 @@
+//! Tests of the timeline entries that lead from a task's name to the reason why it ran again.
+
+mod emulator;
+
+use std::time::Duration;
+
+use emulator::{Emulator, PREFIX, job, step};
+use nutmegfold::core::work::request::{Answer, Verb};
+use nutmegfold::core::work::spec::{Id, Step};
+use nutmegfold::core::work::tuning::Tuning;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Emulated deployment of two entry VMs after one second, in which it has elected a leader and discovered its workers.
+fn ready(seed: u64, workers: usize) -> Emulator {
+    let mut emulator = Emulator::new(seed, 2, workers);
+    emulator.run_for(SECOND);
+    assert!(emulator.leader().is_some(), "no leader after a second: {:#?}", emulator.log);
+    emulator
+}
+
+/// Entries with this decision, in the order of the log.
+fn entries(emulator: &Emulator, decision: &str) -> Vec<String> {
+    let mark = format!("decision: \"{decision}\"");
+    emulator.log.iter().filter(|line| line.contains(&mark)).cloned().collect()
+}
+
+/// The only entry with this decision.
+fn only_entry(emulator: &Emulator, decision: &str) -> String {
+    let found = entries(emulator, decision);
+    assert_eq!(found.len(), 1, "{decision}: {:#?}", emulator.log);
+    found.into_iter().next().expect("one entry")
+}
+
+/// Number that follows `label` in an entry.
+fn number_after(line: &str, label: &str) -> u64 {
+    let Some((_, rest)) = line.split_once(label) else { panic!("no {label:?} in {line}") };
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().expect("a number")
+}
+
+fn cancel(emulator: &mut Emulator, vm: usize, id: u64) {
+    emulator.request(vm, &format!("{PREFIX}{}", Id(id)), Verb::Cancel);
+    emulator.run_for(SECOND / 10);
+}
+
+/// Kills the leader and returns the entry VM that leads after `wait`.
+fn replace_leader(emulator: &mut Emulator, wait: Duration) -> usize {
+    let leader = emulator.leader().expect("a leader");
+    emulator.kill(leader);
+    emulator.run_for(wait);
+    emulator.leader().expect("another leader")
+}
+
+/// Guards against an acknowledgement that cannot be compared with the change that its end waits for, and against an
+/// entry for each renewal.
+#[test]
+fn an_acknowledged_end_cannot_be_traced_to_its_change() {
+    let mut emulator = ready(1, 1);
+    emulator.submit(0, 1, job([step(1)]));
+    emulator.run_for(2 * SECOND);
+    let ended = only_entry(&emulator, "ended");
+    assert!(
+        ended.contains("on w-0: Done, end 1 waits for change") && ended.contains("job Running"),
+        "{ended}"
+    );
+    let acknowledged = only_entry(&emulator, "acknowledge");
+    assert!(acknowledged.contains("ends of w-0 up to 1,"), "{acknowledged}");
+    let durable = number_after(&acknowledged, "durable up to change ");
+    assert!(number_after(&ended, "waits for change ") <= durable, "{ended}\n{acknowledged}");
+    emulator.run_for(10 * SECOND);
+    assert_eq!(entries(&emulator, "acknowledge").len(), 1, "{:#?}", emulator.log);
+}
+
+/// Guards against an end of a cancelled job whose entry hides that the cancellation is not durable.
+#[test]
+fn an_end_of_a_cancelled_job_hides_whether_the_cancellation_is_stored() {
+    let mut emulator = ready(2, 1);
+    emulator.workers[0].stop_duration = SECOND / 2;
+    let long_running = || job([Step { is_long_running: true, ..step(1) }]);
+    for id in 1..=2 {
+        emulator.submit(0, id, long_running());
+    }
+    emulator.run_for(SECOND);
+    let leader = emulator.leader().expect("a leader");
+    cancel(&mut emulator, leader, 1);
+    emulator.run_for(SECOND);
+    emulator.store.is_down = true;
+    cancel(&mut emulator, leader, 2);
+    emulator.run_for(SECOND);
+    let [stored, lost] = &entries(&emulator, "ended")[..] else { panic!("{:#?}", emulator.log) };
+    assert!(stored.contains("Job(Id(1))") && stored.contains("job Cancelled\""), "{stored}");
+    assert!(lost.contains("Job(Id(2))") && lost.contains("job Cancelled, not durable\""), "{lost}");
+    let ends = entries(&emulator, "end");
+    let changes: Vec<u64> = ends.iter().map(|line| number_after(line, "Cancelled, change ")).collect();
+    assert!(changes.len() == 2 && changes[0] < changes[1], "{ends:#?}");
+}
+
+/// Guards against an end of an unknown job that looks like any other in the log.
+#[test]
+fn an_end_of_an_unknown_job_looks_like_any_other() {
+    let mut emulator = ready(3, 1);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+    emulator.run_for(SECOND);
+    emulator.workers[0].is_unresponsive = true;
+    cancel(&mut emulator, 0, 1);
+    emulator.run_for(Tuning::default().retention + SECOND);
+    emulator.workers[0].is_unresponsive = false;
+    emulator.run_for(2 * SECOND);
+    let ended = only_entry(&emulator, "ended");
+    assert!(ended.contains("end 1 waits for no change, job not known"), "{ended}");
+}
+
+/// Guards against a job that is withdrawn in an outage of the store without an entry that tells whether it was stored
+/// and had runs.
+#[test]
+fn a_withdrawn_job_leaves_no_entry() {
+    let mut emulator = ready(4, 1);
+    emulator.store.is_down = true;
+    let in_flight = emulator.submit(0, 1, job([step(1)]));
+    emulator.run_for(SECOND / 10);
+    let queued = emulator.submit(0, 2, job([step(1)]));
+    emulator.run_for(SECOND);
+    let withdrawn = only_entry(&emulator, "withdraw");
+    let refused = only_entry(&emulator, "refuse");
+    let change = number_after(&refused, "commits to the store fail: change ");
+    let expected = format!("change {change}, the job is not stored, 0 of its tasks have runs");
+    assert!(withdrawn.contains("Job(Id(2))") && withdrawn.contains(&expected), "{withdrawn}\n{refused}");
+    assert_eq!(emulator.answers.get(&in_flight), Some(&Answer::Unknown));
+    assert!(matches!(emulator.answers.get(&queued), Some(Answer::Refused(_))));
+}
+
+/// Guards against a gate after a change of the leader of which the log does not tell why it opened.
+#[test]
+fn a_gate_opens_without_a_reason() {
+    let mut emulator = ready(5, 3);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+    emulator.run_for(SECOND);
+    assert!(entries(&emulator, "gate-close").is_empty(), "{:#?}", emulator.log);
+    replace_leader(&mut emulator, 4 * SECOND);
+    let closed = only_entry(&emulator, "gate-close");
+    assert!(closed.contains("3 workers have to answer, for at most "), "{closed}");
+    let opened = only_entry(&emulator, "gate-open");
+    assert!(opened.contains("all 3 workers have answered, after "), "{opened}");
+    assert!(number_after(&opened, "after ") < number_after(&closed, "at most "), "{closed}\n{opened}");
+}
+
+/// Guards against a task that starts again because the leases of earlier terms have expired, when neither the gate nor
+/// the start shows that, or which worker had not answered.
+#[test]
+fn a_start_after_expired_leases_shows_no_cause() {
+    let mut emulator = ready(6, 3);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+    emulator.run_for(SECOND);
+    let first = only_entry(&emulator, "start");
+    assert!(!first.contains("inherited"), "{first}");
+    let silent = emulator.workers.iter().position(|worker| first.contains(&worker.id)).expect("a worker");
+    emulator.workers[silent].is_unresponsive = true;
+    replace_leader(&mut emulator, 14 * SECOND);
+    let (closed, opened) = (only_entry(&emulator, "gate-close"), only_entry(&emulator, "gate-open"));
+    let cause = "all leases of earlier terms have expired, 1 of 3 workers unanswered: ";
+    let expected = format!("{cause}{}, after ", emulator.workers[silent].id);
+    assert!(opened.contains(&expected), "{opened}");
+    assert!(number_after(&opened, "after ") >= number_after(&closed, "at most "), "{closed}\n{opened}");
+    let starts = entries(&emulator, "start");
+    assert_eq!(starts.len(), 2, "{starts:#?}");
+    assert!(starts[1].ends_with(", inherited from an earlier term\" }"), "{starts:#?}");
+}
+
+/// Guards against a task that starts without the gate, since its run was adopted and lost, when its start looks like
+/// that of any other task.
+#[test]
+fn a_start_after_a_lost_adopted_run_shows_no_cause() {
+    let mut emulator = ready(7, 1);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+    emulator.run_for(SECOND);
+    replace_leader(&mut emulator, 4 * SECOND);
+    assert_eq!(entries(&emulator, "adopt").len(), 1, "{:#?}", emulator.log);
+    emulator.restart_worker(0);
+    emulator.run_for(3 * SECOND);
+    let starts = entries(&emulator, "start");
+    assert_eq!(starts.len(), 2, "{starts:#?}");
+    assert!(starts[1].contains("inherited from an earlier term, a run was adopted"), "{starts:#?}");
+}
+
+/// Guards against a worker that the gate does not wait for, although it sent no listing, without an entry that tells
+/// why, and against an entry for each of its refusals.
+#[test]
+fn a_worker_counts_as_answered_without_a_reason() {
+    type Fault = fn(&mut Emulator);
+    let faults: [(Fault, &str); 2] = [
+        (
+            |emulator| {
+                emulator.workers[0].refuses_connections = true;
+                emulator.store.unlist_worker(&emulator.workers[0]);
+            },
+            "it refuses connections and the store does not list it",
+        ),
+        (|emulator| emulator.workers[0].is_replaced = true, "another process has its address"),
+    ];
+    for (inject, reason) in faults {
+        let mut emulator = ready(8, 3);
+        emulator.submit(0, 1, job([Step { is_long_running: true, ..step(12) }]));
+        emulator.run_for(SECOND);
+        inject(&mut emulator);
+        replace_leader(&mut emulator, 4 * SECOND);
+        let gone = only_entry(&emulator, "worker-gone");
+        assert!(gone.contains(&format!("w-0 counts as answered: {reason}")), "{gone}");
+        let opened = only_entry(&emulator, "gate-open");
+        assert!(opened.contains("all 3 workers have answered"), "{opened}");
+    }
+}
+
+/// Guards against a stored job that is answered as unknown without an entry, and against a log that callers flood by
+/// asking for the same unknown job, or for many.
+#[test]
+fn an_answer_that_a_job_is_unknown_leaves_no_entry_or_too_many() {
+    let mut emulator = ready(9, 1);
+    let leader = emulator.leader().expect("a leader");
+    for _ in 0..5 {
+        assert_eq!(emulator.read_job(leader, 1), Some(Answer::UnknownJob));
+    }
+    let read = only_entry(&emulator, "unknown-job");
+    assert!(
+        read.contains("Job(Id(1))") && read.contains("read of a job that is not known, term 1"),
+        "{read}"
+    );
+    cancel(&mut emulator, 1 - leader, 2);
+    let lines = entries(&emulator, "unknown-job");
+    assert_eq!(lines.len(), 2, "{lines:#?}");
+    assert!(lines[1].contains("cancellation of a job that is not known, term 1"), "{lines:#?}");
+    emulator.run_for(10 * SECOND);
+    emulator.read_job(leader, 1);
+    assert_eq!(entries(&emulator, "unknown-job").len(), 3, "{:#?}", emulator.log);
+    for id in 10..1_000 {
+        emulator.request(leader, &format!("{PREFIX}{}", Id(id)), Verb::Read);
+    }
+    assert_eq!(entries(&emulator, "unknown-job").len(), 66, "{:#?}", emulator.log);
+}
