Let the emulated store fail for single entry VMs, and check what callers are told

Its store failed for all entry VMs at once, and its observer compared the answers to callers with nothing.

Change: the store can be silent to single VMs or refuse their calls, reply to commits late, and record or reject a transaction that writes a key twice. A worker lists at most 500 ends, as the platform's do, and can refuse connections while its tasks run. The time of day of a VM can be ahead. The observer reports a job that is unknown after it was accepted, a start of a job that was refused, and a start later than 4 s after a cancellation was answered. The first answer to a request counts; before, a VM that gave up on a forwarded request replaced it.

--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -22,7 +22,7 @@
 use nutmegfold::core::work::request::{self, Answer, Ticket, Verb};
 use nutmegfold::core::work::spec::{Id, Resources, Spec, Step};
 use nutmegfold::core::work::state::Identity;
-use nutmegfold::core::work::store::{Call, Request};
+use nutmegfold::core::work::store::{Call, Reply, Request};
 use nutmegfold::core::work::tuning::Tuning;
 use nutmegfold::core::{State, member, reduce, work};
 use nutmegfold::declare::zone;
@@ -74,6 +74,10 @@
     pub workers: Vec<Worker>,
     pub observer: Observer,
     pub answers: Map<Ticket, Answer>,
+    /// Requests of callers: when each was sent, its job and its operation.
+    requests: Map<Ticket, (Instant, Option<Id>, Verb)>,
+    /// Time by which the time of day of each entry VM is ahead.
+    pub clock_leads: Vec<Duration>,
     /// Timeline entries of all entry VMs; tests search them for decisions and print them on failure.
     pub log: Vec<String>,
     /// Number of events that the entry VMs have processed.
@@ -106,6 +110,8 @@
             workers: (0..workers).map(Worker::new).collect(),
             observer: Observer::default(),
             answers: Map::default(),
+            requests: Map::default(),
+            clock_leads: vec![Duration::ZERO; cpu_millicores.len()],
             log: Vec::new(),
             event_count: 0,
             vms: Vec::new(),
@@ -174,11 +180,18 @@
 
     /// Entry VM that is the leader and has loaded the state from the store, if there is one.
     pub fn leader(&self) -> Option<usize> {
-        let leads = |vm: &Vm| {
-            let work = vm.state.work.as_ref().expect("entry VMs of the emulator schedule jobs");
-            vm.is_up && work.leadership.term() > 0 && work.load.is_none()
-        };
-        self.vms.iter().position(leads)
+        (0..self.vms.len()).find(|vm| self.leads(*vm))
+    }
+
+    fn leads(&self, vm: usize) -> bool {
+        let vm = &self.vms[vm];
+        let work = vm.state.work.as_ref().expect("entry VMs of the emulator schedule jobs");
+        vm.is_up && work.leadership.term() > 0 && work.load.is_none()
+    }
+
+    /// Entry VM other than `vm` that is the leader and has loaded the state from the store, if there is one.
+    pub fn leader_after(&self, vm: usize) -> Option<usize> {
+        (0..self.vms.len()).find(|other| *other != vm && self.leads(*other))
     }
 
     /// Kills an entry VM; replies to its pending calls are dropped.
@@ -226,8 +239,13 @@
     /// Sends a caller's request to an entry VM; its answer appears in `answers`.
     pub fn request(&mut self, vm: usize, path: &str, verb: Verb) -> Ticket {
         let ticket = Ticket(self.next_random());
-        let request =
-            request::Request { host: HOST.into(), path: path.into(), verb, timeout: Duration::from_secs(3) };
+        let request = request::Request {
+            host: HOST.into(),
+            path: path.into(),
+            verb: verb.clone(),
+            timeout: Duration::from_secs(3),
+        };
+        self.requests.insert(ticket, (self.now, request.job(), verb));
         self.handle_event(vm, Event::Work(WorkEvent::Request { ticket, request, is_forwarded: false }));
         ticket
     }
@@ -238,6 +256,11 @@
         self.request(vm, &format!("{PREFIX}{}", Id(id)), Verb::Submit(spec))
     }
 
+    /// Cancels a job through an entry VM.
+    pub fn cancel(&mut self, vm: usize, id: u64) -> Ticket {
+        self.request(vm, &format!("{PREFIX}{}", Id(id)), Verb::Cancel)
+    }
+
     /// Reads a job through an entry VM and waits 100 ms for the answer.
     pub fn read_job(&mut self, vm: usize, id: u64) -> Option<Answer> {
         let ticket = self.request(vm, &format!("{PREFIX}{}", Id(id)), Verb::Read);
@@ -248,7 +271,8 @@
     fn handle_event(&mut self, vm: usize, event: Event) {
         self.event_count += 1;
         let entropy = self.next_random();
-        let input = Input { at: self.now, unix_ms: self.now.0 / 1_000, entropy, event };
+        let unix_ms = (self.now + self.clock_leads[vm]).0 / 1_000;
+        let input = Input { at: self.now, unix_ms, entropy, event };
         let mut effects = Vec::new();
         reduce(&mut self.vms[vm].state, input, &mut effects);
         for effect in effects {
@@ -266,6 +290,13 @@
         let incarnation = self.vms[vm].incarnation;
         match effect {
             Effect::Work(WorkEffect::Answer { ticket, answer }) => {
+                // The caller has its answer already if the VM that forwarded the request gives up on it later.
+                if self.answers.contains_key(&ticket) {
+                    return;
+                }
+                if let Some((sent, Some(job), verb)) = self.requests.get(&ticket) {
+                    self.observer.record_answer(*job, verb, *sent, &answer, self.now);
+                }
                 self.answers.insert(ticket, answer);
             }
             Effect::Work(WorkEffect::Forward { ticket, to, request }) => {
@@ -323,9 +354,14 @@
                 self.handle_event(vm, Event::Wake);
             }
             Action::Store { vm, incarnation, call, request, deadline } => {
-                match self.store.execute(&request, self.now, deadline) {
+                match self.store.execute(vm, &request, self.now, deadline) {
                     store::Outcome::Reply(reply) if self.is_alive(vm, incarnation) => {
-                        self.schedule_event(vm, ONE_WAY_DELAY, Event::Work(WorkEvent::Store { call, reply }));
+                        let is_commit = matches!(request, Request::Commit(_));
+                        let delay = if is_commit { self.store.commit_delay } else { Duration::ZERO };
+                        let timeout = deadline.since(self.now);
+                        let reply = if delay > timeout { Reply::Lost } else { reply };
+                        let event = Event::Work(WorkEvent::Store { call, reply });
+                        self.schedule_event(vm, ONE_WAY_DELAY + delay.min(timeout), event);
                     }
                     store::Outcome::Wait => {
                         self.schedule(
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -8,7 +8,7 @@
 use nutmegfold::core::work::store::{
     Change, Item, Key, Range, Removed, Reply, Request, Revision, Transaction, Value,
 };
-use nutmegfold::hash::Map;
+use nutmegfold::hash::{Map, Set};
 
 use super::worker::Worker;
 
@@ -35,6 +35,16 @@
     pub pauses_leases: bool,
     /// Number of further commits that are executed but whose reply is lost.
     pub lost_commit_replies: u32,
+    /// Entry VMs whose calls time out while the store serves the others.
+    pub silent_vms: Set<usize>,
+    /// Entry VMs whose calls are refused without effect while the store serves the others.
+    pub refused_vms: Set<usize>,
+    /// Time from the execution of a commit to its reply; a reply after the timeout of the call is lost.
+    pub commit_delay: Duration,
+    /// Whether a transaction that writes a key twice has no effect and no reply that its sender understands.
+    pub rejects_repeated_keys: bool,
+    /// Keys that a transaction wrote more than once, one for each such transaction.
+    pub repeated_keys: Vec<Key>,
     /// Maximum number of items of a page.
     pub page_size: usize,
     /// Number of further replies that are lost to requests for a page after the first one.
@@ -62,6 +72,11 @@
             is_down: false,
             pauses_leases: false,
             lost_commit_replies: 0,
+            silent_vms: Set::default(),
+            refused_vms: Set::default(),
+            commit_delay: Duration::ZERO,
+            rejects_repeated_keys: false,
+            repeated_keys: Vec::new(),
             page_size: 500,
             lost_page_replies: 0,
             revision: 0,
@@ -133,12 +148,15 @@
         self.entries.insert(key, Entry { item, revision, lease });
     }
 
-    /// Executes a call. A watch waits for a change, and any call to a store that is down waits for the timeout, at most
-    /// until `deadline`.
-    pub fn execute(&mut self, request: &Request, now: Instant, deadline: Instant) -> Outcome {
-        if self.is_down {
+    /// Executes a call of an entry VM. A watch waits for a change, and any call to a store that is down or silent for the
+    /// VM waits for the timeout, at most until `deadline`.
+    pub fn execute(&mut self, vm: usize, request: &Request, now: Instant, deadline: Instant) -> Outcome {
+        if self.is_down || self.silent_vms.contains(&vm) {
             return if now >= deadline { Outcome::Reply(Reply::Lost) } else { Outcome::Wait };
         }
+        if self.refused_vms.contains(&vm) {
+            return Outcome::Reply(Reply::Refused);
+        }
         if let Request::Watch { range, after, .. } = request {
             return self.watch(*range, *after, now, deadline);
         }
@@ -224,6 +242,15 @@
         {
             return Reply::Gone;
         }
+        let repeated = (1..transaction.put.len()).find(|index| {
+            transaction.put[..*index].iter().any(|(key, ..)| *key == transaction.put[*index].0)
+        });
+        if let Some(index) = repeated {
+            self.repeated_keys.push(transaction.put[index].0);
+            if self.rejects_repeated_keys {
+                return Reply::Lost;
+            }
+        }
         for key in &transaction.delete {
             if self.entries.remove(&key_text(*key)).is_some() {
                 self.record_change(range_of(*key), Change::Removed(Removed::Own(*key)));
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -8,7 +8,9 @@
 use nutmegfold::core::time::Instant;
 use nutmegfold::core::work::event::{Event, Fault};
 use nutmegfold::core::work::order::{Ended, How, Listing, Order, Refusal, Reply, Running};
+use nutmegfold::core::work::request::{Answer, Verb};
 use nutmegfold::core::work::spec::{Id, Name, Resources, Spec, Step};
+use nutmegfold::core::work::tuning::Tuning;
 use nutmegfold::core::work::worker::{Readiness, Report};
 use nutmegfold::hash::{Map, Set};
 
@@ -17,6 +19,12 @@
 /// CPU capacity of a worker in millicores.
 const CPU_MILLICORES: u32 = 8_000;
 
+/// Most ends in the answer to one renewal; the others are listed once these are acknowledged.
+const ENDS_PER_LISTING: usize = 500;
+
+/// Longest time from the answer to a cancellation to the last start of a task of the job.
+const CANCELLATION_LIMIT: Duration = Duration::from_secs(4);
+
 /// Mean load of a serving task by its own requests, as a share of its capacity. The load follows a sine wave with the
 /// amplitude and the period below.
 const MEAN_LOAD: f64 = 0.45;
@@ -70,10 +78,27 @@
     }
 }
 
-/// Checks the guarantees of the scheduler against the runs on all workers.
+/// What callers were told about a job.
+#[derive(Debug, Default)]
+struct Told {
+    /// Number of submissions.
+    submitted: u32,
+    /// Number of submissions that have an answer.
+    answered: u32,
+    /// Number of submissions that were refused.
+    refused: u32,
+    /// When a submission was first answered as accepted.
+    accepted_at: Option<Instant>,
+    /// When a cancellation was first answered as effective, or as one of an unknown job.
+    cancelled_at: Option<Instant>,
+}
+
+/// Checks the guarantees of the scheduler against the runs on all workers and the answers to callers.
 #[derive(Debug, Default)]
 pub struct Observer {
     jobs: Map<Id, Spec>,
+    /// What callers were told about the jobs that they requested.
+    told: Map<Id, Told>,
     /// Active runs by task: worker and number of the run.
     running: Map<Name, Set<(String, u32)>>,
     /// Tasks with at least one completed run.
@@ -97,18 +122,80 @@
     pub longest_over_target: Duration,
 }
 
+impl Told {
+    /// Whether every submission was refused.
+    fn is_refused(&self) -> bool {
+        self.submitted > 0 && self.refused == self.submitted
+    }
+}
+
 impl Observer {
     /// Records a job that a caller submitted, so that its steps are known when its tasks start.
     pub fn record_submission(&mut self, id: Id, spec: &Spec) {
         self.jobs.insert(id, spec.clone());
+        let told = self.told.entry(id).or_default();
+        told.submitted += 1;
+        if told.accepted_at.is_none() {
+            told.cancelled_at = None;
+        }
+    }
+
+    /// Records the answer to a request about a job that was sent at `sent`.
+    pub(super) fn record_answer(
+        &mut self,
+        id: Id,
+        verb: &Verb,
+        sent: Instant,
+        answer: &Answer,
+        now: Instant,
+    ) {
+        let has_started = self.has_started(id);
+        let Some(told) = self.told.get_mut(&id) else { return };
+        if matches!(verb, Verb::Submit(_)) {
+            told.answered += 1;
+            told.refused += u32::from(matches!(answer, Answer::Refused(_)));
+            if *answer == Answer::Accepted {
+                told.accepted_at.get_or_insert(now);
+            }
+            if told.is_refused() && has_started {
+                self.violations.push(format!("{id}: all submissions were refused after the job had started"));
+            }
+            return;
+        }
+        if *answer == Answer::UnknownJob
+            && told.accepted_at.is_some_and(|at| at < sent && now < at + Tuning::default().retention)
+        {
+            self.violations.push(format!("{id}: answered as unknown at {now:?} after it was accepted"));
+        }
+        let is_cancelled = match answer {
+            Answer::Cancelled => true,
+            Answer::UnknownJob => told.answered == told.submitted,
+            _ => false,
+        };
+        if *verb == Verb::Cancel && is_cancelled {
+            told.cancelled_at.get_or_insert(now);
+        }
     }
 
     fn step(&self, name: Name) -> Option<&Step> {
         self.jobs.get(&name.job)?.steps.get(name.step as usize)
     }
 
-    fn record_start(&mut self, worker: &str, name: Name, number: u32) {
+    fn record_start(&mut self, worker: &str, name: Name, number: u32, now: Instant) {
         self.start_count += 1;
+        let told = self.told.get(&name.job);
+        if told.is_some_and(Told::is_refused) {
+            self.violations
+                .push(format!("{name}: run {number} started on {worker}, and the job was refused"));
+        }
+        if let Some(at) = told.and_then(|told| told.cancelled_at)
+            && now.since(at) > CANCELLATION_LIMIT
+        {
+            self.violations.push(format!(
+                "{name}: run {number} started on {worker} {:?} after the job's cancellation was answered",
+                now.since(at)
+            ));
+        }
         let others = self.running.entry(name).or_default();
         if !others.is_empty() {
             self.violations
@@ -182,6 +269,8 @@
     pub id: String,
     /// Whether calls to the worker time out while its tasks keep running.
     pub is_unresponsive: bool,
+    /// Whether connections to the worker are refused while its tasks keep running.
+    pub is_refusing: bool,
     /// Response time of the serving tasks in milliseconds while no interference is emulated.
     pub response_ms: u32,
     /// Time from a stop order to the end of the run.
@@ -208,6 +297,7 @@
         Self {
             id: format!("w-{number}"),
             is_unresponsive: false,
+            is_refusing: false,
             response_ms: 10,
             stop_duration: Duration::ZERO,
             interferences: Vec::new(),
@@ -335,10 +425,15 @@
         observer: &mut Observer,
     ) -> Outcome {
         if envelope.receiver.is_some_and(|incarnation| incarnation != self.incarnation) {
-            return Outcome::Event(lost_reply(envelope));
+            return Outcome::Event(failed_reply(envelope, Fault::Lost));
+        }
+        if self.is_refusing {
+            let fault = if envelope.receiver.is_none() { Fault::Refused } else { Fault::Lost };
+            return Outcome::Event(failed_reply(envelope, fault));
         }
         if self.is_unresponsive {
-            return if now >= deadline { Outcome::Event(lost_reply(envelope)) } else { Outcome::Wait };
+            let lost = || Outcome::Event(failed_reply(envelope, Fault::Lost));
+            return if now >= deadline { lost() } else { Outcome::Wait };
         }
         if envelope.fence < self.fence {
             return Outcome::Event(self.refuse(envelope, Refusal::Fence, now));
@@ -362,7 +457,7 @@
                 let outcome = self.start(*name, *number, *until_ms, now, observer);
                 if self.lost_start_replies > 0 {
                     self.lost_start_replies -= 1;
-                    return Outcome::Event(lost_reply(envelope));
+                    return Outcome::Event(failed_reply(envelope, Fault::Lost));
                 }
                 let result = Ok(Reply { clock_ms: Some(self.clock_ms(now)), outcome });
                 Outcome::Event(Event::Started { run: *run, result })
@@ -408,7 +503,7 @@
             return Err(Refusal::Late);
         }
         self.lease_expiry_ms = self.lease_expiry_ms.max(until_ms);
-        observer.record_start(&self.id, name, number);
+        observer.record_start(&self.id, name, number, now);
         let step = observer.step(name).cloned().unwrap_or_default();
         let failing = observer.injected_failures.get_mut(&name).filter(|left| **left > 0);
         let is_failing = failing.map(|left| *left -= 1).is_some();
@@ -455,7 +550,7 @@
         Listing {
             started_unix_ms: Some(self.incarnation),
             running: running.collect(),
-            ended: self.ends.iter().map(|(end, _)| end.clone()).collect(),
+            ended: self.ends.iter().take(ENDS_PER_LISTING).map(|(end, _)| end.clone()).collect(),
         }
     }
 
@@ -486,15 +581,15 @@
     (run.work_done.as_millis() * 100 / run.duration.as_millis().max(1)).min(99) as u32
 }
 
-fn lost_reply(envelope: &Envelope) -> Event {
+fn failed_reply(envelope: &Envelope, fault: Fault) -> Event {
     match &envelope.order {
         Order::Renew { worker, .. } => {
-            Event::LeaseRenewed { worker: *worker, sent: envelope.sent, result: Err(Fault::Lost) }
+            Event::LeaseRenewed { worker: *worker, sent: envelope.sent, result: Err(fault) }
         }
-        Order::Start { run, .. } => Event::Started { run: *run, result: Err(Fault::Lost) },
-        Order::Stop { run, .. } => Event::Stopped { run: *run, result: Err(Fault::Lost) },
+        Order::Start { run, .. } => Event::Started { run: *run, result: Err(fault) },
+        Order::Stop { run, .. } => Event::Stopped { run: *run, result: Err(fault) },
         Order::Pace { run, percent, .. } => {
-            Event::PaceChanged { run: *run, percent: *percent, result: Err(Fault::Lost) }
+            Event::PaceChanged { run: *run, percent: *percent, result: Err(fault) }
         }
     }
 }
