Add tests of answers, gate and commits that rest on state which is not durable

600 ends at once on a worker that lists 500: 1.0.0.500 to 1.0.0.599 are taken as lost and started again, with one leader and with a change of the leader.

A refused commit returns to the queue beside a newer change of the same key: the next commit writes Progress(1) twice. A store that rejects it gets it again for ever.

--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use emulator::{Emulator, job, step};
-use nutmegfold::core::work::request::{Answer, Ticket};
-use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
+use nutmegfold::core::work::request::{Answer, Phase, Ticket, Verb};
+use nutmegfold::core::work::spec::{Id, Name, Resources, Schedule, Spec, Step};
+use nutmegfold::core::work::store::Key;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -16,9 +17,21 @@
 /// Number of seeds that each test with one scenario plays.
 const SEEDS: u64 = 5;
 
+/// All cores of a worker.
+const WHOLE_WORKER: Resources = Resources { cpu_millicores: 8_000, memory_mb: 1_000, gpu: 0 };
+
+/// Resources of which a worker has enough for more runs than it lists ends.
+const LITTLE: Resources = Resources { cpu_millicores: 10, memory_mb: 10, gpu: 0 };
+
 /// Number of jobs whose acceptances do not fit into one commit.
 const JOBS_OVER_ONE_COMMIT: u64 = 30;
 
+/// Number of entry VMs under random faults.
+const VMS: usize = 4;
+
+/// Number of jobs that are submitted under random faults, one after each fault.
+const ROUNDS: u64 = 14;
+
 /// Identity of the first of the jobs that only fill commits.
 const FIRST_OTHER_JOB: u64 = 100;
 
@@ -84,8 +97,7 @@
 fn fail_job_without_store(seed: u64) -> Emulator {
     let mut emulator = ready(seed, 3, 4);
     emulator.workers.iter_mut().for_each(|worker| worker.stop_duration = SECOND);
-    let whole_worker = Resources { cpu_millicores: 8_000, memory_mb: 1_000, gpu: 0 };
-    let failing = Step { resources: whole_worker, estimate: SECOND / 2, ..step(1) };
+    let failing = Step { resources: WHOLE_WORKER, estimate: SECOND / 2, ..step(1) };
     let done = Step { estimate: SECOND * 2, ..step(1) };
     let failing_later = Step { estimate: SECOND * 3 / 5, ..step(1) };
     emulator.observer.injected_failures.insert(name(1, 0, 0), 100);
@@ -235,3 +247,359 @@
         assert!(failure, "seed {seed}: {:#?}", emulator.log);
     }
 }
+
+/// Answer to a repeated submission of a job whose first acceptance took effect before the leadership ended, while the
+/// reply to the commit was on its way.
+fn answer_at_step_down(seed: u64) -> Option<Answer> {
+    let mut emulator = ready(seed, 3, 2);
+    let leader = emulator.leader().expect("a leader");
+    emulator.store.commit_delay = SECOND / 4;
+    emulator.submit(leader, 1, job([step(1)]));
+    emulator.run_for(SECOND / 10);
+    let repeated = emulator.submit(leader, 1, job([step(1)]));
+    emulator.store.revoke_leases();
+    emulator.run_for(SECOND / 10);
+    emulator.store.commit_delay = Duration::ZERO;
+    emulator.run_for(6 * SECOND);
+    assert!(emulator.log.iter().any(|line| line.contains("step-down")), "{:#?}", emulator.log);
+    assert!(emulator.observer.completed.contains(&name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
+    assert_no_violation(&emulator, seed);
+    emulator.answers.get(&repeated).cloned()
+}
+
+/// Guards against a refusal, which says that the job never runs, of the repeated submission of a stored job.
+#[test]
+fn a_repeated_submission_of_a_stored_job_is_refused_when_the_leadership_ends() {
+    for seed in 0..SEEDS {
+        let answer = answer_at_step_down(seed);
+        assert!(!matches!(answer, Some(Answer::Refused(_))), "seed {seed}: {answer:?}");
+    }
+}
+
+/// Guards against requests that wait for a commit and stay unanswered until the callers' deadline.
+#[test]
+fn a_request_that_waits_for_a_commit_has_no_answer_when_the_leadership_ends() {
+    for seed in 0..SEEDS {
+        let answer = answer_at_step_down(seed);
+        assert!(answer.is_some(), "seed {seed}: no answer");
+    }
+}
+
+/// Guards against an answer that a job is cancelled while its completion, which makes that true, is not durable.
+#[test]
+fn a_task_of_a_cancelled_job_starts_after_its_completion_was_lost() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 3, 2);
+        emulator.submit(0, 1, job([step(1)]));
+        emulator.run_for(SECOND / 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.store.silent_vms.insert(leader);
+        emulator.run_for(SECOND * 6 / 10 + MILLISECOND * 10 * seed as u32);
+        assert!(emulator.observer.completed.contains(&name(1, 0, 0)), "{:#?}", emulator.log);
+        emulator.cancel(leader, 1);
+        // The worker that holds the end is unreachable for longer than a start may follow a cancellation, and restarts.
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        change_leader(&mut emulator, leader);
+        emulator.run_for(4 * SECOND);
+        emulator.workers[worker].is_unresponsive = false;
+        emulator.restart_worker(worker);
+        emulator.run_for(8 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// A job with one occurrence of a task of this duration, which is due `wait` after now.
+fn scheduled(emulator: &Emulator, wait: Duration, estimate: Duration) -> Spec {
+    let start_unix_ms = (emulator.now + wait).0 / 1_000;
+    let schedule = Schedule { start_unix_ms, interval_ms: 1_000, times: 1 };
+    Spec { schedule: Some(schedule), ..job([Step { estimate, ..step(1) }]) }
+}
+
+/// Runs an occurrence that is due in four seconds under a leader whose clock is three seconds ahead, until the store
+/// falls silent for that leader half a second after the start.
+fn start_occurrence_early(seed: u64, estimate: Duration) -> (Emulator, usize) {
+    let mut emulator = ready(seed, 3, 2);
+    let leader = emulator.leader().expect("a leader");
+    emulator.clock_leads[leader] = 3 * SECOND;
+    let spec = scheduled(&emulator, 4 * SECOND, estimate);
+    emulator.submit(leader, 1, spec);
+    emulator.run_for(SECOND * 3 / 2);
+    assert!(emulator.observer.is_running(name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
+    emulator.store.silent_vms.insert(leader);
+    (emulator, leader)
+}
+
+/// Guards against an end that is acknowledged although the clock of the new leader has not released its occurrence.
+#[test]
+fn a_done_task_of_an_occurrence_runs_again_under_a_leader_with_a_slower_clock() {
+    for seed in 0..SEEDS {
+        let (mut emulator, leader) = start_occurrence_early(seed, SECOND);
+        emulator.run_for(SECOND * 6 / 10);
+        assert!(emulator.observer.completed.contains(&name(1, 0, 0)), "{:#?}", emulator.log);
+        change_leader(&mut emulator, leader);
+        emulator.run_for(6 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against an occurrence that a new leader releases later than the one before and starts without the gate.
+#[test]
+fn a_task_of_an_occurrence_runs_twice_at_once_under_a_leader_with_a_slower_clock() {
+    for seed in 0..SEEDS {
+        let (mut emulator, leader) = start_occurrence_early(seed, 8 * SECOND);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        change_leader(&mut emulator, leader);
+        emulator.run_for(3 * SECOND);
+        emulator.workers[worker].is_unresponsive = false;
+        emulator.run_for(12 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a run that is taken as lost because its end is not on the first page of the ended runs.
+#[test]
+fn a_done_task_runs_again_when_a_worker_has_more_ends_than_it_lists() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        emulator.submit(0, 1, job([Step { resources: LITTLE, estimate: 3 * SECOND, ..step(600) }]));
+        emulator.run_for(6 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against the same under a new leader, for which such a run is neither active nor ended.
+#[test]
+fn a_done_task_runs_again_under_the_next_leader_when_a_worker_has_more_ends_than_it_lists() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        emulator.submit(0, 1, job([Step { resources: LITTLE, ..step(600) }]));
+        emulator.run_for(SECOND / 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.kill(leader);
+        emulator.run_for(8 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a refused connection that counts as the end of a worker whose report the store has dropped.
+#[test]
+fn a_task_runs_twice_at_once_when_its_unlisted_worker_refuses_connections() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        emulator.submit(0, 1, job([Step { estimate: 3 * SECOND, ..step(1) }]));
+        emulator.run_for(SECOND / 2);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.store.unlist_worker(&emulator.workers[worker]);
+        emulator.workers[worker].is_refusing = true;
+        let leader = emulator.leader().expect("a leader");
+        emulator.kill(leader);
+        emulator.store.revoke_leases();
+        emulator.run_for(SECOND);
+        emulator.workers[worker].is_refusing = false;
+        emulator.run_for(8 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a lease that is computed from the clock of the previous life of a worker, whose clock starts anew.
+#[test]
+fn a_task_runs_twice_at_once_after_its_worker_restarted_with_a_new_clock() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        emulator.run_for(20 * SECOND);
+        (0..2).for_each(|worker| emulator.restart_worker(worker));
+        emulator.submit(0, 1, job([Step { estimate: 12 * SECOND, ..step(1) }]));
+        emulator.run_for(SECOND / 10);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        emulator.run_for(8 * SECOND);
+        emulator.workers[worker].is_unresponsive = false;
+        emulator.run_for(12 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a gate that opens for a run which a new leader adopted and then lost to a restart of its worker.
+#[test]
+fn an_adopted_run_that_is_lost_starts_once() {
+    for seed in 0..20 {
+        let mut emulator = ready(seed, 3, 3);
+        emulator.submit(0, 1, job([Step { estimate: 2 * SECOND, ..step(3) }]));
+        emulator.run_for(SECOND / 2);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        let leader = emulator.leader().expect("a leader");
+        emulator.workers[(worker + 1) % 3].is_unresponsive = true;
+        emulator.store.silent_vms.insert(leader);
+        emulator.store.revoke_leases();
+        emulator.run_for(Duration::from_millis(150 + seed * 20));
+        emulator.restart_worker(worker);
+        emulator.run_for(2 * SECOND);
+        emulator.workers[(worker + 1) % 3].is_unresponsive = false;
+        emulator.store.silent_vms.clear();
+        emulator.run_for(12 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Plays a job whose two tasks end while the store refuses the commits of the leader slowly.
+fn refuse_commits(seed: u64, rejects_repeated_keys: bool) -> Emulator {
+    let mut emulator = ready(seed, 2, 2);
+    emulator.store.rejects_repeated_keys = rejects_repeated_keys;
+    let leader = emulator.leader().expect("a leader");
+    // The tasks run on different workers, since a worker whose end waits for its record is not asked for others.
+    let first = Step { resources: WHOLE_WORKER, ..step(1) };
+    let last = Step { estimate: SECOND * 11 / 10, ..first.clone() };
+    emulator.submit(leader, 1, job([first, last]));
+    emulator.run_for(SECOND * 9 / 10);
+    // The commit of the first ends is refused, and the last end is read before it is repeated.
+    emulator.store.refused_vms.insert(leader);
+    emulator.store.commit_delay = SECOND / 5;
+    emulator.run_for(SECOND * 4 / 10 + MILLISECOND * 5 * seed as u32);
+    emulator.store.refused_vms.clear();
+    emulator.store.commit_delay = Duration::ZERO;
+    emulator.run_for(4 * SECOND);
+    emulator
+}
+
+/// Guards against a commit that writes a key twice, which a store may reject: a change of a refused commit returns to
+/// the queue beside a newer change of the same key.
+#[test]
+fn a_refused_commit_is_repeated_with_a_key_twice() {
+    for seed in 0..SEEDS {
+        let emulator = refuse_commits(seed, false);
+        let repeated: &[Key] = &emulator.store.repeated_keys;
+        assert!(repeated.is_empty(), "seed {seed}: {repeated:?}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against ends that are never recorded because the store rejects every commit with a key twice.
+#[test]
+fn a_job_is_not_completed_after_a_refused_commit() {
+    for seed in 0..SEEDS {
+        let mut emulator = refuse_commits(seed, true);
+        let leader = emulator.leader().expect("a leader");
+        let answer = emulator.read_job(leader, 1);
+        assert_eq!(answer, Some(Answer::Phase(Phase::Completed)), "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against failures that only a combination of faults causes: the store fails for single entry VMs, slowly or with
+/// the leader's key revoked, entry VMs and workers fail, and callers repeat submissions and cancel at once.
+#[test]
+fn random_faults_of_the_store_violate_no_guarantee() {
+    let seeds = std::env::var("NUTMEGFOLD_SCHEDULES").ok().and_then(|text| text.parse().ok()).unwrap_or(60);
+    let mut failures = Vec::new();
+    for seed in 0..seeds {
+        match std::panic::catch_unwind(|| play_random_faults(seed)) {
+            Ok(violations) => failures.extend(violations.first().map(|text| format!("seed {seed}: {text}"))),
+            Err(_) => failures.push(format!("seed {seed}: panic")),
+        }
+    }
+    assert!(failures.is_empty(), "{} of {seeds} seeds: {failures:#?}", failures.len());
+}
+
+/// Plays the random faults of one seed, and returns the violated guarantees.
+fn play_random_faults(seed: u64) -> Vec<String> {
+    let mut emulator = ready(seed, VMS, 6);
+    emulator.workers.iter_mut().for_each(|worker| worker.stop_duration = SECOND * 3 / 10);
+    for id in 1..=ROUNDS {
+        let last = Step { depends_on: vec![0], ..step(2) };
+        let spec = job([Step { estimate: SECOND * 7 / 10, ..step(3) }, last]);
+        if emulator.next_random().is_multiple_of(4) {
+            emulator.observer.injected_failures.insert(name(id, 0, 0), 1);
+        }
+        let vm = random_vm(&mut emulator);
+        emulator.submit(vm, id, spec.clone());
+        inject_random_fault(&mut emulator);
+        emulator.run_for(MILLISECOND * (id as u32 * 37 % 100));
+        if emulator.next_random().is_multiple_of(2) {
+            let vm = random_vm(&mut emulator);
+            emulator.submit(vm, id, spec);
+        }
+        emulator.run_for(SECOND * 3 / 10);
+        if emulator.next_random().is_multiple_of(3) {
+            let (vm, back) = (random_vm(&mut emulator), emulator.next_random() % 4);
+            emulator.cancel(vm, id.saturating_sub(back).max(1));
+        }
+        emulator.run_for(SECOND / 10);
+        for id in 1..=id {
+            let vm = random_vm(&mut emulator);
+            emulator.request(vm, &format!("{}{}", emulator::PREFIX, Id(id)), Verb::Read);
+        }
+    }
+    clear_faults(&mut emulator);
+    emulator.run_for(40 * SECOND);
+    let vm = emulator.leader().expect("a leader");
+    for id in 1..=ROUNDS {
+        let answer = emulator.read_job(vm, id);
+        let has_ended = matches!(answer, Some(Answer::Phase(phase)) if phase.has_ended());
+        if !has_ended && answer != Some(Answer::UnknownJob) {
+            emulator.observer.violations.push(format!("{}: not settled: {answer:?}", Id(id)));
+        }
+    }
+    if std::env::var_os("NUTMEGFOLD_TRACE").is_some() && !emulator.observer.violations.is_empty() {
+        println!("seed {seed}: {:#?}\n{}", emulator.observer.violations, emulator.log.join("\n"));
+    }
+    emulator.observer.violations
+}
+
+/// An entry VM that runs.
+fn random_vm(emulator: &mut Emulator) -> usize {
+    let first = emulator.next_random() as usize % VMS;
+    (first..first + VMS).map(|vm| vm % VMS).find(|vm| emulator.is_up(*vm)).expect("a VM is up")
+}
+
+fn inject_random_fault(emulator: &mut Emulator) {
+    let leader = emulator.leader();
+    let worker = emulator.next_random() as usize % emulator.workers.len();
+    match emulator.next_random() % 14 {
+        0 => kill_vms(emulator, 2),
+        1 => (0..VMS)
+            .filter(|vm| !emulator.is_up(*vm))
+            .collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|vm| emulator.start(vm)),
+        2 => emulator.store.silent_vms.extend(leader),
+        3 | 4 => {
+            emulator.store.silent_vms.extend(leader);
+            emulator.store.revoke_leases();
+        }
+        5 => emulator.store.refused_vms.extend(leader),
+        6 => emulator.store.commit_delay = SECOND * 3 / 10,
+        7 => emulator.store.commit_delay = SECOND,
+        8 => emulator.store.lost_commit_replies = 2,
+        9 => emulator.restart_worker(worker),
+        10 => emulator.workers[worker].is_unresponsive = true,
+        11 => emulator.workers.iter_mut().for_each(|worker| worker.is_unresponsive = false),
+        _ => heal_store(emulator),
+    }
+}
+
+/// Kills as many entry VMs as `count`, but not the last one.
+fn kill_vms(emulator: &mut Emulator, count: usize) {
+    for _ in 0..count {
+        if (0..VMS).filter(|vm| emulator.is_up(*vm)).count() > 1 {
+            let vm = random_vm(emulator);
+            emulator.kill(vm);
+        }
+    }
+}
+
+fn heal_store(emulator: &mut Emulator) {
+    emulator.store.silent_vms.clear();
+    emulator.store.refused_vms.clear();
+    emulator.store.commit_delay = Duration::ZERO;
+    emulator.store.lost_commit_replies = 0;
+}
+
+fn clear_faults(emulator: &mut Emulator) {
+    heal_store(emulator);
+    emulator.workers.iter_mut().for_each(|worker| worker.is_unresponsive = false);
+    for vm in 0..VMS {
+        if !emulator.is_up(vm) {
+            emulator.start(vm);
+        }
+    }
+}
