Add tests of a replaced leader and of restarted workers, and vary the time of random faults

A worker restarts and forgets the term of the next leader before the replaced one has noticed it: 2447150 vm-0 lead term 2 2815150 vm-0 ended run 1 of 1.0.0.0 on w-0: Done 3066000 vm-1 worker-reborn w-0 (vm-1 leads term 1 and has no answer from the store) 3070000 vm-1 start run 2 of 1.0.0.0 on w-0, after the acknowledgement of the end of run 1

An acknowledgement for the previous life of a worker discards an end of the new one. The emulated worker acknowledges each time that it looks at a waiting renewal; whether a worker of the platform does so is not known: 3274000 vm-1 start run 1 of 3.0.0.0 on w-0 (restarted at 3000000; the renewal with the acknowledgement waits) 4274000 vm-1 worker-reborn w-0 4360500 vm-1 start run 2 of 3.0.0.0 on w-0, after the acknowledgement of the end of run 1

A replaced leader answers that a job is unknown which the next leader has accepted, to a read and to a cancellation, and the job continues: 2036025 vm-2 lead term 2 2041000 vm-2 submit accepted; cancelled through vm-0 at 2061000, which answers UnknownJob 7062025 vm-2 start run 1 of 1.0.1.0 on w-1

The observer collects such reads by a VM that does not hold the leader's key apart from the other violations; the new test asserts that there are none. In the random faults a fault now strikes before or after the repeated submission.

--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -248,6 +248,45 @@
     }
 }
 
+/// A deployment in which job 1 was accepted by the next leader, while the replaced one does not know that it is replaced.
+fn submit_to_next_leader(seed: u64) -> (Emulator, usize) {
+    let mut emulator = ready(seed, 3, 2);
+    let replaced = emulator.leader().expect("a leader");
+    emulator.store.silent_vms.insert(replaced);
+    emulator.store.revoke_leases();
+    while emulator.leader_after(replaced).is_none() {
+        emulator.run_for(MILLISECOND);
+    }
+    let leader = emulator.leader_after(replaced).expect("the next leader");
+    let first = Step { estimate: 5 * SECOND, ..step(1) };
+    let ticket = emulator.submit(leader, 1, job([first, Step { depends_on: vec![0], ..step(1) }]));
+    emulator.run_for(SECOND / 50);
+    assert_eq!(emulator.answers.get(&ticket), Some(&Answer::Accepted), "seed {seed}: {:#?}", emulator.log);
+    (emulator, replaced)
+}
+
+/// Guards against a replaced leader that answers that a job which the next leader has accepted is unknown.
+#[test]
+fn an_accepted_job_is_unknown_to_a_replaced_leader() {
+    for seed in 0..SEEDS {
+        let (mut emulator, replaced) = submit_to_next_leader(seed);
+        emulator.read_job(replaced, 1);
+        let stale = &emulator.observer.stale_answers;
+        assert!(stale.is_empty(), "seed {seed}: {stale:#?}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against a cancellation that a replaced leader answers as one of an unknown job, so that the job continues.
+#[test]
+fn a_job_that_is_cancelled_through_a_replaced_leader_continues() {
+    for seed in 0..SEEDS {
+        let (mut emulator, replaced) = submit_to_next_leader(seed);
+        emulator.cancel(replaced, 1);
+        emulator.run_for(8 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Answer to a repeated submission of a job whose first acceptance took effect before the leadership ended, while the
 /// reply to the commit was on its way.
 fn answer_at_step_down(seed: u64) -> Option<Answer> {
@@ -421,6 +460,55 @@
     }
 }
 
+/// Guards against orders of a replaced leader to a restarted worker, which has forgotten the term of the next leader.
+#[test]
+fn a_done_task_runs_again_when_its_worker_restarted_before_the_replaced_leader_stepped_down() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        let leader = emulator.leader().expect("a leader");
+        emulator.submit(leader, 1, job([Step { estimate: SECOND / 2, ..step(1) }]));
+        emulator.run_for(SECOND / 10);
+        emulator.workers[0].is_unresponsive = true;
+        emulator.run_for(SECOND / 5);
+        emulator.store.silent_vms.insert(leader);
+        emulator.run_for(SECOND / 10 + MILLISECOND * 10 * seed as u32);
+        emulator.store.revoke_leases();
+        // The next leader's call waits when the one of the replaced leader has failed and is not repeated yet.
+        let silent =
+            |line: &String| line.contains(&format!("vm-{leader} ")) && line.contains("worker-silent");
+        while !emulator.log.iter().any(silent) {
+            emulator.run_for(MILLISECOND);
+        }
+        emulator.workers[0].is_unresponsive = false;
+        emulator.run_for(MILLISECOND * 60);
+        emulator.restart_worker(0);
+        emulator.run_for(6 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against an acknowledgement for the previous life of a worker, which discards an end of the new life.
+#[test]
+fn a_done_task_runs_again_after_an_acknowledgement_for_the_previous_life_of_its_worker() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        let leader = emulator.leader().expect("a leader");
+        emulator.submit(leader, 1, job([Step { estimate: 20 * SECOND, ..step(1) }]));
+        emulator.submit(leader, 2, job([Step { estimate: SECOND * 3 / 10, ..step(1) }]));
+        emulator.run_for(SECOND / 4);
+        emulator.store.commit_delay = SECOND / 2;
+        // No worker has room for this job, whose acceptance only delays the next commit.
+        let gpu = Resources { gpu: 1, ..WHOLE_WORKER };
+        emulator.submit(leader, FIRST_OTHER_JOB, job([Step { resources: gpu, ..step(1) }]));
+        emulator.run_for(SECOND / 4);
+        emulator.submit(leader, 3, job([Step { estimate: SECOND / 5, ..step(1) }]));
+        emulator.run_for(SECOND / 2);
+        emulator.restart_worker(0);
+        emulator.run_for(4 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Guards against a gate that opens for a run which a new leader adopted and then lost to a restart of its worker.
 #[test]
 fn an_adopted_run_that_is_lost_starts_once() {
@@ -512,12 +600,20 @@
         }
         let vm = random_vm(&mut emulator);
         emulator.submit(vm, id, spec.clone());
-        inject_random_fault(&mut emulator);
+        let is_fault_late = emulator.next_random().is_multiple_of(2);
+        if !is_fault_late {
+            inject_random_fault(&mut emulator);
+        }
         emulator.run_for(MILLISECOND * (id as u32 * 37 % 100));
         if emulator.next_random().is_multiple_of(2) {
             let vm = random_vm(&mut emulator);
             emulator.submit(vm, id, spec);
         }
+        if is_fault_late {
+            // The fault strikes when the acceptance has taken effect or is about to.
+            emulator.run_for(MILLISECOND * 50 * (id as u32 % 6));
+            inject_random_fault(&mut emulator);
+        }
         emulator.run_for(SECOND * 3 / 10);
         if emulator.next_random().is_multiple_of(3) {
             let (vm, back) = (random_vm(&mut emulator), emulator.next_random() % 4);
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -89,6 +89,12 @@
         store
     }
 
+    /// Name of the VM that holds the leader's key, if one does.
+    pub fn leader(&self) -> Option<String> {
+        let (Value::Leader(leader), _) = self.read(Key::Leader)? else { return None };
+        Some(leader.vm)
+    }
+
     /// Writes a worker's report, as the worker itself does.
     pub fn list_worker(&mut self, worker: &Worker) {
         let item = Item::Worker(worker.id.clone(), Some(worker.report()));
