--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -136,9 +136,9 @@
 fn a_task_of_a_failed_job_is_tried_once_too_often_under_the_next_leader() {
     for seed in 0..SEEDS {
         let emulator = fail_job_without_store(seed);
-        // The restart discarded the last failure of the first step, so only the third step counts.
-        let task = name(1, 2, 0).to_string();
-        let is_excess = |text: &String| text.starts_with(&task) && text.contains("after 3 failures");
+        let task_without_restart = name(1, 2, 0).to_string();
+        let is_excess =
+            |text: &String| text.starts_with(&task_without_restart) && text.contains("after 3 failures");
         let violations = &emulator.observer.violations;
         assert!(!violations.iter().any(is_excess), "seed {seed}: {violations:#?}");
     }
@@ -336,13 +336,12 @@
         emulator.run_for(SECOND * 6 / 10 + MILLISECOND * 10 * seed as u32);
         assert!(emulator.observer.completed.contains(&name(1, 0, 0)), "{:#?}", emulator.log);
         emulator.cancel(leader, 1);
-        // The worker that holds the end is unreachable for longer than a start may follow a cancellation, and restarts.
-        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
-        emulator.workers[worker].is_unresponsive = true;
+        let worker_with_end = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker_with_end].is_unresponsive = true;
         change_leader(&mut emulator, leader);
         emulator.run_for(4 * SECOND);
-        emulator.workers[worker].is_unresponsive = false;
-        emulator.restart_worker(worker);
+        emulator.workers[worker_with_end].is_unresponsive = false;
+        emulator.restart_worker(worker_with_end);
         emulator.run_for(8 * SECOND);
         assert_no_violation(&emulator, seed);
     }
@@ -473,10 +472,9 @@
         emulator.store.silent_vms.insert(leader);
         emulator.run_for(SECOND / 10 + MILLISECOND * 10 * seed as u32);
         emulator.store.revoke_leases();
-        // The next leader's call waits when the one of the replaced leader has failed and is not repeated yet.
-        let silent =
+        let is_call_lost =
             |line: &String| line.contains(&format!("vm-{leader} ")) && line.contains("worker-silent");
-        while !emulator.log.iter().any(silent) {
+        while !emulator.log.iter().any(is_call_lost) {
             emulator.run_for(MILLISECOND);
         }
         emulator.workers[0].is_unresponsive = false;
@@ -497,9 +495,8 @@
         emulator.submit(leader, 2, job([Step { estimate: SECOND * 3 / 10, ..step(1) }]));
         emulator.run_for(SECOND / 4);
         emulator.store.commit_delay = SECOND / 2;
-        // No worker has room for this job, whose acceptance only delays the next commit.
-        let gpu = Resources { gpu: 1, ..WHOLE_WORKER };
-        emulator.submit(leader, FIRST_OTHER_JOB, job([Step { resources: gpu, ..step(1) }]));
+        let unplaceable = Resources { gpu: 1, ..WHOLE_WORKER };
+        emulator.submit(leader, FIRST_OTHER_JOB, job([Step { resources: unplaceable, ..step(1) }]));
         emulator.run_for(SECOND / 4);
         emulator.submit(leader, 3, job([Step { estimate: SECOND / 5, ..step(1) }]));
         emulator.run_for(SECOND / 2);
@@ -551,8 +548,7 @@
     emulator
 }
 
-/// Guards against a commit that writes a key twice, which a store may reject: a change of a refused commit returns to
-/// the queue beside a newer change of the same key.
+/// Guards against a change of a refused commit that returns to the queue beside a newer one of the same key.
 #[test]
 fn a_refused_commit_is_repeated_with_a_key_twice() {
     for seed in 0..SEEDS {
@@ -573,8 +569,7 @@
     }
 }
 
-/// Guards against failures that only a combination of faults causes: the store fails for single entry VMs, slowly or with
-/// the leader's key revoked, entry VMs and workers fail, and callers repeat submissions and cancel at once.
+/// Guards against failures that only a combination of faults of the store, entry VMs and workers causes.
 #[test]
 fn random_faults_of_the_store_violate_no_guarantee() {
     let seeds = std::env::var("NUTMEGFOLD_SCHEDULES").ok().and_then(|text| text.parse().ok()).unwrap_or(60);
