--- /dev/null
+++ b/tests/durability.rs
@@ -0,0 +1,696 @@
+//! Tests of what callers and workers are told while the records that it rests on are not durable, on an emulated
+//! deployment.
+
+mod emulator;
+
+use std::time::Duration;
+
+use emulator::{Emulator, job, step};
+use nutmegfold::core::work::request::{Answer, Phase, Ticket, Verb};
+use nutmegfold::core::work::spec::{Id, Name, Resources, Schedule, Spec, Step};
+use nutmegfold::core::work::store::Key;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+/// Number of seeds that each test with one scenario plays.
+const SEEDS: u64 = 5;
+
+/// All cores of a worker.
+const WHOLE_WORKER: Resources = Resources { cpu_millicores: 8_000, memory_mb: 1_000, gpu: 0 };
+
+/// Resources of which a worker has enough for more runs than it lists ends.
+const LITTLE: Resources = Resources { cpu_millicores: 10, memory_mb: 10, gpu: 0 };
+
+/// Number of jobs whose acceptances do not fit into one commit.
+const JOBS_OVER_ONE_COMMIT: u64 = 30;
+
+/// Number of entry VMs under random faults.
+const VMS: usize = 4;
+
+/// Number of jobs that are submitted under random faults, one after each fault.
+const ROUNDS: u64 = 14;
+
+/// Identity of the first of the jobs that only fill commits.
+const FIRST_OTHER_JOB: u64 = 100;
+
+fn name(job: u64, step: u32, index: u32) -> Name {
+    Name { job: Id(job), occurrence: 0, step, index }
+}
+
+/// Emulated deployment after one second, in which it has elected a leader and discovered its workers.
+fn ready(seed: u64, vms: usize, workers: usize) -> Emulator {
+    let mut emulator = Emulator::new(seed, vms, workers);
+    emulator.run_for(SECOND);
+    assert!(emulator.leader().is_some(), "no leader after a second: {:#?}", emulator.log);
+    emulator
+}
+
+/// Prints the log of a failed play if `NUTMEGFOLD_TRACE` is set.
+fn assert_no_violation(emulator: &Emulator, seed: u64) {
+    if std::env::var_os("NUTMEGFOLD_TRACE").is_some() && !emulator.observer.violations.is_empty() {
+        println!("{}", emulator.log.join("\n"));
+    }
+    assert!(emulator.observer.violations.is_empty(), "seed {seed}: {:#?}", emulator.observer.violations);
+}
+
+/// Ends the leadership of a VM that the store does not answer, and waits for the next leader.
+fn change_leader(emulator: &mut Emulator, leader: usize) {
+    emulator.store.revoke_leases();
+    emulator.run_for(SECOND);
+    assert!(emulator.leader_after(leader).is_some(), "no other leader: {:#?}", emulator.log);
+}
+
+/// Worker on which the run was started, according to the log.
+fn worker_of(emulator: &Emulator, run: &str) -> usize {
+    let start = emulator.log.iter().find(|line| line.contains("\"start\"") && line.contains(run));
+    let start = start.unwrap_or_else(|| panic!("{run} was not started: {:#?}", emulator.log));
+    (0..emulator.workers.len())
+        .find(|worker| start.contains(&format!("on {}\"", emulator.workers[*worker].id)))
+        .expect("the log names the worker")
+}
+
+/// Guards against an end that is acknowledged because its task was cancelled, while the cancellation is not durable.
+#[test]
+fn a_done_task_of_a_cancelled_job_runs_again_under_the_next_leader() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 3, 2);
+        emulator.workers.iter_mut().for_each(|worker| worker.stop_duration = SECOND / 2);
+        emulator.submit(0, 1, job([step(1)]));
+        emulator.run_for(SECOND / 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.store.silent_vms.insert(leader);
+        emulator.run_for(SECOND * 2 / 5);
+        emulator.cancel(leader, 1);
+        emulator.run_for(SECOND / 5 + MILLISECOND * 10 * seed as u32);
+        assert!(emulator.observer.completed.contains(&name(1, 0, 0)), "{:#?}", emulator.log);
+        change_leader(&mut emulator, leader);
+        emulator.run_for(8 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Plays a job that fails by its first step while the store does not answer the leader, after which the run of its
+/// second step ends as done and that of its third step fails for the last time. The worker that holds the failure of
+/// the first step restarts before the leader changes.
+fn fail_job_without_store(seed: u64) -> Emulator {
+    let mut emulator = ready(seed, 3, 4);
+    emulator.workers.iter_mut().for_each(|worker| worker.stop_duration = SECOND);
+    let failing = Step { resources: WHOLE_WORKER, estimate: SECOND / 2, ..step(1) };
+    let done = Step { estimate: SECOND * 2, ..step(1) };
+    let failing_later = Step { estimate: SECOND * 3 / 5, ..step(1) };
+    emulator.observer.injected_failures.insert(name(1, 0, 0), 100);
+    emulator.observer.injected_failures.insert(name(1, 2, 0), 100);
+    emulator.submit(0, 1, job([failing, done, failing_later]));
+    emulator.run_for(SECOND * 14 / 10);
+    let leader = emulator.leader().expect("a leader");
+    emulator.store.silent_vms.insert(leader);
+    emulator.run_for(SECOND * 9 / 10);
+    let ends = |emulator: &Emulator, text: &str| {
+        emulator.log.iter().any(|line| line.contains("\"ended\"") && line.contains(text))
+    };
+    assert!(ends(&emulator, "run 3 of 0000000000000001.0.0.0"), "{:#?}", emulator.log);
+    assert!(ends(&emulator, "run 1 of 0000000000000001.0.1.0"), "{:#?}", emulator.log);
+    assert!(ends(&emulator, "run 3 of 0000000000000001.0.2.0"), "{:#?}", emulator.log);
+    let failed_on = worker_of(&emulator, "run 3 of 0000000000000001.0.0.0");
+    emulator.restart_worker(failed_on);
+    change_leader(&mut emulator, leader);
+    emulator.run_for(8 * SECOND);
+    emulator
+}
+
+/// Guards against an end that is acknowledged because its job has failed, while that failure is not durable.
+#[test]
+fn a_done_task_of_a_failed_job_runs_again_under_the_next_leader() {
+    for seed in 0..SEEDS {
+        let emulator = fail_job_without_store(seed);
+        let is_repeated = |text: &String| text.contains("after the task's completion was acknowledged");
+        let violations = &emulator.observer.violations;
+        assert!(!violations.iter().any(is_repeated), "seed {seed}: {violations:#?}");
+    }
+}
+
+/// Guards against a failure that is acknowledged because its job has failed by another task, while that is not durable.
+#[test]
+fn a_task_of_a_failed_job_is_tried_once_too_often_under_the_next_leader() {
+    for seed in 0..SEEDS {
+        let emulator = fail_job_without_store(seed);
+        let task_without_restart = name(1, 2, 0).to_string();
+        let is_excess =
+            |text: &String| text.starts_with(&task_without_restart) && text.contains("after 3 failures");
+        let violations = &emulator.observer.violations;
+        assert!(!violations.iter().any(is_excess), "seed {seed}: {violations:#?}");
+    }
+}
+
+/// A deployment in which the acceptance of job 1 has taken effect and the one of its repeated submission has not.
+struct Repeated {
+    emulator: Emulator,
+    leader: usize,
+    /// The repeated submission.
+    ticket: Ticket,
+}
+
+/// Submits job 1 and, while its acceptance is in flight, as many other jobs as `others` and job 1 again. Ends when the
+/// acceptance has taken effect, before the next commit is sent.
+fn repeat_submission(seed: u64, others: u64, failures: u32) -> Repeated {
+    let mut emulator = ready(seed, 3, 4);
+    let leader = emulator.leader().expect("a leader");
+    let spec = job([Step { estimate: 2 * SECOND, ..step(1) }]);
+    emulator.observer.injected_failures.insert(name(1, 0, 0), failures);
+    emulator.store.commit_delay = SECOND / 4;
+    let first = emulator.submit(leader, 1, spec.clone());
+    emulator.run_for(SECOND / 10);
+    for id in FIRST_OTHER_JOB..FIRST_OTHER_JOB + others {
+        emulator.submit(leader, id, job([step(1)]));
+    }
+    let ticket = emulator.submit(leader, 1, spec);
+    while !emulator.answers.contains_key(&first) {
+        emulator.run_for(MILLISECOND);
+    }
+    assert_eq!(emulator.answers.get(&first), Some(&Answer::Accepted), "seed {seed}: {:#?}", emulator.log);
+    emulator.store.commit_delay = Duration::ZERO;
+    Repeated { emulator, leader, ticket }
+}
+
+/// The same, after the store did not answer the leader for longer than commits may fail.
+fn repeat_submission_without_store(seed: u64, failures: u32) -> Repeated {
+    let mut repeated = repeat_submission(seed, JOBS_OVER_ONE_COMMIT, failures);
+    repeated.emulator.store.silent_vms.insert(repeated.leader);
+    repeated.emulator.run_for(SECOND);
+    repeated.emulator.store.silent_vms.clear();
+    repeated
+}
+
+/// Guards against the removal of a stored job whose second acceptance is still queued when commits fail.
+#[test]
+fn a_running_job_is_unknown_after_a_repeated_submission() {
+    for seed in 0..SEEDS {
+        let Repeated { mut emulator, leader, .. } = repeat_submission_without_store(seed, 0);
+        assert!(emulator.observer.is_running(name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
+        emulator.read_job(leader, 1);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a refusal, which says that the job never runs, of the repeated submission of a running job.
+#[test]
+fn a_repeated_submission_of_a_running_job_is_refused_in_a_store_outage() {
+    for seed in 0..SEEDS {
+        let Repeated { emulator, ticket, .. } = repeat_submission_without_store(seed, 0);
+        let answer = emulator.answers.get(&ticket);
+        assert!(
+            matches!(answer, Some(Answer::Accepted | Answer::Unknown)),
+            "seed {seed}: {answer:?}: {:#?}",
+            emulator.log
+        );
+    }
+}
+
+/// Guards against the same refusal where the store refuses commits instead of not answering them.
+#[test]
+fn a_repeated_submission_of_a_running_job_is_refused_when_commits_are_refused() {
+    for seed in 0..SEEDS {
+        let Repeated { mut emulator, leader, ticket } = repeat_submission(seed, 0, 0);
+        emulator.store.refused_vms.insert(leader);
+        emulator.run_for(SECOND);
+        let answer = emulator.answers.get(&ticket);
+        assert!(
+            matches!(answer, Some(Answer::Accepted | Answer::Unknown)),
+            "seed {seed}: {answer:?}: {:#?}",
+            emulator.log
+        );
+    }
+}
+
+/// Guards against an end that is acknowledged without a record because its stored job was removed.
+#[test]
+fn a_done_task_of_a_job_submitted_twice_runs_again_under_the_next_leader() {
+    for seed in 0..SEEDS {
+        let Repeated { mut emulator, leader, .. } = repeat_submission_without_store(seed, 0);
+        emulator.run_for(2 * SECOND);
+        assert!(emulator.observer.completed.contains(&name(1, 0, 0)), "{:#?}", emulator.log);
+        emulator.kill(leader);
+        emulator.run_for(10 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a panic of the leader when a run fails whose stored job was removed.
+#[test]
+fn a_failed_run_of_a_job_submitted_twice_panics_the_leader() {
+    for seed in 0..SEEDS {
+        let Repeated { mut emulator, .. } = repeat_submission_without_store(seed, 1);
+        emulator.run_for(4 * SECOND);
+        let failure = emulator.log.iter().any(|line| line.contains("\"ended\"") && line.contains("0.0.0 on"));
+        assert!(failure, "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
+/// A deployment in which job 1 was accepted by the next leader, while the replaced one does not know that it is replaced.
+fn submit_to_next_leader(seed: u64) -> (Emulator, usize) {
+    let mut emulator = ready(seed, 3, 2);
+    let replaced = emulator.leader().expect("a leader");
+    emulator.store.silent_vms.insert(replaced);
+    emulator.store.revoke_leases();
+    while emulator.leader_after(replaced).is_none() {
+        emulator.run_for(MILLISECOND);
+    }
+    let leader = emulator.leader_after(replaced).expect("the next leader");
+    let first = Step { estimate: 5 * SECOND, ..step(1) };
+    let ticket = emulator.submit(leader, 1, job([first, Step { depends_on: vec![0], ..step(1) }]));
+    emulator.run_for(SECOND / 50);
+    assert_eq!(emulator.answers.get(&ticket), Some(&Answer::Accepted), "seed {seed}: {:#?}", emulator.log);
+    (emulator, replaced)
+}
+
+/// Guards against a replaced leader that answers that a job which the next leader has accepted is unknown.
+#[test]
+fn an_accepted_job_is_unknown_to_a_replaced_leader() {
+    for seed in 0..SEEDS {
+        let (mut emulator, replaced) = submit_to_next_leader(seed);
+        emulator.read_job(replaced, 1);
+        let stale = &emulator.observer.stale_answers;
+        assert!(stale.is_empty(), "seed {seed}: {stale:#?}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against a cancellation that a replaced leader answers as one of an unknown job, so that the job continues.
+#[test]
+fn a_job_that_is_cancelled_through_a_replaced_leader_continues() {
+    for seed in 0..SEEDS {
+        let (mut emulator, replaced) = submit_to_next_leader(seed);
+        emulator.cancel(replaced, 1);
+        emulator.run_for(8 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Answer to a repeated submission of a job whose first acceptance took effect before the leadership ended, while the
+/// reply to the commit was on its way.
+fn answer_at_step_down(seed: u64) -> Option<Answer> {
+    let mut emulator = ready(seed, 3, 2);
+    let leader = emulator.leader().expect("a leader");
+    emulator.store.commit_delay = SECOND / 4;
+    emulator.submit(leader, 1, job([step(1)]));
+    emulator.run_for(SECOND / 10);
+    let repeated = emulator.submit(leader, 1, job([step(1)]));
+    emulator.store.revoke_leases();
+    emulator.run_for(SECOND / 10);
+    emulator.store.commit_delay = Duration::ZERO;
+    emulator.run_for(6 * SECOND);
+    assert!(emulator.log.iter().any(|line| line.contains("step-down")), "{:#?}", emulator.log);
+    assert!(emulator.observer.completed.contains(&name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
+    assert_no_violation(&emulator, seed);
+    emulator.answers.get(&repeated).cloned()
+}
+
+/// Guards against a refusal, which says that the job never runs, of the repeated submission of a stored job.
+#[test]
+fn a_repeated_submission_of_a_stored_job_is_refused_when_the_leadership_ends() {
+    for seed in 0..SEEDS {
+        let answer = answer_at_step_down(seed);
+        assert!(!matches!(answer, Some(Answer::Refused(_))), "seed {seed}: {answer:?}");
+    }
+}
+
+/// Guards against requests that wait for a commit and stay unanswered until the callers' deadline.
+#[test]
+fn a_request_that_waits_for_a_commit_has_no_answer_when_the_leadership_ends() {
+    for seed in 0..SEEDS {
+        let answer = answer_at_step_down(seed);
+        assert!(answer.is_some(), "seed {seed}: no answer");
+    }
+}
+
+/// Guards against an answer that a job is cancelled while its completion, which makes that true, is not durable.
+#[test]
+fn a_task_of_a_cancelled_job_starts_after_its_completion_was_lost() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 3, 2);
+        emulator.submit(0, 1, job([step(1)]));
+        emulator.run_for(SECOND / 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.store.silent_vms.insert(leader);
+        emulator.run_for(SECOND * 6 / 10 + MILLISECOND * 10 * seed as u32);
+        assert!(emulator.observer.completed.contains(&name(1, 0, 0)), "{:#?}", emulator.log);
+        emulator.cancel(leader, 1);
+        let worker_with_end = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker_with_end].is_unresponsive = true;
+        change_leader(&mut emulator, leader);
+        emulator.run_for(4 * SECOND);
+        emulator.workers[worker_with_end].is_unresponsive = false;
+        emulator.restart_worker(worker_with_end);
+        emulator.run_for(8 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// A job with one occurrence of a task of this duration, which is due `wait` after now.
+fn scheduled(emulator: &Emulator, wait: Duration, estimate: Duration) -> Spec {
+    let start_unix_ms = (emulator.now + wait).0 / 1_000;
+    let schedule = Schedule { start_unix_ms, interval_ms: 1_000, times: 1 };
+    Spec { schedule: Some(schedule), ..job([Step { estimate, ..step(1) }]) }
+}
+
+/// Runs an occurrence that is due in four seconds under a leader whose clock is three seconds ahead, until the store
+/// falls silent for that leader half a second after the start.
+fn start_occurrence_early(seed: u64, estimate: Duration) -> (Emulator, usize) {
+    let mut emulator = ready(seed, 3, 2);
+    let leader = emulator.leader().expect("a leader");
+    emulator.clock_leads[leader] = 3 * SECOND;
+    let spec = scheduled(&emulator, 4 * SECOND, estimate);
+    emulator.submit(leader, 1, spec);
+    emulator.run_for(SECOND * 3 / 2);
+    assert!(emulator.observer.is_running(name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
+    emulator.store.silent_vms.insert(leader);
+    (emulator, leader)
+}
+
+/// Guards against an end that is acknowledged although the clock of the new leader has not released its occurrence.
+#[test]
+fn a_done_task_of_an_occurrence_runs_again_under_a_leader_with_a_slower_clock() {
+    for seed in 0..SEEDS {
+        let (mut emulator, leader) = start_occurrence_early(seed, SECOND);
+        emulator.run_for(SECOND * 6 / 10);
+        assert!(emulator.observer.completed.contains(&name(1, 0, 0)), "{:#?}", emulator.log);
+        change_leader(&mut emulator, leader);
+        emulator.run_for(6 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against an occurrence that a new leader releases later than the one before and starts without the gate.
+#[test]
+fn a_task_of_an_occurrence_runs_twice_at_once_under_a_leader_with_a_slower_clock() {
+    for seed in 0..SEEDS {
+        let (mut emulator, leader) = start_occurrence_early(seed, 8 * SECOND);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        change_leader(&mut emulator, leader);
+        emulator.run_for(3 * SECOND);
+        emulator.workers[worker].is_unresponsive = false;
+        emulator.run_for(12 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a run that is taken as lost because its end is not on the first page of the ended runs.
+#[test]
+fn a_done_task_runs_again_when_a_worker_has_more_ends_than_it_lists() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        emulator.submit(0, 1, job([Step { resources: LITTLE, estimate: 3 * SECOND, ..step(600) }]));
+        emulator.run_for(6 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against the same under a new leader, for which such a run is neither active nor ended.
+#[test]
+fn a_done_task_runs_again_under_the_next_leader_when_a_worker_has_more_ends_than_it_lists() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        emulator.submit(0, 1, job([Step { resources: LITTLE, ..step(600) }]));
+        emulator.run_for(SECOND / 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.kill(leader);
+        emulator.run_for(8 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a refused connection that counts as the end of a worker whose report the store has dropped.
+#[test]
+fn a_task_runs_twice_at_once_when_its_unlisted_worker_refuses_connections() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        emulator.submit(0, 1, job([Step { estimate: 3 * SECOND, ..step(1) }]));
+        emulator.run_for(SECOND / 2);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.store.unlist_worker(&emulator.workers[worker]);
+        emulator.workers[worker].is_refusing = true;
+        let leader = emulator.leader().expect("a leader");
+        emulator.kill(leader);
+        emulator.store.revoke_leases();
+        emulator.run_for(SECOND);
+        emulator.workers[worker].is_refusing = false;
+        emulator.run_for(8 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a lease that is computed from the clock of the previous life of a worker, whose clock starts anew.
+#[test]
+fn a_task_runs_twice_at_once_after_its_worker_restarted_with_a_new_clock() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        emulator.run_for(20 * SECOND);
+        (0..2).for_each(|worker| emulator.restart_worker(worker));
+        emulator.submit(0, 1, job([Step { estimate: 12 * SECOND, ..step(1) }]));
+        emulator.run_for(SECOND / 10);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        emulator.run_for(8 * SECOND);
+        emulator.workers[worker].is_unresponsive = false;
+        emulator.run_for(12 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against orders of a replaced leader to a restarted worker, which has forgotten the term of the next leader.
+#[test]
+fn a_done_task_runs_again_when_its_worker_restarted_before_the_replaced_leader_stepped_down() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        let leader = emulator.leader().expect("a leader");
+        emulator.submit(leader, 1, job([Step { estimate: SECOND / 2, ..step(1) }]));
+        emulator.run_for(SECOND / 10);
+        emulator.workers[0].is_unresponsive = true;
+        emulator.run_for(SECOND / 5);
+        emulator.store.silent_vms.insert(leader);
+        emulator.run_for(SECOND / 10 + MILLISECOND * 10 * seed as u32);
+        emulator.store.revoke_leases();
+        let is_call_lost =
+            |line: &String| line.contains(&format!("vm-{leader} ")) && line.contains("worker-silent");
+        while !emulator.log.iter().any(is_call_lost) {
+            emulator.run_for(MILLISECOND);
+        }
+        emulator.workers[0].is_unresponsive = false;
+        emulator.run_for(MILLISECOND * 60);
+        emulator.restart_worker(0);
+        emulator.run_for(6 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against an acknowledgement for the previous life of a worker, which discards an end of the new life.
+#[test]
+fn a_done_task_runs_again_after_an_acknowledgement_for_the_previous_life_of_its_worker() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        let leader = emulator.leader().expect("a leader");
+        emulator.submit(leader, 1, job([Step { estimate: 20 * SECOND, ..step(1) }]));
+        emulator.submit(leader, 2, job([Step { estimate: SECOND * 3 / 10, ..step(1) }]));
+        emulator.run_for(SECOND / 4);
+        emulator.store.commit_delay = SECOND / 2;
+        let unplaceable = Resources { gpu: 1, ..WHOLE_WORKER };
+        emulator.submit(leader, FIRST_OTHER_JOB, job([Step { resources: unplaceable, ..step(1) }]));
+        emulator.run_for(SECOND / 4);
+        emulator.submit(leader, 3, job([Step { estimate: SECOND / 5, ..step(1) }]));
+        emulator.run_for(SECOND / 2);
+        emulator.restart_worker(0);
+        emulator.run_for(4 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a gate that opens for a run which a new leader adopted and then lost to a restart of its worker.
+#[test]
+fn an_adopted_run_that_is_lost_starts_once() {
+    for seed in 0..20 {
+        let mut emulator = ready(seed, 3, 3);
+        emulator.submit(0, 1, job([Step { estimate: 2 * SECOND, ..step(3) }]));
+        emulator.run_for(SECOND / 2);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        let leader = emulator.leader().expect("a leader");
+        emulator.workers[(worker + 1) % 3].is_unresponsive = true;
+        emulator.store.silent_vms.insert(leader);
+        emulator.store.revoke_leases();
+        emulator.run_for(Duration::from_millis(150 + seed * 20));
+        emulator.restart_worker(worker);
+        emulator.run_for(2 * SECOND);
+        emulator.workers[(worker + 1) % 3].is_unresponsive = false;
+        emulator.store.silent_vms.clear();
+        emulator.run_for(12 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Plays a job whose two tasks end while the store refuses the commits of the leader slowly.
+fn refuse_commits(seed: u64, rejects_repeated_keys: bool) -> Emulator {
+    let mut emulator = ready(seed, 2, 2);
+    emulator.store.rejects_repeated_keys = rejects_repeated_keys;
+    let leader = emulator.leader().expect("a leader");
+    // The tasks run on different workers, since a worker whose end waits for its record is not asked for others.
+    let first = Step { resources: WHOLE_WORKER, ..step(1) };
+    let last = Step { estimate: SECOND * 11 / 10, ..first.clone() };
+    emulator.submit(leader, 1, job([first, last]));
+    emulator.run_for(SECOND * 9 / 10);
+    // The commit of the first ends is refused, and the last end is read before it is repeated.
+    emulator.store.refused_vms.insert(leader);
+    emulator.store.commit_delay = SECOND / 5;
+    emulator.run_for(SECOND * 4 / 10 + MILLISECOND * 5 * seed as u32);
+    emulator.store.refused_vms.clear();
+    emulator.store.commit_delay = Duration::ZERO;
+    emulator.run_for(4 * SECOND);
+    emulator
+}
+
+/// Guards against a change of a refused commit that returns to the queue beside a newer one of the same key.
+#[test]
+fn a_refused_commit_is_repeated_with_a_key_twice() {
+    for seed in 0..SEEDS {
+        let emulator = refuse_commits(seed, false);
+        let repeated: &[Key] = &emulator.store.repeated_keys;
+        assert!(repeated.is_empty(), "seed {seed}: {repeated:?}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against ends that are never recorded because the store rejects every commit with a key twice.
+#[test]
+fn a_job_is_not_completed_after_a_refused_commit() {
+    for seed in 0..SEEDS {
+        let mut emulator = refuse_commits(seed, true);
+        let leader = emulator.leader().expect("a leader");
+        let answer = emulator.read_job(leader, 1);
+        assert_eq!(answer, Some(Answer::Phase(Phase::Completed)), "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against failures that only a combination of faults of the store, entry VMs and workers causes.
+#[test]
+fn random_faults_of_the_store_violate_no_guarantee() {
+    let seeds = std::env::var("NUTMEGFOLD_SCHEDULES").ok().and_then(|text| text.parse().ok()).unwrap_or(60);
+    let mut failures = Vec::new();
+    for seed in 0..seeds {
+        match std::panic::catch_unwind(|| play_random_faults(seed)) {
+            Ok(violations) => failures.extend(violations.first().map(|text| format!("seed {seed}: {text}"))),
+            Err(_) => failures.push(format!("seed {seed}: panic")),
+        }
+    }
+    assert!(failures.is_empty(), "{} of {seeds} seeds: {failures:#?}", failures.len());
+}
+
+/// Plays the random faults of one seed, and returns the violated guarantees.
+fn play_random_faults(seed: u64) -> Vec<String> {
+    let mut emulator = ready(seed, VMS, 6);
+    emulator.workers.iter_mut().for_each(|worker| worker.stop_duration = SECOND * 3 / 10);
+    for id in 1..=ROUNDS {
+        let last = Step { depends_on: vec![0], ..step(2) };
+        let spec = job([Step { estimate: SECOND * 7 / 10, ..step(3) }, last]);
+        if emulator.next_random().is_multiple_of(4) {
+            emulator.observer.injected_failures.insert(name(id, 0, 0), 1);
+        }
+        let vm = random_vm(&mut emulator);
+        emulator.submit(vm, id, spec.clone());
+        let is_fault_late = emulator.next_random().is_multiple_of(2);
+        if !is_fault_late {
+            inject_random_fault(&mut emulator);
+        }
+        emulator.run_for(MILLISECOND * (id as u32 * 37 % 100));
+        if emulator.next_random().is_multiple_of(2) {
+            let vm = random_vm(&mut emulator);
+            emulator.submit(vm, id, spec);
+        }
+        if is_fault_late {
+            // The fault strikes when the acceptance has taken effect or is about to.
+            emulator.run_for(MILLISECOND * 50 * (id as u32 % 6));
+            inject_random_fault(&mut emulator);
+        }
+        emulator.run_for(SECOND * 3 / 10);
+        if emulator.next_random().is_multiple_of(3) {
+            let (vm, back) = (random_vm(&mut emulator), emulator.next_random() % 4);
+            emulator.cancel(vm, id.saturating_sub(back).max(1));
+        }
+        emulator.run_for(SECOND / 10);
+        for id in 1..=id {
+            let vm = random_vm(&mut emulator);
+            emulator.request(vm, &format!("{}{}", emulator::PREFIX, Id(id)), Verb::Read);
+        }
+    }
+    clear_faults(&mut emulator);
+    emulator.run_for(40 * SECOND);
+    let vm = emulator.leader().expect("a leader");
+    for id in 1..=ROUNDS {
+        let answer = emulator.read_job(vm, id);
+        let has_ended = matches!(answer, Some(Answer::Phase(phase)) if phase.has_ended());
+        if !has_ended && answer != Some(Answer::UnknownJob) {
+            emulator.observer.violations.push(format!("{}: not settled: {answer:?}", Id(id)));
+        }
+    }
+    if std::env::var_os("NUTMEGFOLD_TRACE").is_some() && !emulator.observer.violations.is_empty() {
+        println!("seed {seed}: {:#?}\n{}", emulator.observer.violations, emulator.log.join("\n"));
+    }
+    emulator.observer.violations
+}
+
+/// An entry VM that runs.
+fn random_vm(emulator: &mut Emulator) -> usize {
+    let first = emulator.next_random() as usize % VMS;
+    (first..first + VMS).map(|vm| vm % VMS).find(|vm| emulator.is_up(*vm)).expect("a VM is up")
+}
+
+fn inject_random_fault(emulator: &mut Emulator) {
+    let leader = emulator.leader();
+    let worker = emulator.next_random() as usize % emulator.workers.len();
+    match emulator.next_random() % 14 {
+        0 => kill_vms(emulator, 2),
+        1 => (0..VMS)
+            .filter(|vm| !emulator.is_up(*vm))
+            .collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|vm| emulator.start(vm)),
+        2 => emulator.store.silent_vms.extend(leader),
+        3 | 4 => {
+            emulator.store.silent_vms.extend(leader);
+            emulator.store.revoke_leases();
+        }
+        5 => emulator.store.refused_vms.extend(leader),
+        6 => emulator.store.commit_delay = SECOND * 3 / 10,
+        7 => emulator.store.commit_delay = SECOND,
+        8 => emulator.store.lost_commit_replies = 2,
+        9 => emulator.restart_worker(worker),
+        10 => emulator.workers[worker].is_unresponsive = true,
+        11 => emulator.workers.iter_mut().for_each(|worker| worker.is_unresponsive = false),
+        _ => heal_store(emulator),
+    }
+}
+
+/// Kills as many entry VMs as `count`, but not the last one.
+fn kill_vms(emulator: &mut Emulator, count: usize) {
+    for _ in 0..count {
+        if (0..VMS).filter(|vm| emulator.is_up(*vm)).count() > 1 {
+            let vm = random_vm(emulator);
+            emulator.kill(vm);
+        }
+    }
+}
+
+fn heal_store(emulator: &mut Emulator) {
+    emulator.store.silent_vms.clear();
+    emulator.store.refused_vms.clear();
+    emulator.store.commit_delay = Duration::ZERO;
+    emulator.store.lost_commit_replies = 0;
+}
+
+fn clear_faults(emulator: &mut Emulator) {
+    heal_store(emulator);
+    emulator.workers.iter_mut().for_each(|worker| worker.is_unresponsive = false);
+    for vm in 0..VMS {
+        if !emulator.is_up(vm) {
+            emulator.start(vm);
+        }
+    }
+}
--- a/tests/work_log.rs
+++ b/tests/work_log.rs
@@ -191,7 +191,7 @@
     let faults: [(Fault, &str); 2] = [
         (
             |emulator| {
-                emulator.workers[0].refuses_connections = true;
+                emulator.workers[0].is_refusing = true;
                 emulator.store.unlist_worker(&emulator.workers[0]);
             },
             "it refuses connections and the store does not list it",
