Acknowledge an end only when the newest change of its job is durable

What callers saw: a task of a cancelled or failed job ran a second time after a run of it had ended as done and that end had been acknowledged (TWICE), or more often than its queue allows.

Cause: `record_end` returned the sequence number of the change that the end itself made, and 0 if it made none. A cancellation, and the failure of a job, remove the tasks while their own change is still queued, so the end of such a task made no change and was acknowledged with the next renewal. If the leader lost the store and its key before the commit, the next leader found neither the end nor the reason why the task needs no further run, and started it again.

`a_done_task_of_a_cancelled_job_runs_again_under_the_next_leader` failed before:

Change: each job keeps the sequence number of its newest change, and an end waits for that change whatever it changed itself. The functions that end a job or a task no longer pass sequence numbers on. Why this works: the state by which an end was judged is the newest state of its job; once that is durable, the next leader judges alike. For a job that is not known the newest change of all is taken.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -9,7 +9,7 @@
 use super::request;
 use super::run::{self, Phase, Run};
 use super::spec::{Id, Name, Resources};
-use super::{leadership, lifecycle, pace, state, task, worker};
+use super::{journal, leadership, lifecycle, pace, state, task, worker};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -349,6 +349,9 @@
 
 /// Records the end of a run. Returns the sequence number of the change that must be durable before the end is
 /// acknowledged, or 0 if there is none.
+///
+/// It is the newest change of the job, whatever the end itself changed: the next leader starts the task again if it
+/// neither reads the end nor knows the state by which the task needs no further run.
 pub(super) fn record_end(
     state: &mut super::State,
     worker_key: worker::Key,
@@ -360,7 +363,8 @@
     let job = describe_job(state, end.name.job);
     // The change is known only after the end is applied, and its entry comes before those of the consequences.
     let mut consequences = Vec::new();
-    let sequence = apply_end(state, worker_key, end, &mut consequences);
+    apply_end(state, worker_key, end, &mut consequences);
+    let sequence = journal::newest_change(state, end.name.job);
     let condition = match sequence {
         0 => "waits for no change".to_owned(),
         _ => format!("waits for change {sequence}"),
@@ -379,9 +383,8 @@
     }
 }
 
-/// Updates run, task and job for an end. Returns the sequence number of the change that stores it, or 0 if nothing is
-/// stored.
-fn apply_end(state: &mut super::State, worker_key: worker::Key, end: &Ended, out: &mut Vec<Effect>) -> u64 {
+/// Updates run, task and job for an end.
+fn apply_end(state: &mut super::State, worker_key: worker::Key, end: &Ended, out: &mut Vec<Effect>) {
     let now = state.now;
     let key = find_run(state, worker_key, end.name, end.run);
     let run = key.and_then(|key| state.runs.get(key));
@@ -405,7 +408,6 @@
         }
     }
     record_health(state, worker_key, end, out);
-    let mut sequence = 0;
     let retry_delay = if end.how == How::Failed { state.tuning.task_retry } else { Duration::ZERO };
     // The end is recorded before the run is dropped, since dropping a run queues its task again unless the task is
     // done.
@@ -420,10 +422,10 @@
                     detach_task(state, key, task);
                 }
                 state.jobs.dequeue(task);
-                sequence = lifecycle::finish_task(state, task, out);
+                lifecycle::finish_task(state, task, out);
             }
             How::Failed if !is_long_running => {
-                sequence = lifecycle::record_failure(state, task, end.run, out)
+                lifecycle::record_failure(state, task, end.run, out);
             }
             _ => {}
         }
@@ -431,7 +433,6 @@
     if let Some(key) = key {
         drop_run(state, key, now + retry_delay);
     }
-    sequence
 }
 
 /// Removes the link between a run and its task.
--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -273,7 +273,8 @@
         return answer(ticket, Answer::Cancelled, out);
     }
     state::record(out, trace::Subject::Job(id), "cancel", format!("was {:?}", job.phase));
-    let sequence = lifecycle::end_job(state, key, super::request::Phase::Cancelled, out);
+    lifecycle::end_job(state, key, super::request::Phase::Cancelled, out);
+    let sequence = journal::newest_change(state, id);
     journal::answer_when_durable(state, sequence, ticket, id, Answer::Cancelled);
 }
 
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -111,9 +111,28 @@
 }
 
 /// Queues a change and returns its sequence number. The change is durable once [`State::durable_sequence`] reaches it.
-///
-/// A change that is already queued is not queued again, since the commit writes the newest value.
 pub(super) fn enqueue(state: &mut super::State, change: Change) -> u64 {
+    let sequence = queue_change(state, change);
+    if let Change::Accept(key) | Change::Progress(key) = change
+        && let Some(job) = state.jobs.all.get_mut(key)
+    {
+        job.newest_change = job.newest_change.max(sequence);
+    }
+    sequence
+}
+
+/// Sequence number of the newest change of a job. An effect that rests on the state of the job leaves this process only
+/// once that change is durable, since the next leader knows nothing of an earlier state.
+///
+/// For a job that is not known it is the newest change of all, which includes the removal of the job.
+pub(super) fn newest_change(state: &super::State, id: Id) -> u64 {
+    let job = state.jobs.find(id).and_then(|key| state.jobs.all.get(key));
+    job.map_or(state.journal.last_sequence, |job| job.newest_change)
+}
+
+/// Adds a change to the queue. A change that is already queued is not queued again, since the commit writes the newest
+/// value.
+fn queue_change(state: &mut super::State, change: Change) -> u64 {
     let journal = &mut state.journal;
     if let Some(sequence) = journal.queued_sequences.get(&change) {
         return *sequence;
--- a/src/core/work/lifecycle.rs
+++ b/src/core/work/lifecycle.rs
@@ -37,6 +37,7 @@
         is_stored: false,
         task_progress: Vec::new(),
         finished_unix_ms: 0,
+        newest_change: 0,
     }
 }
 
@@ -80,30 +81,30 @@
     }
 }
 
-/// Ends a job and stops its runs. Returns the sequence number of the change that stores the end.
-pub(super) fn end_job(state: &mut super::State, key: job::Key, phase: Phase, out: &mut Vec<Effect>) -> u64 {
+/// Ends a job, unless it has ended, and stops its runs.
+pub(super) fn end_job(state: &mut super::State, key: job::Key, phase: Phase, out: &mut Vec<Effect>) {
+    if state.jobs.all.get(key).is_none_or(|job| job.phase.has_ended()) {
+        return;
+    }
     let sequence = journal::enqueue(state, Change::Progress(key));
     let job = &mut state.jobs.all[key];
-    if !job.phase.has_ended() {
-        job.phase = phase;
-        job.finished_unix_ms = state.unix_ms;
-        state::record(out, Subject::Job(job.id), "end", format!("{phase:?}, change {sequence}"));
-        let tasks =
-            job.open_occurrences.values().flat_map(|occurrence| occurrence.tasks.iter().flatten().copied());
-        let runs: Vec<_> = tasks
-            .filter_map(|task| state.jobs.tasks.get(task))
-            .flat_map(|task| task.runs.iter().copied())
-            .collect();
-        for run in runs {
-            control::stop(state, run, "its job has ended", out);
-            if let Some(run) = state.runs.get_mut(run) {
-                run.task = None;
-            }
+    job.phase = phase;
+    job.finished_unix_ms = state.unix_ms;
+    state::record(out, Subject::Job(job.id), "end", format!("{phase:?}, change {sequence}"));
+    let tasks =
+        job.open_occurrences.values().flat_map(|occurrence| occurrence.tasks.iter().flatten().copied());
+    let runs: Vec<_> = tasks
+        .filter_map(|task| state.jobs.tasks.get(task))
+        .flat_map(|task| task.runs.iter().copied())
+        .collect();
+    for run in runs {
+        control::stop(state, run, "its job has ended", out);
+        if let Some(run) = state.runs.get_mut(run) {
+            run.task = None;
         }
-        state.jobs.remove_tasks(key);
-        schedule_removal(state, key);
     }
-    sequence
+    state.jobs.remove_tasks(key);
+    schedule_removal(state, key);
 }
 
 /// Sets the timer that removes an ended job after its retention.
@@ -126,8 +127,8 @@
     journal::enqueue(state, Change::Forget(id));
 }
 
-/// Marks a task as done and stops its other runs. Returns the sequence number of the change that stores it.
-pub(super) fn finish_task(state: &mut super::State, key: task::Key, out: &mut Vec<Effect>) -> u64 {
+/// Marks a task as done and stops its other runs.
+pub(super) fn finish_task(state: &mut super::State, key: task::Key, out: &mut Vec<Effect>) {
     let task = &state.jobs.tasks[key];
     let (job, other_runs) = (task.job, task.runs.clone());
     for run in other_runs {
@@ -142,18 +143,12 @@
     if state.jobs.finish_task(key, state.now) {
         return end_job(state, job, Phase::Completed, out);
     }
-    journal::enqueue(state, Change::Progress(job))
+    journal::enqueue(state, Change::Progress(job));
 }
 
-/// Records the failure of a task's run. Returns the sequence number of the change that stores it.
-///
-/// The job fails when the limit of failed runs is reached, unless the step is long-running.
-pub(super) fn record_failure(
-    state: &mut super::State,
-    key: task::Key,
-    run: u32,
-    out: &mut Vec<Effect>,
-) -> u64 {
+/// Records the failure of a task's run. The job fails when the limit of failed runs is reached, unless the step is
+/// long-running.
+pub(super) fn record_failure(state: &mut super::State, key: task::Key, run: u32, out: &mut Vec<Effect>) {
     let task = &mut state.jobs.tasks[key];
     let job_key = task.job;
     let job = &state.jobs.all[job_key];
@@ -167,7 +162,7 @@
         state::record(out, Subject::Job(job.id), "give-up", reason);
         return end_job(state, job_key, Phase::Failed, out);
     }
-    journal::enqueue(state, Change::Progress(job_key))
+    journal::enqueue(state, Change::Progress(job_key));
 }
 
 /// Makes a task ready again when its last run has ended; it starts at `not_before` or later.
