Let a repeated submission wait for the one acceptance of its job

What callers saw: an accepted, running job was answered as unknown (LOST), its repeated submission was refused as if it never ran, its done tasks ran again under the next leader (TWICE), and the leader panicked when a run of it failed.

Cause: a submission that was repeated while the acceptance of the job was in flight queued a second acceptance. The first one took effect and the tasks started. If the second one was still queued when commits failed, `answer_stalled` took the job for one that was never written, refused the request and removed the stored job. Ends of its runs then wrote nothing and were acknowledged.

Change: a job keeps the sequence number of its acceptance, which is queued once, and a repeated submission waits for it. Why this works: an acceptance is either queued or in flight, never both, so a queued one belongs to a job that is not stored and has no runs. The removal of unstored jobs checks this as well, and a failure of an unknown job's run no longer panics.

--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -228,7 +228,7 @@
 }
 
 /// Stores a job and answers when it is durable. The request is idempotent: a job with the same identity is not added
-/// again.
+/// again, and a repeated request waits for the acceptance of the first one.
 fn submit(
     state: &mut super::State,
     ticket: Ticket,
@@ -238,14 +238,15 @@
     out: &mut Vec<Effect>,
 ) {
     if let Some(key) = state.jobs.find(id) {
-        if state.jobs.all[key].is_stored {
+        let job = &state.jobs.all[key];
+        if job.is_stored {
             return answer(ticket, Answer::Accepted, out);
         }
         if journal::is_failing(state) {
             return answer(ticket, Answer::Unknown, out);
         }
-        let sequence = journal::enqueue(state, journal::Change::Accept(key));
-        return journal::answer_when_durable(state, sequence, ticket, id, Answer::Accepted);
+        let acceptance = job.acceptance;
+        return journal::answer_when_durable(state, acceptance, ticket, id, Answer::Accepted);
     }
     if let Some(fault) = spec.validation_error() {
         return answer(ticket, Answer::Malformed(fault), out);
@@ -260,8 +261,9 @@
     state::record(out, trace::Subject::Job(id), "submit", reason);
     let key = state.jobs.all.insert(job);
     state.jobs.by_id.insert(id, key);
-    let sequence = journal::enqueue(state, journal::Change::Accept(key));
-    journal::answer_when_durable(state, sequence, ticket, id, Answer::Accepted);
+    let acceptance = journal::enqueue(state, journal::Change::Accept(key));
+    state.jobs.all[key].acceptance = acceptance;
+    journal::answer_when_durable(state, acceptance, ticket, id, Answer::Accepted);
 }
 
 fn cancel(state: &mut super::State, ticket: Ticket, id: Id, out: &mut Vec<Effect>) {
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -61,6 +61,8 @@
     pub task_progress: Vec<TaskProgress>,
     /// Time of the end in milliseconds since the Unix epoch; 0 if the job has not ended.
     pub finished_unix_ms: u64,
+    /// Sequence number of the change that stores the record; 0 if the record was loaded from the store.
+    pub acceptance: u64,
     /// Sequence number of the newest change of the job in the journal; 0 if this process has changed nothing.
     pub newest_change: u64,
 }
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -24,7 +24,7 @@
 /// A change of the stored records. The value is encoded when the commit is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Change {
-    /// Writes the record of an accepted job.
+    /// Writes the record of an accepted job. Queued once for each job, so that a queued one is not in flight as well.
     Accept(job::Key),
     /// Writes the progress of a job, and deletes its record if it has ended.
     Progress(job::Key),
@@ -285,17 +285,8 @@
     if !is_failing(state) {
         return;
     }
-    let in_flight: Vec<Change> = state
-        .journal
-        .in_flight
-        .iter()
-        .flat_map(|commit| commit.changes.iter().map(|(_, change)| *change))
-        .collect();
-    let (accepts, rest): (VecDeque<_>, VecDeque<_>) = state
-        .journal
-        .queue
-        .drain(..)
-        .partition(|(_, change)| matches!(change, Change::Accept(_)) && !in_flight.contains(change));
+    let (accepts, rest): (VecDeque<_>, VecDeque<_>) =
+        state.journal.queue.drain(..).partition(|(_, change)| matches!(change, Change::Accept(_)));
     state.journal.queue = rest;
     let mut withdrawn = Vec::new();
     for (sequence, change) in accepts {
--- a/src/core/work/lifecycle.rs
+++ b/src/core/work/lifecycle.rs
@@ -37,6 +37,7 @@
         is_stored: false,
         task_progress: Vec::new(),
         finished_unix_ms: 0,
+        acceptance: 0,
         newest_change: 0,
     }
 }
@@ -74,11 +75,14 @@
     state.schedule_placement();
 }
 
-/// Removes a job that was never stored.
+/// Removes a job unless it is stored: the tasks of a stored job may have runs, and the next leader loads it again.
 pub(super) fn remove_unstored(state: &mut super::State, key: job::Key) {
-    if let Some(job) = state.jobs.all.remove(key) {
-        state.jobs.by_id.remove(&job.id);
+    let Some(job) = state.jobs.all.get(key) else { return };
+    if job.is_stored {
+        return;
     }
+    state.jobs.by_id.remove(&job.id);
+    state.jobs.all.remove(key);
 }
 
 /// Ends a job, unless it has ended, and stops its runs.
@@ -151,7 +155,7 @@
 pub(super) fn record_failure(state: &mut super::State, key: task::Key, run: u32, out: &mut Vec<Effect>) {
     let task = &mut state.jobs.tasks[key];
     let job_key = task.job;
-    let job = &state.jobs.all[job_key];
+    let Some(job) = state.jobs.all.get(job_key) else { return };
     if !task.failed_runs.contains(&run) {
         task.failed_runs.push(run);
     }
