Answer the requests that wait for a commit when the leadership ends

What callers saw: a submission or cancellation that waited for a commit while the leader was replaced got no answer until the caller's timeout (3 s), and was then answered as unknown.

Change: `fail_pending` runs first. Evidence: `a_request_that_waits_for_a_commit_has_no_answer_when_the_leadership_ends` failed before ("no answer" after 6 s) and passes now. `a_repeated_submission_of_a_stored_job_is_refused_when_the_leadership_ends` passes before and after.

--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -301,12 +301,13 @@
     state::record(out, Subject::Process, "step-down", format!("term {term}: {reason}"));
     state.leadership.role = Role::Follower;
     state.load = None;
+    // The journal tells which requests wait and which of them are in flight, so they are answered before it is discarded.
+    handler::fail_pending(state, out);
     state.drop_term_calls();
     state.workers = Default::default();
     state.runs.clear();
     state.jobs = Default::default();
     state.journal = Default::default();
-    handler::fail_pending(state, out);
     super::watch::stop_watching(state, super::store::Range::Workers);
     super::watch::relist(state, super::store::Range::Leadership, Duration::ZERO);
 }
