Don't refuse requests whose commit may have taken effect before a conflict

Cause: a commit whose reply was lost is repeated. If the next leader has written the tip by then, the repetition conflicts with a foreign tip, which does not tell whether the first attempt took effect. The commit was dropped before the waiting requests were sorted into "in flight" and "not written". Change: such a commit counts as in flight when the leadership ends, so its requests are answered as unknown. The emulated store can keep the watches of single entry VMs silent for it.

--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -234,7 +234,12 @@
         Reply::Committed(revision) => Some(revision),
         Reply::Conflict(current) => match find_own_commit(&current, commit.id) {
             Some(revision) => Some(revision),
-            None => return leadership::step_down(state, "another process wrote the records", out),
+            None => {
+                // A commit without a reply may have taken effect before the other process wrote the tip, so the requests
+                // that wait for it are not refused.
+                state.journal.in_flight = Some(commit).filter(|commit| commit.may_be_applied);
+                return leadership::step_down(state, "another process wrote the records", out);
+            }
         },
         _ => None,
     };
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -324,6 +324,35 @@
     }
 }
 
+/// Guards against a refusal of a stored job whose commit got no reply and is followed by a commit of the next leader.
+#[test]
+fn a_stored_job_is_refused_when_its_commit_is_repeated_after_one_of_the_next_leader() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 3, 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.store.silent_watch_vms.insert(leader);
+        emulator.store.lost_commit_replies = 1;
+        let ticket = emulator.submit(leader, 1, job([step(1)]));
+        emulator.run_for(MILLISECOND * 20);
+        emulator.store.revoke_leases();
+        while emulator.leader_after(leader).is_none() {
+            emulator.run_for(MILLISECOND);
+        }
+        let next = emulator.leader_after(leader).expect("the next leader");
+        emulator.submit(next, 2, job([step(1)]));
+        emulator.run_for(3 * SECOND);
+        assert!(
+            emulator.log.iter().any(|line| line.contains("another process wrote")),
+            "{:#?}",
+            emulator.log
+        );
+        assert!(emulator.observer.completed.contains(&name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
+        let answer = emulator.answers.get(&ticket);
+        assert_eq!(answer, Some(&Answer::Unknown), "seed {seed}: {:#?}", emulator.log);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Guards against an answer that a job is cancelled while its completion, which makes that true, is not durable.
 #[test]
 fn a_task_of_a_cancelled_job_starts_after_its_completion_was_lost() {
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -37,6 +37,8 @@
     pub lost_commit_replies: u32,
     /// Entry VMs whose calls time out while the store serves the others.
     pub silent_vms: Set<usize>,
+    /// Entry VMs whose watches see no change while their other calls are served, as on a connection that went silent.
+    pub silent_watch_vms: Set<usize>,
     /// Entry VMs whose calls are refused without effect while the store serves the others.
     pub refused_vms: Set<usize>,
     /// Time from the execution of a commit to its reply; a reply after the timeout of the call is lost.
@@ -73,6 +75,7 @@
             pauses_leases: false,
             lost_commit_replies: 0,
             silent_vms: Set::default(),
+            silent_watch_vms: Set::default(),
             refused_vms: Set::default(),
             commit_delay: Duration::ZERO,
             rejects_repeated_keys: false,
@@ -157,7 +160,8 @@
     /// Executes a call of an entry VM. A watch waits for a change, and any call to a store that is down or silent for the
     /// VM waits for the timeout, at most until `deadline`.
     pub fn execute(&mut self, vm: usize, request: &Request, now: Instant, deadline: Instant) -> Outcome {
-        if self.is_down || self.silent_vms.contains(&vm) {
+        let is_silent_watch = matches!(request, Request::Watch { .. }) && self.silent_watch_vms.contains(&vm);
+        if self.is_down || self.silent_vms.contains(&vm) || is_silent_watch {
             return if now >= deadline { Outcome::Reply(Reply::Lost) } else { Outcome::Wait };
         }
         if self.refused_vms.contains(&vm) {
