Answer a cancellation only when the end of the job is durable

What callers saw: a job was answered as cancelled, and a task of it started 5 s later under the next leader.

Cause: a cancellation of a job that was completed or had failed in memory was answered at once, although that end was not durable. The next leader loaded the job as running. Change: such a cancellation waits for the newest change of the job like any other; only an end that is durable is answered at once. Evidence: `a_task_of_a_cancelled_job_starts_after_its_completion_was_lost` failed before (run 2000 starts 5.015 s after the answer) and passes now.

--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -266,12 +266,13 @@
     journal::answer_when_durable(state, acceptance, ticket, id, Answer::Accepted);
 }
 
+/// Ends a job unless it has ended, and answers when its end is durable.
 fn cancel(state: &mut super::State, ticket: Ticket, id: Id, out: &mut Vec<Effect>) {
     let Some(key) = state.jobs.find(id) else {
         return answer_unknown_job(state, ticket, id, "cancellation of a job that is not known", out);
     };
     let job = &state.jobs.all[key];
-    if job.is_final || matches!(job.phase, super::request::Phase::Completed | super::request::Phase::Failed) {
+    if job.is_final {
         return answer(ticket, Answer::Cancelled, out);
     }
     state::record(out, trace::Subject::Job(id), "cancel", format!("was {:?}", job.phase));
