Write each key once in a commit

What callers would see: a job that is never completed, and every later change of that term lost, if the store rejects a transaction that writes a key twice. Whether the platform's store does so is not known.

Cause: the changes of a refused commit return to the front of the queue. A job that has changed since then has a second entry there, and both were written by the next commit. Change: a commit writes the newest value of a change once, and keeps both sequence numbers. Evidence: `a_refused_commit_is_repeated_with_a_key_twice` failed before (Progress(1) twice), and `a_job_is_not_completed_after_a_refused_commit`, whose store rejects such a commit; both pass now.

--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -180,7 +180,10 @@
     while transaction.put.len() + transaction.delete.len() + 1 < max_keys {
         let Some((sequence, change)) = state.journal.queue.pop_front() else { break };
         state.journal.queued_sequences.remove(&change);
-        add_to_transaction(state, change, &mut transaction);
+        // A change of a refused commit returns to the queue beside a later one of the same key, whose value it writes.
+        if !changes.iter().any(|(_, earlier)| *earlier == change) {
+            add_to_transaction(state, change, &mut transaction);
+        }
         changes.push((sequence, change));
     }
     if changes.is_empty() {
