Confirm the leadership before a job is answered as unknown

What callers saw: an accepted job was answered as unknown, and a cancellation of it was answered as if there were no such job, while it went on running.

Cause: a leader acts for 5 s after its last confirmed renewal. If the store takes its key away, the next leader accepts jobs that the replaced one does not know; entry VMs that are cut off from the store, too, still forward to the replaced one, which answered from its memory. An acceptance always waits for a commit, which proves the leadership; the denial of a job did not.

Change: "unknown" waits for a commit that is sent after the request, as a change that writes nothing (`Change::Confirm`), which joins the next group commit. A read of a job whose acceptance is not durable waits for the acceptance. While commits fail, both are refused, which is true for a request without effect.

--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -209,22 +209,33 @@
     }
 }
 
+/// Answers with the phase of a job; waits for the acceptance of a job that is not stored yet.
 fn read(state: &mut super::State, ticket: Ticket, id: Id, out: &mut Vec<Effect>) {
-    let job = state.jobs.find(id).and_then(|key| state.jobs.all.get(key));
-    match job {
-        Some(job) if job.is_stored => answer(ticket, Answer::Phase(job.visible_phase()), out),
-        Some(_) => answer_unknown_job(state, ticket, id, "read of a job that is not stored", out),
-        None => answer_unknown_job(state, ticket, id, "read of a job that is not known", out),
+    let Some(job) = state.jobs.find(id).and_then(|key| state.jobs.all.get(key)) else {
+        return answer_unknown_job(state, ticket, id, "read of a job that is not known", out);
+    };
+    let (phase, acceptance) = (Answer::Phase(job.visible_phase()), job.acceptance);
+    if job.is_stored {
+        return answer(ticket, phase, out);
+    }
+    if journal::is_failing(state) {
+        return refuse(state, ticket, Some(id), "commits to the store fail", out);
     }
+    journal::answer_when_durable(state, acceptance, ticket, id, phase);
 }
 
-/// Answers that a job is unknown. Only some of these answers get a timeline entry; the metrics count all of them.
+/// Answers that a job is unknown once a commit proves that this process still leads: a replaced leader does not know the
+/// jobs that the next one has accepted. Only some of these answers get a timeline entry; the metrics count all of them.
 fn answer_unknown_job(state: &mut super::State, ticket: Ticket, id: Id, reason: &str, out: &mut Vec<Effect>) {
+    if journal::is_failing(state) {
+        return refuse(state, ticket, Some(id), "commits to the store fail", out);
+    }
     if state.requests.note_unknown_job(id, state.now) {
         let reason = format!("{reason}, term {}", state.leadership.term());
         state::record(out, trace::Subject::Job(id), "unknown-job", reason);
     }
-    answer(ticket, Answer::UnknownJob, out);
+    let sequence = journal::enqueue(state, journal::Change::Confirm);
+    journal::answer_when_durable(state, sequence, ticket, id, Answer::UnknownJob);
 }
 
 /// Stores a job and answers when it is durable. The request is idempotent: a job with the same identity is not added
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -34,6 +34,8 @@
     Roster,
     /// Writes the image estimates.
     Images,
+    /// Writes nothing: its commit proves that this process still led when the commit was executed.
+    Confirm,
 }
 
 /// A commit whose outcome is not known.
@@ -94,11 +96,13 @@
         *self = Self { tip_revision: tip, next_commit: now, ..Self::default() };
     }
 
-    /// Removes all waiting requests: first those in a commit whose outcome is unknown, then those that were not written.
+    /// Removes all waiting requests: first those in a commit whose outcome is unknown, then those that had no effect.
     pub fn drain_waiting(&mut self) -> (Vec<Caller>, Vec<Caller>) {
         let last_in_flight = self.in_flight.as_ref().map_or(0, Commit::last_sequence);
-        let (in_flight, unwritten): (Vec<_>, Vec<_>) =
-            self.waiting.drain(..).partition(|waiting| waiting.sequence <= last_in_flight);
+        let (in_flight, unwritten): (Vec<_>, Vec<_>) = self
+            .waiting
+            .drain(..)
+            .partition(|waiting| waiting.sequence <= last_in_flight && !waiting.answer.is_without_effect());
         let callers =
             |list: Vec<Waiting>| list.into_iter().map(|waiting| (waiting.ticket, waiting.job)).collect();
         (callers(in_flight), callers(unwritten))
@@ -215,6 +219,7 @@
             transaction.put.push((Key::Progress(job.id), Value::Progress(progress), None));
         }
         Change::Forget(id) => transaction.delete.push(Key::Progress(id)),
+        Change::Confirm => {}
         Change::Images => {
             transaction.put.push((Key::Images, Value::Images(state.images.estimates()), None));
         }
@@ -287,8 +292,8 @@
 
 /// Answers the requests that wait for a commit if [`is_failing`].
 ///
-/// Jobs that are not written are refused and removed. A change in flight may still take effect, so the outcome of its
-/// request is unknown.
+/// Jobs that are not written are refused and removed, and reads are refused. A change in flight may still take effect, so
+/// the outcome of its request is unknown.
 fn answer_stalled(state: &mut super::State, out: &mut Vec<Effect>) {
     if !is_failing(state) {
         return;
@@ -306,8 +311,8 @@
         }
     }
     let last_in_flight = state.journal.in_flight.as_ref().map_or(0, Commit::last_sequence);
-    for Waiting { sequence, ticket, job, .. } in std::mem::take(&mut state.journal.waiting) {
-        let (decision, answer) = if withdrawn.contains(&sequence) {
+    for Waiting { sequence, ticket, job, answer } in std::mem::take(&mut state.journal.waiting) {
+        let (decision, answer) = if withdrawn.contains(&sequence) || answer.is_without_effect() {
             ("refuse", Answer::Refused(state.tuning.retry_after_s))
         } else {
             ("answer-unknown", Answer::Unknown)
@@ -353,7 +358,7 @@
                 job.is_final = true;
             }
         }
-        Change::Forget(_) | Change::Images => {}
+        Change::Forget(_) | Change::Images | Change::Confirm => {}
         Change::Roster => {
             if !state.journal.queued_sequences.contains_key(&Change::Roster) {
                 for worker in state.workers.all.values_mut() {
--- a/src/core/work/request.rs
+++ b/src/core/work/request.rs
@@ -89,6 +89,11 @@
 }
 
 impl Answer {
+    /// Whether a request with this answer changed nothing, so that it can be refused instead.
+    pub fn is_without_effect(&self) -> bool {
+        !matches!(self, Answer::Accepted | Answer::Cancelled | Answer::Unknown)
+    }
+
     /// Short name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
