Count a completed run whose end is read after its lease

The users' rule allows it, since the lease had lapsed, but the work is done twice.

Cause: when a worker comes back, the task of its completed run has another run already. The end was dropped and acknowledged, and if the other run failed, the task started again. Change: a completion counts as long as the task is not done, and stops the other run. Failures did so before. Evidence: `a_done_task_runs_again_when_its_end_is_read_after_its_lease` failed before (3 starts instead of 2):

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -390,11 +390,14 @@
     let run = key.and_then(|key| state.runs.get(key));
     let task_key = match run {
         Some(run) => run.task,
-        // The run is from an earlier term, or its lease was taken as expired. A failure counts unless the task is done;
-        // any other end counts unless the task has another run by now.
+        // The run is from an earlier term, or its lease was taken as expired. Completion and failure count unless the task
+        // is done; any other end counts unless the task has another run by now.
         None => state.jobs.find_task(end.name).filter(|task| {
             let task = &state.jobs.tasks[*task];
-            task.runs.is_empty() || (end.how == How::Failed && task.phase != task::Phase::Done)
+            match end.how {
+                How::Done | How::Failed => task.phase != task::Phase::Done,
+                _ => task.runs.is_empty(),
+            }
         }),
     };
     let step = step_of(state, end.name).cloned();
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -47,6 +47,11 @@
     emulator
 }
 
+fn is_completed(emulator: &mut Emulator, id: u64) -> bool {
+    let leader = emulator.leader().expect("a leader");
+    emulator.read_job(leader, id) == Some(Answer::Phase(Phase::Completed))
+}
+
 /// Prints the log of a failed play if `NUTMEGFOLD_TRACE` is set.
 fn assert_no_violation(emulator: &Emulator, seed: u64) {
     if std::env::var_os("NUTMEGFOLD_TRACE").is_some() && !emulator.observer.violations.is_empty() {
@@ -470,6 +475,27 @@
     }
 }
 
+/// Guards against an end as done that is acknowledged and does not count, because its task has another run by then.
+#[test]
+fn a_done_task_runs_again_when_its_end_is_read_after_its_lease() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        emulator.submit(0, 1, job([step(1)]));
+        emulator.run_for(SECOND / 2);
+        emulator.observer.injected_failures.insert(name(1, 0, 0), 1);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        let is_repeated = |line: &String| line.contains("\"start\"") && line.contains("run 2 of");
+        while !emulator.log.iter().any(is_repeated) {
+            emulator.run_for(MILLISECOND * 10);
+        }
+        emulator.workers[worker].is_unresponsive = false;
+        emulator.run_for(6 * SECOND);
+        assert!(is_completed(&mut emulator, 1), "seed {seed}: {:#?}", emulator.log);
+        assert_eq!(emulator.observer.start_count, 2, "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
 /// Guards against a lease that is computed from the clock of the previous life of a worker, whose clock starts anew.
 #[test]
 fn a_task_runs_twice_at_once_after_its_worker_restarted_with_a_new_clock() {
