Enroll the workers of a roster as soon as it is durable

Cause: a committed roster enrolled its workers only if no newer roster was queued. Change: a commit enrolls exactly the workers that it wrote. Evidence: `new_workers_are_used_while_others_keep_joining` failed before (4 of 40 tasks run) and passes now.

--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -260,7 +260,7 @@
         state.timers.set(state.journal.next_commit, Timer::Commit);
     }
     for (_, change) in commit.changes {
-        apply_committed(state, change);
+        apply_committed(state, change, &commit.transaction);
     }
     answer_durable(state, out);
     renewal::acknowledge_durable(state, out);
@@ -340,8 +340,8 @@
     })
 }
 
-/// Updates the state for a change that has become durable.
-fn apply_committed(state: &mut super::State, change: Change) {
+/// Updates the state for a change that has become durable with a transaction.
+fn apply_committed(state: &mut super::State, change: Change, transaction: &Transaction) {
     match change {
         Change::Accept(key) => {
             if let Some(job) = state.jobs.all.get_mut(key) {
@@ -360,10 +360,12 @@
         }
         Change::Forget(_) | Change::Images | Change::Confirm => {}
         Change::Roster => {
-            if !state.journal.queued_sequences.contains_key(&Change::Roster) {
-                for worker in state.workers.all.values_mut() {
-                    worker.is_enrolled = true;
-                }
+            let rosters = transaction.put.iter().filter_map(|(_, value, _)| match value {
+                Value::Roster(members) => Some(members),
+                _ => None,
+            });
+            for member in rosters.flatten() {
+                state.workers.enroll(&member.id);
             }
         }
     }
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -290,6 +290,13 @@
         key
     }
 
+    /// Records that the roster in the store contains a worker.
+    pub fn enroll(&mut self, id: &str) {
+        if let Some(worker) = self.by_id.get(id).and_then(|key| self.all.get_mut(*key)) {
+            worker.is_enrolled = true;
+        }
+    }
+
     /// Removes a worker from the table.
     pub fn remove(&mut self, key: Key) {
         if let Some(worker) = self.all.remove(key) {
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -420,6 +420,28 @@
     }
 }
 
+/// Guards against workers that are never used because the roster changes again before each write of it is complete.
+#[test]
+fn new_workers_are_used_while_others_keep_joining() {
+    let mut emulator = Emulator::new(18, 2, 60);
+    for worker in &emulator.workers[1..] {
+        emulator.store.unlist_worker(worker);
+    }
+    emulator.run_for(SECOND);
+    // A new worker joins before each commit completes.
+    emulator.store.commit_delay = SECOND / 4;
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(40) }]));
+    for worker in 1..60 {
+        emulator.store.list_worker(&emulator.workers[worker]);
+        emulator.run_for(SECOND / 10);
+        if worker == 40 {
+            let running = (0..40).filter(|index| emulator.observer.is_running(name(1, 0, *index))).count();
+            assert_eq!(running, 40, "{:#?}", emulator.log);
+        }
+    }
+    assert_no_violation(&emulator);
+}
+
 /// Result of running serving and filling tasks on the same workers.
 struct Colocation {
     /// Total time that serving tasks were over their latency targets.
