Write the roster again when a worker has a new address

What callers would see: a task that runs twice at once after a change of the leader, if a worker that restarted under its id at another address is not listed by the store at that time.

Cause: the roster names the address at which the next leader looks for runs of a worker. A worker stayed enrolled when its report came with another address, so the stored one was out of date; a refused connection there counts as the end of the worker. Change: a worker is enrolled only while the durable roster has its current address. Workers that were listed while the records were loaded are enrolled at the end of loading, not with the next report. Evidence: `the_roster_keeps_the_old_address_of_a_restarted_worker` failed before (the roster has port 8000 instead of 9000).

--- a/src/core/work/discovery.rs
+++ b/src/core/work/discovery.rs
@@ -51,6 +51,8 @@
     if begins_draining {
         state::record(out, Subject::Process, "worker-drains", id.to_owned());
     }
+    // The next leader finds a worker at its address in the roster, so a new address is written before a task starts there.
+    worker.is_enrolled &= worker.address == report.address;
     worker.address = report.address;
     worker.is_listed = true;
     worker.report = Some(report);
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -365,7 +365,7 @@
                 _ => None,
             });
             for member in rosters.flatten() {
-                state.workers.enroll(&member.id);
+                state.workers.enroll(member);
             }
         }
     }
--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -9,7 +9,7 @@
 use super::store::{Item, Key, Member, Progress, Range, Record, Reply, Request, Value};
 use super::timer::Timer;
 use super::worker::Gate;
-use super::{handler, lifecycle, renewal, watch};
+use super::{handler, journal, lifecycle, renewal, watch};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -138,8 +138,8 @@
     state.journal.begin(load.tip_revision, state.now);
     let enrolled = load.roster.len();
     for member in &load.roster {
-        let key = state.workers.get_or_insert(&member.id, member.address, state.now);
-        state.workers.all[key].is_enrolled = true;
+        state.workers.get_or_insert(&member.id, member.address, state.now);
+        state.workers.enroll(member);
     }
     let job_count = load.jobs.len();
     restore(state, load.jobs, load.progress);
@@ -151,6 +151,7 @@
     let elapsed_ms = state.now.since(begun).as_millis();
     let reason = format!("{job_count} jobs, {enrolled} known workers, read in {elapsed_ms} ms");
     state::record(out, Subject::Process, "loaded", reason);
+    journal::enroll(state, out);
     for key in state.workers.all.keys().collect::<Vec<_>>() {
         renewal::send_if_due(state, key, out);
     }
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -7,6 +7,7 @@
 use slotmap::SlotMap;
 
 use super::spec::Resources;
+use super::store::Member;
 use super::{image, run};
 use crate::core::time::Instant;
 use crate::hash::Map;
@@ -83,7 +84,7 @@
     pub clock_reading: Option<ClockReading>,
     /// When the leases of all runs ordered on it have expired, unless they are renewed.
     pub leases_expire_at: Instant,
-    /// Whether the roster in the store contains it.
+    /// Whether the roster in the store contains it with its current address.
     pub is_enrolled: bool,
     /// When it last answered a renewal in this term.
     pub last_answer_at: Option<Instant>,
@@ -290,10 +291,10 @@
         key
     }
 
-    /// Records that the roster in the store contains a worker.
-    pub fn enroll(&mut self, id: &str) {
-        if let Some(worker) = self.by_id.get(id).and_then(|key| self.all.get_mut(*key)) {
-            worker.is_enrolled = true;
+    /// Records that the roster in the store contains a worker, unless its address has changed since.
+    pub fn enroll(&mut self, member: &Member) {
+        if let Some(worker) = self.by_id.get(&member.id).and_then(|key| self.all.get_mut(*key)) {
+            worker.is_enrolled |= worker.address == member.address;
         }
     }
 
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -6,7 +6,7 @@
 use nutmegfold::core::time::Instant;
 use nutmegfold::core::work::config::Config;
 use nutmegfold::core::work::store::{
-    Change, Item, Key, Range, Removed, Reply, Request, Revision, Transaction, Value,
+    Change, Item, Key, Member, Range, Removed, Reply, Request, Revision, Transaction, Value,
 };
 use nutmegfold::hash::{Map, Set};
 
@@ -98,6 +98,12 @@
         Some(leader.vm)
     }
 
+    /// Workers in the stored roster.
+    pub fn roster(&self) -> Vec<Member> {
+        let Some((Value::Roster(members), _)) = self.read(Key::Roster) else { return Vec::new() };
+        members
+    }
+
     /// Writes a worker's report, as the worker itself does.
     pub fn list_worker(&mut self, worker: &Worker) {
         let item = Item::Worker(worker.id.clone(), Some(worker.report()));
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -284,6 +284,8 @@
     pub interferences: Vec<Interference>,
     /// Number of further start orders that are executed but whose reply is lost.
     pub lost_start_replies: u32,
+    /// Port of the worker's address.
+    pub port: u16,
     number: usize,
     incarnation: u64,
     started_at: Instant,
@@ -308,6 +310,7 @@
             stop_duration: Duration::ZERO,
             interferences: Vec::new(),
             lost_start_replies: 0,
+            port: 8_000,
             number,
             incarnation: 1,
             started_at: Instant::default(),
@@ -324,7 +327,7 @@
     pub fn report(&self) -> Report {
         Report {
             service: "desk".into(),
-            address: format!("10.1.{}.{}:8000", self.number / 250, self.number % 250 + 1)
+            address: format!("10.1.{}.{}:{}", self.number / 250, self.number % 250 + 1, self.port)
                 .parse()
                 .expect("address"),
             zone: "z".into(),
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -442,6 +442,20 @@
     assert_no_violation(&emulator);
 }
 
+/// Guards against a roster with the old address of a restarted worker, at which the next leader finds nothing.
+#[test]
+fn the_roster_keeps_the_old_address_of_a_restarted_worker() {
+    let mut emulator = ready(19, 2, 3);
+    emulator.workers[1].port = 9_000;
+    emulator.restart_worker(1);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(12) }]));
+    emulator.run_for(SECOND);
+    assert!((0..12).all(|index| emulator.observer.is_running(name(1, 0, index))), "{:#?}", emulator.log);
+    let address = emulator.workers[1].report().address;
+    let roster = emulator.store.roster();
+    assert!(roster.iter().any(|member| member.address == address), "{roster:?}");
+}
+
 /// Result of running serving and filling tasks on the same workers.
 struct Colocation {
     /// Total time that serving tasks were over their latency targets.
