Hold occurrences that an earlier leader released back like other inherited work

What callers would see: tasks of a recurring job run twice, one after the other or at once, after a change to a leader whose clock is behind.

Cause: an occurrence that the new leader's clock released later than the former one's was released as if this term had accepted the job: its tasks did not wait for the gate, and their runs were numbered from 1 again. Until then, a run of it was stopped as unknown, and its end was acknowledged without a record. Change: a job knows the term that inherited it, and all its occurrences are released accordingly. An occurrence of which a worker lists a run or an end is released at once; its other tasks start when it is due. Evidence: `a_done_task_of_an_occurrence_runs_again_under_a_leader_with_a_slower_clock` (run 2 starts after the end was acknowledged) and `a_task_of_an_occurrence_runs_twice_at_once_under_a_leader_with_a_slower_clock` (run 1 on two workers) failed before.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -291,6 +291,7 @@
 /// not done; otherwise it is stopped.
 fn adopt(state: &mut super::State, worker_key: worker::Key, row: &Running, out: &mut Vec<Effect>) {
     let now = state.now;
+    lifecycle::release_listed(state, row.name);
     let task_key = state.jobs.find_task(row.name);
     let task = task_key.and_then(|key| state.jobs.tasks.get(key));
     // A task with a run can be blocked here: the ends of the steps before it may not have been read yet.
@@ -386,6 +387,7 @@
 /// Updates run, task and job for an end.
 fn apply_end(state: &mut super::State, worker_key: worker::Key, end: &Ended, out: &mut Vec<Effect>) {
     let now = state.now;
+    lifecycle::release_listed(state, end.name);
     let key = find_run(state, worker_key, end.name, end.run);
     let run = key.and_then(|key| state.runs.get(key));
     let task_key = match run {
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -61,6 +61,9 @@
     pub task_progress: Vec<TaskProgress>,
     /// Time of the end in milliseconds since the Unix epoch; 0 if the job has not ended.
     pub finished_unix_ms: u64,
+    /// Term in which the job was loaded from the store, so that an earlier leader may have started its tasks; `None` if
+    /// this term accepted it.
+    pub inherited_in: Option<u64>,
     /// Sequence number of the change that stores the record; 0 if the record was loaded from the store.
     pub acceptance: u64,
     /// Sequence number of the newest change of the job in the journal; 0 if this process has changed nothing.
@@ -121,12 +124,11 @@
         step.get(name.index as usize).copied()
     }
 
-    /// Releases the next occurrence: creates its tasks with the progress that was loaded from the store.
-    ///
-    /// `term` is the leader's term if an earlier leader may have started tasks of the job, and `None` otherwise.
-    pub fn release(&mut self, key: Key, term: Option<u64>, now: Instant) {
+    /// Releases the next occurrence: creates its tasks with the progress that was loaded from the store. They start at
+    /// `not_before` or later.
+    pub fn release(&mut self, key: Key, not_before: Instant, now: Instant) {
         let Some(job) = self.all.get_mut(key) else { return };
-        let number = job.released_count;
+        let (number, term) = (job.released_count, job.inherited_in);
         job.released_count += 1;
         let loaded: Map<(u32, u32), TaskProgress> = job
             .task_progress
@@ -153,7 +155,7 @@
                     checkpoint: String::new(),
                     avoid_worker: None,
                     ready_at: now,
-                    not_before: Instant::default(),
+                    not_before,
                     is_inherited: term.is_some(),
                     may_have_unseen_run: term.is_some(),
                 }));
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -346,7 +346,7 @@
         Change::Accept(key) => {
             if let Some(job) = state.jobs.all.get_mut(key) {
                 job.is_stored = true;
-                lifecycle::release_due(state, key, None);
+                lifecycle::release_due(state, key);
             }
         }
         Change::Progress(key) => {
--- a/src/core/work/lifecycle.rs
+++ b/src/core/work/lifecycle.rs
@@ -5,7 +5,7 @@
 use super::job::{self, Job};
 use super::journal::{self, Change};
 use super::request::Phase;
-use super::spec::Id;
+use super::spec::{Id, Name};
 use super::store::Record;
 use super::timer::Timer;
 use super::{control, state, task};
@@ -37,6 +37,7 @@
         is_stored: false,
         task_progress: Vec::new(),
         finished_unix_ms: 0,
+        inherited_in: None,
         acceptance: 0,
         newest_change: 0,
     }
@@ -55,26 +56,40 @@
 }
 
 /// Releases the occurrences whose release time has come, and sets a timer for the next one.
-///
-/// `term` is the leader's term if an earlier leader may have started tasks of the job, and `None` otherwise.
-pub(super) fn release_due(state: &mut super::State, key: job::Key, term: Option<u64>) {
-    while let Some(job) = state.jobs.all.get(key) {
-        if job.phase.has_ended() || job.released_count >= job.spec.occurrences() {
+pub(super) fn release_due(state: &mut super::State, key: job::Key) {
+    while let Some(wait) = time_to_release(state, key) {
+        if !wait.is_zero() {
+            state.timers.set(state.now + wait, Timer::Release(key));
             break;
         }
-        if let Some(schedule) = job.spec.schedule {
-            let due = schedule.start_unix_ms + schedule.interval_ms * u64::from(job.released_count);
-            if due > state.unix_ms {
-                let wait = Duration::from_millis(due - state.unix_ms);
-                state.timers.set(state.now + wait, Timer::Release(key));
-                break;
-            }
-        }
-        state.jobs.release(key, term, state.now);
+        state.jobs.release(key, Instant::default(), state.now);
     }
     state.schedule_placement();
 }
 
+/// Releases the occurrences up to one of which a worker lists a run. An earlier leader whose clock is ahead may have
+/// released it before this one does. Tasks without a run wait until the occurrence is due.
+pub(super) fn release_listed(state: &mut super::State, name: Name) {
+    let Some(key) = state.jobs.find(name.job) else { return };
+    while state.jobs.all.get(key).is_some_and(|job| job.released_count <= name.occurrence) {
+        let Some(wait) = time_to_release(state, key) else { return };
+        state.jobs.release(key, state.now + wait, state.now);
+    }
+}
+
+/// Time until the next occurrence of a job is due; `None` if none is left or the job has ended.
+fn time_to_release(state: &super::State, key: job::Key) -> Option<Duration> {
+    let job = state.jobs.all.get(key)?;
+    if job.phase.has_ended() || job.released_count >= job.spec.occurrences() {
+        return None;
+    }
+    let due = job
+        .spec
+        .schedule
+        .map_or(0, |schedule| schedule.start_unix_ms + schedule.interval_ms * u64::from(job.released_count));
+    Some(Duration::from_millis(due.saturating_sub(state.unix_ms)))
+}
+
 /// Removes a job unless it is stored: the tasks of a stored job may have runs, and the next leader loads it again.
 pub(super) fn remove_unstored(state: &mut super::State, key: job::Key) {
     let Some(job) = state.jobs.all.get(key) else { return };
--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -199,6 +199,7 @@
         task_progress: progress.task_progress,
         finished_unix_ms: progress.finished_unix_ms,
         is_stored: true,
+        inherited_in: Some(state.leadership.term()),
         ..lifecycle::new_job(state, id, record)
     };
     let has_ended = job.phase.has_ended();
@@ -208,7 +209,7 @@
     if has_ended {
         lifecycle::schedule_removal(state, key);
     } else {
-        lifecycle::release_due(state, key, Some(state.leadership.term()));
+        lifecycle::release_due(state, key);
     }
 }
 
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -77,7 +77,7 @@
             Timer::RenewWorker(worker) => renewal::run_timer(state, worker, out),
             Timer::StoreImages(term) => pace::store_images(state, term),
             Timer::Place => place::run_timer(state, out),
-            Timer::Release(job) => lifecycle::release_due(state, job, None),
+            Timer::Release(job) => lifecycle::release_due(state, job),
             Timer::Forget(job) => lifecycle::remove_ended(state, job),
             Timer::Stop => stop::advance(state, out),
         }
