Don't take a run as lost while its worker has more ends than it lists

What callers would see: tasks run twice without any fault, if more than 500 runs end on a worker before their ends are acknowledged.

Cause: a worker lists the 500 ends with the lowest numbers. A run whose end is not among them is in neither list, so it counted as lost and its task started again; its end was acknowledged later. A new leader counted such a worker as reached. Change: the adapter tells whether the list of ends is full. While it is, missing runs are kept and the gate after a change of the leader waits for the worker.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -5,7 +5,7 @@
 //! start was acknowledged or the stop confirmed; or the lease of the run has expired.
 
 use super::event::Fault;
-use super::order::{Ended, How, Order, Refusal, Reply, Running};
+use super::order::{Ended, How, Listing, Order, Refusal, Reply, Running};
 use super::request;
 use super::run::{self, Phase, Run};
 use super::spec::{Id, Name, Resources};
@@ -467,26 +467,29 @@
 }
 
 /// Reconciles the runs of a worker with the answer to the renewal sent at `sent`: drops runs that it does not list,
-/// stops unconfirmed ones, and checks the progress of the others.
+/// stops unconfirmed ones, and checks the progress of the others. While the worker has ends that it does not list, a
+/// missing run may have ended, so it is kept.
 pub(super) fn reconcile(
     state: &mut super::State,
     worker: worker::Key,
     sent: Instant,
-    listed: &[Running],
+    listing: &Listing,
     out: &mut Vec<Effect>,
 ) {
     let now = state.now;
     for key in state.workers.all[worker].runs.clone() {
         let Some(run) = state.runs.get(key) else { continue };
-        if listed.iter().any(|row| row.name == run.name && row.number == run.number) {
+        if listing.running.iter().any(|row| row.name == run.name && row.number == run.number) {
             check_progress(state, key, out);
             continue;
         }
         match run.phase {
-            Phase::Active { since } if since < sent => {
+            Phase::Active { since } if since < sent && !listing.has_more_ends => {
                 drop_lost(state, key, "the worker does not list it", out)
             }
-            Phase::Stopping { confirmed: Some(at), .. } if at < sent => drop_run(state, key, now),
+            Phase::Stopping { confirmed: Some(at), .. } if at < sent && !listing.has_more_ends => {
+                drop_run(state, key, now)
+            }
             Phase::Unconfirmed { since } if since < sent => stop(state, key, "its start got no answer", out),
             _ => {}
         }
--- a/src/core/work/order.rs
+++ b/src/core/work/order.rs
@@ -89,8 +89,10 @@
     pub started_unix_ms: Option<u64>,
     /// Active runs.
     pub running: Vec<Running>,
-    /// Ended runs that are not acknowledged yet.
+    /// Ended runs that are not acknowledged yet, those with the lowest numbers.
     pub ended: Vec<Ended>,
+    /// Whether further runs have ended, which the worker lists once these are acknowledged.
+    pub has_more_ends: bool,
 }
 
 /// An active run in a worker's listing.
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -163,7 +163,9 @@
     if worker.silent_since.take().is_some() {
         state::record(out, Subject::Process, "worker-back", worker.id.clone());
     }
-    state.workers.mark_reached(key);
+    if !listing.has_more_ends {
+        state.workers.mark_reached(key);
+    }
     let mut sequence = 0;
     let previous_end = state.workers.all[key].last_end_read;
     for end in listing.ended.iter().filter(|end| end.number > previous_end) {
@@ -181,7 +183,7 @@
     for row in &listing.running {
         control::record_running(state, key, row, sent, out);
     }
-    control::reconcile(state, key, sent, &listing.running, out);
+    control::reconcile(state, key, sent, &listing, out);
     control::resend_stops(state, key, out);
     mark_durable_ends(state, key);
     schedule_next(state, key);
@@ -252,7 +254,7 @@
 
 /// Handles a restart of the worker process: drops the runs of its previous incarnation.
 ///
-/// Runs that the new incarnation lists are kept, since they were started in it. A start or a stop in flight may still
+/// Runs that the new incarnation lists, or may list later, are kept, since they were started in it. A start or a stop in flight may still
 /// reach the new incarnation, so such a run becomes unconfirmed, or its stop is sent again.
 fn handle_restart(
     state: &mut super::State,
@@ -269,7 +271,7 @@
         let is_there = listing.running.iter().any(|row| row.name == run.name && row.number == run.number)
             || listing.ended.iter().any(|end| end.name == run.name && end.run == run.number);
         match run.phase {
-            _ if is_there => {}
+            _ if is_there || listing.has_more_ends => {}
             Phase::Active { since } if since < sent => {
                 control::drop_lost(state, run_key, "its worker has restarted", out);
             }
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -21,6 +21,9 @@
 const STOP_PATH: &str = "/run-stop";
 const PACE_PATH: &str = "/pace";
 
+/// Most ended runs in one answer of a worker.
+const ENDS_PER_LISTING: usize = 500;
+
 /// Header with the identity of the worker that the order is for. Another worker at the same address refuses the order.
 const TARGET_HEADER: &str = "X-Target-Instance";
 
@@ -200,9 +203,10 @@
         Fault::Lost
     })?;
     let AnswerBody { clock_ms, born, running, ended, .. } = body;
+    let has_more_ends = ended.len() >= ENDS_PER_LISTING;
     let running = running.into_iter().filter_map(RunningRow::decode).collect();
     let ended = ended.into_iter().filter_map(EndedRow::decode).collect();
-    Ok(Reply { clock_ms, outcome: Ok(Listing { started_unix_ms: born, running, ended }) })
+    Ok(Reply { clock_ms, outcome: Ok(Listing { started_unix_ms: born, running, ended, has_more_ends }) })
 }
 
 fn outcome(status: StatusCode, reason: Option<&str>) -> Result<(), Refusal> {
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -563,6 +563,7 @@
             started_unix_ms: Some(self.incarnation),
             running: running.collect(),
             ended: self.ends.iter().take(ENDS_PER_LISTING).map(|(end, _)| end.clone()).collect(),
+            has_more_ends: self.ends.len() > ENDS_PER_LISTING,
         }
     }
 
