Expect the longest lease from a worker whose clock started anew

What callers would see: a task that runs twice at once, if its worker restarts under its id, gets the run before the leader knows of the restart, and is then cut off.

Cause: the end of a lease is a time on the worker's clock, which starts anew with the process. Change: a restart, seen by the start time of the process or by its clock, extends the expected end of the leases to the longest lease. A start order that reaches the new process without an answer is not covered. Evidence: `a_task_runs_twice_at_once_after_its_worker_restarted_with_a_new_clock` failed before (run 2 on w-0 while run 1 is active on w-1), also with workers that shorten a longer lease to 10 s, as the emulated ones now do.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -37,11 +37,7 @@
 ) -> bool {
     let now = state.now;
     let Some(worker) = state.workers.all.get_mut(worker_key) else { return false };
-    let Some((until_ms, expires_at)) =
-        worker.compute_lease(now, state.tuning.worker_lease, state.tuning.lease_margin)
-    else {
-        return false;
-    };
+    let Some(until_ms) = worker.grant_lease(now, &state.tuning) else { return false };
     let task = &mut state.jobs.tasks[task_key];
     let job = &mut state.jobs.all[task.job];
     let step = &job.spec.steps[task.name.step as usize];
@@ -65,7 +61,6 @@
         pace_percent: 100,
         pace_changed_at: now,
     });
-    worker.leases_expire_at = worker.leases_expire_at.max(expires_at);
     worker.add_run(run, charged, profile);
     task.phase = task::Phase::Active;
     task.next_run = number + 1;
@@ -147,7 +142,7 @@
     if let Ok(reply) = &result
         && let Some(worker) = state.workers.all.get_mut(worker_key)
     {
-        worker.record_clock(reply.clock_ms, now);
+        worker.record_clock(reply.clock_ms, now, &state.tuning);
     }
     if !is_starting {
         return;
@@ -213,7 +208,7 @@
         Ok(Reply { outcome: Ok(()), clock_ms }) => {
             run.phase = Phase::Stopping { sent, confirmed: Some(state.now) };
             if let Some(worker) = state.workers.all.get_mut(worker) {
-                worker.record_clock(clock_ms, state.now);
+                worker.record_clock(clock_ms, state.now, &state.tuning);
             }
             super::renewal::schedule_now(state, worker);
         }
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -61,13 +61,9 @@
     if worker.next_renewal_at > now {
         return set_timer(state, key);
     }
-    let lease = worker.compute_lease(now, state.tuning.worker_lease, state.tuning.lease_margin);
     // The lease of a worker that does not answer is not renewed, so that it expires and its tasks can start elsewhere.
     let is_renewed = !worker.runs.is_empty() && worker.silent_since.is_none();
-    let until_ms = lease.filter(|_| is_renewed).map(|(until_ms, expires_at)| {
-        worker.leases_expire_at = worker.leases_expire_at.max(expires_at);
-        until_ms
-    });
+    let until_ms = if is_renewed { worker.grant_lease(now, &state.tuning) } else { None };
     worker.renewal_sent_at = Some(now);
     worker.acknowledging_end = worker.next_acknowledgement();
     if worker.acknowledging_end > 0 {
@@ -158,7 +154,7 @@
     let worker = &mut state.workers.all[key];
     worker.started_unix_ms = listing.started_unix_ms;
     worker.confirmed_end = worker.confirmed_end.max(worker.acknowledging_end);
-    worker.record_clock(clock_ms, now);
+    worker.record_clock(clock_ms, now, &state.tuning);
     worker.last_answer_at = Some(now);
     if worker.silent_since.take().is_some() {
         state::record(out, Subject::Process, "worker-back", worker.id.clone());
@@ -283,7 +279,7 @@
             }
         }
     }
-    state.workers.all[key].reset_for_restart(listing.started_unix_ms);
+    state.workers.all[key].reset_for_restart(listing.started_unix_ms, now, &state.tuning);
 }
 
 /// Sends renewals to the workers with ends whose records have become durable, which acknowledge these ends.
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -8,6 +8,7 @@
 
 use super::spec::Resources;
 use super::store::Member;
+use super::tuning::Tuning;
 use super::{image, run};
 use crate::core::time::Instant;
 use crate::hash::Map;
@@ -20,6 +21,10 @@
 /// Rate by which a worker's clock may run slow, in thousandths.
 const CLOCK_SLOW_PER_MILLE: u64 = 20;
 
+/// Step back of a worker's clock that shows a restart, in milliseconds. Answers that overtake each other cause smaller
+/// ones.
+const CLOCK_RESTART_STEP_MS: u64 = 2_000;
+
 /// Share of the processor time reserved by serving runs that they leave unused at usual load, in percent.
 const SERVING_IDLE_PERCENT: i64 = 50;
 
@@ -191,14 +196,26 @@
             && self.suspect_until <= now
     }
 
-    /// Returns the end of a lease of `length` from now in milliseconds on the worker's clock, and the local time at
-    /// which the lease has expired even if that clock runs slow; `None` while the worker's clock is unknown.
-    pub fn compute_lease(&self, now: Instant, length: Duration, margin: Duration) -> Option<(u64, Instant)> {
+    /// Grants a lease from now on, and returns its end in milliseconds on the worker's clock; `None` while that clock is
+    /// unknown.
+    pub fn grant_lease(&mut self, now: Instant, tuning: &Tuning) -> Option<u64> {
         let ClockReading { clock_ms, at } = self.clock_reading?;
-        let until_ms = clock_ms + (now.since(at) + length).as_millis() as u64;
-        let span = Duration::from_millis(until_ms - clock_ms);
-        let longest = span * (1000 + CLOCK_SLOW_PER_MILLE) as u32 / 1000;
-        Some((until_ms, at + longest + margin))
+        let until_ms = clock_ms + (now.since(at) + tuning.worker_lease).as_millis() as u64;
+        self.extend_leases(at, Duration::from_millis(until_ms - clock_ms), tuning);
+        Some(until_ms)
+    }
+
+    /// Accounts for a lease of `length` from `start` on, as the worker's clock measures it.
+    fn extend_leases(&mut self, start: Instant, length: Duration, tuning: &Tuning) {
+        let longest = length * (1000 + CLOCK_SLOW_PER_MILLE) as u32 / 1000;
+        self.leases_expire_at = self.leases_expire_at.max(start + longest + tuning.lease_margin);
+    }
+
+    /// Accounts for a restart of the worker process. Its clock starts anew, so a lease that was computed from the old
+    /// clock lasts there for as long as the worker grants.
+    fn note_restart(&mut self, now: Instant, tuning: &Tuning) {
+        self.clock_reading = None;
+        self.extend_leases(now, tuning.lease_max, tuning);
     }
 
     /// Adds a run and reserves its resources.
@@ -220,7 +237,8 @@
     }
 
     /// Clears the state that belonged to the previous incarnation of the worker process.
-    pub fn reset_for_restart(&mut self, started_unix_ms: Option<u64>) {
+    pub fn reset_for_restart(&mut self, started_unix_ms: Option<u64>, now: Instant, tuning: &Tuning) {
+        self.note_restart(now, tuning);
         self.started_unix_ms = started_unix_ms;
         self.last_end_read = 0;
         self.durable_end = 0;
@@ -228,7 +246,6 @@
         self.pending_acknowledgements.clear();
         self.failed_jobs.clear();
         self.filling_usage.clear();
-        self.clock_reading = None;
         self.suspect_until = Instant::default();
     }
 
@@ -243,10 +260,13 @@
     }
 
     /// Records a reading of the worker's clock that arrived at `at`, if the answer had one.
-    pub fn record_clock(&mut self, clock_ms: Option<u64>, at: Instant) {
-        if let Some(clock_ms) = clock_ms {
-            self.clock_reading = Some(ClockReading { clock_ms, at });
+    pub fn record_clock(&mut self, clock_ms: Option<u64>, at: Instant, tuning: &Tuning) {
+        let Some(clock_ms) = clock_ms else { return };
+        let has_stepped_back = |previous: ClockReading| clock_ms + CLOCK_RESTART_STEP_MS < previous.clock_ms;
+        if self.clock_reading.is_some_and(has_stepped_back) {
+            self.note_restart(at, tuning);
         }
+        self.clock_reading = Some(ClockReading { clock_ms, at });
     }
 }
 
--- a/src/settings/jobs.rs
+++ b/src/settings/jobs.rs
@@ -27,6 +27,7 @@
         let default = Tuning::default();
         Tuning {
             worker_lease: default.worker_lease.min(self.lease_max),
+            lease_max: self.lease_max,
             retention: default.retention.max(self.retention),
             ..default
         }
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -22,6 +22,9 @@
 /// Most ends in the answer to one renewal; the others are listed once these are acknowledged.
 const ENDS_PER_LISTING: usize = 500;
 
+/// Longest lease that a worker grants, in milliseconds.
+const LEASE_MAX_MS: u64 = 10_000;
+
 /// Longest time from the answer to a cancellation to the last start of a task of the job.
 const CANCELLATION_LIMIT: Duration = Duration::from_secs(4);
 
@@ -359,6 +362,11 @@
         now.since(self.started_at).as_millis() as u64
     }
 
+    fn extend_lease(&mut self, until_ms: u64, now: Instant) {
+        let until_ms = until_ms.min(self.clock_ms(now) + LEASE_MAX_MS);
+        self.lease_expiry_ms = self.lease_expiry_ms.max(until_ms);
+    }
+
     /// Advances all runs to `now`, and ends those that are finished, stopped or without a valid lease.
     pub(super) fn advance(&mut self, now: Instant, observer: &mut Observer) {
         let clock_ms = self.clock_ms(now);
@@ -454,7 +462,7 @@
         envelope.receiver = Some(self.incarnation);
         match &envelope.order {
             Order::Renew { worker, until_ms, acknowledged, wait_ms } => {
-                self.lease_expiry_ms = self.lease_expiry_ms.max(until_ms.unwrap_or_default());
+                self.extend_lease(until_ms.unwrap_or_default(), now);
                 for (end, has_lapsed) in self.ends.extract_if(.., |(end, _)| end.number <= *acknowledged) {
                     observer.record_acknowledgement(&end, has_lapsed);
                 }
@@ -514,7 +522,7 @@
         if until_ms <= self.clock_ms(now) {
             return Err(Refusal::Late);
         }
-        self.lease_expiry_ms = self.lease_expiry_ms.max(until_ms);
+        self.extend_lease(until_ms, now);
         observer.record_start(&self.id, name, number, now);
         let step = observer.step(name).cloned().unwrap_or_default();
         let failing = observer.injected_failures.get_mut(&name).filter(|left| **left > 0);
