Confirm the leadership before lost work starts again

What callers would see: a task runs again after its end was acknowledged, if its worker restarts while a replaced leader still acts.

Cause: workers refuse orders of a lower term, but a restarted process has forgotten the highest term. A leader whose key was taken away acts for up to 5 s; it took the run as lost with the old process and started the task again, although the next leader had read the run's end and acknowledged it. A replaced leader gets no confirmation. Not covered: a leader replaced by a stronger VM, whose lease lives on until its watch tells it of the other one.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -517,5 +517,8 @@
     let text = format!("run {} of {}: {reason}", run.number, run.name);
     state::record(out, Subject::Job(run.name.job), "lost", text);
     let now = state.now;
+    if let Some(task) = run.task.and_then(|task| state.jobs.tasks.get_mut(task)) {
+        task.lost_at = Some(now);
+    }
     drop_run(state, key, now);
 }
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -156,6 +156,7 @@
                     avoid_worker: None,
                     ready_at: now,
                     not_before,
+                    lost_at: None,
                     is_inherited: term.is_some(),
                     may_have_unseen_run: term.is_some(),
                 }));
--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -78,6 +78,11 @@
         if let Role::Leader { term, .. } = self.role { term } else { 0 }
     }
 
+    /// When the latest confirmed renewal was sent; this process led at some time after that.
+    pub fn confirmed_at(&self) -> Instant {
+        if let Role::Leader { confirmed, .. } = self.role { confirmed } else { Instant::default() }
+    }
+
     /// End of the time in which this process may send orders as the leader.
     pub fn valid_until(&self, tuning: &Tuning) -> Instant {
         match self.role {
@@ -278,6 +283,9 @@
             if !could_act && state.leadership.may_act(state.now, &state.tuning) {
                 resume_leading(state, out);
             }
+            if !state.jobs.ready.is_empty() {
+                state.schedule_placement();
+            }
         }
         Reply::Gone => step_down(state, "the lease has ended", out),
         _ => {}
--- a/src/core/work/task.rs
+++ b/src/core/work/task.rs
@@ -47,6 +47,9 @@
     pub ready_at: Instant,
     /// Earliest start of the next run.
     pub not_before: Instant,
+    /// When its last run was taken as lost; `None` if none was. The next run starts once the leadership is confirmed after
+    /// that, since a later leader may have read the end of the lost run.
+    pub lost_at: Option<Instant>,
     /// Whether an earlier leader may have started the task.
     pub is_inherited: bool,
     /// Whether an earlier leader may have started a run that this leader has not seen.
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -85,6 +85,8 @@
     pub is_listed: bool,
     /// Start of the worker process that answered last, in milliseconds since the Unix epoch.
     pub started_unix_ms: Option<u64>,
+    /// When a restart of its process was noticed; `None` if there was none in this term.
+    pub restarted_at: Option<Instant>,
     /// Newest reading of its clock; `None` before the first answer of its process.
     pub clock_reading: Option<ClockReading>,
     /// When the leases of all runs ordered on it have expired, unless they are renewed.
@@ -142,6 +144,7 @@
             report: None,
             is_listed: false,
             started_unix_ms: None,
+            restarted_at: None,
             clock_reading: None,
             leases_expire_at: Instant::default(),
             is_enrolled: false,
@@ -184,8 +187,11 @@
         i64::from(self.free_resources().cpu_millicores) + reserved
     }
 
-    /// Returns whether new runs may be sent to the worker.
-    pub fn is_schedulable(&self, now: Instant) -> bool {
+    /// Returns whether new runs may be sent to the worker by a leader that was confirmed at `confirmed_at`.
+    ///
+    /// A restarted process has forgotten the highest term, so it does not refuse a leader that has been replaced. Such a
+    /// leader gets no confirmation after the restart.
+    pub fn is_schedulable(&self, now: Instant, confirmed_at: Instant) -> bool {
         let is_ready = self.report.as_ref().is_some_and(|report| report.readiness == Readiness::Ready);
         is_ready
             && self.is_listed
@@ -193,6 +199,7 @@
             && self.last_answer_at.is_some()
             && self.clock_reading.is_some()
             && self.silent_since.is_none()
+            && self.restarted_at.is_none_or(|at| at < confirmed_at)
             && self.suspect_until <= now
     }
 
@@ -214,6 +221,7 @@
     /// Accounts for a restart of the worker process. Its clock starts anew, so a lease that was computed from the old
     /// clock lasts there for as long as the worker grants.
     fn note_restart(&mut self, now: Instant, tuning: &Tuning) {
+        self.restarted_at = Some(now);
         self.clock_reading = None;
         self.extend_leases(now, tuning.lease_max, tuning);
     }
