Acknowledge ends only shortly after an answer of the worker

What callers would see: a task runs again after its end was discarded unread, if its worker restarts under its id while a slow commit delays the acknowledgement of its earlier ends.

Cause: a restarted process numbers its ends from 1 again. An acknowledgement for the former process could reach the new one before the leader knew of the restart, and cover the first ends there. Change: if the worker's last answer is older than 0.3 s, the next renewal carries no acknowledgement and is answered at once; the one after it acknowledges. While commits take less time, no call is added. Evidence: `a_done_task_runs_again_after_an_acknowledgement_for_the_previous_life_of_its_worker` failed before.

--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -65,7 +65,7 @@
     let is_renewed = !worker.runs.is_empty() && worker.silent_since.is_none();
     let until_ms = if is_renewed { worker.grant_lease(now, &state.tuning) } else { None };
     worker.renewal_sent_at = Some(now);
-    worker.acknowledging_end = worker.next_acknowledgement();
+    worker.acknowledging_end = worker.next_acknowledgement(now);
     if worker.acknowledging_end > 0 {
         let (end, durable) = (worker.acknowledging_end, state.journal.durable_sequence);
         let reason = format!("ends of {} up to {end}, durable up to change {durable}", worker.id);
@@ -83,7 +83,10 @@
 /// How long a worker may delay its answer to wait for the end of a run; zero while its state must be read at once.
 fn poll_wait(state: &super::State, key: Key) -> Duration {
     let Some(worker) = state.workers.all.get(key) else { return Duration::ZERO };
+    let is_acknowledgement_deferred =
+        worker.has_unconfirmed_end() && worker.next_acknowledgement(state.now) == 0;
     let is_settled = worker.last_answer_at.is_some()
+        && !is_acknowledgement_deferred
         && worker.silent_since.is_none()
         && worker.pending_acknowledgements.is_empty()
         && !worker.runs.is_empty();
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -25,6 +25,9 @@
 /// ones.
 const CLOCK_RESTART_STEP_MS: u64 = 2_000;
 
+/// Age of a worker's last answer up to which it is acknowledged; a process takes longer to restart.
+const ANSWER_AGE_MAX: Duration = Duration::from_millis(300);
+
 /// Share of the processor time reserved by serving runs that they leave unused at usual load, in percent.
 const SERVING_IDLE_PERCENT: i64 = 50;
 
@@ -260,11 +263,20 @@
     /// Returns the number of the last end to acknowledge now, or 0 to acknowledge none.
     ///
     /// A restarted worker numbers its ends from 1 again, so an acknowledgement from before the restart could make it
-    /// discard ends that have not been read. The number is therefore sent only right after the ends were read, until
-    /// the worker confirms it, and never after a call without an answer.
-    pub fn next_acknowledgement(&self) -> u64 {
-        let is_due = self.durable_end > self.confirmed_end && self.silent_since.is_none();
-        if is_due { self.durable_end } else { 0 }
+    /// discard ends that have not been read. The number is therefore sent only shortly after an answer, until the worker
+    /// confirms it, and never after a call without an answer.
+    pub fn next_acknowledgement(&self, now: Instant) -> u64 {
+        if self.may_acknowledge(now) && self.has_unconfirmed_end() { self.durable_end } else { 0 }
+    }
+
+    /// Returns whether an end may be acknowledged whose acknowledgement the worker has not confirmed.
+    pub fn has_unconfirmed_end(&self) -> bool {
+        self.durable_end > self.confirmed_end
+    }
+
+    /// Returns whether the process that answered last is taken as the one that receives the next order.
+    fn may_acknowledge(&self, now: Instant) -> bool {
+        self.silent_since.is_none() && self.last_answer_at.is_some_and(|at| now.since(at) <= ANSWER_AGE_MAX)
     }
 
     /// Records a reading of the worker's clock that arrived at `at`, if the answer had one.
