Reorder a cell's queue when a changed plan changes the ranks of its tasks

What users would see: a document that changes the priority or the deadline of a job with waiting tasks makes those tasks run in several places at once, without any fault of a machine or of the network.

Cause: the queue of a cell holds its tasks under ranks computed from the plan that was in force when they were queued. `task::dequeue` removes a task under the rank of the current plan. After a change of priority or deadline it removes nothing, so an assigned task stays in the queue, and each placement pass assigns it again to another worker.

Change: each change of the plan orders the queue by the new ranks before anything is taken from it, so the rank of a queued task is always that of the plan in force.

--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -250,9 +250,11 @@
     key
 }
 
-/// Applies a changed plan to every cell: adds tasks of adopted jobs, adopts new jobs and cancels undeclared ones.
+/// Applies a changed plan to every cell: reorders its queue, adds tasks of adopted jobs, adopts new jobs and cancels
+/// undeclared ones.
 pub(crate) fn plan_changed(state: &mut State) {
     for key in state.cells.keys() {
+        task::reorder_queue(state, key);
         task::add_missing_tasks_of_all_jobs(state, key);
         reconcile_jobs(state, key);
         place::schedule_pass(state, key);
--- a/src/core/task.rs
+++ b/src/core/task.rs
@@ -192,6 +192,21 @@
     offsets.into_iter().flat_map(move |offset| (offset..tasks).step_by(period.max(1) as usize))
 }
 
+/// Orders the queue of a cell by the ranks of a changed plan, under which [`dequeue`] looks for a task.
+///
+/// A task that stays in the queue under a former rank would be assigned again while it runs.
+pub(crate) fn reorder_queue(state: &mut State, cell: cell::Key) {
+    let plan = state.config.plan.clone();
+    let tasks = &state.tasks;
+    let Some(cell) = state.cells.get_mut(cell) else { return };
+    let current_rank = |(former, key): (Rank, Key)| {
+        let task = tasks.get(key)?;
+        let rank = plan.job(task.id.job).map_or(former, |(_, job)| rank(task, job));
+        Some((rank, key))
+    };
+    cell.queue.order = std::mem::take(&mut cell.queue.order).into_iter().filter_map(current_rank).collect();
+}
+
 /// Adds a task to the queue of its cell, if its job is declared.
 fn enqueue(state: &mut State, key: Key) {
     let plan = state.config.plan.clone();
--- /dev/null
+++ b/tests/takeover.rs
@@ -0,0 +1,84 @@
+//! Simulated sessions of one zone in which a cell changes its owner or its declaration while its tasks run.
+
+use std::time::Duration;
+
+use nutmegfold::core::admin::{Answer, Command};
+use nutmegfold::core::time::Instant;
+use nutmegfold::core::tuning::Tuning;
+use nutmegfold::declare::check::{self, Source};
+use nutmegfold::session::Session;
+
+/// The zone, its pool and a team. Documents of the tests add jobs.
+const BASE: &str = r#"
+name = "base"
+[[region]]
+name = "south"
+[[zone]]
+name = "a"
+region = "south"
+entry_vms = 3
+[[pool]]
+name = "wa"
+zone = "a"
+racks = ["r1"]
+count = 2
+cores = 16
+memory = "60 GB"
+[[team]]
+name = "desk"
+"#;
+
+/// Virtual time `seconds` after the start of the session.
+fn at(seconds: f64) -> Instant {
+    Instant((seconds * 1e6) as u64)
+}
+
+fn job(settings: &str) -> String {
+    format!(
+        "name = \"jobs\"\n[[job]]\nname = \"plan\"\nteam = \"desk\"\ncores = 2\nmemory = \"4 GB\"\n{settings}\n"
+    )
+}
+
+/// Session of a deployment without jobs, stopped when its document is in force and the cell has an owner.
+fn started(base: &str, tuning: Tuning, seed: u64) -> Session {
+    let plan = check::compile(&[Source { name: "base", text: base, is_stored: false }]).expect("valid");
+    let mut session = Session::new(&plan, tuning, seed);
+    session.run_for(Duration::from_secs(3));
+    apply(&mut session, "base", base);
+    session.run_until(at(10.0));
+    session
+}
+
+/// Applies a document at the first entry VM whose process runs, and checks that it is accepted.
+fn apply(session: &mut Session, name: &str, text: &str) {
+    let to = session.entry_vms.iter().position(|vm| vm.process.is_some()).expect("a process") as u16;
+    // The author identifies the change, so each change needs its own.
+    let author = format!("operator-{}", session.now.0);
+    let (name, text) = (name.into(), text.into());
+    let ticket = session.command(to, Command::Apply { name, text, base: None, author, applied_s: 0 });
+    let answered = run_while(session, |session| !session.answers.contains_key(&ticket));
+    assert!(matches!(answered.then(|| &session.answers[&ticket]), Some(Answer::Accepted { .. })));
+}
+
+/// Runs the session until the condition is false, for at most 30 s; returns whether it became false.
+fn run_while(session: &mut Session, condition: impl Fn(&Session) -> bool) -> bool {
+    let end = session.now + Duration::from_secs(30);
+    while condition(session) && session.now < end {
+        session.run_for(Duration::from_millis(1));
+    }
+    !condition(session)
+}
+
+/// Guards against a task that is assigned again while it runs because the queue keeps it under its former priority.
+#[test]
+fn task_is_not_assigned_twice_after_its_priority_changes() {
+    let mut session = started(BASE, Tuning::default(), 1);
+    let settings = |priority| format!("tasks = 20\nrun_time = \"10 s\"\npriority = {priority}");
+    apply(&mut session, "jobs", &job(&settings(50)));
+    session.run_for(Duration::from_secs(2));
+    apply(&mut session, "jobs", &job(&settings(60)));
+    session.run_for(Duration::from_secs(60));
+    assert_eq!(session.violations(), Vec::<String>::new());
+    assert_eq!(session.shared.audit.counts().tasks_finished, 20);
+    assert_eq!(session.shared.audit.counts().tasks_started, 20);
+}
