Repeat a stop command that the worker did not execute

What users would see: a cancelled job whose stop command is lost on the way to the worker runs on to its end, although the cancellation is in the log. An evicted task whose stop command is lost runs on too and keeps the room that was to be freed.

Cause: `apply_cancel` and `evict_task` queue the stop command once and set the stage `Stopping`. If the call is lost, or the lease is not held when the command is due, the command is dropped. Reconciliation repeats starts but not stops: it leaves a task in the stage `Stopping` as it is.

Change: a reservation holds the number of the call with the last stop command, as it does for the start. If the reply to a later call still lists a task in the stage `Stopping`, the stop is queued again.

--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::cell::{self, Role};
-use super::control::{Command, Work};
+use super::control::Work;
 use super::effect::Effect;
 use super::journal::{self, Record};
 use super::state::{State, record};
@@ -318,14 +318,11 @@
 ///
 /// The task is queued again once its release is committed.
 fn evict_task(state: &mut State, key: task::Key, reason: &'static str, out: &mut Vec<Effect>) {
-    let plan = state.config.plan.clone();
     let Some(task) = state.tasks.get_mut(key) else { return };
-    let journal::TaskState::Assigned { worker, .. } = task.committed_state else { return };
-    let checkpoint = plan.job(task.id.job).is_some_and(|(_, job)| job.is_checkpointable);
+    let journal::TaskState::Assigned { .. } = task.committed_state else { return };
     task.stage = Stage::Stopping;
-    let stop = Command::Stop { work: Work::Batch(task.id), attempt: task.attempt, checkpoint };
     record(out, Subject::Task(task.id), "evict", reason);
-    worker::queue_command(state, worker, stop);
+    task::send_stop(state, key);
 }
 
 /// Evicts checkpointable tasks from workers that are leaving; the others may finish there.
--- a/src/core/reconcile.rs
+++ b/src/core/reconcile.rs
@@ -1,7 +1,7 @@
 //! Reconciliation of a worker's report with the reservations and the log records that this process has for it.
 //!
 //! Every granted control call returns the running and the ended work of the worker. The owner stops tasks that the log
-//! does not assign there, appends outcomes to the log, and repeats starts that the worker did not execute.
+//! does not assign there, appends outcomes to the log, and repeats starts and stops that the worker did not execute.
 
 use super::cell::{self, Role};
 use super::control::{Command, Ended, Outcome, Reply, Running, Work};
@@ -17,7 +17,7 @@
     let Some(worker) = state.workers.get(key) else { return };
     let Some(cell) = state.cells.key(worker.cell) else { return };
     for running in &reply.running {
-        handle_running(state, key, cell, running);
+        handle_running(state, key, cell, sequence, running);
     }
     for ended in &reply.ended {
         handle_ended(state, key, cell, ended, out);
@@ -30,35 +30,47 @@
 }
 
 /// Confirms the reservation of a unit of work that the worker reports as running, or adds one.
-fn handle_running(state: &mut State, key: Key, cell: cell::Key, running: &Running) {
+fn handle_running(state: &mut State, key: Key, cell: cell::Key, sequence: u64, running: &Running) {
     let Some(worker) = state.workers.get_mut(key) else { return };
     match worker.reservations.get_mut(&running.work) {
         Some(reservation) => reservation.is_confirmed = true,
         None => {
-            let reservation = Reservation {
-                size: running.size,
-                attempt: running.attempt,
-                start_sequence: 0,
-                is_confirmed: true,
-            };
+            let reservation =
+                Reservation { is_confirmed: true, ..Reservation::new(running.size, running.attempt) };
             worker.reservations.insert(running.work, reservation);
             worker.used += running.size;
         }
     }
     match running.work {
-        Work::Batch(id) => handle_running_task(state, key, cell, id, running.attempt),
+        Work::Batch(id) => handle_running_task(state, key, cell, sequence, id, running.attempt),
         Work::Replica(run) => replica::record_running(state, cell, key, run, running.service),
     }
 }
 
-fn handle_running_task(state: &mut State, key: Key, cell: cell::Key, id: task::Id, attempt: u32) {
+fn handle_running_task(
+    state: &mut State,
+    key: Key,
+    cell: cell::Key,
+    sequence: u64,
+    id: task::Id,
+    attempt: u32,
+) {
     let Some(home) = state.cells.get(cell) else { return };
     let (worker, is_owner) = (state.workers.get(key).map(|worker| worker.id), home.role == Role::Owner);
-    let task = home.tasks.get(&id).copied().and_then(|task| state.tasks.get_mut(task));
+    let key_of_task = home.tasks.get(&id).copied();
+    let task = key_of_task.and_then(|task| state.tasks.get_mut(task));
     match task {
-        Some(task) if task.is_assigned_to(worker, attempt) => {
-            task.stage = if task.stage == Stage::Starting { Stage::Running } else { task.stage };
-        }
+        Some(task) if task.is_assigned_to(worker, attempt) => match task.stage {
+            Stage::Starting => task.stage = Stage::Running,
+            Stage::Stopping if is_owner => {
+                let reservation = state.workers.get(key).and_then(|w| w.reservations.get(&Work::Batch(id)));
+                let is_lost = reservation.is_some_and(|reservation| reservation.stop_sequence < sequence);
+                if let Some(task) = key_of_task.filter(|_| is_lost) {
+                    task::send_stop(state, task);
+                }
+            }
+            _ => {}
+        },
         // The log does not assign this attempt to this worker, so it has to stop.
         _ if is_owner => {
             let Some(worker) = worker else { return };
--- a/src/core/task.rs
+++ b/src/core/task.rs
@@ -404,6 +404,18 @@
     worker::queue_command(state, worker, Command::Start(start));
 }
 
+/// Queues the stop command of an assigned task for its worker, with a checkpoint if its job is checkpointable and not
+/// cancelled.
+pub(crate) fn send_stop(state: &mut State, key: Key) {
+    let plan = state.config.plan.clone();
+    let Some(task) = state.tasks.get(key) else { return };
+    let TaskState::Assigned { worker, .. } = task.committed_state else { return };
+    let is_checkpointable = plan.job(task.id.job).is_some_and(|(_, job)| job.is_checkpointable);
+    let checkpoint = is_checkpointable && !is_cancelled(state, task.cell, task.id.job);
+    let stop = Command::Stop { work: Work::Batch(task.id), attempt: task.attempt, checkpoint };
+    worker::queue_command(state, worker, stop);
+}
+
 fn apply_done(
     state: &mut State,
     cell: cell::Key,
@@ -493,18 +505,17 @@
 
 fn cancel_task(state: &mut State, cell: cell::Key, key: Key) {
     let Some(task) = state.tasks.get_mut(key) else { return };
-    let (id, attempt) = (task.id, task.attempt);
+    let job = task.id.job;
     match (task.committed_state, task.stage) {
         // The `Assign` record is not committed yet. `apply_assign` releases the task without a start once it is.
         (TaskState::Queued { .. }, Stage::Proposed(_)) => {}
         (TaskState::Queued { .. }, _) => {
             task.committed_state = TaskState::Cancelled;
-            count_ended_task(state, cell, id.job);
+            count_ended_task(state, cell, job);
         }
-        (TaskState::Assigned { worker, .. }, stage) if stage != Stage::Reported => {
+        (TaskState::Assigned { .. }, stage) if stage != Stage::Reported => {
             task.stage = Stage::Stopping;
-            let stop = Command::Stop { work: Work::Batch(id), attempt, checkpoint: false };
-            worker::queue_command(state, worker, stop);
+            send_stop(state, key);
         }
         _ => {}
     }
--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -49,6 +49,9 @@
     /// Sequence number of the call with the start command; 0 if there is none. The reply to a later call shows whether
     /// the start was executed.
     pub start_sequence: u64,
+    /// Sequence number of the call with the last stop command; 0 if there is none. A reply to a later call that still
+    /// lists the work shows that the command was lost.
+    pub stop_sequence: u64,
     /// Whether the worker has reported the work as running.
     pub is_confirmed: bool,
 }
@@ -56,7 +59,7 @@
 impl Reservation {
     /// Reservation for a unit of work that no worker has reported.
     pub fn new(size: Size, attempt: u32) -> Self {
-        Self { size, attempt, start_sequence: 0, is_confirmed: false }
+        Self { size, attempt, start_sequence: 0, stop_sequence: 0, is_confirmed: false }
     }
 }
 
@@ -536,14 +539,22 @@
     let Some(worker) = state.workers.get_mut(key) else { return };
     let sequence = worker.sequence + 1;
     for command in &worker.outbox {
-        if let Command::Start(start) = command
-            && let Some(reservation) = worker.reservations.get_mut(&start.work)
-        {
-            reservation.start_sequence = sequence;
+        match command {
+            Command::Start(start) => {
+                if let Some(reservation) = worker.reservations.get_mut(&start.work) {
+                    reservation.start_sequence = sequence;
+                }
+            }
+            Command::Stop { work, .. } => {
+                if let Some(reservation) = worker.reservations.get_mut(work) {
+                    reservation.stop_sequence = sequence;
+                }
+            }
+            Command::Throttle { .. } => {}
         }
     }
     if !worker.is_held(now) {
-        // Reconciliation after the next lease grant repeats the starts and decides on stops anew.
+        // Reconciliation after the next lease grant repeats the starts and the stops.
         worker.outbox.clear();
         return;
     }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
+use nutmegfold::core::State;
 use nutmegfold::core::admin::{Answer, Command};
+use nutmegfold::core::cell::Role;
+use nutmegfold::core::control::Work;
 use nutmegfold::core::time::Instant;
 use nutmegfold::core::tuning::Tuning;
 use nutmegfold::declare::check::{self, Source};
 use nutmegfold::session::Session;
+use nutmegfold::session::fault::{self, Fault};
+use nutmegfold::session::site::Site;
 
 /// The zone, its pool and a team. Documents of the tests add jobs.
 const BASE: &str = r#"
@@ -69,6 +74,29 @@
     !condition(session)
 }
 
+/// Number and state of the process that owns the only cell of the zone.
+fn owner(session: &Session) -> Option<(u16, &State)> {
+    let is_owner = |state: &State| state.cells.iter().any(|(_, cell)| cell.role == Role::Owner);
+    let mut states = session.entry_vms.iter().enumerate();
+    states.find_map(|(at, vm)| vm.process.as_ref().filter(|state| is_owner(state)).map(|s| (at as u16, s)))
+}
+
+fn owner_vm(session: &Session) -> u16 {
+    owner(session).expect("an owner").0
+}
+
+fn running_tasks(session: &Session) -> usize {
+    let running = session.worker_vms.iter().flat_map(|vm| vm.worker.running());
+    running.filter(|running| matches!(running.work, Work::Batch(_))).count()
+}
+
+/// Cuts an entry VM off from all workers for a period.
+fn cut_from_workers(session: &mut Session, entry: u16, span: Duration) {
+    let workers = (0..session.worker_vms.len() as u16).map(Site::Worker).collect();
+    let period = (session.now, session.now + span);
+    session.link = Box::new(fault::faulty_link(vec![Fault::cut(period, vec![Site::Entry(entry)], workers)]));
+}
+
 /// Guards against a task that is assigned again while it runs because the queue keeps it under its former priority.
 #[test]
 fn task_is_not_assigned_twice_after_its_priority_changes() {
@@ -82,3 +110,18 @@
     assert_eq!(session.shared.audit.counts().tasks_finished, 20);
     assert_eq!(session.shared.audit.counts().tasks_started, 20);
 }
+
+/// Guards against a stop command that is lost and not repeated, so that a task of a cancelled job runs on.
+#[test]
+fn lost_stop_command_is_repeated() {
+    for seed in 1..5 {
+        let mut session = started(BASE, Tuning::default(), seed);
+        let owner = owner_vm(&session);
+        apply(&mut session, "jobs", &job("tasks = 3\nrun_time = \"600 s\""));
+        assert!(run_while(&mut session, |session| running_tasks(session) < 3));
+        cut_from_workers(&mut session, owner, Duration::from_secs(1));
+        apply(&mut session, "jobs", "name = \"jobs\"\n");
+        session.run_for(Duration::from_secs(20));
+        assert_eq!(running_tasks(&session), 0, "seed {seed}");
+    }
+}
