--- a/src/core/task.rs
+++ b/src/core/task.rs
@@ -289,14 +289,15 @@
 pub(crate) fn restore(state: &mut State, cell: cell::Key, line: &TaskSnapshot) {
     let key = find_or_insert(state, cell, line.task);
     dequeue(state, key);
+    let is_cancelled = is_cancelled(state, cell, line.task.job);
     let Some(task) = state.tasks.get_mut(key) else { return };
     task.attempt = line.attempt;
     task.failures = line.failures;
     task.committed_state = line.state;
     match line.state {
-        TaskState::Queued { .. } => enqueue(state, key),
+        TaskState::Queued { .. } => requeue(state, cell, key),
         TaskState::Assigned { worker, instance, .. } => {
-            task.stage = Stage::Starting;
+            task.stage = stage_of_assigned(is_cancelled);
             reserve(state, key, worker, instance);
         }
         TaskState::Finished | TaskState::Failed(_) | TaskState::Cancelled => {
@@ -367,13 +368,14 @@
     let TaskState::Assigned { worker, instance, checkpoint } = standing else { return };
     let key = find_or_insert(state, cell, id);
     dequeue(state, key);
+    let is_cancelled = is_cancelled(state, cell, id.job);
     let Some(task) = state.tasks.get_mut(key) else { return };
     let was_proposed = matches!(task.stage, Stage::Proposed(_));
     task.attempt = attempt;
     task.committed_state = standing;
-    task.stage = Stage::Starting;
+    task.stage = stage_of_assigned(is_cancelled);
     let is_reserved = worker::is_reserved(state, worker, instance, Work::Batch(id));
-    if was_proposed && (!is_reserved || is_cancelled(state, cell, id.job)) {
+    if was_proposed && (!is_reserved || is_cancelled) {
         // No start command was sent, so the task does not run.
         propose_outcome(state, cell, id, attempt, Outcome::Refused);
     } else if was_proposed {
@@ -385,6 +387,12 @@
     }
 }
 
+/// Stage of a task that the log assigns to a worker which has not reported it to this process. The task of a cancelled
+/// job must not start, and is stopped if it runs.
+fn stage_of_assigned(is_cancelled: bool) -> Stage {
+    if is_cancelled { Stage::Stopping } else { Stage::Starting }
+}
+
 /// Queues the start command of an assigned task for its worker.
 pub(crate) fn send_start(state: &mut State, key: Key) {
     let plan = state.config.plan.clone();
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -6,6 +6,7 @@
 use nutmegfold::core::admin::{Answer, Command};
 use nutmegfold::core::cell::Role;
 use nutmegfold::core::control::Work;
+use nutmegfold::core::journal::Record;
 use nutmegfold::core::time::Instant;
 use nutmegfold::core::tuning::Tuning;
 use nutmegfold::declare::check::{self, Source};
@@ -85,6 +86,12 @@
     owner(session).expect("an owner").0
 }
 
+fn records(session: &Session) -> Vec<Record> {
+    let (_, state) = owner(session).expect("an owner");
+    let cell = state.cells.iter().next().expect("a cell").1.id;
+    session.store.log(cell).iter().flat_map(|segment| segment.records.clone()).collect()
+}
+
 fn running_tasks(session: &Session) -> usize {
     let running = session.worker_vms.iter().flat_map(|vm| vm.worker.running());
     running.filter(|running| matches!(running.work, Work::Batch(_))).count()
@@ -111,6 +118,49 @@
     assert_eq!(session.shared.audit.counts().tasks_started, 20);
 }
 
+/// Guards against a successor that starts a task of a cancelled job, whose start its predecessor could not send.
+#[test]
+fn task_of_a_cancelled_job_is_not_started_after_a_takeover() {
+    let tuning = Tuning { segments_per_snapshot: 1, ..Tuning::default() };
+    for seed in 1..5 {
+        let mut session = started(BASE, tuning, seed);
+        let former = owner_vm(&session);
+        cut_from_workers(&mut session, former, Duration::from_secs(60));
+        let settings = "tasks = 3\nrun_time = \"600 s\"";
+        apply(&mut session, "jobs", &job(settings));
+        let is_assigned = |record: &Record| matches!(record, Record::Assign { .. });
+        assert!(run_while(&mut session, |session| !records(session).iter().any(is_assigned)));
+        apply(&mut session, "jobs", &job(&format!("{settings}\ncancelled = true")));
+        let is_cancelled = |record: &Record| matches!(record, Record::Cancel { .. });
+        assert!(run_while(&mut session, |session| !records(session).iter().any(is_cancelled)));
+        session.run_for(Duration::from_millis(20));
+        session.kill(former);
+        session.run_for(Duration::from_secs(20));
+        assert_eq!(session.shared.audit.counts().tasks_started, 0, "seed {seed}");
+    }
+}
+
+/// Guards against a successor that lets a task of a cancelled job run on.
+#[test]
+fn task_of_a_cancelled_job_is_stopped_after_a_takeover() {
+    let tuning = Tuning { segments_per_snapshot: 1, ..Tuning::default() };
+    for seed in 1..5 {
+        let mut session = started(BASE, tuning, seed);
+        let former = owner_vm(&session);
+        let settings = "tasks = 3\nrun_time = \"600 s\"";
+        apply(&mut session, "jobs", &job(settings));
+        assert!(run_while(&mut session, |session| running_tasks(session) < 3));
+        cut_from_workers(&mut session, former, Duration::from_secs(60));
+        apply(&mut session, "jobs", &job(&format!("{settings}\ncancelled = true")));
+        let is_cancelled = |record: &Record| matches!(record, Record::Cancel { .. });
+        assert!(run_while(&mut session, |session| !records(session).iter().any(is_cancelled)));
+        session.run_for(Duration::from_millis(20));
+        session.kill(former);
+        session.run_for(Duration::from_secs(20));
+        assert_eq!(running_tasks(&session), 0, "seed {seed}");
+    }
+}
+
 /// Guards against a stop command that is lost and not repeated, so that a task of a cancelled job runs on.
 #[test]
 fn lost_stop_command_is_repeated() {
