End a task without an attempt left after a change of the cell's owner

What users would see: a task all of whose attempts failed, and which is therefore to be reported as failed and not started again, is started again after the cell's owner is lost.

Cause: the last `Done` record of such a task makes the owner propose a `Failed` record, which is appended with the next segment. If the owner is lost in between, its successor replays the `Done` record and queues the task: only the process that is the owner when the record is committed proposed the end.

Change: `requeue` decides whether an attempt is left, and a new owner applies the same rule to the queue that it loaded before it places anything. While the plan of the owner lacks the job, its retries are not known; they were taken for 0, so the task was ended for good.

--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -154,6 +154,7 @@
 
 fn begin_as_owner(state: &mut State, key: cell::Key) {
     super::worker::owner_changed(state, key);
+    task::end_exhausted(state, key);
     cell::reconcile_jobs(state, key);
     place::schedule_pass(state, key);
 }
--- a/src/core/task.rs
+++ b/src/core/task.rs
@@ -446,12 +446,7 @@
     let failures = task.failures;
     task.committed_state = TaskState::Queued { checkpoint: task.checkpoint() };
     record(out, Subject::Task(id), "fail-attempt", format!("attempt {attempt}, failure {failures}"));
-    let retries = state.config.plan.job(id.job).map_or(0, |(_, job)| job.retries);
-    let is_owner = state.cells.get(cell).is_some_and(|cell| cell.role == cell::Role::Owner);
-    match (failures > retries, is_owner) {
-        (true, true) => journal::push(state, cell, Record::Failed { task: id, reason: Reason::AlwaysFails }),
-        _ => requeue(state, cell, key),
-    }
+    requeue(state, cell, key);
 }
 
 fn apply_release(
@@ -476,18 +471,38 @@
     state.cells.get(cell).and_then(|cell| cell.jobs.get(&job)).is_some_and(|job| job.cancelled)
 }
 
-/// Queues a task again, or cancels it if its job is cancelled.
+/// Queues a task again, cancels it if its job is cancelled, or proposes its end if no attempt is left.
 fn requeue(state: &mut State, cell: cell::Key, key: Key) {
     let Some(task) = state.tasks.get(key) else { return };
-    let job = task.id.job;
-    if is_cancelled(state, cell, job) {
+    let id = task.id;
+    if is_cancelled(state, cell, id.job) {
         let Some(task) = state.tasks.get_mut(key) else { return };
         task.committed_state = TaskState::Cancelled;
-        return count_ended_task(state, cell, job);
+        return count_ended_task(state, cell, id.job);
+    }
+    let is_owner = state.cells.get(cell).is_some_and(|cell| cell.role == cell::Role::Owner);
+    if is_owner && has_no_attempt_left(state, key) {
+        return journal::push(state, cell, Record::Failed { task: id, reason: Reason::AlwaysFails });
     }
     enqueue(state, key);
 }
 
+/// Whether more attempts of a task failed than its job has retries. Unknown, and so false, while the plan lacks the job.
+fn has_no_attempt_left(state: &State, key: Key) -> bool {
+    let Some(task) = state.tasks.get(key) else { return false };
+    state.config.plan.job(task.id.job).is_some_and(|(_, job)| task.failures > job.retries)
+}
+
+/// Proposes the end of the queued tasks without an attempt left, whose end a former owner did not get into the log.
+pub(crate) fn end_exhausted(state: &mut State, cell: cell::Key) {
+    let Some(home) = state.cells.get(cell) else { return };
+    let exhausted: Vec<Key> = home.queue.iter().filter(|key| has_no_attempt_left(state, *key)).collect();
+    for key in exhausted {
+        dequeue(state, key);
+        requeue(state, cell, key);
+    }
+}
+
 fn apply_failed(state: &mut State, cell: cell::Key, id: Id, reason: Reason, out: &mut Vec<Effect>) {
     let key = find_or_insert(state, cell, id);
     dequeue(state, key);
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -58,6 +58,11 @@
 /// Applies a document at the first entry VM whose process runs, and checks that it is accepted.
 fn apply(session: &mut Session, name: &str, text: &str) {
     let to = session.entry_vms.iter().position(|vm| vm.process.is_some()).expect("a process") as u16;
+    apply_at(session, to, name, text);
+}
+
+/// Applies a document at an entry VM, and checks that it is accepted.
+fn apply_at(session: &mut Session, to: u16, name: &str, text: &str) {
     // The author identifies the change, so each change needs its own.
     let author = format!("operator-{}", session.now.0);
     let (name, text) = (name.into(), text.into());
@@ -175,3 +180,21 @@
         assert_eq!(running_tasks(&session), 0, "seed {seed}");
     }
 }
+
+/// Guards against a successor that starts a task again whose attempts all failed, because the record of its end was not
+/// yet in the log.
+#[test]
+fn task_that_used_up_its_retries_is_not_started_after_a_takeover() {
+    let mut session = started(BASE, Tuning::default(), 1);
+    session.worker_vms.iter_mut().for_each(|vm| vm.worker.faults.is_failing = true);
+    apply(&mut session, "jobs", &job("tasks = 1\nrun_time = \"1 s\"\nretries = 0"));
+    let is_done = |record: &Record| matches!(record, Record::Done { .. });
+    assert!(run_while(&mut session, |session| !records(session).iter().any(is_done)));
+    let is_given_up = |record: &Record| matches!(record, Record::Failed { .. });
+    assert!(!records(&session).iter().any(is_given_up), "the record of the end is in the log already");
+    let former = owner_vm(&session);
+    session.kill(former);
+    session.run_for(Duration::from_secs(20));
+    assert_eq!(session.shared.audit.counts().tasks_started, 1);
+    assert!(records(&session).iter().any(is_given_up));
+}
