Don't run a finished job again when its declaration arrives after its log

What users would see: a job whose tasks all finished, whose ends are in the log and were acknowledged to the workers, runs again as a whole. It takes a change of the cell's owner shortly after the job was applied: the new owner reads the log of the cell before the configuration that declares the job.

Cause: a job that is adopted while the plan lacks it is marked as not expanded, and its tasks are added when the plan names it. The replay of its last `Done` record closes the job and removes its tasks from memory, since the count in the log stands for them. The mark stayed, so the plan then added all tasks of the closed job again.

--- a/src/core/task.rs
+++ b/src/core/task.rs
@@ -573,6 +573,8 @@
         return;
     }
     adopted.count = 0;
+    // No tasks are added to a finished job when the plan names it later.
+    adopted.expanded = true;
     for (id, key) in keys {
         home.tasks.remove(&id);
         state.tasks.arena.remove(key);
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -1,14 +1,18 @@
 //! Simulated sessions of one zone in which a cell changes its owner or its declaration while its tasks run.
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
-use nutmegfold::core::State;
 use nutmegfold::core::admin::{Answer, Command};
 use nutmegfold::core::cell::Role;
 use nutmegfold::core::control::Work;
+use nutmegfold::core::event::Event;
 use nutmegfold::core::journal::Record;
+use nutmegfold::core::peer::Message;
 use nutmegfold::core::time::Instant;
 use nutmegfold::core::tuning::Tuning;
+use nutmegfold::core::{State, reduce};
 use nutmegfold::declare::check::{self, Source};
 use nutmegfold::session::Session;
 use nutmegfold::session::fault::{self, Fault};
@@ -109,6 +113,37 @@
     session.link = Box::new(fault::faulty_link(vec![Fault::cut(period, vec![Site::Entry(entry)], workers)]));
 }
 
+/// Kills the owner, lets another process take the cell over while `withheld` keeps the newest configuration from it, and
+/// then delivers that configuration.
+fn take_over_with_an_older_plan(session: &mut Session, former: u16, withheld: &RefCell<bool>) {
+    session.kill(former);
+    assert!(run_while(session, |session| owner(session).is_none()));
+    session.run_for(Duration::from_secs(5));
+    assert_eq!(owner(session).expect("an owner").1.config.index.version, 1);
+    *withheld.borrow_mut() = false;
+    session.store.index_lag_writes = 0;
+    session.run_for(Duration::from_secs(40));
+}
+
+/// Applies a document at the owner and withholds it from the other processes. Returns the number of the owner, and the
+/// flag that withholds the document.
+fn apply_at_the_owner_only(session: &mut Session, text: &str) -> (u16, Rc<RefCell<bool>>) {
+    let withheld = Rc::new(RefCell::new(true));
+    let is_withheld = Rc::clone(&withheld);
+    session.reducer = Box::new(move |state, mut input, out| {
+        if let Event::Peer { message: Message::ConfigOffer { .. }, .. } = &input.event
+            && *is_withheld.borrow()
+        {
+            input.event = Event::Wake;
+        }
+        reduce(state, input, out);
+    });
+    let owner = owner_vm(session);
+    apply_at(session, owner, "jobs", text);
+    session.store.index_lag_writes = 1;
+    (owner, withheld)
+}
+
 /// Guards against a task that is assigned again while it runs because the queue keeps it under its former priority.
 #[test]
 fn task_is_not_assigned_twice_after_its_priority_changes() {
@@ -198,3 +233,17 @@
     assert_eq!(session.shared.audit.counts().tasks_started, 1);
     assert!(records(&session).iter().any(is_given_up));
 }
+
+/// Guards against a finished job whose tasks run again, because a new owner loaded the job with a configuration older
+/// than the job.
+#[test]
+fn finished_job_does_not_run_again_when_the_successor_has_an_older_configuration() {
+    let mut session = started(BASE, Tuning::default(), 1);
+    let text = job("tasks = 4\nrun_time = \"1 s\"");
+    let (former, withheld) = apply_at_the_owner_only(&mut session, &text);
+    session.run_for(Duration::from_secs(5));
+    assert_eq!(session.shared.audit.counts().tasks_finished, 4);
+    take_over_with_an_older_plan(&mut session, former, &withheld);
+    assert_eq!(session.violations(), Vec::<String>::new());
+    assert_eq!(session.shared.audit.counts().tasks_started, 4);
+}
