Complete tasks that a new owner loads before it has their declaration

What users would see: after a change of the owner shortly after a job was applied, (1) a waiting task that had an attempt is never started, or is reported as failed for good after one failed attempt; (2) a worker gets start commands for more work than it holds.

Cause: the new owner reads the log before the configuration that declares the job. For a job that the plan lacks, `enqueue` queues nothing, and `reserve` reserves the default size, which is zero. When the plan names the job, only the tasks that the log did not name were added. A worker's report confirmed a reservation but kept its size of zero.

Change: when the plan names the job, the loaded tasks that wait are queued, and those that are assigned get a reservation of the declared size. A worker's report of a running task sets the size of its reservation.

--- a/src/core/reconcile.rs
+++ b/src/core/reconcile.rs
@@ -11,6 +11,7 @@
 use super::trace::Subject;
 use super::worker::{self, Key, Reservation, Worker};
 use super::{place, replica};
+use crate::declare::size::Size;
 
 /// Reconciles the reservations and tasks of a worker with its reply to the call `sequence`.
 pub(super) fn reconcile(state: &mut State, key: Key, sequence: u64, reply: &Reply, out: &mut Vec<Effect>) {
@@ -29,18 +30,16 @@
     place::schedule_pass(state, cell);
 }
 
-/// Confirms the reservation of a unit of work that the worker reports as running, or adds one.
+/// Confirms the reservation of a unit of work that the worker reports as running, or adds one. The reported size
+/// replaces the reserved one.
 fn handle_running(state: &mut State, key: Key, cell: cell::Key, sequence: u64, running: &Running) {
     let Some(worker) = state.workers.get_mut(key) else { return };
-    match worker.reservations.get_mut(&running.work) {
-        Some(reservation) => reservation.is_confirmed = true,
-        None => {
-            let reservation =
-                Reservation { is_confirmed: true, ..Reservation::new(running.size, running.attempt) };
-            worker.reservations.insert(running.work, reservation);
-            worker.used += running.size;
-        }
-    }
+    let added = Reservation::new(Size::default(), running.attempt);
+    let reservation = worker.reservations.entry(running.work).or_insert(added);
+    worker.used -= reservation.size;
+    worker.used += running.size;
+    reservation.size = running.size;
+    reservation.is_confirmed = true;
     match running.work {
         Work::Batch(id) => handle_running_task(state, key, cell, sequence, id, running.attempt),
         Work::Replica(run) => replica::record_running(state, cell, key, run, running.service),
--- a/src/core/task.rs
+++ b/src/core/task.rs
@@ -18,6 +18,7 @@
 use super::trace::Subject;
 use super::{place, worker};
 use crate::declare::job::{self, Job};
+use crate::declare::size::Size;
 
 new_key_type! {
     /// Key of a task, valid in this process only.
@@ -243,7 +244,8 @@
     add_missing_tasks(state, cell, job);
 }
 
-/// Adds the tasks of jobs that were adopted before this process had a configuration that declares them.
+/// Adds the tasks of jobs that were adopted before this process had a configuration that declares them, and completes
+/// those that the log named.
 pub(crate) fn add_missing_tasks_of_all_jobs(state: &mut State, cell: cell::Key) {
     let Some(home) = state.cells.get(cell) else { return };
     let mut waiting: Vec<job::Id> =
@@ -262,11 +264,26 @@
     let Some(adopted) = home.jobs.get_mut(&job).filter(|adopted| !adopted.expanded) else { return };
     adopted.expanded = true;
     let indices = home_indices(declared, home.id).map(|index| Id { job, index });
-    let missing: Vec<Id> = indices.filter(|id| !home.tasks.contains_key(id)).collect();
+    let (known, missing): (Vec<Id>, Vec<Id>) = indices.partition(|id| home.tasks.contains_key(id));
     for id in missing {
         let key = insert(state, cell, id, now);
         enqueue(state, key);
     }
+    for id in known {
+        complete_loaded(state, cell, id, declared.size);
+    }
+}
+
+/// Queues a waiting task that the log named before the plan did, or sets the size of its reservation. Neither is known
+/// without the declaration of its job.
+fn complete_loaded(state: &mut State, cell: cell::Key, id: Id, size: Size) {
+    let Some(key) = state.cells.get(cell).and_then(|home| home.tasks.get(&id)).copied() else { return };
+    let Some(task) = state.tasks.get(key) else { return };
+    match (task.committed_state, task.stage) {
+        (TaskState::Queued { .. }, Stage::Idle) => requeue(state, cell, key),
+        (TaskState::Assigned { worker, .. }, _) => worker::resize(state, worker, Work::Batch(id), size),
+        _ => {}
+    }
 }
 
 fn insert(state: &mut State, cell: cell::Key, id: Id, adopted_at: Instant) -> Key {
--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -506,6 +506,16 @@
     }
 }
 
+/// Sets the size of a unit of work's reservation, which was not known when the work was reserved.
+pub(crate) fn resize(state: &mut State, id: Id, work: Work, size: Size) {
+    let Some(worker) = state.workers.key(id).and_then(|key| state.workers.get_mut(key)) else { return };
+    if let Some(reservation) = worker.reservations.get_mut(&work) {
+        worker.used -= reservation.size;
+        worker.used += size;
+        reservation.size = size;
+    }
+}
+
 /// Queues a command for the next call to a worker.
 pub(crate) fn queue_command(state: &mut State, id: Id, command: Command) {
     let Some(key) = state.workers.key(id) else { return };
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -12,7 +12,7 @@
 use nutmegfold::core::peer::Message;
 use nutmegfold::core::time::Instant;
 use nutmegfold::core::tuning::Tuning;
-use nutmegfold::core::{State, reduce};
+use nutmegfold::core::{State, cell, reduce};
 use nutmegfold::declare::check::{self, Source};
 use nutmegfold::session::Session;
 use nutmegfold::session::fault::{self, Fault};
@@ -234,6 +234,38 @@
     assert!(records(&session).iter().any(is_given_up));
 }
 
+/// Guards against a task that a new owner ends after one failed attempt, because its configuration is older than the
+/// job and it takes the job's retries for none.
+#[test]
+fn task_keeps_its_retries_when_the_successor_has_an_older_configuration() {
+    let mut session = started(BASE, Tuning::default(), 1);
+    let workers = vec![Site::Worker(0), Site::Worker(1)];
+    let period = (session.now, session.now + Duration::from_secs(60));
+    let lost = Fault::lose_answers(period, vec![Site::Entry(owner_vm(&session))], workers);
+    session.link = Box::new(fault::faulty_link(vec![lost]));
+    session.worker_vms.iter_mut().for_each(|vm| vm.worker.faults.is_failing = true);
+    let text = job("tasks = 1\nrun_time = \"1 s\"\nretries = 2");
+    let (former, withheld) = apply_at_the_owner_only(&mut session, &text);
+    assert!(run_while(&mut session, |session| session.shared.audit.counts().tasks_failed == 0));
+    session.worker_vms.iter_mut().for_each(|vm| vm.worker.faults.is_failing = false);
+    take_over_with_an_older_plan(&mut session, former, &withheld);
+    assert_eq!(session.shared.audit.counts().tasks_finished, 1);
+}
+
+/// Guards against a worker that gets more work than it holds, because a new owner with a configuration older than the
+/// job reserves nothing for the job's tasks.
+#[test]
+fn worker_is_not_overcommitted_when_the_successor_has_an_older_configuration() {
+    let mut session = started(BASE, Tuning::default(), 1);
+    let text = job("tasks = 40\nrun_time = \"600 s\"");
+    let (former, withheld) = apply_at_the_owner_only(&mut session, &text);
+    session.run_for(Duration::from_secs(3));
+    assert_eq!(running_tasks(&session), 16);
+    take_over_with_an_older_plan(&mut session, former, &withheld);
+    assert_eq!(session.violations(), Vec::<String>::new());
+    assert_eq!(running_tasks(&session), 16);
+}
+
 /// Guards against a finished job whose tasks run again, because a new owner loaded the job with a configuration older
 /// than the job.
 #[test]
