Reserve a predecessor's grant slots after a handover under the first epoch

What users would see: after a graceful handover of a cell that never changed its owner before, entry VMs hold grants for more connections to a worker than it accepts, so the worker refuses requests.

Cause: a new owner gives a slot without a presented grant only 13 s after it began, since its predecessor may have given the slot to another member. The first owner of a cell needs no such wait, and epoch 1 was taken for the first owner. A successor by handover continues the epoch, so it is not the first owner under epoch 1.

Change: a cell records whether it came by a handover, and only an owner without a predecessor skips the wait.

--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -93,6 +93,8 @@
     pub desired_replicas: (u64, Vec<u32>),
     /// Connection grants that members hold.
     pub grants: grant::Slots,
+    /// Whether the cell came by a handover, so that a predecessor issued grants under the same epoch.
+    pub is_handed_over: bool,
     /// Whether a placement pass is scheduled.
     pub place_scheduled: bool,
     /// Time of the next periodic placement pass, which needs no event; `None` before the first pass.
@@ -241,6 +243,7 @@
         replicas: replica::Set { routes_version: version, ..replica::Set::default() },
         desired_replicas: (0, Vec::new()),
         grants: grant::Slots::default(),
+        is_handed_over: false,
         place_scheduled: false,
         next_pass: None,
         is_snapshot_read: false,
--- a/src/core/grant.rs
+++ b/src/core/grant.rs
@@ -154,7 +154,7 @@
     let (now, tuning) = (state.now, state.tuning);
     let cell = state.cells.get_mut(key).filter(|cell| cell.role != Role::Recovering)?;
     let epoch = cell.published_epoch();
-    let is_first_owner = cell.epoch == 1 && cell.role == Role::Owner;
+    let is_first_owner = cell.epoch == 1 && cell.role == Role::Owner && !cell.is_handed_over;
     let slots = &mut cell.grants;
     slots.issued.retain(|_, issued| now < issued.expires);
     let reserved_until = *slots.reserved_until.get_or_insert(now + reservation_time(&tuning, is_first_owner));
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -186,6 +186,7 @@
     cell.log.next = next;
     cell.epoch = epoch;
     cell.role = Role::Owner;
+    cell.is_handed_over = true;
     record(out, Subject::Cell(id), "handed-over", format!("epoch {epoch}, position {next}"));
     begin_as_owner(state, key);
 }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -7,16 +7,18 @@
 use nutmegfold::core::admin::{Answer, Command};
 use nutmegfold::core::cell::Role;
 use nutmegfold::core::control::Work;
-use nutmegfold::core::event::Event;
+use nutmegfold::core::effect::Effect;
+use nutmegfold::core::event::{Event, Input};
+use nutmegfold::core::grant::Slot;
 use nutmegfold::core::journal::Record;
 use nutmegfold::core::peer::Message;
 use nutmegfold::core::time::Instant;
 use nutmegfold::core::tuning::Tuning;
-use nutmegfold::core::{State, cell, reduce};
+use nutmegfold::core::{State, cell, member, reduce};
 use nutmegfold::declare::check::{self, Source};
 use nutmegfold::session::Session;
 use nutmegfold::session::fault::{self, Fault};
-use nutmegfold::session::site::Site;
+use nutmegfold::session::site::{self, Site};
 
 /// The zone, its pool and a team. Documents of the tests add jobs.
 const BASE: &str = r#"
@@ -144,6 +146,13 @@
     (owner, withheld)
 }
 
+/// Slots of a cell for which other processes than the owner hold grants.
+fn granted_slots(session: &Session, cell: cell::Id, owner: u16) -> Vec<Slot> {
+    let others = session.entry_vms.iter().enumerate().filter(|(at, _)| *at != usize::from(owner));
+    let states = others.filter_map(|(_, vm)| vm.process.as_ref());
+    states.filter_map(|state| state.grants.valid(cell, session.now)).map(|held| held.slot).collect()
+}
+
 /// Guards against a task that is assigned again while it runs because the queue keeps it under its former priority.
 #[test]
 fn task_is_not_assigned_twice_after_its_priority_changes() {
@@ -279,3 +288,35 @@
     assert_eq!(session.violations(), Vec::<String>::new());
     assert_eq!(session.shared.audit.counts().tasks_started, 4);
 }
+
+/// Guards against connection grants for more connections than a worker accepts, because a successor under the first
+/// epoch gives out the slots that its predecessor gave to others.
+#[test]
+fn slots_of_a_predecessor_are_reserved_after_a_handover_under_the_first_epoch() {
+    let mut session = started(BASE, Tuning::default(), 1);
+    let former = owner_vm(&session);
+    let (held, epoch) = {
+        let (_, state) = owner(&session).expect("an owner");
+        let cell = state.cells.iter().next().expect("a cell").1;
+        (cell.id, cell.epoch)
+    };
+    assert_eq!(epoch, 1);
+    let granted: Vec<Slot> = granted_slots(&session, held, former);
+    assert!(!granted.is_empty());
+    session.stop(former);
+    assert!(run_while(&mut session, |session| owner(session).is_none_or(|(at, _)| at == former)));
+    let (successor, state) = owner(&session).expect("an owner");
+    assert_eq!(state.cells.iter().next().expect("a cell").1.epoch, 1);
+    let (from, address) = (member::Id(7), site::entry_address(7));
+    let message = Message::GrantAsk { cell: held, held: None, asked_us: 0, routes_version: 0 };
+    let input =
+        Input { at: session.now, unix_ms: 0, entropy: 1, event: Event::Peer { from, address, message } };
+    let mut effects = Vec::new();
+    let state = session.entry_vms[usize::from(successor)].process.as_mut().expect("a process");
+    reduce(state, input, &mut effects);
+    let is_grant = |effect: &Effect| matches!(effect, Effect::Peer { message: Message::Grant { .. }, .. });
+    assert!(
+        !effects.iter().any(is_grant),
+        "a slot is given out that a predecessor may have given to another"
+    );
+}
