Leave work of another cell on a worker to that cell

What users would see: after a change of the number of cells (a larger pool is enough, since one cell has about 64 workers), tasks of the former cell are stopped, or they run again although they finished.

Cause: a worker with tasks stays in its cell only in the process that owns that cell. For the owner of the new cell the worker has no reservations, so it takes the worker by the plan and claims it, at once if its epoch is higher. It then stops every task that its own log does not assign there, and acknowledges every result that its own log does not know. The log that stands behind those tasks is that of another cell. The worker forgets the results, and the other owner takes the tasks for lost and starts them again.

Change: a task is foreign to a cell if the plan has its home elsewhere, or if the cell's owner knows neither the task nor its job. Foreign tasks are neither stopped nor acknowledged. A worker on which a cell has no tasks and which reports foreign ones is not claimed, and a lease on it is released. Results without running tasks block a worker for 60 s at most, since a lost acknowledgement can leave them there; they stay on the worker after that.

--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use super::cell::{self, Role};
-use super::control::{Reply, Status};
+use super::control::{Reply, Status, Work};
 use super::effect::Effect;
 use super::state::{State, record};
 use super::time::Instant;
 use super::trace::Subject;
 use super::tuning::Tuning;
 use super::worker::{self, CallOptions, Key, PendingCall, Worker};
-use super::{place, reconcile};
+use super::{place, reconcile, task};
 
 /// A reading of a worker's clock, taken at some moment between the sending of a call and the receipt of its reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,6 +40,10 @@
     pub(super) requested_until_ms: u64,
 }
 
+/// Time for which a worker with results of another cell is left to that cell. The results stay on the worker after it,
+/// since they can belong to tasks that would otherwise run again.
+const FOREIGN_RESULT_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Longest time on one clock while another clock advances by `span`, given the largest drift between two clocks.
 fn max_local_duration(span: Duration, tuning: &Tuning) -> Duration {
     span + span * tuning.drift_per_mille as u32 / 1000
@@ -139,6 +143,13 @@
     }
     update_clock_reading(state, key, call, &reply);
     let wait = match reply.status {
+        Status::Granted if is_left_to_another_cell(state, key, &reply) => {
+            // A call that is not a poll can be the release itself.
+            if call.is_poll {
+                worker::release_lease(state, key, out);
+            }
+            handle_held(state, key)
+        }
         Status::Granted => {
             handle_granted(state, key, sequence, reply, out);
             MIN_POLL_INTERVAL.saturating_sub(now.since(call.sent_at))
@@ -164,6 +175,34 @@
     }
 }
 
+/// Whether a worker is left to another cell, which has work on it while this cell has none: as long as tasks of that
+/// cell run there, and for [`FOREIGN_RESULT_TIMEOUT`] with results of that cell. The next claim then waits for an inquiry.
+///
+/// The plan can give a worker to this cell before the other cell's owner has seen the ends of its tasks there.
+fn is_left_to_another_cell(state: &mut State, key: Key, reply: &Reply) -> bool {
+    let Some(worker) = state.workers.get(key) else { return false };
+    let Some(cell) = state.cells.key(worker.cell) else { return false };
+    let is_foreign = |work: &Work| match work {
+        Work::Batch(task) => task::is_foreign(state, cell, *task),
+        Work::Replica(_) => false,
+    };
+    let has_running = reply.running.iter().any(|running| is_foreign(&running.work));
+    let has_results = reply.ended.iter().any(|ended| is_foreign(&ended.work));
+    let is_own = |work: &Work| matches!(work, Work::Batch(_)) && !is_foreign(work);
+    let has_own = worker.reservations.keys().any(is_own);
+    let now = state.now;
+    let Some(worker) = state.workers.get_mut(key) else { return false };
+    if has_own || !(has_running || has_results) {
+        worker.foreign_since = None;
+        return false;
+    }
+    let since = worker.foreign_since.filter(|_| !has_running).unwrap_or(now);
+    worker.foreign_since = Some(since);
+    let is_left = now.since(since) < FOREIGN_RESULT_TIMEOUT;
+    worker.lease.needs_inquiry |= is_left;
+    is_left
+}
+
 fn handle_granted(state: &mut State, key: Key, sequence: u64, reply: Reply, out: &mut Vec<Effect>) {
     let (now, tuning) = (state.now, state.tuning);
     let Some(worker) = state.workers.get_mut(key) else { return };
@@ -182,6 +221,9 @@
 fn handle_inquiry(state: &mut State, key: Key, reply: &Reply, out: &mut Vec<Effect>) -> Duration {
     let role = state.workers.get(key).and_then(|worker| state.cells.key(worker.cell));
     let role = role.and_then(|cell| state.cells.get(cell)).map(|cell| cell.role);
+    if is_left_to_another_cell(state, key, reply) {
+        return POLL_RETRY_DELAY;
+    }
     let Some(worker) = state.workers.get_mut(key) else { return POLL_RETRY_DELAY };
     worker.lease.needs_inquiry = false;
     let is_free = reply.lease_until_ms <= reply.clock_ms;
--- a/src/core/reconcile.rs
+++ b/src/core/reconcile.rs
@@ -1,7 +1,8 @@
 //! Reconciliation of a worker's report with the reservations and the log records that this process has for it.
 //!
 //! Every granted control call returns the running and the ended work of the worker. The owner stops tasks that the log
-//! does not assign there, appends outcomes to the log, and repeats starts and stops that the worker did not execute.
+//! does not assign there, appends outcomes to the log, and repeats starts and stops that the worker did not execute. It
+//! neither stops nor acknowledges work of another cell, whose log it does not know.
 
 use super::cell::{self, Role};
 use super::control::{Command, Ended, Outcome, Reply, Running, Work};
@@ -54,6 +55,7 @@
     id: task::Id,
     attempt: u32,
 ) {
+    let is_foreign = task::is_foreign(state, cell, id);
     let Some(home) = state.cells.get(cell) else { return };
     let (worker, is_owner) = (state.workers.get(key).map(|worker| worker.id), home.role == Role::Owner);
     let key_of_task = home.tasks.get(&id).copied();
@@ -71,7 +73,7 @@
             _ => {}
         },
         // The log does not assign this attempt to this worker, so it has to stop.
-        _ if is_owner => {
+        _ if is_owner && !is_foreign => {
             let Some(worker) = worker else { return };
             worker::queue_command(
                 state,
@@ -107,7 +109,9 @@
                 if reservation.is_some_and(|reservation| reservation.attempt == ended.attempt) {
                     worker::unreserve(state, id, ended.work);
                 }
-                worker::acknowledge(state, id, ended.work, ended.attempt);
+                if !task::is_foreign(state, cell, task) {
+                    worker::acknowledge(state, id, ended.work, ended.attempt);
+                }
             }
         }
     }
--- a/src/core/task.rs
+++ b/src/core/task.rs
@@ -208,6 +208,19 @@
     cell.queue.order = std::mem::take(&mut cell.queue.order).into_iter().filter_map(current_rank).collect();
 }
 
+/// Whether a task that a worker reports belongs to another cell: the plan has its home there, or lacks its job while the
+/// log of this cell does not name the task either. Only the owner knows the whole log.
+pub(crate) fn is_foreign(state: &State, cell: cell::Key, id: Id) -> bool {
+    let Some(home) = state.cells.get(cell) else { return true };
+    if home.tasks.contains_key(&id) {
+        return false;
+    }
+    match state.config.plan.job(id.job) {
+        Some((_, job)) => job.homes.get(id.index as usize % job.homes.len().max(1)) != Some(&home.id),
+        None => home.role == cell::Role::Owner,
+    }
+}
+
 /// Adds a task to the queue of its cell, if its job is declared.
 fn enqueue(state: &mut State, key: Key) {
     let plan = state.config.plan.clone();
--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -99,6 +99,8 @@
     pub leaving: bool,
     /// Control lease.
     pub lease: Lease,
+    /// Time since which the worker has reported batch work of another cell; `None` if its last report listed none.
+    pub foreign_since: Option<Instant>,
     /// Reservations for all work that may be on the worker.
     pub reservations: Map<Work, Reservation>,
     /// Sum of the reserved sizes.
@@ -230,6 +232,7 @@
         absent_since: Some(state.now),
         leaving: false,
         lease: Lease::default(),
+        foreign_since: None,
         reservations: Map::default(),
         used: Size::default(),
         failed_tasks: Vec::new(),
@@ -375,8 +378,8 @@
     let Some(id) = state.cells.get(cell).map(|cell| cell.id) else { return };
     for key in state.workers.keys_in_cell(id) {
         if let Some(worker) = state.workers.get_mut(key) {
-            let clock_reading = worker.lease.clock_reading;
-            worker.lease = Lease { clock_reading, ..Lease::default() };
+            let Lease { clock_reading, needs_inquiry, .. } = worker.lease;
+            worker.lease = Lease { clock_reading, needs_inquiry, ..Lease::default() };
         }
         start_polling(state, key);
     }
@@ -401,12 +404,19 @@
 pub(crate) fn release_leases(state: &mut State, cell: cell::Id, out: &mut Vec<Effect>) {
     for key in state.workers.keys_in_cell(cell) {
         let now = state.now;
-        let Some(worker) = state.workers.get(key).filter(|worker| worker.is_held(now)) else { continue };
-        let until_ms = worker.lease.requested_until_ms;
-        send(state, key, CallOptions { until_ms, release: true, ..CallOptions::default() }, out);
+        if state.workers.get(key).is_some_and(|worker| worker.is_held(now)) {
+            release_lease(state, key, out);
+        }
     }
 }
 
+/// Releases the lease of a worker that this process holds.
+pub(super) fn release_lease(state: &mut State, key: Key, out: &mut Vec<Effect>) {
+    let Some(worker) = state.workers.get(key) else { return };
+    let until_ms = worker.lease.requested_until_ms;
+    send(state, key, CallOptions { until_ms, release: true, ..CallOptions::default() }, out);
+}
+
 /// Starts polling a worker unless that is under way, if this process acts for the worker's cell.
 fn start_polling(state: &mut State, key: Key) {
     let now = state.now;
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -153,6 +153,15 @@
     states.filter_map(|state| state.grants.valid(cell, session.now)).map(|held| held.slot).collect()
 }
 
+/// Number of the entry VM whose process owns the cell with this index.
+fn owner_of(session: &Session, index: u16) -> Option<u16> {
+    let is_owner = |state: &State| {
+        state.cells.iter().any(|(_, cell)| cell.id.index == index && cell.role == Role::Owner)
+    };
+    let position = session.entry_vms.iter().position(|vm| vm.process.as_ref().is_some_and(is_owner));
+    position.map(|at| at as u16)
+}
+
 /// Guards against a task that is assigned again while it runs because the queue keeps it under its former priority.
 #[test]
 fn task_is_not_assigned_twice_after_its_priority_changes() {
@@ -320,3 +329,67 @@
         "a slot is given out that a predecessor may have given to another"
     );
 }
+
+/// Guards against the owner of a new cell that stops the tasks of another cell on its workers, or acknowledges their
+/// results, so that they run again.
+#[test]
+fn work_of_another_cell_is_kept_when_the_number_of_cells_changes() {
+    let base = BASE.replace("count = 2", "count = 6");
+    let mut tested = 0;
+    for seed in 1..6 {
+        let mut session = started(&base, Tuning::default(), seed);
+        apply(&mut session, "jobs", &job("tasks = 48\nrun_time = \"30 s\""));
+        assert!(run_while(&mut session, |session| running_tasks(session) < 48));
+        apply(&mut session, "base", &base.replace("entry_vms = 3", "entry_vms = 3\ncells = 2"));
+        assert!(run_while(&mut session, |session| owner_of(session, 1).is_none()));
+        let former = owner_of(&session, 1).expect("an owner");
+        if Some(former) == owner_of(&session, 0) {
+            continue;
+        }
+        tested += 1;
+        session.kill(former);
+        session.run_for(Duration::from_secs(60));
+        let counts = session.shared.audit.counts();
+        assert_eq!((counts.tasks_run_twice, counts.tasks_evicted), (0, 0), "seed {seed}");
+        assert_eq!((counts.tasks_started, counts.tasks_finished), (48, 48), "seed {seed}");
+    }
+    assert!(tested > 0, "no seed gives the cells to different processes");
+}
+
+/// Guards against the owner of a new cell that acknowledges the results of finished tasks of another cell, whose owner
+/// has not seen them and starts the tasks again.
+#[test]
+fn results_of_another_cell_are_not_acknowledged() {
+    let base = BASE.replace("count = 2", "count = 6");
+    let mut tested = 0;
+    for seed in 1..6 {
+        let mut session = started(&base, Tuning::default(), seed);
+        apply(&mut session, "jobs", &job("tasks = 48\nrun_time = \"30 s\""));
+        assert!(run_while(&mut session, |session| running_tasks(session) < 48));
+        let started_at = session.now;
+        apply(&mut session, "base", &base.replace("entry_vms = 3", "entry_vms = 3\ncells = 2"));
+        assert!(run_while(&mut session, |session| owner_of(session, 1).is_none()));
+        let (first, former) =
+            (owner_of(&session, 0).expect("an owner"), owner_of(&session, 1).expect("an owner"));
+        if former == first {
+            continue;
+        }
+        // The successor of the new cell claims the workers just after their tasks finish.
+        session.run_until(started_at + Duration::from_millis(28_500));
+        session.kill(former);
+        session.run_until(started_at + Duration::from_millis(29_500));
+        cut_from_workers(&mut session, first, Duration::from_secs(10));
+        session.run_for(Duration::from_secs(12));
+        let successor = owner_of(&session, 1).expect("an owner");
+        if successor == first {
+            continue;
+        }
+        tested += 1;
+        session.kill(successor);
+        session.run_for(Duration::from_secs(60));
+        let counts = session.shared.audit.counts();
+        assert_eq!((counts.tasks_run_twice, counts.tasks_evicted), (0, 0), "seed {seed}");
+        assert_eq!((counts.tasks_started, counts.tasks_finished), (48, 48), "seed {seed}");
+    }
+    assert!(tested > 0, "no seed gives the cells to different processes");
+}
