Ignore a handover that arrives again after the cell has moved on

What users would see: nothing in most cases. If a worker's lease is free at that moment, a former owner with an old state of the log stops the tasks of the present one, and acknowledges results that it does not know.

Cause: a message between entry VMs may be delivered twice. A process that had handed a cell on accepted the handover from its own predecessor again and became an owner under the same epoch as the present owner, so neither the log nor a worker refuses its epoch. Nothing durable stands behind that ownership.

Change: a process records the epoch and the position of the log at which it last left a cell, and ignores a handover that is not newer. A cell that comes back without a new record is then taken over with a `Takeover`.

--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -124,6 +124,8 @@
 pub struct Table {
     arena: SlotMap<Key, Cell>,
     by_id: Map<Id, Key>,
+    /// Epoch and next log position at which this process last stopped acting for a cell.
+    left_at: Map<Id, (u64, u64)>,
 }
 
 impl Table {
@@ -147,6 +149,12 @@
         self.arena.iter()
     }
 
+    /// Whether this process has acted for a cell at or after the position of the log and the epoch of a handover, so that
+    /// the handover is a repeated message.
+    pub fn has_left(&self, id: Id, epoch: u64, next: u64) -> bool {
+        self.left_at.get(&id).is_some_and(|left| (epoch, next) <= *left)
+    }
+
     /// All keys.
     pub fn keys(&self) -> Vec<Key> {
         self.arena.keys().collect()
@@ -219,6 +227,8 @@
 fn remove(state: &mut State, key: Key) {
     let Some(cell) = state.cells.arena.remove(key) else { return };
     state.cells.by_id.remove(&cell.id);
+    let left = state.cells.left_at.entry(cell.id).or_default();
+    *left = (*left).max((cell.epoch, cell.log.next));
     for task in cell.tasks.into_values() {
         state.tasks.remove(task);
     }
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -169,7 +169,8 @@
     snapshot: Snapshot,
     out: &mut Vec<Effect>,
 ) {
-    if id.zone != state.me.zone || !state.shutdown.is_running() {
+    let is_repeated = state.cells.has_left(id, epoch, next);
+    if id.zone != state.me.zone || !state.shutdown.is_running() || is_repeated {
         return;
     }
     let key = match state.cells.key(id) {
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -393,3 +393,31 @@
     }
     assert!(tested > 0, "no seed gives the cells to different processes");
 }
+
+/// Guards against two owners under one epoch after a handover message that arrives again once the cell has moved on.
+#[test]
+fn repeated_handover_does_not_bring_back_a_former_owner() {
+    let mut session = started(BASE, Tuning::default(), 1);
+    let handovers: Rc<RefCell<Vec<Event>>> = Rc::default();
+    let log = Rc::clone(&handovers);
+    session.reducer = Box::new(move |state, input, out| {
+        if let Event::Peer { message: Message::Handover { .. }, .. } = &input.event {
+            log.borrow_mut().push(input.event.clone());
+        }
+        reduce(state, input, out);
+    });
+    let first = owner_vm(&session);
+    session.stop(first);
+    session.run_for(Duration::from_secs(5));
+    let second = owner_vm(&session);
+    // The cell moves on as soon as a process starts that ranks before its owner.
+    while owner_vm(&session) == second {
+        session.start(first);
+        session.run_for(Duration::from_secs(10));
+    }
+    let repeated = handovers.borrow()[0].clone();
+    let input = Input { at: session.now, unix_ms: 0, entropy: 1, event: repeated };
+    let state = session.entry_vms[usize::from(second)].process.as_mut().expect("a process");
+    reduce(state, input, &mut Vec::new());
+    assert!(state.cells.iter().all(|(_, cell)| cell.role != Role::Owner));
+}
