Record that a removed job runs again in other cells

What users see: a job that finished, was removed from its document and is declared again with the same run number must not run again (`docs/format.md`: "To run it again, raise `run`"). If the number of cells changed in between, a part of its tasks runs again.

Cause: the homes of a job stand in the generated part of its document. `append_homes` keeps them only for jobs that the new text declares, so they are dropped with the job. A job that is declared again gets homes by the present cells. A cell that is new among them has no record that the job ended, and adopts it.

Not fixed here: the homes of removed jobs would have to be kept without letting a document grow beyond the size of a value in the store.

--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -421,3 +421,22 @@
     reduce(state, input, &mut Vec::new());
     assert!(state.cells.iter().all(|(_, cell)| cell.role != Role::Owner));
 }
+
+/// Guards against a finished job that runs again when it is removed from its document and declared again with the same
+/// run number, because it gets other homes.
+#[test]
+fn removed_job_does_not_run_again_in_other_cells() {
+    let base = BASE.replace("count = 2", "count = 6");
+    let mut session = started(&base, Tuning::default(), 1);
+    let text = job("tasks = 8\nrun_time = \"1 s\"");
+    apply(&mut session, "jobs", &text);
+    session.run_for(Duration::from_secs(10));
+    assert_eq!(session.shared.audit.counts().tasks_finished, 8);
+    apply(&mut session, "jobs", "name = \"jobs\"\n");
+    apply(&mut session, "base", &base.replace("entry_vms = 3", "entry_vms = 3\ncells = 2"));
+    session.run_for(Duration::from_secs(10));
+    apply(&mut session, "jobs", &text);
+    session.run_for(Duration::from_secs(30));
+    assert_eq!(session.violations(), Vec::<String>::new());
+    assert_eq!(session.shared.audit.counts().tasks_started, 8);
+}
