Test that an answer that never begins counts as lost

Cause: `tests/ports.rs` closes a connection only after at least one byte of an answer. An upstream that executes a request and ends before it answers must not be reported as "not written", since a request that is not idempotent would be sent again.

--- a/tests/ports.rs
+++ b/tests/ports.rs
@@ -153,7 +153,8 @@
     }
 }
 
-/// Starts an upstream. `answer` gets the number of the connection and the request; on `None` no answer is sent.
+/// Starts an upstream. `answer` gets the number of the connection and the request; on `None` no answer is sent, and an
+/// empty one closes the connection.
 fn start_upstream(
     answer: impl Fn(usize, &str) -> Option<String> + std::marker::Send + Sync + 'static,
 ) -> SocketAddr {
@@ -171,7 +172,7 @@
                     }
                     let Some(text) = answer(number, &request) else { continue };
                     stream.write_all(text.as_bytes()).expect("written");
-                    if text.contains("close") {
+                    if text.is_empty() || text.contains("close") {
                         return;
                     }
                 }
@@ -253,6 +254,7 @@
         "HTTP/1.0 200 OK\r\nx: close\r\n\r\nends with the connection",
         "HTTP/1.1 200 OK\r\nx: close",
         "close",
+        "",
         &oversized,
     ] {
         let text = answer.to_owned();
