--- a/tests/schedules.rs
+++ b/tests/schedules.rs
@@ -153,8 +153,7 @@
     play_all(SCHEDULES, run_schedule);
 }
 
-/// Guards against combinations of faults, cancelled jobs and changed numbers of cells under which a task runs twice or
-/// never ends.
+/// Guards against faults, cancelled jobs and changed cells that together make a task run twice or without end.
 #[test]
 fn random_schedules_with_cancelled_jobs_keep_the_invariants() {
     play_all(CANCEL_SCHEDULES, run_cancel_schedule);
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -162,7 +162,7 @@
     position.map(|at| at as u16)
 }
 
-/// Guards against a task that is assigned again while it runs because the queue keeps it under its former priority.
+/// Guards against a task that stays in the queue under its former priority while it runs.
 #[test]
 fn task_is_not_assigned_twice_after_its_priority_changes() {
     let mut session = started(BASE, Tuning::default(), 1);
@@ -176,7 +176,7 @@
     assert_eq!(session.shared.audit.counts().tasks_started, 20);
 }
 
-/// Guards against a successor that starts a task of a cancelled job, whose start its predecessor could not send.
+/// Guards against a successor that starts what its predecessor had assigned but could not start.
 #[test]
 fn task_of_a_cancelled_job_is_not_started_after_a_takeover() {
     let tuning = Tuning { segments_per_snapshot: 1, ..Tuning::default() };
@@ -219,7 +219,7 @@
     }
 }
 
-/// Guards against a stop command that is lost and not repeated, so that a task of a cancelled job runs on.
+/// Guards against a task of a cancelled job that runs on after its stop command was lost.
 #[test]
 fn lost_stop_command_is_repeated() {
     for seed in 1..5 {
@@ -234,8 +234,7 @@
     }
 }
 
-/// Guards against a successor that starts a task again whose attempts all failed, because the record of its end was not
-/// yet in the log.
+/// Guards against an attempt too many when the record of the task's end is not in the log yet.
 #[test]
 fn task_that_used_up_its_retries_is_not_started_after_a_takeover() {
     let mut session = started(BASE, Tuning::default(), 1);
@@ -252,8 +251,7 @@
     assert!(records(&session).iter().any(is_given_up));
 }
 
-/// Guards against a task that a new owner ends after one failed attempt, because its configuration is older than the
-/// job and it takes the job's retries for none.
+/// Guards against a successor that takes the retries of a job it does not know for none.
 #[test]
 fn task_keeps_its_retries_when_the_successor_has_an_older_configuration() {
     let mut session = started(BASE, Tuning::default(), 1);
@@ -270,8 +268,7 @@
     assert_eq!(session.shared.audit.counts().tasks_finished, 1);
 }
 
-/// Guards against a worker that gets more work than it holds, because a new owner with a configuration older than the
-/// job reserves nothing for the job's tasks.
+/// Guards against a successor that reserves nothing for tasks of a job it does not know.
 #[test]
 fn worker_is_not_overcommitted_when_the_successor_has_an_older_configuration() {
     let mut session = started(BASE, Tuning::default(), 1);
@@ -284,8 +281,7 @@
     assert_eq!(running_tasks(&session), 16);
 }
 
-/// Guards against a finished job whose tasks run again, because a new owner loaded the job with a configuration older
-/// than the job.
+/// Guards against a job that finished in the log and is then added anew from its declaration.
 #[test]
 fn finished_job_does_not_run_again_when_the_successor_has_an_older_configuration() {
     let mut session = started(BASE, Tuning::default(), 1);
@@ -298,8 +294,7 @@
     assert_eq!(session.shared.audit.counts().tasks_started, 4);
 }
 
-/// Guards against connection grants for more connections than a worker accepts, because a successor under the first
-/// epoch gives out the slots that its predecessor gave to others.
+/// Guards against grants for more connections than a worker accepts.
 #[test]
 fn slots_of_a_predecessor_are_reserved_after_a_handover_under_the_first_epoch() {
     let mut session = started(BASE, Tuning::default(), 1);
@@ -330,8 +325,7 @@
     );
 }
 
-/// Guards against the owner of a new cell that stops the tasks of another cell on its workers, or acknowledges their
-/// results, so that they run again.
+/// Guards against the owner of a new cell that stops the tasks of another cell on its workers.
 #[test]
 fn work_of_another_cell_is_kept_when_the_number_of_cells_changes() {
     let base = BASE.replace("count = 2", "count = 6");
@@ -356,8 +350,7 @@
     assert!(tested > 0, "no seed gives the cells to different processes");
 }
 
-/// Guards against the owner of a new cell that acknowledges the results of finished tasks of another cell, whose owner
-/// has not seen them and starts the tasks again.
+/// Guards against finished tasks that run again since the owner of another cell acknowledged them.
 #[test]
 fn results_of_another_cell_are_not_acknowledged() {
     let base = BASE.replace("count = 2", "count = 6");
@@ -394,7 +387,7 @@
     assert!(tested > 0, "no seed gives the cells to different processes");
 }
 
-/// Guards against two owners under one epoch after a handover message that arrives again once the cell has moved on.
+/// Guards against two owners under one epoch.
 #[test]
 fn repeated_handover_does_not_bring_back_a_former_owner() {
     let mut session = started(BASE, Tuning::default(), 1);
@@ -422,8 +415,7 @@
     assert!(state.cells.iter().all(|(_, cell)| cell.role != Role::Owner));
 }
 
-/// Guards against a finished job that runs again when it is removed from its document and declared again with the same
-/// run number, because it gets other homes.
+/// Guards against other homes for a job that is declared again with the same run number.
 #[test]
 fn removed_job_does_not_run_again_in_other_cells() {
     let base = BASE.replace("count = 2", "count = 6");
