--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -93,6 +93,8 @@
     pub desired_replicas: (u64, Vec<u32>),
     /// Connection grants that members hold.
     pub grants: grant::Slots,
+    /// Whether the cell came by a handover, so that a predecessor issued grants under the same epoch.
+    pub is_handed_over: bool,
     /// Whether a placement pass is scheduled.
     pub place_scheduled: bool,
     /// Time of the next periodic placement pass, which needs no event; `None` before the first pass.
@@ -122,6 +124,8 @@
 pub struct Table {
     arena: SlotMap<Key, Cell>,
     by_id: Map<Id, Key>,
+    /// Epoch and next log position at which this process last stopped acting for a cell.
+    left_at: Map<Id, (u64, u64)>,
 }
 
 impl Table {
@@ -145,6 +149,12 @@
         self.arena.iter()
     }
 
+    /// Whether this process has acted for a cell at or after the position of the log and the epoch of a handover, so that
+    /// the handover is a repeated message.
+    pub fn has_left(&self, id: Id, epoch: u64, next: u64) -> bool {
+        self.left_at.get(&id).is_some_and(|left| (epoch, next) <= *left)
+    }
+
     /// All keys.
     pub fn keys(&self) -> Vec<Key> {
         self.arena.keys().collect()
@@ -217,6 +227,8 @@
 fn remove(state: &mut State, key: Key) {
     let Some(cell) = state.cells.arena.remove(key) else { return };
     state.cells.by_id.remove(&cell.id);
+    let left = state.cells.left_at.entry(cell.id).or_default();
+    *left = (*left).max((cell.epoch, cell.log.next));
     for task in cell.tasks.into_values() {
         state.tasks.remove(task);
     }
@@ -241,6 +253,7 @@
         replicas: replica::Set { routes_version: version, ..replica::Set::default() },
         desired_replicas: (0, Vec::new()),
         grants: grant::Slots::default(),
+        is_handed_over: false,
         place_scheduled: false,
         next_pass: None,
         is_snapshot_read: false,
@@ -250,9 +263,11 @@
     key
 }
 
-/// Applies a changed plan to every cell: adds tasks of adopted jobs, adopts new jobs and cancels undeclared ones.
+/// Applies a changed plan to every cell: reorders its queue, adds tasks of adopted jobs, adopts new jobs and cancels
+/// undeclared ones.
 pub(crate) fn plan_changed(state: &mut State) {
     for key in state.cells.keys() {
+        task::reorder_queue(state, key);
         task::add_missing_tasks_of_all_jobs(state, key);
         reconcile_jobs(state, key);
         place::schedule_pass(state, key);
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -154,6 +154,7 @@
 
 fn begin_as_owner(state: &mut State, key: cell::Key) {
     super::worker::owner_changed(state, key);
+    task::end_exhausted(state, key);
     cell::reconcile_jobs(state, key);
     place::schedule_pass(state, key);
 }
@@ -168,7 +169,8 @@
     snapshot: Snapshot,
     out: &mut Vec<Effect>,
 ) {
-    if id.zone != state.me.zone || !state.shutdown.is_running() {
+    let is_repeated = state.cells.has_left(id, epoch, next);
+    if id.zone != state.me.zone || !state.shutdown.is_running() || is_repeated {
         return;
     }
     let key = match state.cells.key(id) {
@@ -185,6 +187,7 @@
     cell.log.next = next;
     cell.epoch = epoch;
     cell.role = Role::Owner;
+    cell.is_handed_over = true;
     record(out, Subject::Cell(id), "handed-over", format!("epoch {epoch}, position {next}"));
     begin_as_owner(state, key);
 }
--- a/src/core/task.rs
+++ b/src/core/task.rs
@@ -18,6 +18,7 @@
 use super::trace::Subject;
 use super::{place, worker};
 use crate::declare::job::{self, Job};
+use crate::declare::size::Size;
 
 new_key_type! {
     /// Key of a task, valid in this process only.
@@ -192,6 +193,34 @@
     offsets.into_iter().flat_map(move |offset| (offset..tasks).step_by(period.max(1) as usize))
 }
 
+/// Orders the queue of a cell by the ranks of a changed plan, under which [`dequeue`] looks for a task.
+///
+/// A task that stays in the queue under a former rank would be assigned again while it runs.
+pub(crate) fn reorder_queue(state: &mut State, cell: cell::Key) {
+    let plan = state.config.plan.clone();
+    let tasks = &state.tasks;
+    let Some(cell) = state.cells.get_mut(cell) else { return };
+    let current_rank = |(former, key): (Rank, Key)| {
+        let task = tasks.get(key)?;
+        let rank = plan.job(task.id.job).map_or(former, |(_, job)| rank(task, job));
+        Some((rank, key))
+    };
+    cell.queue.order = std::mem::take(&mut cell.queue.order).into_iter().filter_map(current_rank).collect();
+}
+
+/// Whether a task that a worker reports belongs to another cell: the plan has its home there, or lacks its job while the
+/// log of this cell does not name the task either. Only the owner knows the whole log.
+pub(crate) fn is_foreign(state: &State, cell: cell::Key, id: Id) -> bool {
+    let Some(home) = state.cells.get(cell) else { return true };
+    if home.tasks.contains_key(&id) {
+        return false;
+    }
+    match state.config.plan.job(id.job) {
+        Some((_, job)) => job.homes.get(id.index as usize % job.homes.len().max(1)) != Some(&home.id),
+        None => home.role == cell::Role::Owner,
+    }
+}
+
 /// Adds a task to the queue of its cell, if its job is declared.
 fn enqueue(state: &mut State, key: Key) {
     let plan = state.config.plan.clone();
@@ -228,7 +257,8 @@
     add_missing_tasks(state, cell, job);
 }
 
-/// Adds the tasks of jobs that were adopted before this process had a configuration that declares them.
+/// Adds the tasks of jobs that were adopted before this process had a configuration that declares them, and completes
+/// those that the log named.
 pub(crate) fn add_missing_tasks_of_all_jobs(state: &mut State, cell: cell::Key) {
     let Some(home) = state.cells.get(cell) else { return };
     let mut waiting: Vec<job::Id> =
@@ -247,11 +277,26 @@
     let Some(adopted) = home.jobs.get_mut(&job).filter(|adopted| !adopted.expanded) else { return };
     adopted.expanded = true;
     let indices = home_indices(declared, home.id).map(|index| Id { job, index });
-    let missing: Vec<Id> = indices.filter(|id| !home.tasks.contains_key(id)).collect();
+    let (known, missing): (Vec<Id>, Vec<Id>) = indices.partition(|id| home.tasks.contains_key(id));
     for id in missing {
         let key = insert(state, cell, id, now);
         enqueue(state, key);
     }
+    for id in known {
+        complete_loaded(state, cell, id, declared.size);
+    }
+}
+
+/// Queues a waiting task that the log named before the plan did, or sets the size of its reservation. Neither is known
+/// without the declaration of its job.
+fn complete_loaded(state: &mut State, cell: cell::Key, id: Id, size: Size) {
+    let Some(key) = state.cells.get(cell).and_then(|home| home.tasks.get(&id)).copied() else { return };
+    let Some(task) = state.tasks.get(key) else { return };
+    match (task.committed_state, task.stage) {
+        (TaskState::Queued { .. }, Stage::Idle) => requeue(state, cell, key),
+        (TaskState::Assigned { worker, .. }, _) => worker::resize(state, worker, Work::Batch(id), size),
+        _ => {}
+    }
 }
 
 fn insert(state: &mut State, cell: cell::Key, id: Id, adopted_at: Instant) -> Key {
@@ -274,14 +319,15 @@
 pub(crate) fn restore(state: &mut State, cell: cell::Key, line: &TaskSnapshot) {
     let key = find_or_insert(state, cell, line.task);
     dequeue(state, key);
+    let is_cancelled = is_cancelled(state, cell, line.task.job);
     let Some(task) = state.tasks.get_mut(key) else { return };
     task.attempt = line.attempt;
     task.failures = line.failures;
     task.committed_state = line.state;
     match line.state {
-        TaskState::Queued { .. } => enqueue(state, key),
+        TaskState::Queued { .. } => requeue(state, cell, key),
         TaskState::Assigned { worker, instance, .. } => {
-            task.stage = Stage::Starting;
+            task.stage = stage_of_assigned(is_cancelled);
             reserve(state, key, worker, instance);
         }
         TaskState::Finished | TaskState::Failed(_) | TaskState::Cancelled => {
@@ -352,13 +398,14 @@
     let TaskState::Assigned { worker, instance, checkpoint } = standing else { return };
     let key = find_or_insert(state, cell, id);
     dequeue(state, key);
+    let is_cancelled = is_cancelled(state, cell, id.job);
     let Some(task) = state.tasks.get_mut(key) else { return };
     let was_proposed = matches!(task.stage, Stage::Proposed(_));
     task.attempt = attempt;
     task.committed_state = standing;
-    task.stage = Stage::Starting;
+    task.stage = stage_of_assigned(is_cancelled);
     let is_reserved = worker::is_reserved(state, worker, instance, Work::Batch(id));
-    if was_proposed && (!is_reserved || is_cancelled(state, cell, id.job)) {
+    if was_proposed && (!is_reserved || is_cancelled) {
         // No start command was sent, so the task does not run.
         propose_outcome(state, cell, id, attempt, Outcome::Refused);
     } else if was_proposed {
@@ -370,6 +417,12 @@
     }
 }
 
+/// Stage of a task that the log assigns to a worker which has not reported it to this process. The task of a cancelled
+/// job must not start, and is stopped if it runs.
+fn stage_of_assigned(is_cancelled: bool) -> Stage {
+    if is_cancelled { Stage::Stopping } else { Stage::Starting }
+}
+
 /// Queues the start command of an assigned task for its worker.
 pub(crate) fn send_start(state: &mut State, key: Key) {
     let plan = state.config.plan.clone();
@@ -389,6 +442,18 @@
     worker::queue_command(state, worker, Command::Start(start));
 }
 
+/// Queues the stop command of an assigned task for its worker, with a checkpoint if its job is checkpointable and not
+/// cancelled.
+pub(crate) fn send_stop(state: &mut State, key: Key) {
+    let plan = state.config.plan.clone();
+    let Some(task) = state.tasks.get(key) else { return };
+    let TaskState::Assigned { worker, .. } = task.committed_state else { return };
+    let is_checkpointable = plan.job(task.id.job).is_some_and(|(_, job)| job.is_checkpointable);
+    let checkpoint = is_checkpointable && !is_cancelled(state, task.cell, task.id.job);
+    let stop = Command::Stop { work: Work::Batch(task.id), attempt: task.attempt, checkpoint };
+    worker::queue_command(state, worker, stop);
+}
+
 fn apply_done(
     state: &mut State,
     cell: cell::Key,
@@ -411,12 +476,7 @@
     let failures = task.failures;
     task.committed_state = TaskState::Queued { checkpoint: task.checkpoint() };
     record(out, Subject::Task(id), "fail-attempt", format!("attempt {attempt}, failure {failures}"));
-    let retries = state.config.plan.job(id.job).map_or(0, |(_, job)| job.retries);
-    let is_owner = state.cells.get(cell).is_some_and(|cell| cell.role == cell::Role::Owner);
-    match (failures > retries, is_owner) {
-        (true, true) => journal::push(state, cell, Record::Failed { task: id, reason: Reason::AlwaysFails }),
-        _ => requeue(state, cell, key),
-    }
+    requeue(state, cell, key);
 }
 
 fn apply_release(
@@ -441,18 +501,38 @@
     state.cells.get(cell).and_then(|cell| cell.jobs.get(&job)).is_some_and(|job| job.cancelled)
 }
 
-/// Queues a task again, or cancels it if its job is cancelled.
+/// Queues a task again, cancels it if its job is cancelled, or proposes its end if no attempt is left.
 fn requeue(state: &mut State, cell: cell::Key, key: Key) {
     let Some(task) = state.tasks.get(key) else { return };
-    let job = task.id.job;
-    if is_cancelled(state, cell, job) {
+    let id = task.id;
+    if is_cancelled(state, cell, id.job) {
         let Some(task) = state.tasks.get_mut(key) else { return };
         task.committed_state = TaskState::Cancelled;
-        return count_ended_task(state, cell, job);
+        return count_ended_task(state, cell, id.job);
+    }
+    let is_owner = state.cells.get(cell).is_some_and(|cell| cell.role == cell::Role::Owner);
+    if is_owner && has_no_attempt_left(state, key) {
+        return journal::push(state, cell, Record::Failed { task: id, reason: Reason::AlwaysFails });
     }
     enqueue(state, key);
 }
 
+/// Whether more attempts of a task failed than its job has retries. Unknown, and so false, while the plan lacks the job.
+fn has_no_attempt_left(state: &State, key: Key) -> bool {
+    let Some(task) = state.tasks.get(key) else { return false };
+    state.config.plan.job(task.id.job).is_some_and(|(_, job)| task.failures > job.retries)
+}
+
+/// Proposes the end of the queued tasks without an attempt left, whose end a former owner did not get into the log.
+pub(crate) fn end_exhausted(state: &mut State, cell: cell::Key) {
+    let Some(home) = state.cells.get(cell) else { return };
+    let exhausted: Vec<Key> = home.queue.iter().filter(|key| has_no_attempt_left(state, *key)).collect();
+    for key in exhausted {
+        dequeue(state, key);
+        requeue(state, cell, key);
+    }
+}
+
 fn apply_failed(state: &mut State, cell: cell::Key, id: Id, reason: Reason, out: &mut Vec<Effect>) {
     let key = find_or_insert(state, cell, id);
     dequeue(state, key);
@@ -478,18 +558,17 @@
 
 fn cancel_task(state: &mut State, cell: cell::Key, key: Key) {
     let Some(task) = state.tasks.get_mut(key) else { return };
-    let (id, attempt) = (task.id, task.attempt);
+    let job = task.id.job;
     match (task.committed_state, task.stage) {
         // The `Assign` record is not committed yet. `apply_assign` releases the task without a start once it is.
         (TaskState::Queued { .. }, Stage::Proposed(_)) => {}
         (TaskState::Queued { .. }, _) => {
             task.committed_state = TaskState::Cancelled;
-            count_ended_task(state, cell, id.job);
+            count_ended_task(state, cell, job);
         }
-        (TaskState::Assigned { worker, .. }, stage) if stage != Stage::Reported => {
+        (TaskState::Assigned { .. }, stage) if stage != Stage::Reported => {
             task.stage = Stage::Stopping;
-            let stop = Command::Stop { work: Work::Batch(id), attempt, checkpoint: false };
-            worker::queue_command(state, worker, stop);
+            send_stop(state, key);
         }
         _ => {}
     }
@@ -524,6 +603,8 @@
         return;
     }
     adopted.count = 0;
+    // No tasks are added to a finished job when the plan names it later.
+    adopted.expanded = true;
     for (id, key) in keys {
         home.tasks.remove(&id);
         state.tasks.arena.remove(key);
--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -49,6 +49,9 @@
     /// Sequence number of the call with the start command; 0 if there is none. The reply to a later call shows whether
     /// the start was executed.
     pub start_sequence: u64,
+    /// Sequence number of the call with the last stop command; 0 if there is none. A reply to a later call that still
+    /// lists the work shows that the command was lost.
+    pub stop_sequence: u64,
     /// Whether the worker has reported the work as running.
     pub is_confirmed: bool,
 }
@@ -56,7 +59,7 @@
 impl Reservation {
     /// Reservation for a unit of work that no worker has reported.
     pub fn new(size: Size, attempt: u32) -> Self {
-        Self { size, attempt, start_sequence: 0, is_confirmed: false }
+        Self { size, attempt, start_sequence: 0, stop_sequence: 0, is_confirmed: false }
     }
 }
 
@@ -96,6 +99,8 @@
     pub leaving: bool,
     /// Control lease.
     pub lease: Lease,
+    /// Time since which the worker has reported batch work of another cell; `None` if its last report listed none.
+    pub foreign_since: Option<Instant>,
     /// Reservations for all work that may be on the worker.
     pub reservations: Map<Work, Reservation>,
     /// Sum of the reserved sizes.
@@ -227,6 +232,7 @@
         absent_since: Some(state.now),
         leaving: false,
         lease: Lease::default(),
+        foreign_since: None,
         reservations: Map::default(),
         used: Size::default(),
         failed_tasks: Vec::new(),
@@ -372,8 +378,8 @@
     let Some(id) = state.cells.get(cell).map(|cell| cell.id) else { return };
     for key in state.workers.keys_in_cell(id) {
         if let Some(worker) = state.workers.get_mut(key) {
-            let clock_reading = worker.lease.clock_reading;
-            worker.lease = Lease { clock_reading, ..Lease::default() };
+            let Lease { clock_reading, needs_inquiry, .. } = worker.lease;
+            worker.lease = Lease { clock_reading, needs_inquiry, ..Lease::default() };
         }
         start_polling(state, key);
     }
@@ -398,12 +404,19 @@
 pub(crate) fn release_leases(state: &mut State, cell: cell::Id, out: &mut Vec<Effect>) {
     for key in state.workers.keys_in_cell(cell) {
         let now = state.now;
-        let Some(worker) = state.workers.get(key).filter(|worker| worker.is_held(now)) else { continue };
-        let until_ms = worker.lease.requested_until_ms;
-        send(state, key, CallOptions { until_ms, release: true, ..CallOptions::default() }, out);
+        if state.workers.get(key).is_some_and(|worker| worker.is_held(now)) {
+            release_lease(state, key, out);
+        }
     }
 }
 
+/// Releases the lease of a worker that this process holds.
+pub(super) fn release_lease(state: &mut State, key: Key, out: &mut Vec<Effect>) {
+    let Some(worker) = state.workers.get(key) else { return };
+    let until_ms = worker.lease.requested_until_ms;
+    send(state, key, CallOptions { until_ms, release: true, ..CallOptions::default() }, out);
+}
+
 /// Starts polling a worker unless that is under way, if this process acts for the worker's cell.
 fn start_polling(state: &mut State, key: Key) {
     let now = state.now;
@@ -503,6 +516,16 @@
     }
 }
 
+/// Sets the size of a unit of work's reservation, which was not known when the work was reserved.
+pub(crate) fn resize(state: &mut State, id: Id, work: Work, size: Size) {
+    let Some(worker) = state.workers.key(id).and_then(|key| state.workers.get_mut(key)) else { return };
+    if let Some(reservation) = worker.reservations.get_mut(&work) {
+        worker.used -= reservation.size;
+        worker.used += size;
+        reservation.size = size;
+    }
+}
+
 /// Queues a command for the next call to a worker.
 pub(crate) fn queue_command(state: &mut State, id: Id, command: Command) {
     let Some(key) = state.workers.key(id) else { return };
@@ -536,14 +559,22 @@
     let Some(worker) = state.workers.get_mut(key) else { return };
     let sequence = worker.sequence + 1;
     for command in &worker.outbox {
-        if let Command::Start(start) = command
-            && let Some(reservation) = worker.reservations.get_mut(&start.work)
-        {
-            reservation.start_sequence = sequence;
+        match command {
+            Command::Start(start) => {
+                if let Some(reservation) = worker.reservations.get_mut(&start.work) {
+                    reservation.start_sequence = sequence;
+                }
+            }
+            Command::Stop { work, .. } => {
+                if let Some(reservation) = worker.reservations.get_mut(work) {
+                    reservation.stop_sequence = sequence;
+                }
+            }
+            Command::Throttle { .. } => {}
         }
     }
     if !worker.is_held(now) {
-        // Reconciliation after the next lease grant repeats the starts and decides on stops anew.
+        // Reconciliation after the next lease grant repeats the starts and the stops.
         worker.outbox.clear();
         return;
     }
