Write the timeline in pieces of at most 8 KB

What the readers of the log saw: a leader's log lacked a quarter to a half of its lines, cut in the middle of an entry, and nothing said so. The second start of most tasks that ran twice was in no log.

Cause: all lines that were available went into one write. Change: a write has whole lines of at most 8 KB together.

--- a/src/timeline/writer.rs
+++ b/src/timeline/writer.rs
@@ -28,6 +28,9 @@
 /// Maximum number of entries in the queue of the thread that writes the file.
 const QUEUE_CAPACITY: usize = 4_096;
 
+/// Size limit of one write of several lines, in bytes. Collectors of standard output can cut off longer writes.
+const WRITE_BYTES_MAX: usize = 8_192;
+
 /// Minimum time between two entries that report dropped ones, which would otherwise take the room of others.
 const DROP_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -198,7 +201,7 @@
     }
 }
 
-/// Writes queued lines to `output`; a batch has all lines that are available at that time.
+/// Writes queued lines to `output`, in batches of lines that are available at that time.
 ///
 /// With `has_partial_line`, the file may end with an incomplete line, so the next batch starts with a line break.
 fn write_batches(
@@ -207,14 +210,10 @@
     mut has_partial_line: bool,
     lost_count: Arc<AtomicU64>,
 ) {
-    while let Ok(first) = receiver.recv() {
+    let mut next = None;
+    while let Some(first) = next.take().or_else(|| receiver.recv().ok()) {
         let mut batch = if has_partial_line { "\n".to_owned() } else { String::new() };
-        let mut count = 0;
-        for line in std::iter::once(first).chain(receiver.try_iter().take(QUEUE_CAPACITY)) {
-            batch.push_str(&line);
-            batch.push('\n');
-            count += 1;
-        }
+        let count = fill_batch(&mut batch, first, &mut next, || receiver.try_recv().ok());
         let written = output.write(batch.as_bytes());
         has_partial_line = written.is_err();
         if let Err(error) = written {
@@ -224,6 +223,27 @@
     }
 }
 
+/// Appends lines to a batch, `first` and then those that `receive` returns, and returns their number. A line that does
+/// not fit is put into `next`.
+fn fill_batch(
+    batch: &mut String,
+    first: String,
+    next: &mut Option<String>,
+    receive: impl FnMut() -> Option<String>,
+) -> u64 {
+    let mut count = 0;
+    for line in std::iter::once(first).chain(std::iter::from_fn(receive)) {
+        if count > 0 && batch.len() + line.len() >= WRITE_BYTES_MAX {
+            *next = Some(line);
+            break;
+        }
+        batch.push_str(&line);
+        batch.push('\n');
+        count += 1;
+    }
+    count
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -269,6 +289,26 @@
         assert_eq!(findings.len(), 1);
     }
 
+    /// Guards against lines that are cut off in a long write, and against a line that is lost between two writes.
+    #[test]
+    fn long_batches_are_split_between_lines() {
+        let lines: Vec<String> = (0..200).map(|number| format!("{number}").repeat(100)).collect();
+        let mut rest = lines.clone().into_iter();
+        let (mut written, mut count) = (String::new(), 0);
+        let mut next = rest.next();
+        while let Some(first) = next.take() {
+            let mut batch = String::new();
+            count += fill_batch(&mut batch, first, &mut next, || rest.next());
+            assert!(batch.len() <= WRITE_BYTES_MAX, "{} bytes", batch.len());
+            written += &batch;
+        }
+        assert_eq!(count, 200);
+        assert_eq!(written.lines().collect::<Vec<_>>(), lines);
+        let mut batch = String::new();
+        fill_batch(&mut batch, "x".repeat(2 * WRITE_BYTES_MAX), &mut None, || None);
+        assert_eq!(batch.len(), 2 * WRITE_BYTES_MAX + 1);
+    }
+
     /// Guards against a full disk that is not reported or that stops the process.
     #[cfg(target_os = "linux")]
     #[test]
