Wait for the queued change of a job instead of a later duplicate

What callers saw: after a refused commit, answers and acknowledgements waited for a later change than necessary, behind all changes that were queued in between.

Cause: the newest change of a job was the highest number that it ever had. A change of a refused commit returns to the front of the queue with its old number, and its commit writes the newest state of the job. Change: the newest change is the one that the queue holds now.

--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -115,12 +115,13 @@
 }
 
 /// Queues a change and returns its sequence number. The change is durable once [`State::durable_sequence`] reaches it.
+/// The number can be lower than that of an earlier change of the job, if a refused commit returned the change to the queue.
 pub(super) fn enqueue(state: &mut super::State, change: Change) -> u64 {
     let sequence = queue_change(state, change);
     if let Change::Accept(key) | Change::Progress(key) = change
         && let Some(job) = state.jobs.all.get_mut(key)
     {
-        job.newest_change = job.newest_change.max(sequence);
+        job.newest_change = sequence;
     }
     sequence
 }
