Keep the keys of jobs unique over the terms of a process

What callers would see: a job that was completed or cancelled is answered as unknown before its retention is over, its stored end is deleted, and a repeated submission of it would run it again.

Cause: the timers that remove ended jobs name a job by its key and are not cancelled. The arena of jobs was replaced by a new one when the leadership ended, so its keys began anew, and a timer of the earlier term removed the job that had the same key by then. Evidence: `an_ended_job_is_unknown_before_its_retention_is_over` failed before (UnknownJob 20 s after the cancellation).

--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -112,6 +112,14 @@
 }
 
 impl Table {
+    /// Removes all jobs. Their keys are not used again, since timers that name them are not cancelled.
+    pub fn clear(&mut self) {
+        self.all.clear();
+        self.by_id.clear();
+        self.tasks.clear();
+        self.ready.clear();
+    }
+
     /// Job with this identity.
     pub fn find(&self, id: Id) -> Option<Key> {
         self.by_id.get(&id).copied()
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -9,6 +9,7 @@
 use nutmegfold::core::work::request::{Answer, Phase, Ticket, Verb};
 use nutmegfold::core::work::spec::{Id, Name, Resources, Schedule, Spec, Step};
 use nutmegfold::core::work::store::Key;
+use nutmegfold::core::work::tuning::Tuning;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -583,6 +584,29 @@
     }
 }
 
+/// Guards against an ended job that is forgotten early, by a timer that its leader set in an earlier term.
+#[test]
+fn an_ended_job_is_unknown_before_its_retention_is_over() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.submit(leader, 1, job([step(1)]));
+        emulator.run_for(2 * SECOND);
+        emulator.store.silent_vms.insert(leader);
+        change_leader(&mut emulator, leader);
+        emulator.submit(1 - leader, 2, job([Step { is_long_running: true, ..step(1) }]));
+        emulator.run_for(SECOND);
+        emulator.store.silent_vms.clear();
+        emulator.run_for(Tuning::default().retention - 20 * SECOND);
+        emulator.kill(1 - leader);
+        emulator.run_for(5 * SECOND);
+        emulator.cancel(leader, 2);
+        emulator.run_for(20 * SECOND);
+        let answer = emulator.read_job(leader, 2);
+        assert_eq!(answer, Some(Answer::Phase(Phase::Cancelled)), "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
 /// Plays a job whose two tasks end while the store refuses the commits of the leader slowly.
 fn refuse_commits(seed: u64, rejects_repeated_keys: bool) -> Emulator {
     let mut emulator = ready(seed, 2, 2);
