Acknowledge ends with a renewal that does not wait

What callers would see: a task runs again after its end was discarded unread, if its worker restarts under its id between an answer and the acknowledgement that follows it.

Cause: a restarted process numbers its ends from 1 again, and a renewal that waited there for up to a second covered the ends of that time. The limit on the age of the last answer makes this rare, but the restart can follow the answer. Change: a renewal with an acknowledgement asks for an answer at once, so it covers only ends that are there when it arrives. Evidence: `a_done_task_runs_again_when_its_worker_restarted_before_an_acknowledgement_arrived` failed before.

--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -80,13 +80,12 @@
     state.send_order(key, order, out);
 }
 
-/// How long a worker may delay its answer to wait for the end of a run; zero while its state must be read at once.
+/// How long a worker may delay its answer to wait for the end of a run; zero while its state must be read at once, and
+/// with an acknowledgement, which could cover later ends of a restarted worker while the order waits there.
 fn poll_wait(state: &super::State, key: Key) -> Duration {
     let Some(worker) = state.workers.all.get(key) else { return Duration::ZERO };
-    let is_acknowledgement_deferred =
-        worker.has_unconfirmed_end() && worker.next_acknowledgement(state.now) == 0;
     let is_settled = worker.last_answer_at.is_some()
-        && !is_acknowledgement_deferred
+        && !worker.has_unconfirmed_end()
         && worker.silent_since.is_none()
         && worker.pending_acknowledgements.is_empty()
         && !worker.runs.is_empty();
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -562,6 +562,24 @@
     }
 }
 
+/// Guards against an acknowledgement that arrives after a restart of its worker and covers ends while it waits there.
+#[test]
+fn a_done_task_runs_again_when_its_worker_restarted_before_an_acknowledgement_arrived() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        let leader = emulator.leader().expect("a leader");
+        emulator.submit(leader, 1, job([Step { estimate: 20 * SECOND, ..step(1) }]));
+        emulator.submit(leader, 2, job([Step { estimate: SECOND * 3 / 10, ..step(1) }]));
+        while !emulator.log.iter().any(|line| line.contains("\"acknowledge\"")) {
+            emulator.run_for(MILLISECOND);
+        }
+        emulator.restart_worker(0);
+        emulator.submit(leader, 3, job([Step { estimate: SECOND / 5, ..step(1) }]));
+        emulator.run_for(4 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Guards against a gate that opens for a run which a new leader adopted and then lost to a restart of its worker.
 #[test]
 fn an_adopted_run_that_is_lost_starts_once() {
