Confirm the leadership before the task of a stopped run starts again

What callers would see: a task runs again after its end was acknowledged, if the start of its run got no answer, or the run was being stopped, when its worker restarts while a replaced leader still acts.

Cause: a run that was stopped and is neither active nor ended on its worker was dropped like one that never started, so its task did not wait for a confirmed leadership. The next leader may have read its end before the restart. Change: such a run counts as lost, as an active run does that the worker does not list.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -471,7 +471,6 @@
     listing: &Listing,
     out: &mut Vec<Effect>,
 ) {
-    let now = state.now;
     for key in state.workers.all[worker].runs.clone() {
         let Some(run) = state.runs.get(key) else { continue };
         if listing.running.iter().any(|row| row.name == run.name && row.number == run.number) {
@@ -483,7 +482,7 @@
                 drop_lost(state, key, "the worker does not list it", out)
             }
             Phase::Stopping { confirmed: Some(at), .. } if at < sent && !listing.has_more_ends => {
-                drop_run(state, key, now)
+                drop_lost(state, key, "it was stopped and the worker does not list its end", out)
             }
             Phase::Unconfirmed { since } if since < sent => stop(state, key, "its start got no answer", out),
             _ => {}
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -625,6 +625,38 @@
     }
 }
 
+/// Guards against a run without a confirmed start whose task starts again before the leadership is confirmed.
+#[test]
+fn a_done_task_runs_again_when_its_start_was_not_confirmed_to_the_replaced_leader() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.run_for(SECOND * 3 / 2);
+        emulator.workers.iter_mut().for_each(|worker| worker.lost_start_replies = 1);
+        emulator.submit(leader, 1, job([Step { estimate: SECOND / 2, ..step(1) }]));
+        emulator.run_for(SECOND / 50);
+        emulator.workers.iter_mut().for_each(|worker| worker.lost_start_replies = 0);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        assert!(emulator.observer.is_running(name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
+        emulator.workers[worker].is_unresponsive = true;
+        emulator.run_for(SECOND / 5);
+        emulator.store.silent_vms.insert(leader);
+        emulator.run_for(SECOND / 10);
+        emulator.store.revoke_leases();
+        let is_call_lost =
+            |line: &String| line.contains(&format!("vm-{leader} ")) && line.contains("worker-silent");
+        while !emulator.log.iter().any(is_call_lost) {
+            emulator.run_for(MILLISECOND);
+        }
+        emulator.workers[worker].is_unresponsive = false;
+        emulator.run_for(MILLISECOND * 100);
+        emulator.kill(1 - leader);
+        (0..2).for_each(|worker| emulator.restart_worker(worker));
+        emulator.run_for(6 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Plays a job whose two tasks end while the store refuses the commits of the leader slowly.
 fn refuse_commits(seed: u64, rejects_repeated_keys: bool) -> Emulator {
     let mut emulator = ready(seed, 2, 2);
