Confirm the leadership by a commit before lost work starts again

What callers would see: a task runs again after its end was acknowledged, if a stronger VM takes the leadership over, the replaced leader does not hear of it, and the worker restarts.

Cause: lost work waited for a renewal of the lease of the leader's key. A takeover writes the key with another lease, and the old one lives on, so a replaced leader could confirm itself by renewals. Change: lost work and restarted workers wait for a commit that was sent after the loss or the restart; both queue one that writes nothing (`Change::Confirm`). Why it works: every commit is conditional on the revision of the leader's key, which a takeover changes. Evidence: `a_done_task_runs_again_when_its_worker_restarted_after_a_takeover` failed before (run 2 starts 0.53 s after the acknowledgement, after a renewal) and passes now.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -518,6 +518,7 @@
     let now = state.now;
     if let Some(task) = run.task.and_then(|task| state.jobs.tasks.get_mut(task)) {
         task.lost_at = Some(now);
+        journal::enqueue(state, journal::Change::Confirm);
     }
     drop_run(state, key, now);
 }
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -43,6 +43,8 @@
 struct Commit {
     /// Random number that the commit writes to the tip, by which its effect is recognised.
     id: u64,
+    /// When it was first sent.
+    sent: Instant,
     /// Changes with their sequence numbers, in ascending order.
     changes: Vec<(u64, Change)>,
     transaction: Transaction,
@@ -88,6 +90,8 @@
     next_commit: Instant,
     /// When the first commit since the last successful one was sent; `None` if none is outstanding.
     pub failing_since: Option<Instant>,
+    /// When the newest durable commit was first sent. This process led at some time after that.
+    pub confirmed_at: Instant,
 }
 
 impl State {
@@ -196,8 +200,13 @@
     }
     let id = state.next_random();
     transaction.put.push((Key::Tip, Value::Tip(id), None));
-    state.journal.in_flight =
-        Some(Commit { id, changes, transaction: transaction.clone(), may_be_applied: false });
+    state.journal.in_flight = Some(Commit {
+        id,
+        sent: state.now,
+        changes,
+        transaction: transaction.clone(),
+        may_be_applied: false,
+    });
     state.call_store(Purpose::Commit, Request::Commit(transaction), out);
     state.journal.failing_since.get_or_insert(state.now);
     state.timers.set(state.now + state.tuning.commit_patience, Timer::Commit);
@@ -256,6 +265,7 @@
     state.journal.tip_revision = revision;
     state.journal.durable_sequence = commit.last_sequence();
     state.journal.failing_since = None;
+    state.journal.confirmed_at = commit.sent;
     state.journal.next_commit = state.now + state.tuning.commit_interval;
     if !state.journal.queue.is_empty() {
         state.timers.set(state.journal.next_commit, Timer::Commit);
--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -78,11 +78,6 @@
         if let Role::Leader { term, .. } = self.role { term } else { 0 }
     }
 
-    /// When the latest confirmed renewal was sent; this process led at some time after that.
-    pub fn confirmed_at(&self) -> Instant {
-        if let Role::Leader { confirmed, .. } = self.role { confirmed } else { Instant::default() }
-    }
-
     /// End of the time in which this process may send orders as the leader.
     pub fn valid_until(&self, tuning: &Tuning) -> Instant {
         match self.role {
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -261,14 +261,14 @@
     let Some(job) = state.jobs.all.get(group.job) else { return };
     let step = job.spec.steps[group.step as usize].clone();
     let (service, priority) = (job.service.clone(), job.priority);
-    let (now, confirmed_at) = (state.now, state.leadership.confirmed_at());
+    let (now, confirmed_at) = (state.now, state.journal.confirmed_at);
     let waiting: Vec<task::Key> = state.jobs.ready.get(&group).into_iter().flatten().copied().collect();
     let is_startable = |key: &task::Key| {
         state.jobs.tasks.get(*key).is_some_and(|task| {
             task.phase == task::Phase::Ready
                 && task.not_before <= now
                 && !(pass.is_gated && task.may_have_unseen_run)
-                && task.lost_at.is_none_or(|at| at < confirmed_at)
+                && task.lost_at.is_none_or(|at| at <= confirmed_at)
         })
     };
     let candidates: Vec<task::Key> = waiting.iter().copied().filter(is_startable).collect();
@@ -337,7 +337,7 @@
         let Some(report) = &worker.report else { return false };
         let (resources, count) = planned.get(key).copied().unwrap_or_default();
         report.service == need.service
-            && worker.is_schedulable(state.now, state.leadership.confirmed_at())
+            && worker.is_schedulable(state.now, state.journal.confirmed_at)
             && worker.free_resources().saturating_sub(resources).covers(need.charged)
             && need.required_label.as_ref().is_none_or(|label| report.labels.contains(label))
             && step.max_per_worker.is_none_or(|most| count_group_runs(state, worker, group) + count < most)
@@ -367,7 +367,7 @@
     let is_better = |(key, worker): (Key, &Worker)| {
         let is_able = key != run.worker
             && worker.report.as_ref().is_some_and(|report| report.service == job.service)
-            && worker.is_schedulable(state.now, state.leadership.confirmed_at())
+            && worker.is_schedulable(state.now, state.journal.confirmed_at)
             && worker.free_resources().covers(run.charged)
             && worker.fillable_cpu_millicores() >= i64::from(cpu);
         is_able && {
@@ -439,7 +439,7 @@
         .workers
         .all
         .values()
-        .filter(|worker| worker.is_schedulable(state.now, state.leadership.confirmed_at()))
+        .filter(|worker| worker.is_schedulable(state.now, state.journal.confirmed_at))
         .filter_map(|worker| worker.report.as_ref()?.rack().map(|rack| Some(rack.to_owned())))
         .collect();
     racks.sort_unstable();
@@ -497,7 +497,7 @@
     let promised = freed.iter().find(|(worker, resources)| {
         let Some(worker) = state.workers.all.get(**worker) else { return false };
         is_eligible(worker, need)
-            && worker.is_schedulable(state.now, state.leadership.confirmed_at())
+            && worker.is_schedulable(state.now, state.journal.confirmed_at)
             && worker.free_resources().saturating_add(**resources).covers(need.charged)
     });
     if let Some((worker, resources)) = promised.map(|(worker, resources)| (*worker, *resources)) {
@@ -510,7 +510,7 @@
         .all
         .iter()
         .filter(|(_, worker)| {
-            is_eligible(worker, need) && worker.is_schedulable(state.now, state.leadership.confirmed_at())
+            is_eligible(worker, need) && worker.is_schedulable(state.now, state.journal.confirmed_at)
         })
         .filter_map(|(worker, _)| {
             find_victims(state, worker, need, priority).map(|(cost, runs)| (cost, worker, runs))
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::event::Fault;
+use super::journal::{self, Change};
 use super::order::{Listing, Order, Refusal, Reply};
 use super::run::Phase;
 use super::timer::Timer;
@@ -184,10 +185,19 @@
     control::reconcile(state, key, sent, &listing, out);
     control::resend_stops(state, key, out);
     mark_durable_ends(state, key);
+    confirm_after_restart(state, key);
     schedule_next(state, key);
     state.schedule_placement();
 }
 
+/// Queues a commit that confirms the leadership if none was sent since the worker restarted.
+fn confirm_after_restart(state: &mut super::State, key: Key) {
+    let Some(at) = state.workers.all.get(key).and_then(|worker| worker.restarted_at) else { return };
+    if at > state.journal.confirmed_at {
+        journal::enqueue(state, Change::Confirm);
+    }
+}
+
 /// Sets the time of the next renewal from the state of the worker.
 fn schedule_next(state: &mut super::State, key: Key) {
     let now = state.now;
--- a/src/core/work/task.rs
+++ b/src/core/work/task.rs
@@ -47,8 +47,8 @@
     pub ready_at: Instant,
     /// Earliest start of the next run.
     pub not_before: Instant,
-    /// When its last run was taken as lost; `None` if none was. The next run starts once the leadership is confirmed after
-    /// that, since a later leader may have read the end of the lost run.
+    /// When its last run was taken as lost; `None` if none was. The next run starts once a commit that was sent after that
+    /// has taken effect, since a later leader may have read the end of the lost run.
     pub lost_at: Option<Instant>,
     /// Whether an earlier leader may have started the task.
     pub is_inherited: bool,
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -190,10 +190,10 @@
         i64::from(self.free_resources().cpu_millicores) + reserved
     }
 
-    /// Returns whether new runs may be sent to the worker by a leader that was confirmed at `confirmed_at`.
+    /// Returns whether new runs may be sent to the worker by a leader whose newest commit was sent at `confirmed_at`.
     ///
-    /// A restarted process has forgotten the highest term, so it does not refuse a leader that has been replaced. Such a
-    /// leader gets no confirmation after the restart.
+    /// A restarted process has forgotten the highest term, so it does not refuse a leader that has been replaced. No commit
+    /// of such a leader takes effect.
     pub fn is_schedulable(&self, now: Instant, confirmed_at: Instant) -> bool {
         let is_ready = self.report.as_ref().is_some_and(|report| report.readiness == Readiness::Ready);
         is_ready
@@ -202,7 +202,7 @@
             && self.last_answer_at.is_some()
             && self.clock_reading.is_some()
             && self.silent_since.is_none()
-            && self.restarted_at.is_none_or(|at| at < confirmed_at)
+            && self.restarted_at.is_none_or(|at| at <= confirmed_at)
             && self.suspect_until <= now
     }
 
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -625,6 +625,41 @@
     }
 }
 
+/// Plays a task whose only run ends as done and is acknowledged by a stronger VM, which then ends. The leader that it
+/// has replaced does not know of it, and finds the worker restarted.
+fn take_over_and_restart_worker(seed: u64) -> Emulator {
+    let mut emulator = Emulator::with_cpu_millicores(seed, &[120, 500], 1);
+    emulator.kill(1);
+    emulator.run_for(SECOND);
+    assert_eq!(emulator.leader(), Some(0), "seed {seed}: {:#?}", emulator.log);
+    emulator.store.silent_watch_vms.insert(0);
+    emulator.start(1);
+    emulator.run_for(SECOND * 9 / 10);
+    emulator.submit(0, 1, job([Step { estimate: SECOND / 2, ..step(1) }]));
+    emulator.run_for(SECOND / 10);
+    emulator.workers[0].is_unresponsive = true;
+    let is_call_lost = |line: &String| line.contains("vm-0 ") && line.contains("worker-silent");
+    while !emulator.log.iter().any(is_call_lost) {
+        emulator.run_for(MILLISECOND);
+    }
+    assert_eq!(emulator.leader_after(0), Some(1), "seed {seed}: {:#?}", emulator.log);
+    emulator.workers[0].is_unresponsive = false;
+    emulator.run_for(MILLISECOND * 100);
+    emulator.kill(1);
+    emulator.restart_worker(0);
+    emulator.run_for(6 * SECOND);
+    emulator
+}
+
+/// Guards against a replaced leader that takes a renewal of its lease, which outlives a takeover, as a confirmation.
+#[test]
+fn a_done_task_runs_again_when_its_worker_restarted_after_a_takeover() {
+    for seed in 0..SEEDS {
+        let emulator = take_over_and_restart_worker(seed);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Guards against a run without a confirmed start whose task starts again before the leadership is confirmed.
 #[test]
 fn a_done_task_runs_again_when_its_start_was_not_confirmed_to_the_replaced_leader() {
