Retry a commit while jobs are refused because commits fail

What callers saw: new jobs were refused for up to 2 s after the store was back.

Cause: new jobs are refused from 0.7 s of failed commits on, until a commit succeeds. If the only queued changes were acceptances, they were withdrawn, and no commit was left before the next one of the image estimates, which are stored every 2 s. Change: as long as commits fail, the queue keeps one that writes nothing (`Change::Confirm`). Evidence: `a_job_is_refused_after_the_store_is_back` failed before (Refused 0.2 s after the store was back) and passes now.

--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -333,6 +333,10 @@
         state::record(out, Subject::Job(job), decision, reason);
         out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
     }
+    // New jobs are refused until a commit succeeds, so one is kept in the queue.
+    if state.journal.is_idle() {
+        enqueue(state, Change::Confirm);
+    }
 }
 
 /// Adds the removal of a job whose acceptance is withdrawn to the timeline.
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -692,6 +692,25 @@
     }
 }
 
+/// Guards against jobs that are refused after the store is back, since no commit is left that would show it.
+#[test]
+fn a_job_is_refused_after_the_store_is_back() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        let leader = emulator.leader().expect("a leader");
+        emulator.run_for(SECOND * 3 / 2);
+        emulator.store.refused_vms.insert(leader);
+        emulator.submit(leader, 1, job([step(1)]));
+        emulator.run_for(SECOND);
+        emulator.store.refused_vms.clear();
+        emulator.run_for(SECOND / 5);
+        let ticket = emulator.submit(leader, 2, job([step(1)]));
+        emulator.run_for(SECOND / 5);
+        let answer = emulator.answers.get(&ticket);
+        assert_eq!(answer, Some(&Answer::Accepted), "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
 /// Plays a job whose two tasks end while the store refuses the commits of the leader slowly.
 fn refuse_commits(seed: u64, rejects_repeated_keys: bool) -> Emulator {
     let mut emulator = ready(seed, 2, 2);
