Keep the gate closed for the longest lease that workers grant

What callers would see: a task that runs twice at once, if its worker restarts under its id, gets the run before the leader knows of the restart, and is then cut off while the leader ends.

Cause: the end of a lease is a time on the worker's clock, which starts anew with the process, so such a run lives for as long as the worker grants (`lease_max`). The leader that sent it expects that once it has seen the restart; the gate of the next leader opened after 5 s and a usual lease. Not covered: a replaced leader that sends such a start during its last 5 s, to a worker that the next one does not reach. Evidence: `a_task_runs_twice_at_once_under_the_next_leader_after_its_worker_restarted_with_a_new_clock` failed before (run 2000 on w-0 while run 1 is active on w-1) and passes now.

--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -145,8 +145,10 @@
     restore(state, load.jobs, load.progress);
     let (begun, tuning) = (load.started_at, state.tuning);
     if job_count > 0 {
-        let until = begun + tuning.leader_validity + tuning.worker_lease * 102 / 100 + tuning.lease_margin;
-        close_gate(state, until, out);
+        // A worker that restarts before an order to start arrives grants the longest lease, since its clock starts anew.
+        let longest =
+            (tuning.leader_validity + tuning.worker_lease * 102 / 100).max(tuning.lease_max * 102 / 100);
+        close_gate(state, begun + longest + tuning.lease_margin, out);
     }
     let elapsed_ms = state.now.since(begun).as_millis();
     let reason = format!("{job_count} jobs, {enrolled} known workers, read in {elapsed_ms} ms");
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -692,6 +692,27 @@
     }
 }
 
+/// Guards against a gate that opens while a run lives on whose lease was computed from the clock before a restart.
+#[test]
+fn a_task_runs_twice_at_once_under_the_next_leader_after_its_worker_restarted_with_a_new_clock() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        emulator.run_for(20 * SECOND);
+        let leader = emulator.leader().expect("a leader");
+        (0..2).for_each(|worker| emulator.restart_worker(worker));
+        emulator.submit(leader, 1, job([Step { estimate: 12 * SECOND, ..step(1) }]));
+        while !emulator.observer.is_running(name(1, 0, 0)) {
+            emulator.run_for(MILLISECOND);
+        }
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        emulator.kill(leader);
+        emulator.store.revoke_leases();
+        emulator.run_for(25 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Guards against jobs that are refused after the store is back, since no commit is left that would show it.
 #[test]
 fn a_job_is_refused_after_the_store_is_back() {
