Start the next run of an occurrence when it is due, not before

What callers would see: a task of a recurring job starts before its time (ORDER), if a leader whose clock is ahead started it early, the next leader's clock is behind, and that run fails, is stopped or is lost.

Cause: an occurrence of which a worker lists a run is released before it is due, with the due time as the earliest start of its tasks. The end of the run replaced that time by its own. Change: the earliest start never moves back. Evidence: `a_failed_task_of_an_occurrence_starts_before_it_is_due` failed before and passes now.

--- a/src/core/work/lifecycle.rs
+++ b/src/core/work/lifecycle.rs
@@ -184,11 +184,12 @@
     journal::enqueue(state, Change::Progress(job_key));
 }
 
-/// Makes a task ready again when its last run has ended; it starts at `not_before` or later.
+/// Makes a task ready again when its last run has ended; it starts at `not_before` or later, and not before its occurrence
+/// is due.
 pub(super) fn requeue(state: &mut super::State, key: task::Key, not_before: Instant) {
     let Some(task) = state.jobs.tasks.get_mut(key) else { return };
     if task.phase == task::Phase::Active && task.runs.is_empty() {
-        task.not_before = not_before;
+        task.not_before = task.not_before.max(not_before);
         state.jobs.make_ready(key, state.now);
         state.schedule_placement();
     }
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -713,6 +713,27 @@
     }
 }
 
+/// Guards against an occurrence whose next run starts before it is due, since its first one was released too early.
+#[test]
+fn a_failed_task_of_an_occurrence_starts_before_it_is_due() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 3, 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.clock_leads[leader] = 6 * SECOND;
+        let spec = scheduled(&emulator, 8 * SECOND, 2 * SECOND);
+        let due = emulator.now + 8 * SECOND;
+        emulator.observer.injected_failures.insert(name(1, 0, 0), 1);
+        emulator.submit(leader, 1, spec);
+        emulator.run_for(3 * SECOND);
+        emulator.store.silent_vms.insert(leader);
+        change_leader(&mut emulator, leader);
+        while emulator.observer.start_count < 2 {
+            emulator.run_for(MILLISECOND);
+        }
+        assert!(emulator.now >= due, "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
 /// Guards against jobs that are refused after the store is back, since no commit is left that would show it.
 #[test]
 fn a_job_is_refused_after_the_store_is_back() {
