--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -713,6 +713,25 @@
     }
 }
 
+/// Guards against a lease that is taken as expired after the start of its run got no answer from a restarted worker.
+#[test]
+fn a_task_runs_twice_at_once_when_its_start_at_a_restarted_worker_got_no_answer() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        emulator.run_for(20 * SECOND);
+        (0..2).for_each(|worker| emulator.restart_worker(worker));
+        emulator.workers.iter_mut().for_each(|worker| worker.lost_start_replies = 1);
+        emulator.submit(0, 1, job([Step { estimate: 12 * SECOND, ..step(1) }]));
+        while !emulator.observer.is_running(name(1, 0, 0)) {
+            emulator.run_for(MILLISECOND);
+        }
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        emulator.run_for(14 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Guards against an occurrence whose next run starts before it is due, since its first one was released too early.
 #[test]
 fn a_failed_task_of_an_occurrence_starts_before_it_is_due() {
