--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -78,11 +78,6 @@
         if let Role::Leader { term, .. } = self.role { term } else { 0 }
     }
 
-    /// When the latest confirmed renewal was sent; this process led at some time after that.
-    pub fn confirmed_at(&self) -> Instant {
-        if let Role::Leader { confirmed, .. } = self.role { confirmed } else { Instant::default() }
-    }
-
     /// End of the time in which this process may send orders as the leader.
     pub fn valid_until(&self, tuning: &Tuning) -> Instant {
         match self.role {
@@ -314,7 +309,7 @@
     state.drop_term_calls();
     state.workers = Default::default();
     state.runs.clear();
-    state.jobs = Default::default();
+    state.jobs.clear();
     state.journal = Default::default();
     super::watch::stop_watching(state, super::store::Range::Workers);
     super::watch::relist(state, super::store::Range::Leadership, Duration::ZERO);
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::event::Fault;
+use super::journal::{self, Change};
 use super::order::{Listing, Order, Refusal, Reply};
 use super::run::Phase;
 use super::timer::Timer;
@@ -80,13 +81,12 @@
     state.send_order(key, order, out);
 }
 
-/// How long a worker may delay its answer to wait for the end of a run; zero while its state must be read at once.
+/// How long a worker may delay its answer to wait for the end of a run; zero while its state must be read at once, and
+/// with an acknowledgement, which could cover later ends of a restarted worker while the order waits there.
 fn poll_wait(state: &super::State, key: Key) -> Duration {
     let Some(worker) = state.workers.all.get(key) else { return Duration::ZERO };
-    let is_acknowledgement_deferred =
-        worker.has_unconfirmed_end() && worker.next_acknowledgement(state.now) == 0;
     let is_settled = worker.last_answer_at.is_some()
-        && !is_acknowledgement_deferred
+        && !worker.has_unconfirmed_end()
         && worker.silent_since.is_none()
         && worker.pending_acknowledgements.is_empty()
         && !worker.runs.is_empty();
@@ -185,10 +185,19 @@
     control::reconcile(state, key, sent, &listing, out);
     control::resend_stops(state, key, out);
     mark_durable_ends(state, key);
+    confirm_after_restart(state, key);
     schedule_next(state, key);
     state.schedule_placement();
 }
 
+/// Queues a commit that confirms the leadership if none was sent since the worker restarted.
+fn confirm_after_restart(state: &mut super::State, key: Key) {
+    let Some(at) = state.workers.all.get(key).and_then(|worker| worker.restarted_at) else { return };
+    if at > state.journal.confirmed_at {
+        journal::enqueue(state, Change::Confirm);
+    }
+}
+
 /// Sets the time of the next renewal from the state of the worker.
 fn schedule_next(state: &mut super::State, key: Key) {
     let now = state.now;
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -9,6 +9,7 @@
 use nutmegfold::core::work::request::{Answer, Phase, Ticket, Verb};
 use nutmegfold::core::work::spec::{Id, Name, Resources, Schedule, Spec, Step};
 use nutmegfold::core::work::store::Key;
+use nutmegfold::core::work::tuning::Tuning;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -561,6 +562,24 @@
     }
 }
 
+/// Guards against an acknowledgement that arrives after a restart of its worker and covers ends while it waits there.
+#[test]
+fn a_done_task_runs_again_when_its_worker_restarted_before_an_acknowledgement_arrived() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        let leader = emulator.leader().expect("a leader");
+        emulator.submit(leader, 1, job([Step { estimate: 20 * SECOND, ..step(1) }]));
+        emulator.submit(leader, 2, job([Step { estimate: SECOND * 3 / 10, ..step(1) }]));
+        while !emulator.log.iter().any(|line| line.contains("\"acknowledge\"")) {
+            emulator.run_for(MILLISECOND);
+        }
+        emulator.restart_worker(0);
+        emulator.submit(leader, 3, job([Step { estimate: SECOND / 5, ..step(1) }]));
+        emulator.run_for(4 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Guards against a gate that opens for a run which a new leader adopted and then lost to a restart of its worker.
 #[test]
 fn an_adopted_run_that_is_lost_starts_once() {
@@ -583,6 +602,176 @@
     }
 }
 
+/// Guards against an ended job that is forgotten early, by a timer that its leader set in an earlier term.
+#[test]
+fn an_ended_job_is_unknown_before_its_retention_is_over() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.submit(leader, 1, job([step(1)]));
+        emulator.run_for(2 * SECOND);
+        emulator.store.silent_vms.insert(leader);
+        change_leader(&mut emulator, leader);
+        emulator.submit(1 - leader, 2, job([Step { is_long_running: true, ..step(1) }]));
+        emulator.run_for(SECOND);
+        emulator.store.silent_vms.clear();
+        emulator.run_for(Tuning::default().retention - 20 * SECOND);
+        emulator.kill(1 - leader);
+        emulator.run_for(5 * SECOND);
+        emulator.cancel(leader, 2);
+        emulator.run_for(20 * SECOND);
+        let answer = emulator.read_job(leader, 2);
+        assert_eq!(answer, Some(Answer::Phase(Phase::Cancelled)), "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
+/// Plays a task whose only run ends as done and is acknowledged by a stronger VM, which then ends. The leader that it
+/// has replaced does not know of it, and finds the worker restarted.
+fn take_over_and_restart_worker(seed: u64) -> Emulator {
+    let mut emulator = Emulator::with_cpu_millicores(seed, &[120, 500], 1);
+    emulator.kill(1);
+    emulator.run_for(SECOND);
+    assert_eq!(emulator.leader(), Some(0), "seed {seed}: {:#?}", emulator.log);
+    emulator.store.silent_watch_vms.insert(0);
+    emulator.start(1);
+    emulator.run_for(SECOND * 9 / 10);
+    emulator.submit(0, 1, job([Step { estimate: SECOND / 2, ..step(1) }]));
+    emulator.run_for(SECOND / 10);
+    emulator.workers[0].is_unresponsive = true;
+    let is_call_lost = |line: &String| line.contains("vm-0 ") && line.contains("worker-silent");
+    while !emulator.log.iter().any(is_call_lost) {
+        emulator.run_for(MILLISECOND);
+    }
+    assert_eq!(emulator.leader_after(0), Some(1), "seed {seed}: {:#?}", emulator.log);
+    emulator.workers[0].is_unresponsive = false;
+    emulator.run_for(MILLISECOND * 100);
+    emulator.kill(1);
+    emulator.restart_worker(0);
+    emulator.run_for(6 * SECOND);
+    emulator
+}
+
+/// Guards against a replaced leader that takes a renewal of its lease, which outlives a takeover, as a confirmation.
+#[test]
+fn a_done_task_runs_again_when_its_worker_restarted_after_a_takeover() {
+    for seed in 0..SEEDS {
+        let emulator = take_over_and_restart_worker(seed);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a run without a confirmed start whose task starts again before the leadership is confirmed.
+#[test]
+fn a_done_task_runs_again_when_its_start_was_not_confirmed_to_the_replaced_leader() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.run_for(SECOND * 3 / 2);
+        emulator.workers.iter_mut().for_each(|worker| worker.lost_start_replies = 1);
+        emulator.submit(leader, 1, job([Step { estimate: SECOND / 2, ..step(1) }]));
+        emulator.run_for(SECOND / 50);
+        emulator.workers.iter_mut().for_each(|worker| worker.lost_start_replies = 0);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        assert!(emulator.observer.is_running(name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
+        emulator.workers[worker].is_unresponsive = true;
+        emulator.run_for(SECOND / 5);
+        emulator.store.silent_vms.insert(leader);
+        emulator.run_for(SECOND / 10);
+        emulator.store.revoke_leases();
+        let is_call_lost =
+            |line: &String| line.contains(&format!("vm-{leader} ")) && line.contains("worker-silent");
+        while !emulator.log.iter().any(is_call_lost) {
+            emulator.run_for(MILLISECOND);
+        }
+        emulator.workers[worker].is_unresponsive = false;
+        emulator.run_for(MILLISECOND * 100);
+        emulator.kill(1 - leader);
+        (0..2).for_each(|worker| emulator.restart_worker(worker));
+        emulator.run_for(6 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a gate that opens while a run lives on whose lease was computed from the clock before a restart.
+#[test]
+fn a_task_runs_twice_at_once_under_the_next_leader_after_its_worker_restarted_with_a_new_clock() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        emulator.run_for(20 * SECOND);
+        let leader = emulator.leader().expect("a leader");
+        (0..2).for_each(|worker| emulator.restart_worker(worker));
+        emulator.submit(leader, 1, job([Step { estimate: 12 * SECOND, ..step(1) }]));
+        while !emulator.observer.is_running(name(1, 0, 0)) {
+            emulator.run_for(MILLISECOND);
+        }
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        emulator.kill(leader);
+        emulator.store.revoke_leases();
+        emulator.run_for(25 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a lease that is taken as expired after the start of its run got no answer from a restarted worker.
+#[test]
+fn a_task_runs_twice_at_once_when_its_start_at_a_restarted_worker_got_no_answer() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        emulator.run_for(20 * SECOND);
+        (0..2).for_each(|worker| emulator.restart_worker(worker));
+        emulator.workers.iter_mut().for_each(|worker| worker.lost_start_replies = 1);
+        emulator.submit(0, 1, job([Step { estimate: 12 * SECOND, ..step(1) }]));
+        while !emulator.observer.is_running(name(1, 0, 0)) {
+            emulator.run_for(MILLISECOND);
+        }
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        emulator.run_for(14 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against an occurrence whose next run starts before it is due, since its first one was released too early.
+#[test]
+fn a_failed_task_of_an_occurrence_starts_before_it_is_due() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 3, 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.clock_leads[leader] = 6 * SECOND;
+        let spec = scheduled(&emulator, 8 * SECOND, 2 * SECOND);
+        let due = emulator.now + 8 * SECOND;
+        emulator.observer.injected_failures.insert(name(1, 0, 0), 1);
+        emulator.submit(leader, 1, spec);
+        emulator.run_for(3 * SECOND);
+        emulator.store.silent_vms.insert(leader);
+        change_leader(&mut emulator, leader);
+        while emulator.observer.start_count < 2 {
+            emulator.run_for(MILLISECOND);
+        }
+        assert!(emulator.now >= due, "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against jobs that are refused after the store is back, since no commit is left that would show it.
+#[test]
+fn a_job_is_refused_after_the_store_is_back() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        let leader = emulator.leader().expect("a leader");
+        emulator.run_for(SECOND * 3 / 2);
+        emulator.store.refused_vms.insert(leader);
+        emulator.submit(leader, 1, job([step(1)]));
+        emulator.run_for(SECOND);
+        emulator.store.refused_vms.clear();
+        emulator.run_for(SECOND / 5);
+        let ticket = emulator.submit(leader, 2, job([step(1)]));
+        emulator.run_for(SECOND / 5);
+        let answer = emulator.answers.get(&ticket);
+        assert_eq!(answer, Some(&Answer::Accepted), "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
 /// Plays a job whose two tasks end while the store refuses the commits of the leader slowly.
 fn refuse_commits(seed: u64, rejects_repeated_keys: bool) -> Emulator {
     let mut emulator = ready(seed, 2, 2);
