Confirm the leadership before the first start on a worker's process

What callers would see: a task runs again after its end was acknowledged, if a replaced leader has its first answer of a worker only after the worker's restart.

Cause: a restart was noticed by a changed start time, so the first answer of a worker in a term showed none. A restarted process does not know the highest term and obeys a replaced leader. Change: a worker gets runs only once a commit that was sent after the first answer of its present process has taken effect, whether that answer follows a restart or begins the term. One commit serves all workers that have answered by then. Evidence: `a_done_task_runs_again_on_a_worker_that_first_answers_the_replaced_leader_after_a_restart` failed before (run 1 starts after the acknowledgement, 160 ms and 1,500 ms) and passes now.

--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -159,6 +159,7 @@
     worker.confirmed_end = worker.confirmed_end.max(worker.acknowledging_end);
     worker.record_clock(clock_ms, now, &state.tuning);
     worker.last_answer_at = Some(now);
+    worker.process_known_at.get_or_insert(now);
     if worker.silent_since.take().is_some() {
         state::record(out, Subject::Process, "worker-back", worker.id.clone());
     }
@@ -185,14 +186,14 @@
     control::reconcile(state, key, sent, &listing, out);
     control::resend_stops(state, key, out);
     mark_durable_ends(state, key);
-    confirm_after_restart(state, key);
+    confirm_if_new(state, key);
     schedule_next(state, key);
     state.schedule_placement();
 }
 
-/// Queues a commit that confirms the leadership if none was sent since the worker restarted.
-fn confirm_after_restart(state: &mut super::State, key: Key) {
-    let Some(at) = state.workers.all.get(key).and_then(|worker| worker.restarted_at) else { return };
+/// Queues a commit that confirms the leadership if none was sent since the worker's process became known.
+fn confirm_if_new(state: &mut super::State, key: Key) {
+    let Some(at) = state.workers.all.get(key).and_then(|worker| worker.process_known_at) else { return };
     if at > state.journal.confirmed_at {
         journal::enqueue(state, Change::Confirm);
     }
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -88,8 +88,8 @@
     pub is_listed: bool,
     /// Start of the worker process that answered last, in milliseconds since the Unix epoch.
     pub started_unix_ms: Option<u64>,
-    /// When a restart of its process was noticed; `None` if there was none in this term.
-    pub restarted_at: Option<Instant>,
+    /// When this term first had an answer of its current process; `None` before that.
+    pub process_known_at: Option<Instant>,
     /// Newest reading of its clock; `None` before the first answer of its process.
     pub clock_reading: Option<ClockReading>,
     /// When the leases of all runs ordered on it have expired, unless they are renewed.
@@ -147,7 +147,7 @@
             report: None,
             is_listed: false,
             started_unix_ms: None,
-            restarted_at: None,
+            process_known_at: None,
             clock_reading: None,
             leases_expire_at: Instant::default(),
             is_enrolled: false,
@@ -192,8 +192,8 @@
 
     /// Returns whether new runs may be sent to the worker by a leader whose newest commit was sent at `confirmed_at`.
     ///
-    /// A restarted process has forgotten the highest term, so it does not refuse a leader that has been replaced. No commit
-    /// of such a leader takes effect.
+    /// A process that has restarted does not know the highest term, so it does not refuse a leader that has been replaced.
+    /// No commit of such a leader takes effect.
     pub fn is_schedulable(&self, now: Instant, confirmed_at: Instant) -> bool {
         let is_ready = self.report.as_ref().is_some_and(|report| report.readiness == Readiness::Ready);
         is_ready
@@ -202,7 +202,7 @@
             && self.last_answer_at.is_some()
             && self.clock_reading.is_some()
             && self.silent_since.is_none()
-            && self.restarted_at.is_none_or(|at| at <= confirmed_at)
+            && self.process_known_at.is_some_and(|at| at <= confirmed_at)
             && self.suspect_until <= now
     }
 
@@ -224,7 +224,7 @@
     /// Accounts for a restart of the worker process. Its clock starts anew, so a lease that was computed from the old
     /// clock lasts there for as long as the worker grants.
     fn note_restart(&mut self, now: Instant, tuning: &Tuning) {
-        self.restarted_at = Some(now);
+        self.process_known_at = Some(now);
         self.clock_reading = None;
         self.extend_leases(now, tuning.lease_max, tuning);
     }
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -515,6 +515,42 @@
     }
 }
 
+/// Guards against orders of a replaced leader to a worker that it had no answer from before the worker restarted.
+#[test]
+fn a_done_task_runs_again_on_a_worker_that_first_answers_the_replaced_leader_after_a_restart() {
+    let mut found = Vec::new();
+    for (offset_ms, wait_ms) in
+        (0..400).step_by(80).flat_map(|o| (200..2_000).step_by(25).map(move |w| (o, w)))
+    {
+        let mut emulator = ready(1, 3, 1);
+        let first = emulator.leader().expect("a leader");
+        emulator.workers[0].is_unresponsive = true;
+        emulator.kill(first);
+        emulator.run_for(4 * SECOND);
+        let leader = emulator.leader().expect("the next leader");
+        emulator.submit(leader, 1, job([Step { estimate: SECOND / 5, ..step(1) }]));
+        emulator.run_for(SECOND / 5);
+        emulator.store.silent_vms.insert(leader);
+        emulator.run_for(MILLISECOND * offset_ms);
+        emulator.store.revoke_leases();
+        emulator.run_for(MILLISECOND * wait_ms);
+        emulator.workers[0].is_unresponsive = false;
+        for _ in 0..2_000 {
+            emulator.run_for(MILLISECOND);
+            if emulator.log.iter().any(|line| line.contains("\"acknowledge\"")) {
+                break;
+            }
+        }
+        emulator.run_for(MILLISECOND * 30);
+        emulator.restart_worker(0);
+        emulator.run_for(6 * SECOND);
+        if !emulator.observer.violations.is_empty() {
+            found.push((offset_ms, wait_ms, emulator.observer.violations.clone()));
+        }
+    }
+    assert!(found.is_empty(), "{found:#?}");
+}
+
 /// Guards against orders of a replaced leader to a restarted worker, which has forgotten the term of the next leader.
 #[test]
 fn a_done_task_runs_again_when_its_worker_restarted_before_the_replaced_leader_stepped_down() {
