--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -551,6 +551,29 @@
     assert!(found.is_empty(), "{found:#?}");
 }
 
+/// Guards against a start by a replaced leader on a worker that has restarted since its last answer.
+#[test]
+fn a_done_task_runs_again_on_a_worker_whose_restart_the_replaced_leader_has_not_noticed() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        let leader = emulator.leader().expect("a leader");
+        // The clock of the next leader is ahead, so it runs the occurrence before the replaced one starts it.
+        emulator.clock_leads[1 - leader] = MILLISECOND * 400;
+        let spec = scheduled(&emulator, MILLISECOND * 900, SECOND / 10);
+        emulator.submit(leader, 1, spec);
+        emulator.run_for(SECOND / 10);
+        emulator.store.silent_vms.insert(leader);
+        emulator.store.revoke_leases();
+        while !emulator.log.iter().any(|line| line.contains("\"acknowledge\"")) {
+            emulator.run_for(MILLISECOND);
+        }
+        emulator.run_for(MILLISECOND * 30);
+        emulator.restart_worker(0);
+        emulator.run_for(6 * SECOND);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Guards against orders of a replaced leader to a restarted worker, which has forgotten the term of the next leader.
 #[test]
 fn a_done_task_runs_again_when_its_worker_restarted_before_the_replaced_leader_stepped_down() {
