Log failed reads of the configuration and answers that are cut off

The logs of the incident show that store calls are lost, but neither which call it was, nor how long it had taken, nor what part of its answer had arrived. A failed read of the configuration is now in the timeline with its duration (config-not-read), and the HTTP client logs how many bytes of an answer had arrived when it was cut off. This separates a silent connection (0 bytes) from a transfer that takes longer than its timeout.

--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -90,9 +90,9 @@
     match purpose {
         Purpose::List(range) => {
             state.leadership.store_round_trip = state.now.since(sent);
-            watch::handle_page(state, range, reply, out);
+            watch::handle_page(state, range, sent, reply, out);
         }
-        Purpose::Watch(range) => watch::handle_changes(state, range, reply, out),
+        Purpose::Watch(range) => watch::handle_changes(state, range, sent, reply, out),
         Purpose::GrantLease => leadership::handle_lease(state, reply, out),
         Purpose::Campaign => leadership::handle_campaign(state, sent, reply, out),
         Purpose::Renew => leadership::handle_renewal(state, sent, &reply, out),
--- a/src/core/work/watch.rs
+++ b/src/core/work/watch.rs
@@ -7,6 +7,7 @@
 use super::timer::Timer;
 use super::{discovery, leadership, load};
 use crate::core::effect::Effect;
+use crate::core::time::Instant;
 use crate::core::trace::Subject;
 
 /// Sends the next list or watch call for a range, unless a call is in flight.
@@ -50,10 +51,17 @@
 }
 
 /// Handles a page of a list. The list is applied once all of its pages are read.
-pub(super) fn handle_page(state: &mut super::State, range: Range, reply: Reply, out: &mut Vec<Effect>) {
+pub(super) fn handle_page(
+    state: &mut super::State,
+    range: Range,
+    sent: Instant,
+    reply: Reply,
+    out: &mut Vec<Effect>,
+) {
     let watch = state.watches.entry(range).or_default();
     watch.call = None;
     let Reply::Page { items, next, as_of } = reply else {
+        record_failed_read(state, range, sent, &reply, out);
         let wait = state.tuning.store_retry + state.jitter(state.tuning.store_retry);
         return relist(state, range, wait);
     };
@@ -74,7 +82,13 @@
 }
 
 /// Handles the reply to a watch.
-pub(super) fn handle_changes(state: &mut super::State, range: Range, reply: Reply, out: &mut Vec<Effect>) {
+pub(super) fn handle_changes(
+    state: &mut super::State,
+    range: Range,
+    sent: Instant,
+    reply: Reply,
+    out: &mut Vec<Effect>,
+) {
     let watch = state.watches.entry(range).or_default();
     watch.call = None;
     match reply {
@@ -85,12 +99,27 @@
         }
         Reply::Gone => relist(state, range, Duration::ZERO),
         _ => {
+            record_failed_read(state, range, sent, &reply, out);
             let wait = state.tuning.store_retry + state.jitter(state.tuning.store_retry);
             state.timers.set(state.now + wait, Timer::Watch(range));
         }
     }
 }
 
+/// Adds a failed read of the configuration to the timeline: until the next one succeeds, the configuration may be old.
+fn record_failed_read(
+    state: &super::State,
+    range: Range,
+    sent: Instant,
+    reply: &Reply,
+    out: &mut Vec<Effect>,
+) {
+    if range == Range::Config {
+        let reason = format!("ended as {reply:?} after {} ms", state.now.since(sent).as_millis());
+        state::record(out, Subject::Config(state.config.version), "config-not-read", reason);
+    }
+}
+
 fn apply_list(state: &mut super::State, range: Range, items: Vec<(Item, Revision)>, out: &mut Vec<Effect>) {
     match range {
         Range::Leadership => leadership::handle_list(state, items, out),
--- a/src/port/http.rs
+++ b/src/port/http.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use actix_web::body::{BodySize, MessageBody};
-use actix_web::web::Bytes;
+use actix_web::web::{Bytes, BytesMut};
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
-use awc::{Client, ClientResponse, Connector, SendClientRequest};
+use awc::{Client, Connector, SendClientRequest};
+use tokio::time::{Instant as Deadline, timeout_at};
+use tokio_stream::StreamExt;
 
 use super::Clock;
 use crate::core::time::Instant;
@@ -50,16 +52,25 @@
 ///
 /// On a timeout the connection is dropped with the future, so it is not reused.
 pub(crate) async fn receive(request: SendClientRequest, timeout: Duration) -> Result<Answer, Fault> {
-    match tokio::time::timeout(timeout, read_answer(request)).await {
-        Ok(result) => result,
-        Err(_) => Err(Fault::Lost),
+    let deadline = Deadline::now() + timeout;
+    let Ok(response) = timeout_at(deadline, request).await else { return Err(Fault::Lost) };
+    let mut response = response.map_err(|error| classify_error(&error))?;
+    let mut body = BytesMut::new();
+    loop {
+        let part = timeout_at(deadline, response.next()).await.map_err(|_| cut_off(&body, timeout))?;
+        let Some(part) = part else { break };
+        body.extend_from_slice(&part.map_err(|_| cut_off(&body, timeout))?);
+        if body.len() > MAX_ANSWER_BYTES {
+            return Err(cut_off(&body, timeout));
+        }
     }
+    Ok(Answer { status: response.status(), body: body.freeze() })
 }
 
-async fn read_answer(request: SendClientRequest) -> Result<Answer, Fault> {
-    let mut response: ClientResponse<_> = request.await.map_err(|error| classify_error(&error))?;
-    let body = response.body().limit(MAX_ANSWER_BYTES).await.map_err(|_| Fault::Lost)?;
-    Ok(Answer { status: response.status(), body })
+/// Logs that only a part of an answer arrived, and returns the fault.
+fn cut_off(body: &BytesMut, timeout: Duration) -> Fault {
+    log::warn!("an answer was cut off after {} bytes; its timeout is {timeout:?}", body.len());
+    Fault::Lost
 }
 
 /// Classifies an error of awc. `Disconnected` counts as lost: awc reports it if an established connection ends before
