--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,62 @@
+//! Tests of how configurations of the operator come into force on the entry VMs, on an emulated deployment.
+
+mod emulator;
+
+use std::time::Duration;
+
+use emulator::{Emulator, QUEUE_BYTES, config};
+use nutmegfold::core::work::config::{Config, Queue};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Number of entry VMs in each of two regions.
+const VMS_PER_REGION: usize = 22;
+
+/// Capacity of the link between the regions in bytes per second: 60 Mbit/s.
+const LINK_BYTES_PER_S: f64 = 7_500_000.0;
+
+/// Size of the largest configuration in an answer of the store, in bytes: a value of 1 MB in base64.
+const LARGEST_BYTES: usize = 1_400_000;
+
+/// Time in which an acknowledged configuration must be in force on every entry VM.
+const LIMIT: Duration = Duration::from_secs(4);
+
+/// A configuration with as many queues as the store admits.
+fn large_config(version: u64) -> Config {
+    let base = config();
+    let queue = |number| Queue {
+        name: format!("jobs-{number}"),
+        prefix: format!("/q{number}/"),
+        ..base.queues[0].clone()
+    };
+    let queues = base.queues.iter().cloned().chain((1..LARGEST_BYTES / QUEUE_BYTES).map(queue));
+    Config { version, queues: queues.collect(), ..base }
+}
+
+/// Two regions of which one has the store; the other one has a link of limited capacity to it.
+fn two_regions(seed: u64) -> Emulator {
+    let mut emulator = Emulator::new(seed, 2 * VMS_PER_REGION, 2);
+    emulator.link.vms = (VMS_PER_REGION..2 * VMS_PER_REGION).collect();
+    emulator.link.bytes_per_s = LINK_BYTES_PER_S;
+    emulator.run_for(SECOND);
+    assert!(emulator.leader().is_some(), "no leader after a second: {:#?}", emulator.log);
+    emulator
+}
+
+/// Entry VMs on which the version is not in force.
+fn outdated(emulator: &Emulator, version: u64) -> Vec<usize> {
+    (0..2 * VMS_PER_REGION).filter(|vm| emulator.config_version(*vm) < version).collect()
+}
+
+/// Guards against entry VMs that each read a large configuration through the link that they share.
+#[test]
+fn a_large_configuration_is_late_on_vms_behind_a_shared_link() {
+    for seed in 0..3 {
+        let mut emulator = two_regions(seed);
+        emulator.store.set_config(large_config(2));
+        emulator.run_for(SECOND / 2);
+        emulator.store.set_config(large_config(3));
+        emulator.run_for(LIMIT);
+        assert_eq!(outdated(&emulator, 3), Vec::<usize>::new(), "seed {seed}");
+    }
+}
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code)]
 
+pub mod link;
 pub mod store;
 pub mod worker;
 
@@ -22,12 +23,13 @@
 use nutmegfold::core::work::request::{self, Answer, Ticket, Verb};
 use nutmegfold::core::work::spec::{Id, Resources, Spec, Step};
 use nutmegfold::core::work::state::Identity;
-use nutmegfold::core::work::store::{Call, Reply, Request};
+use nutmegfold::core::work::store::{Call, Change, Item, Reply, Request};
 use nutmegfold::core::work::tuning::Tuning;
 use nutmegfold::core::{State, member, reduce, work};
 use nutmegfold::declare::zone;
 use nutmegfold::hash::{self, Map};
 
+use link::Link;
 use store::Store;
 use worker::{Observer, Worker};
 
@@ -53,10 +55,38 @@
 
 #[derive(Debug)]
 enum Action {
-    Event { vm: usize, incarnation: u64, event: Box<Event> },
-    Wake { vm: usize, incarnation: u64, at: Instant },
-    Store { vm: usize, incarnation: u64, call: Call, request: Request, deadline: Instant },
-    Order { vm: usize, incarnation: u64, worker: usize, envelope: Envelope, deadline: Instant },
+    Event {
+        vm: usize,
+        incarnation: u64,
+        event: Box<Event>,
+    },
+    Wake {
+        vm: usize,
+        incarnation: u64,
+        at: Instant,
+    },
+    Store {
+        vm: usize,
+        incarnation: u64,
+        call: Call,
+        request: Request,
+        deadline: Instant,
+    },
+    /// The transfer of a large answer of the store over the link.
+    Transfer {
+        vm: usize,
+        incarnation: u64,
+        call: Call,
+        reply: Box<Reply>,
+        deadline: Instant,
+    },
+    Order {
+        vm: usize,
+        incarnation: u64,
+        worker: usize,
+        envelope: Envelope,
+        deadline: Instant,
+    },
 }
 
 /// An entry VM.
@@ -71,6 +101,8 @@
 pub struct Emulator {
     pub now: Instant,
     pub store: Store,
+    /// Link between the store and some of the entry VMs.
+    pub link: Link,
     pub workers: Vec<Worker>,
     pub observer: Observer,
     pub answers: Map<Ticket, Answer>,
@@ -90,6 +122,9 @@
     cpu_millicores: Vec<u32>,
 }
 
+/// Size of one queue of the configuration in an answer of the store, in bytes.
+pub const QUEUE_BYTES: usize = 270;
+
 /// Path prefix of the only queue.
 pub const PREFIX: &str = "/q/";
 
@@ -107,6 +142,7 @@
         let mut emulator = Self {
             now: Instant(1_000_000),
             store: Store::new(config()),
+            link: Link::default(),
             workers: (0..workers).map(Worker::new).collect(),
             observer: Observer::default(),
             answers: Map::default(),
@@ -208,6 +244,11 @@
         self.handle_event(vm, Event::Wake);
     }
 
+    /// Version of the configuration that is in force on an entry VM.
+    pub fn config_version(&self, vm: usize) -> u64 {
+        self.vms[vm].state.work.as_ref().expect("entry VMs of the emulator schedule jobs").config.version
+    }
+
     /// Whether an entry VM runs.
     pub fn is_up(&self, vm: usize) -> bool {
         self.vms[vm].is_up
@@ -356,6 +397,18 @@
             }
             Action::Store { vm, incarnation, call, request, deadline } => {
                 match self.store.execute(vm, &request, self.now, deadline) {
+                    store::Outcome::Reply(reply)
+                        if self.is_alive(vm, incarnation)
+                            && self.link.vms.contains(&vm)
+                            && answer_bytes(&reply) > 0 =>
+                    {
+                        self.link.start(vm, call, answer_bytes(&reply), self.now);
+                        let reply = Box::new(reply);
+                        self.schedule(
+                            self.now + POLL_INTERVAL,
+                            Action::Transfer { vm, incarnation, call, reply, deadline },
+                        );
+                    }
                     store::Outcome::Reply(reply) if self.is_alive(vm, incarnation) => {
                         let is_commit = matches!(request, Request::Commit(_));
                         let delay = if is_commit { self.store.commit_delay } else { Duration::ZERO };
@@ -389,7 +442,21 @@
                     worker::Outcome::Event(_) => {}
                 }
             }
-            Action::Event { .. } | Action::Wake { .. } => {}
+            Action::Transfer { vm, incarnation, call, reply, deadline } if self.is_alive(vm, incarnation) => {
+                let reply = if self.link.finish(vm, call, self.now) {
+                    *reply
+                } else if self.now >= deadline {
+                    self.link.cancel(vm, call, self.now);
+                    Reply::Lost
+                } else {
+                    return self.schedule(
+                        self.now + POLL_INTERVAL,
+                        Action::Transfer { vm, incarnation, call, reply, deadline },
+                    );
+                };
+                self.schedule_event(vm, ONE_WAY_DELAY, Event::Work(WorkEvent::Store { call, reply }));
+            }
+            Action::Event { .. } | Action::Wake { .. } | Action::Transfer { .. } => {}
         }
     }
 
@@ -409,7 +476,27 @@
     }
 }
 
-fn config() -> Config {
+/// Size of the configurations in an answer of the store, in bytes as they are sent; the rest of an answer is small.
+fn answer_bytes(reply: &Reply) -> usize {
+    let config_bytes = |item: &Item| match item {
+        Item::Config(config) => config.queues.len() * QUEUE_BYTES,
+        _ => 0,
+    };
+    match reply {
+        Reply::Page { items, .. } => items.iter().map(|(item, _)| config_bytes(item)).sum(),
+        Reply::Changes { changes, .. } => changes
+            .iter()
+            .map(|change| match change {
+                Change::Set(item, _) => config_bytes(item),
+                Change::Removed(_) => 0,
+            })
+            .sum(),
+        _ => 0,
+    }
+}
+
+/// Configuration of the only queue.
+pub fn config() -> Config {
     let queue = Queue {
         name: "jobs".into(),
         host: HOST.into(),
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -92,6 +92,11 @@
         store
     }
 
+    /// Writes a configuration, as the operator does.
+    pub fn set_config(&mut self, config: Config) {
+        self.set("op/config".into(), Range::Config, Item::Config(config), None);
+    }
+
     /// Name of the VM that holds the leader's key, if one does.
     pub fn leader(&self) -> Option<String> {
         let (Value::Leader(leader), _) = self.read(Key::Leader)? else { return None };
