Give up an answer when it stalls, not while it is arriving

Callers got 404 for a route more than 4 s after the configuration with it was acknowledged.

Cause: the HTTP client limited a call to its wait and its timeout in total. A watch that had waited for up to 2 s when a large configuration came had 1.5 to 3.5 s left for it; after that the connection was closed and the configuration was read again from its first byte, over a link that such copies had filled.

Change: the head of an answer has the wait and the timeout as before; each further part has the timeout again, and the whole body 20 s. This is one function, so the reads of the VM list, of the store for declared work and of the listings of workers get it too: the VM list of 30,000 workers has about 5 MB.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -225,7 +225,7 @@
     }
 
     async fn receive(&self, request: awc::SendClientRequest, wait: Duration) -> Result<Answer, Reply> {
-        http::receive(request, self.timeout + wait).await.map_err(|fault| match fault {
+        http::receive(request, wait, self.timeout).await.map_err(|fault| match fault {
             Fault::Refused | Fault::NotWritten => Reply::Refused,
             Fault::Lost => Reply::Lost,
         })
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -178,7 +178,7 @@
             .insert_header((TARGET_HEADER, envelope.id.as_str()))
             .content_type("application/json")
             .send_body(DeadlineBody::new(body, self.clock, envelope.not_after));
-        http::receive(request, self.timeout + wait).await.map_err(|fault| match fault {
+        http::receive(request, wait, self.timeout).await.map_err(|fault| match fault {
             http::Fault::Refused => Fault::Refused,
             http::Fault::NotWritten => Fault::NotSent,
             http::Fault::Lost => Fault::Lost,
--- a/src/port/http.rs
+++ b/src/port/http.rs
@@ -20,6 +20,9 @@
 /// Size limit of an answer in bytes; the VM list of 30,000 workers has about 5 MB.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
+/// Longest time from the head of an answer to its end.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(20);
+
 /// Limit on open connections of a client. The long poll of each worker occupies one, and orders need further ones. The
 /// rest of the 4,096 file descriptors of a small VM is left for callers and peers.
 const MAX_CONNECTIONS: usize = 3_000;
@@ -48,28 +51,38 @@
     Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
 }
 
-/// Sends a request and waits for the complete answer, for at most `timeout` in total.
+/// Sends a request and waits for the complete answer.
+///
+/// The head of the answer must arrive within `wait`, for which the other side may delay it, and `timeout`; each further
+/// part of the answer must arrive within `timeout`. A transfer that makes progress is not given up before
+/// [`MAX_TRANSFER_TIME`], since a repetition would begin with its first byte again, and delay all transfers on the same
+/// link.
 ///
 /// On a timeout the connection is dropped with the future, so it is not reused.
-pub(crate) async fn receive(request: SendClientRequest, timeout: Duration) -> Result<Answer, Fault> {
-    let deadline = Deadline::now() + timeout;
-    let Ok(response) = timeout_at(deadline, request).await else { return Err(Fault::Lost) };
+pub(crate) async fn receive(
+    request: SendClientRequest,
+    wait: Duration,
+    timeout: Duration,
+) -> Result<Answer, Fault> {
+    let Ok(response) = tokio::time::timeout(wait + timeout, request).await else { return Err(Fault::Lost) };
     let mut response = response.map_err(|error| classify_error(&error))?;
+    let deadline = Deadline::now() + MAX_TRANSFER_TIME;
     let mut body = BytesMut::new();
     loop {
-        let part = timeout_at(deadline, response.next()).await.map_err(|_| cut_off(&body, timeout))?;
+        let part_deadline = deadline.min(Deadline::now() + timeout);
+        let part = timeout_at(part_deadline, response.next()).await.map_err(|_| cut_off(&body))?;
         let Some(part) = part else { break };
-        body.extend_from_slice(&part.map_err(|_| cut_off(&body, timeout))?);
+        body.extend_from_slice(&part.map_err(|_| cut_off(&body))?);
         if body.len() > MAX_ANSWER_BYTES {
-            return Err(cut_off(&body, timeout));
+            return Err(cut_off(&body));
         }
     }
     Ok(Answer { status: response.status(), body: body.freeze() })
 }
 
 /// Logs that only a part of an answer arrived, and returns the fault.
-fn cut_off(body: &BytesMut, timeout: Duration) -> Fault {
-    log::warn!("an answer was cut off after {} bytes; its timeout is {timeout:?}", body.len());
+fn cut_off(body: &BytesMut) -> Fault {
+    log::warn!("an answer was cut off after {} bytes", body.len());
     Fault::Lost
 }
 
--- a/src/port/listing.rs
+++ b/src/port/listing.rs
@@ -49,8 +49,9 @@
 }
 
 async fn read_list(client: &Client, url: &str, timeout: Duration) -> Result<Vec<Vm>, String> {
-    let answer =
-        http::receive(client.get(url).send(), timeout).await.map_err(|fault| format!("{fault:?}"))?;
+    let answer = http::receive(client.get(url).send(), Duration::ZERO, timeout)
+        .await
+        .map_err(|fault| format!("{fault:?}"))?;
     if answer.status != StatusCode::OK {
         return Err(format!("status {}", answer.status));
     }
--- a/src/port/worker.rs
+++ b/src/port/worker.rs
@@ -48,7 +48,7 @@
         call: control::Call,
         not_after: Instant,
     ) -> Result<control::Reply, Fault> {
-        let timeout = self.timeout + Duration::from_millis(call.wait_ms);
+        let wait = Duration::from_millis(call.wait_ms);
         let body = serde_json::to_vec(&wire::Call::from(call)).map_err(|_| Fault::NotWritten)?;
         // Avoids a needless connection; the body checks the deadline again immediately before it is written.
         if self.clock.now() > not_after {
@@ -56,8 +56,8 @@
         }
         let request = self.client.post(format!("http://{address}{}", wire::PATH));
         let request = request.content_type("application/json");
-        let answer =
-            http::receive(request.send_body(DeadlineBody::new(body, self.clock, not_after)), timeout).await?;
+        let request = request.send_body(DeadlineBody::new(body, self.clock, not_after));
+        let answer = http::receive(request, wait, self.timeout).await?;
         if answer.status != StatusCode::OK {
             log::warn!(
                 "worker at {address} answered a control call with unexpected status {}",
--- a/tests/emulator/link.rs
+++ b/tests/emulator/link.rs
@@ -41,12 +41,6 @@
         self.transfers.len() < count
     }
 
-    /// Ends a transfer that its receiver has given up.
-    pub fn cancel(&mut self, vm: usize, call: Call, now: Instant) {
-        self.advance(now);
-        self.transfers.retain(|transfer| (transfer.vm, transfer.call) != (vm, call));
-    }
-
     fn advance(&mut self, now: Instant) {
         let elapsed: Duration = now.since(self.advanced_at);
         self.advanced_at = now;
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -78,7 +78,6 @@
         incarnation: u64,
         call: Call,
         reply: Box<Reply>,
-        deadline: Instant,
     },
     Order {
         vm: usize,
@@ -406,7 +405,7 @@
                         let reply = Box::new(reply);
                         self.schedule(
                             self.now + POLL_INTERVAL,
-                            Action::Transfer { vm, incarnation, call, reply, deadline },
+                            Action::Transfer { vm, incarnation, call, reply },
                         );
                     }
                     store::Outcome::Reply(reply) if self.is_alive(vm, incarnation) => {
@@ -442,18 +441,14 @@
                     worker::Outcome::Event(_) => {}
                 }
             }
-            Action::Transfer { vm, incarnation, call, reply, deadline } if self.is_alive(vm, incarnation) => {
-                let reply = if self.link.finish(vm, call, self.now) {
-                    *reply
-                } else if self.now >= deadline {
-                    self.link.cancel(vm, call, self.now);
-                    Reply::Lost
-                } else {
+            Action::Transfer { vm, incarnation, call, reply } if self.is_alive(vm, incarnation) => {
+                if !self.link.finish(vm, call, self.now) {
                     return self.schedule(
                         self.now + POLL_INTERVAL,
-                        Action::Transfer { vm, incarnation, call, reply, deadline },
+                        Action::Transfer { vm, incarnation, call, reply },
                     );
-                };
+                }
+                let reply = *reply;
                 self.schedule_event(vm, ONE_WAY_DELAY, Event::Work(WorkEvent::Store { call, reply }));
             }
             Action::Event { .. } | Action::Wake { .. } | Action::Transfer { .. } => {}
