Relay large configurations through the leader

Callers got 404 for a route more than 4 s after the configuration with it was acknowledged; in the same seconds forwarded requests failed because the leader could not be reached.

Cause: every entry VM reads every configuration as a whole from the store. 22 copies of 1.1 MB fill the link of 60 Mbit/s to the region without the store for 3.3 s, and two versions in a row for twice as long; orders and forwarded requests share that link.

Change: an entry VM other than the leader gives up a read of the configuration at the head of an answer of more than 32 KB, and asks the leader for the changes since its version (core::work::relay). The leader reads the configuration as a whole and answers with the queues that differ, compressed. The notice of a change still comes from the store to each VM on its own, so a leader that is dead, cut off or late is noticed: without a newer version within 1.8 s the VM reads the whole configuration itself, as before. After a restart a VM first learns the leader and then reads the configuration, for the same reason.

--- a/src/core/work/config.rs
+++ b/src/core/work/config.rs
@@ -1,7 +1,14 @@
 //! Configuration of the job scheduler: queues and services.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::store::Revision;
+use crate::hash::{Map, Set};
+
+/// Number of changes that are kept to describe a newer configuration by its differences.
+const HISTORY_LENGTH: usize = 8;
+
 /// A queue to which callers submit jobs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Queue {
@@ -62,3 +69,91 @@
         self.queues.iter().find(|queue| queue.name == name)
     }
 }
+
+/// Difference between two versions of the configuration.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Update {
+    /// Version that the changes apply to; 0 if they are the whole configuration.
+    pub base: u64,
+    /// Version after the changes.
+    pub version: u64,
+    /// Queues that are new or have changed.
+    pub queues: Vec<Queue>,
+    /// Names of the queues that were removed.
+    pub removed: Vec<String>,
+    /// All services.
+    pub services: Vec<Service>,
+    /// Revision of the store up to which its changes are included.
+    pub revision: Revision,
+}
+
+impl Update {
+    /// Configuration after the changes; `None` if they do not apply to `config`.
+    pub fn apply(self, config: &Config) -> Option<Config> {
+        let Self { base, version, queues, removed, services, .. } = self;
+        if version <= config.version || (base > 0 && base != config.version) {
+            return None;
+        }
+        if base == 0 {
+            return Some(Config { version, queues, services });
+        }
+        let replaced: Set<&str> = queues
+            .iter()
+            .map(|queue| queue.name.as_str())
+            .chain(removed.iter().map(String::as_str))
+            .collect();
+        let kept = config.queues.iter().filter(|queue| !replaced.contains(queue.name.as_str())).cloned();
+        let kept: Vec<Queue> = kept.collect();
+        Some(Config { version, queues: kept.into_iter().chain(queues).collect(), services })
+    }
+}
+
+/// Names of the queues that differ between a version and the one before it.
+#[derive(Debug, Clone)]
+struct Change {
+    base: u64,
+    names: Vec<String>,
+}
+
+/// Newest changes of the configuration, from which updates for other entry VMs are made.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    changes: VecDeque<Change>,
+}
+
+impl History {
+    /// Records the change from one configuration to the next.
+    pub fn record(&mut self, old: &Config, new: &Config) {
+        let old_queues: Map<&str, &Queue> =
+            old.queues.iter().map(|queue| (queue.name.as_str(), queue)).collect();
+        let new_names: Set<&str> = new.queues.iter().map(|queue| queue.name.as_str()).collect();
+        let changed = new.queues.iter().filter(|queue| old_queues.get(queue.name.as_str()) != Some(queue));
+        let removed = old.queues.iter().filter(|queue| !new_names.contains(queue.name.as_str()));
+        let names = changed.chain(removed).map(|queue| queue.name.clone()).collect();
+        self.changes.push_back(Change { base: old.version, names });
+        if self.changes.len() > HISTORY_LENGTH {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Update from the version `base` to `config`, which is the newest version; the whole configuration if the changes
+    /// since `base` are not known. `revision` is the revision of the store that `config` was read at.
+    pub fn update_since(&self, base: u64, config: &Config, revision: Revision) -> Update {
+        let (version, services) = (config.version, config.services.clone());
+        if base == version {
+            return Update { base, version, revision, ..Update::default() };
+        }
+        let first = self.changes.iter().position(|change| change.base == base && base > 0);
+        let Some(first) = first else {
+            let queues = config.queues.clone();
+            return Update { base: 0, version, queues, removed: Vec::new(), services, revision };
+        };
+        let mut names: Set<&str> =
+            self.changes.iter().skip(first).flat_map(|change| &change.names).map(String::as_str).collect();
+        let changed = config.queues.iter().filter(|queue| names.remove(queue.name.as_str()));
+        let queues: Vec<Queue> = changed.cloned().collect();
+        let mut removed: Vec<String> = names.into_iter().map(str::to_owned).collect();
+        removed.sort_unstable();
+        Update { base, version, queues, removed, services, revision }
+    }
+}
--- a/src/core/work/effect.rs
+++ b/src/core/work/effect.rs
@@ -1,7 +1,9 @@
 //! Effects of the job scheduler, as data.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use super::config::Update;
 use super::order::Order;
 use super::request::{Answer, Request, Ticket};
 use super::store::{self, Call};
@@ -26,6 +28,22 @@
         /// The request.
         request: Request,
     },
+    /// Ask another entry VM for a newer configuration.
+    AskConfig {
+        /// Address of the other entry VM.
+        to: SocketAddr,
+        /// Version that this process has; 0 if none.
+        known: u64,
+        /// Longest wait for a newer version.
+        wait: Duration,
+    },
+    /// Answer another entry VM that asked for a newer configuration.
+    AnswerConfig {
+        /// Identifies the request.
+        ticket: Ticket,
+        /// The changes; `None` if there is no newer version.
+        update: Option<Update>,
+    },
     /// Call the store.
     Store {
         /// Number of the call, which its reply repeats.
--- a/src/core/work/event.rs
+++ b/src/core/work/event.rs
@@ -1,5 +1,9 @@
 //! Input events of the job scheduler.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::config::Update;
 use super::request::{Answer, Request, Ticket};
 use super::store::{Call, Reply};
 use super::{order, run, worker};
@@ -35,6 +39,22 @@
         /// The answer, or the reason why there is none.
         result: Result<Answer, Fault>,
     },
+    /// Another entry VM asks for a newer configuration.
+    ConfigAsked {
+        /// Identifies the request for its answer.
+        ticket: Ticket,
+        /// Version that the other VM has; 0 if none.
+        known: u64,
+        /// Longest wait for a newer version.
+        wait: Duration,
+    },
+    /// A request for a newer configuration was answered, or the call to the other entry VM failed.
+    ConfigUpdated {
+        /// Address of the other entry VM.
+        from: SocketAddr,
+        /// The changes, or `None` if there is no newer version; or the reason why there is no answer.
+        result: Result<Option<Update>, Fault>,
+    },
     /// A store call completed or failed.
     Store {
         /// Number of the call.
--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -11,7 +11,7 @@
 use super::store::{Change, Item, Key, Leader, Removed, Reply, Request, Revision, Transaction, Value};
 use super::timer::Timer;
 use super::tuning::Tuning;
-use super::{handler, load, renewal};
+use super::{handler, load, relay, renewal};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -144,6 +144,7 @@
         }
     }
     handler::fail_stale_forwards(state, out);
+    relay::handle_leader(state, out);
     if state.leadership.role != Role::Follower || state.is_stopping {
         return;
     }
--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -61,8 +61,8 @@
         Part::Tip => Request::Read(Key::Tip),
         Part::Roster => Request::Read(Key::Roster),
         Part::Images => Request::Read(Key::Images),
-        Part::Jobs => Request::List { range: Range::Jobs, after },
-        Part::Progress => Request::List { range: Range::Progress, after },
+        Part::Jobs => Request::List { range: Range::Jobs, after, limit: None },
+        Part::Progress => Request::List { range: Range::Progress, after, limit: None },
     };
     state.call_store(Purpose::Load(part), request, out);
 }
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -20,6 +20,7 @@
 pub mod order;
 mod pace;
 pub mod place;
+pub mod relay;
 mod renewal;
 pub mod request;
 pub mod run;
@@ -49,6 +50,10 @@
             handler::handle_request(state, ticket, request, is_forwarded, out)
         }
         Event::Forwarded { ticket, result } => handler::handle_forwarded(state, ticket, result, out),
+        Event::ConfigAsked { ticket, known, wait } => {
+            relay::handle_request(state, ticket, known, wait, out);
+        }
+        Event::ConfigUpdated { from, result } => relay::handle_update(state, from, result, out),
         Event::Store { call, reply } => handle_store_reply(state, call, reply, out),
         Event::LeaseRenewed { worker, sent, result } => {
             renewal::handle_reply(state, worker, sent, result, out)
@@ -70,6 +75,8 @@
     while let Some(timer) = state.timers.pop(state.now) {
         match timer {
             Timer::Watch(range) => watch::list_or_watch(state, range, out),
+            Timer::AskConfig => relay::ask(state, out),
+            Timer::AnswerConfig => relay::answer(state, out),
             Timer::Campaign => leadership::campaign(state, out),
             Timer::Renew(term) => leadership::renew(state, term, out),
             Timer::Load => load::retry(state, out),
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::config::Config;
+use super::config::{Config, History};
 use super::effect::Effect;
 use super::order::Order;
 use super::store::{Call, Item, Leader, Range, Reply, Request, Revision};
 use super::timer::Timer;
 use super::tuning::Tuning;
-use super::{handler, image, job, journal, leadership, load, place, run, worker};
+use super::{handler, image, job, journal, leadership, load, place, relay, run, worker};
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
 use crate::core::timer::Queue;
@@ -102,6 +102,12 @@
     pub identity: Identity,
     /// The active configuration.
     pub config: Config,
+    /// Revision of the store at which the active configuration was written.
+    pub config_revision: Revision,
+    /// Newest changes of the configuration.
+    pub config_history: History,
+    /// Requests for newer configurations from and to other entry VMs.
+    pub relay: relay::State,
     /// Role of this process and the known leader.
     pub leadership: leadership::State,
     /// Progress of loading the records at the start of a term; `None` outside of it.
@@ -143,8 +149,9 @@
     /// Initial state of a process that starts at `now`; it lists the configuration and the leadership first.
     pub fn new(me: Identity, tuning: Tuning, now: Instant) -> Self {
         let mut timers = Queue::default();
-        timers.set(now, Timer::Watch(Range::Config));
         timers.set(now, Timer::Watch(Range::Leadership));
+        // The list of the leadership triggers the first read of the configuration, since the leader relays a large one.
+        timers.set(now + tuning.store_retry * 2, Timer::Watch(Range::Config));
         Self {
             now,
             unix_ms: 0,
@@ -152,6 +159,9 @@
             timers,
             identity: me,
             config: Config::default(),
+            config_revision: 0,
+            config_history: History::default(),
+            relay: relay::State::default(),
             leadership: leadership::State::default(),
             load: None,
             workers: worker::Table::default(),
--- a/src/core/work/store.rs
+++ b/src/core/work/store.rs
@@ -197,6 +197,8 @@
         range: Range,
         /// Key after which the page begins; `None` for the first page.
         after: Option<String>,
+        /// Largest answer that is read, in bytes; `None` for any size.
+        limit: Option<usize>,
     },
     /// Wait for changes of a range.
     Watch {
@@ -206,6 +208,8 @@
         after: Revision,
         /// Longest wait for a change.
         wait: Duration,
+        /// Largest answer that is read, in bytes; `None` for any size.
+        limit: Option<usize>,
     },
 }
 
@@ -240,6 +244,8 @@
     },
     /// The lease has expired, or the store no longer has the history that a watch asked for.
     Gone,
+    /// The answer exceeds the limit of the call and was not read.
+    TooLarge,
     /// The call had no effect.
     Refused,
     /// The call may have taken effect, but its reply is lost.
--- a/src/core/work/timer.rs
+++ b/src/core/work/timer.rs
@@ -8,6 +8,10 @@
 pub enum Timer {
     /// List or watch a range of the store.
     Watch(Range),
+    /// Ask the leader for a newer configuration.
+    AskConfig,
+    /// Answer the requests of other entry VMs for a newer configuration whose wait is over.
+    AnswerConfig,
     /// Try to become the leader.
     Campaign,
     /// Renew the leadership of a term.
--- a/src/core/work/watch.rs
+++ b/src/core/work/watch.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use super::config::Config;
 use super::state::{self, Purpose};
 use super::store::{Change, Item, Range, Reply, Request, Revision};
 use super::timer::Timer;
-use super::{discovery, leadership, load};
+use super::{discovery, leadership, load, relay};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -15,6 +16,9 @@
     if range == Range::Workers && state.leadership.term() == 0 {
         return;
     }
+    if range == Range::Config && relay::is_asking(state) {
+        return;
+    }
     let watch = state.watches.entry(range).or_default();
     if watch.call.is_some() {
         return;
@@ -22,14 +26,16 @@
     if watch.watch_from == 0 {
         return list_page(state, range, None, out);
     }
-    let request = Request::Watch { range, after: watch.watch_from, wait: state.tuning.watch_wait };
+    let (after, wait) = (watch.watch_from, state.tuning.watch_wait);
+    let request = Request::Watch { range, after, wait, limit: relay::read_limit(state, range) };
     let call = state.call_store(Purpose::Watch(range), request, out);
     state.watches.entry(range).or_default().call = Some(call);
 }
 
 /// Reads the page of a range that begins after the key `after`; `None` reads the first page.
 fn list_page(state: &mut super::State, range: Range, after: Option<String>, out: &mut Vec<Effect>) {
-    let call = state.call_store(Purpose::List(range), Request::List { range, after }, out);
+    let limit = relay::read_limit(state, range);
+    let call = state.call_store(Purpose::List(range), Request::List { range, after, limit }, out);
     state.watches.entry(range).or_default().call = Some(call);
 }
 
@@ -60,6 +66,9 @@
 ) {
     let watch = state.watches.entry(range).or_default();
     watch.call = None;
+    if reply == Reply::TooLarge {
+        return relay::begin(state, out);
+    }
     let Reply::Page { items, next, as_of } = reply else {
         record_failed_read(state, range, sent, &reply, out);
         let wait = state.tuning.store_retry + state.jitter(state.tuning.store_retry);
@@ -97,6 +106,7 @@
             apply_changes(state, range, changes, out);
             list_or_watch(state, range, out);
         }
+        Reply::TooLarge => relay::begin(state, out),
         Reply::Gone => relist(state, range, Duration::ZERO),
         _ => {
             record_failed_read(state, range, sent, &reply, out);
@@ -122,10 +132,14 @@
 
 fn apply_list(state: &mut super::State, range: Range, items: Vec<(Item, Revision)>, out: &mut Vec<Effect>) {
     match range {
-        Range::Leadership => leadership::handle_list(state, items, out),
+        Range::Leadership => {
+            leadership::handle_list(state, items, out);
+            state.timers.set(state.now, Timer::Watch(Range::Config));
+        }
         Range::Config => {
-            for (item, _) in items {
-                accept_config(state, item, out);
+            relay::end(state);
+            for (item, revision) in items {
+                accept_item(state, item, revision, out);
             }
         }
         Range::Workers => {
@@ -140,9 +154,10 @@
     match range {
         Range::Leadership => leadership::handle_changes(state, changes, out),
         Range::Config => {
+            relay::end(state);
             for change in changes {
-                if let Change::Set(item, _) = change {
-                    accept_config(state, item, out);
+                if let Change::Set(item, revision) = change {
+                    accept_item(state, item, revision, out);
                 }
             }
         }
@@ -151,22 +166,37 @@
     }
 }
 
-/// Activates a configuration. One with an older version, which a stale reply may contain, is ignored.
-fn accept_config(state: &mut super::State, item: Item, out: &mut Vec<Effect>) {
+/// Activates a configuration that was read from the store.
+fn accept_item(state: &mut super::State, item: Item, revision: Revision, out: &mut Vec<Effect>) {
     match item {
-        Item::Config(config) if config.version > state.config.version => {
-            let version = config.version;
-            let reason = format!("{} queues, {} services", config.queues.len(), config.services.len());
-            state.config = config;
-            state::record(out, Subject::Config(version), "in-force", reason);
-            super::lifecycle::apply_config(state);
-            if state.is_ready() {
-                out.push(Effect::Ready(true));
-            }
-        }
+        Item::Config(config) => accept_config(state, config, revision, "from the store", out),
         Item::Unreadable(reason) => {
             state::record(out, Subject::Config(state.config.version), "unreadable", reason);
         }
         _ => {}
     }
 }
+
+/// Activates a configuration, unless it is older than the active one, as a stale reply may be.
+pub(super) fn accept_config(
+    state: &mut super::State,
+    config: Config,
+    revision: Revision,
+    source: &str,
+    out: &mut Vec<Effect>,
+) {
+    if config.version <= state.config.version {
+        return;
+    }
+    let version = config.version;
+    let reason = format!("{} queues, {} services, {source}", config.queues.len(), config.services.len());
+    state.config_history.record(&state.config, &config);
+    (state.config, state.config_revision) = (config, revision);
+    relay::end(state);
+    state::record(out, Subject::Config(version), "in-force", reason);
+    super::lifecycle::apply_config(state);
+    relay::answer(state, out);
+    if state.is_ready() {
+        out.push(Effect::Ready(true));
+    }
+}
--- a/src/node/jobs.rs
+++ b/src/node/jobs.rs
@@ -34,6 +34,7 @@
 /// Ports of one entry VM.
 struct Ports {
     pending: pending::Table,
+    updates: port::job::Updates,
     front: front::Handle,
     store: store::Port,
     worker: worker::Port,
@@ -118,6 +119,12 @@
             Effect::Work(WorkEffect::Forward { ticket, to, request }) => {
                 self.ports.peer.forward(ticket, to, request)
             }
+            Effect::Work(WorkEffect::AskConfig { to, known, wait }) => {
+                self.ports.peer.ask_config(to, known, wait);
+            }
+            Effect::Work(WorkEffect::AnswerConfig { ticket, update }) => {
+                self.ports.updates.answer(ticket, update);
+            }
             Effect::Work(WorkEffect::Store { call, request }) => self.ports.store.call(call, request),
             Effect::Work(WorkEffect::Worker { id, address, fence, order, sent, not_after }) => {
                 self.ports.worker.send(worker::Envelope { id, address, fence, order, sent, not_after });
@@ -194,6 +201,7 @@
     let id = member::Id::generate(since_epoch.as_millis() as u64, nonce);
     let ready = Arc::new(AtomicBool::new(false));
     let requests = pending::Table::new(inbox.clone());
+    let updates = port::job::Updates::new(inbox.clone());
     let metrics = Metrics::new()?;
     let timeline = open_timeline(settings, id)?;
     metrics.observe_lost_entries(timeline.lost_counter());
@@ -214,8 +222,9 @@
         front: front::serve(setup, requests.clone(), Arc::clone(&ready))?,
         store: store::Port::new(settings.platform.store, tuning.store_timeout, inbox.clone()),
         worker: worker::Port::new(tuning.worker_timeout, clock, inbox.clone()),
-        peer: port::job::Port::start(settings.listen.peer, inbox.clone(), requests.clone())?,
+        peer: port::job::Port::start(settings.listen.peer, inbox.clone(), requests.clone(), updates.clone())?,
         pending: requests,
+        updates,
     };
     let identity = Identity {
         vm: settings.name.clone(),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -142,8 +142,8 @@
             }
             Request::Commit(transaction) => self.commit(transaction).await,
             Request::Read(key) => self.read(key).await,
-            Request::List { range, after } => self.list(range, after).await,
-            Request::Watch { range, after, wait } => self.watch(range, after, wait).await,
+            Request::List { range, after, limit } => self.list(range, after, limit).await,
+            Request::Watch { range, after, wait, limit } => self.watch(range, after, wait, limit).await,
         }
     }
 
@@ -184,12 +184,12 @@
         }
     }
 
-    async fn list(&self, range: Range, after: Option<String>) -> Result<Reply, Reply> {
+    async fn list(&self, range: Range, after: Option<String>, limit: Option<usize>) -> Result<Reply, Reply> {
         let mut url = format!("{}/kv-range?prefix={}", self.base_url, range_prefix(range));
         if let Some(after) = after {
             url = format!("{url}&after={after}");
         }
-        let answer = self.receive(self.client.get(url).send(), Duration::ZERO).await?;
+        let answer = self.receive_limited(self.client.get(url).send(), Duration::ZERO, limit).await?;
         if answer.status != StatusCode::OK {
             return Err(refusal(answer.status));
         }
@@ -200,10 +200,16 @@
         Ok(Reply::Page { items, next, as_of: page.as_of })
     }
 
-    async fn watch(&self, range: Range, after: Revision, wait: Duration) -> Result<Reply, Reply> {
+    async fn watch(
+        &self,
+        range: Range,
+        after: Revision,
+        wait: Duration,
+        limit: Option<usize>,
+    ) -> Result<Reply, Reply> {
         let (base, prefix, wait_ms) = (&self.base_url, range_prefix(range), wait.as_millis());
         let url = format!("{base}/kv-watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
-        let answer = self.receive(self.client.get(url).send(), wait).await?;
+        let answer = self.receive_limited(self.client.get(url).send(), wait, limit).await?;
         match answer.status {
             StatusCode::OK => {
                 let Events { events, as_of } = parse(&answer)?;
@@ -225,10 +231,26 @@
     }
 
     async fn receive(&self, request: awc::SendClientRequest, wait: Duration) -> Result<Answer, Reply> {
-        http::receive(request, wait, self.timeout).await.map_err(|fault| match fault {
-            Fault::Refused | Fault::NotWritten => Reply::Refused,
-            Fault::Lost => Reply::Lost,
-        })
+        http::receive(request, wait, self.timeout).await.map_err(fault_reply)
+    }
+
+    /// Receives an answer of at most `limit` bytes, or of any size if there is no limit.
+    async fn receive_limited(
+        &self,
+        request: awc::SendClientRequest,
+        wait: Duration,
+        limit: Option<usize>,
+    ) -> Result<Answer, Reply> {
+        let Some(limit) = limit else { return self.receive(request, wait).await };
+        let answer = http::receive_limited(request, wait, self.timeout, limit).await.map_err(fault_reply)?;
+        answer.ok_or(Reply::TooLarge)
+    }
+}
+
+fn fault_reply(fault: Fault) -> Reply {
+    match fault {
+        Fault::Refused | Fault::NotWritten => Reply::Refused,
+        Fault::Lost => Reply::Lost,
     }
 }
 
--- a/src/port/http.rs
+++ b/src/port/http.rs
@@ -9,8 +9,8 @@
 use actix_web::body::{BodySize, MessageBody};
 use actix_web::web::{Bytes, BytesMut};
 use awc::error::{ConnectError, SendRequestError};
-use awc::http::StatusCode;
-use awc::{Client, Connector, SendClientRequest};
+use awc::http::{StatusCode, header};
+use awc::{Client, ClientResponse, Connector, SendClientRequest};
 use tokio::time::{Instant as Deadline, timeout_at};
 use tokio_stream::StreamExt;
 
@@ -64,8 +64,25 @@
     wait: Duration,
     timeout: Duration,
 ) -> Result<Answer, Fault> {
+    match receive_limited(request, wait, timeout, MAX_ANSWER_BYTES).await? {
+        Some(answer) => Ok(answer),
+        None => Err(Fault::Lost),
+    }
+}
+
+/// The same for an answer whose body has at most `limit` bytes. `None` for a larger one, which is given up: at its head if
+/// that states the length, otherwise after `limit` bytes.
+pub(crate) async fn receive_limited(
+    request: SendClientRequest,
+    wait: Duration,
+    timeout: Duration,
+    limit: usize,
+) -> Result<Option<Answer>, Fault> {
     let Ok(response) = tokio::time::timeout(wait + timeout, request).await else { return Err(Fault::Lost) };
     let mut response = response.map_err(|error| classify_error(&error))?;
+    if stated_length(&response).is_some_and(|length| length > limit) {
+        return Ok(None);
+    }
     let deadline = Deadline::now() + MAX_TRANSFER_TIME;
     let mut body = BytesMut::new();
     loop {
@@ -73,11 +90,16 @@
         let part = timeout_at(part_deadline, response.next()).await.map_err(|_| cut_off(&body))?;
         let Some(part) = part else { break };
         body.extend_from_slice(&part.map_err(|_| cut_off(&body))?);
-        if body.len() > MAX_ANSWER_BYTES {
-            return Err(cut_off(&body));
+        if body.len() > limit {
+            return Ok(None);
         }
     }
-    Ok(Answer { status: response.status(), body: body.freeze() })
+    Ok(Some(Answer { status: response.status(), body: body.freeze() }))
+}
+
+/// Length of the body according to the head; `None` if it is not stated.
+fn stated_length<S>(response: &ClientResponse<S>) -> Option<usize> {
+    response.headers().get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
 /// Logs that only a part of an answer arrived, and returns the fault.
--- a/src/port/job.rs
+++ b/src/port/job.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tonic::codec::CompressionEncoding;
 use tonic::transport::server::TcpIncoming;
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Code, Request, Response, Status};
@@ -14,11 +15,14 @@
 use super::peer::is_refused;
 use super::pending::Table;
 use crate::core::event::Event;
+use crate::core::work::config::Update;
 use crate::core::work::event::{Event as WorkEvent, Fault};
 use crate::core::work::request::{self, Answer, Ticket};
 use crate::error::{Error, Result};
 use crate::hash::Map;
 use crate::wire::generated::job as proto;
+use crate::wire::generated::job::configs_client::ConfigsClient;
+use crate::wire::generated::job::configs_server::{Configs, ConfigsServer};
 use crate::wire::generated::job::jobs_client::JobsClient;
 use crate::wire::generated::job::jobs_server::{Jobs, JobsServer};
 
@@ -40,6 +44,13 @@
     ended: watch::Receiver<bool>,
 }
 
+/// Requests of other entry VMs for a newer configuration.
+pub type Updates = Table<Option<Update>>;
+
+struct Relay {
+    updates: Updates,
+}
+
 struct Service {
     pending: Table,
 }
@@ -50,7 +61,7 @@
     /// # Errors
     ///
     /// The address cannot be bound.
-    pub fn start(listen: SocketAddr, inbox: Inbox, pending: Table) -> Result<Self> {
+    pub fn start(listen: SocketAddr, inbox: Inbox, pending: Table, updates: Updates) -> Result<Self> {
         let bind_error = |source| Error::io(format!("listening for entry VMs on {listen}"), source);
         let incoming = TcpIncoming::bind(listen).map_err(bind_error)?.with_nodelay(Some(true));
         let (stop_sender, mut stop_requested) = watch::channel(false);
@@ -58,7 +69,8 @@
         let server = Server::builder()
             .http2_keepalive_interval(Some(PING_INTERVAL))
             .http2_keepalive_timeout(Some(PING_INTERVAL))
-            .add_service(JobsServer::new(Service { pending }));
+            .add_service(JobsServer::new(Service { pending }))
+            .add_service(ConfigsServer::new(Relay { updates }).send_compressed(CompressionEncoding::Gzip));
         tokio::spawn(async move {
             let shutdown = async move {
                 // An error means that the port has been dropped, which also stops the server.
@@ -103,6 +115,26 @@
         })
     }
 
+    /// Asks another entry VM for the changes of the configuration since the version `known`; the answer, or the reason why
+    /// there is none, arrives as an event.
+    pub fn ask_config(&self, to: SocketAddr, known: u64, wait: Duration) {
+        let port = self.clone();
+        actix_web::rt::spawn(async move {
+            let mut client =
+                ConfigsClient::new(port.channel(to)).accept_compressed(CompressionEncoding::Gzip);
+            let query = proto::Known { version: known, wait_ms: wait.as_millis() as u64 };
+            let result = match tokio::time::timeout(wait + ANSWER_TIMEOUT, client.since(query)).await {
+                Ok(Ok(response)) => Ok(response.into_inner().into()),
+                Ok(Err(status)) => Err(classify_status(&status)),
+                Err(_) => Err(Fault::Lost),
+            };
+            if result.is_err() {
+                port.channels.borrow_mut().remove(&to);
+            }
+            port.inbox.send(Event::Work(WorkEvent::ConfigUpdated { from: to, result }));
+        });
+    }
+
     fn channel(&self, to: SocketAddr) -> Channel {
         let mut channels = self.channels.borrow_mut();
         let channel = channels.entry(to).or_insert_with(|| {
@@ -144,3 +176,18 @@
         Ok(Response::new(answer.into()))
     }
 }
+
+#[tonic::async_trait]
+impl Configs for Relay {
+    async fn since(
+        &self,
+        request: Request<proto::Known>,
+    ) -> std::result::Result<Response<proto::ConfigUpdate>, Status> {
+        let proto::Known { version, wait_ms } = request.into_inner();
+        let wait = Duration::from_millis(wait_ms);
+        let event = |ticket| WorkEvent::ConfigAsked { ticket, known: version, wait };
+        let update = self.updates.send(event, wait + ANSWER_TIMEOUT).await;
+        let update = update.ok_or_else(|| Status::deadline_exceeded("no answer of the reducer"))?;
+        Ok(Response::new(update.into()))
+    }
+}
--- a/src/wire/job.rs
+++ b/src/wire/job.rs
@@ -6,6 +6,7 @@
 
 use super::envelope::{self, Kind};
 use super::generated::job as proto;
+use crate::core::work::config::{Queue, Service, Update};
 use crate::core::work::image::{Estimates, Image, Pair};
 use crate::core::work::request::{Answer, Phase, Request, Verb};
 use crate::core::work::spec::{Id, Resources, Schedule, Spec, Step};
@@ -415,3 +416,60 @@
         })
     }
 }
+
+impl From<Queue> for proto::Queue {
+    fn from(queue: Queue) -> Self {
+        Self {
+            name: queue.name,
+            host: queue.host,
+            prefix: queue.prefix,
+            service: queue.service,
+            priority: queue.priority,
+            max_attempts: queue.max_attempts,
+            stretch: queue.stretch,
+            objective_us: queue.objective.as_micros() as u64,
+        }
+    }
+}
+
+impl From<proto::Queue> for Queue {
+    fn from(queue: proto::Queue) -> Self {
+        Self {
+            name: queue.name,
+            host: queue.host,
+            prefix: queue.prefix,
+            service: queue.service,
+            priority: queue.priority,
+            max_attempts: queue.max_attempts,
+            stretch: queue.stretch,
+            objective: Duration::from_micros(queue.objective_us),
+        }
+    }
+}
+
+impl From<Option<Update>> for proto::ConfigUpdate {
+    fn from(update: Option<Update>) -> Self {
+        let Some(update) = update else { return Self::default() };
+        Self {
+            base: update.base,
+            version: update.version,
+            queues: update.queues.into_iter().map(proto::Queue::from).collect(),
+            removed: update.removed,
+            services: update.services.into_iter().map(|service| service.name).collect(),
+            revision: update.revision,
+        }
+    }
+}
+
+impl From<proto::ConfigUpdate> for Option<Update> {
+    fn from(update: proto::ConfigUpdate) -> Self {
+        (update.version > 0).then(|| Update {
+            base: update.base,
+            version: update.version,
+            queues: update.queues.into_iter().map(Queue::from).collect(),
+            removed: update.removed,
+            services: update.services.into_iter().map(|name| Service { name }).collect(),
+            revision: update.revision,
+        })
+    }
+}
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -60,3 +60,75 @@
         assert_eq!(outdated(&emulator, 3), Vec::<usize>::new(), "seed {seed}");
     }
 }
+
+/// Guards against a relayed change after which a queue is missing, outdated or left over.
+#[test]
+fn a_relayed_change_leaves_an_outdated_queue() {
+    let mut emulator = two_regions(0);
+    emulator.store.set_config(large_config(2));
+    emulator.run_for(LIMIT);
+    let mut changed = large_config(3);
+    changed.queues.remove(7);
+    changed.queues[9].max_attempts = 17;
+    changed.queues.push(Queue {
+        name: "added".into(),
+        prefix: "/added/".into(),
+        ..changed.queues[0].clone()
+    });
+    emulator.store.set_config(changed.clone());
+    emulator.run_for(LIMIT);
+    for vm in 0..2 * VMS_PER_REGION {
+        let mut queues = emulator.config(vm).queues.clone();
+        queues.sort_by(|one, other| one.name.cmp(&other.name));
+        let mut expected = changed.queues.clone();
+        expected.sort_by(|one, other| one.name.cmp(&other.name));
+        assert_eq!(queues, expected, "VM {vm}");
+    }
+}
+
+/// Guards against entry VMs that get no large configuration because the leader that they ask has ended.
+#[test]
+fn a_large_configuration_is_late_when_the_leader_is_killed() {
+    for seed in 0..3 {
+        let mut emulator = two_regions(seed);
+        let leader = emulator.leader().expect("a leader");
+        emulator.store.set_config(large_config(2));
+        emulator.run_for(Duration::from_millis(20 * seed));
+        emulator.kill(leader);
+        emulator.run_for(LIMIT);
+        let outdated = outdated(&emulator, 2);
+        assert!(outdated.iter().all(|vm| *vm == leader), "seed {seed}: {outdated:?}");
+    }
+}
+
+/// Guards against entry VMs that rely on a leader which does not hear of the change itself.
+#[test]
+fn a_configuration_is_late_when_the_watches_of_the_leader_are_silent() {
+    for seed in 0..3 {
+        let mut emulator = two_regions(seed);
+        emulator.store.set_config(large_config(2));
+        emulator.run_for(LIMIT);
+        let leader = emulator.leader().expect("a leader");
+        emulator.store.silent_watch_vms.insert(leader);
+        emulator.store.set_config(Config { version: 3, ..config() });
+        emulator.run_for(LIMIT);
+        let outdated = outdated(&emulator, 3);
+        assert!(outdated.iter().all(|vm| *vm == leader), "seed {seed}: {outdated:?}");
+    }
+}
+
+/// Guards against a restarted entry VM that stays without a large configuration, whose last change is no longer watched.
+#[test]
+fn a_restarted_entry_vm_has_no_large_configuration() {
+    let mut emulator = two_regions(0);
+    emulator.store.set_config(large_config(2));
+    emulator.run_for(LIMIT);
+    let vm = VMS_PER_REGION + 1;
+    emulator.kill(vm);
+    emulator.start(vm);
+    emulator.run_for(SECOND);
+    assert_eq!(emulator.config_version(vm), 2);
+    emulator.store.set_config(large_config(3));
+    emulator.run_for(2 * SECOND);
+    assert_eq!(emulator.config_version(vm), 3);
+}
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -11,6 +11,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use nutmegfold::core::effect::Effect;
@@ -77,7 +78,7 @@
         vm: usize,
         incarnation: u64,
         call: Call,
-        reply: Box<Reply>,
+        event: Box<Event>,
     },
     Order {
         vm: usize,
@@ -107,6 +108,8 @@
     pub answers: Map<Ticket, Answer>,
     /// Requests of callers: when each was sent, its job and its operation.
     requests: Map<Ticket, (Instant, Option<Id>, Verb)>,
+    /// Entry VMs that wait for a newer configuration of another one, with the address of that one.
+    config_requests: Map<Ticket, (usize, u64, SocketAddr)>,
     /// Time by which the time of day of each entry VM is ahead.
     pub clock_leads: Vec<Duration>,
     /// Timeline entries of all entry VMs; tests search them for decisions and print them on failure.
@@ -124,6 +127,9 @@
 /// Size of one queue of the configuration in an answer of the store, in bytes.
 pub const QUEUE_BYTES: usize = 270;
 
+/// Size of one queue of the configuration in a message between entry VMs, in bytes.
+const RELAYED_QUEUE_BYTES: usize = 60;
+
 /// Path prefix of the only queue.
 pub const PREFIX: &str = "/q/";
 
@@ -146,6 +152,7 @@
             observer: Observer::default(),
             answers: Map::default(),
             requests: Map::default(),
+            config_requests: Map::default(),
             clock_leads: vec![Duration::ZERO; cpu_millicores.len()],
             log: Vec::new(),
             event_count: 0,
@@ -243,9 +250,14 @@
         self.handle_event(vm, Event::Wake);
     }
 
-    /// Version of the configuration that is in force on an entry VM.
+    /// Configuration that is in force on an entry VM.
+    pub fn config(&self, vm: usize) -> &Config {
+        &self.vms[vm].state.work.as_ref().expect("entry VMs of the emulator schedule jobs").config
+    }
+
+    /// Its version.
     pub fn config_version(&self, vm: usize) -> u64 {
-        self.vms[vm].state.work.as_ref().expect("entry VMs of the emulator schedule jobs").config.version
+        self.config(vm).version
     }
 
     /// Whether an entry VM runs.
@@ -343,6 +355,35 @@
             Effect::Work(WorkEffect::Forward { ticket, to, request }) => {
                 self.forward(vm, ticket, to, request)
             }
+            Effect::Work(WorkEffect::AskConfig { to, known, wait }) => {
+                let other = self.vm_at(to);
+                if !self.vms[other].is_up {
+                    let event = WorkEvent::ConfigUpdated { from: to, result: Err(Fault::Refused) };
+                    return self.schedule_event(vm, ONE_WAY_DELAY * 2, Event::Work(event));
+                }
+                let ticket = Ticket(self.next_random());
+                self.config_requests.insert(ticket, (vm, incarnation, to));
+                let event = WorkEvent::ConfigAsked { ticket, known, wait };
+                self.schedule_event(other, ONE_WAY_DELAY, Event::Work(event));
+            }
+            Effect::Work(WorkEffect::AnswerConfig { ticket, update }) => {
+                let Some((other, incarnation, from)) = self.config_requests.remove(&ticket) else { return };
+                if !self.is_alive(other, incarnation) {
+                    return;
+                }
+                let bytes = update.as_ref().map_or(0, |update| update.queues.len() * RELAYED_QUEUE_BYTES);
+                let event = Event::Work(WorkEvent::ConfigUpdated { from, result: Ok(update) });
+                if self.link.vms.contains(&vm) == self.link.vms.contains(&other) || bytes == 0 {
+                    return self.schedule_event(other, ONE_WAY_DELAY, event);
+                }
+                let call = Call(ticket.0);
+                self.link.start(other, call, bytes, self.now);
+                let event = Box::new(event);
+                self.schedule(
+                    self.now + POLL_INTERVAL,
+                    Action::Transfer { vm: other, incarnation, call, event },
+                );
+            }
             Effect::Work(WorkEffect::Store { call, request }) => {
                 let deadline = self.now + CALL_TIMEOUT;
                 self.schedule(
@@ -368,13 +409,17 @@
         }
     }
 
-    /// Forwards a request to another entry VM without network delay. A VM that is down refuses the connection.
-    fn forward(&mut self, vm: usize, ticket: Ticket, to: std::net::SocketAddr, request: request::Request) {
+    /// Entry VM with this address.
+    fn vm_at(&self, to: SocketAddr) -> usize {
         let address = |vm: &Vm| {
             vm.state.work.as_ref().expect("entry VMs of the emulator schedule jobs").identity.address
         };
-        let other =
-            self.vms.iter().position(|vm| address(vm) == to).expect("the request names an emulated VM");
+        self.vms.iter().position(|vm| address(vm) == to).expect("the request names an emulated VM")
+    }
+
+    /// Forwards a request to another entry VM without network delay. A VM that is down refuses the connection.
+    fn forward(&mut self, vm: usize, ticket: Ticket, to: SocketAddr, request: request::Request) {
+        let other = self.vm_at(to);
         if !self.vms[other].is_up {
             let event = WorkEvent::Forwarded { ticket, result: Err(Fault::Refused) };
             return self.schedule_event(vm, ONE_WAY_DELAY * 2, Event::Work(event));
@@ -395,17 +440,27 @@
                 self.handle_event(vm, Event::Wake);
             }
             Action::Store { vm, incarnation, call, request, deadline } => {
-                match self.store.execute(vm, &request, self.now, deadline) {
+                let limit = match &request {
+                    Request::List { limit, .. } | Request::Watch { limit, .. } => limit.unwrap_or(usize::MAX),
+                    _ => usize::MAX,
+                };
+                let outcome = match self.store.execute(vm, &request, self.now, deadline) {
+                    store::Outcome::Reply(reply) if answer_bytes(&reply) > limit => {
+                        store::Outcome::Reply(Reply::TooLarge)
+                    }
+                    outcome => outcome,
+                };
+                match outcome {
                     store::Outcome::Reply(reply)
                         if self.is_alive(vm, incarnation)
                             && self.link.vms.contains(&vm)
                             && answer_bytes(&reply) > 0 =>
                     {
                         self.link.start(vm, call, answer_bytes(&reply), self.now);
-                        let reply = Box::new(reply);
+                        let event = Box::new(Event::Work(WorkEvent::Store { call, reply }));
                         self.schedule(
                             self.now + POLL_INTERVAL,
-                            Action::Transfer { vm, incarnation, call, reply },
+                            Action::Transfer { vm, incarnation, call, event },
                         );
                     }
                     store::Outcome::Reply(reply) if self.is_alive(vm, incarnation) => {
@@ -441,15 +496,14 @@
                     worker::Outcome::Event(_) => {}
                 }
             }
-            Action::Transfer { vm, incarnation, call, reply } if self.is_alive(vm, incarnation) => {
+            Action::Transfer { vm, incarnation, call, event } if self.is_alive(vm, incarnation) => {
                 if !self.link.finish(vm, call, self.now) {
                     return self.schedule(
                         self.now + POLL_INTERVAL,
-                        Action::Transfer { vm, incarnation, call, reply },
+                        Action::Transfer { vm, incarnation, call, event },
                     );
                 }
-                let reply = *reply;
-                self.schedule_event(vm, ONE_WAY_DELAY, Event::Work(WorkEvent::Store { call, reply }));
+                self.schedule_event(vm, ONE_WAY_DELAY, *event);
             }
             Action::Event { .. } | Action::Wake { .. } | Action::Transfer { .. } => {}
         }
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -214,7 +214,7 @@
             },
             Request::Commit(transaction) => self.commit(transaction),
             Request::Read(key) => Reply::Read(self.read(*key)),
-            Request::List { range, after } => self.list(*range, after.as_deref()),
+            Request::List { range, after, .. } => self.list(*range, after.as_deref()),
             Request::Watch { .. } => unreachable!("`execute` handles watches"),
         }
     }
--- a/tests/store_port.rs
+++ b/tests/store_port.rs
@@ -44,7 +44,7 @@
 async fn an_answer_that_is_arriving_is_given_up() {
     let (inbox, mut events) = Inbox::new();
     let port = Port::new(serve_in_parts(), TIMEOUT, inbox);
-    port.call(Call(1), Request::List { range: Range::Config, after: None });
+    port.call(Call(1), Request::List { range: Range::Config, after: None, limit: None });
     let Some(Event::Work(WorkEvent::Store { reply, .. })) = events.recv().await else {
         panic!("no reply to the call");
     };
