--- a/tests/store_port.rs
+++ b/tests/store_port.rs
@@ -26,7 +26,8 @@
     let address = listener.local_addr().expect("address of the bound listener");
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
-        stream.read(&mut [0; 4096]).expect("a request");
+        let length = stream.read(&mut [0; 4096]).expect("a request");
+        assert!(length > 0, "the client closed the connection");
         let body = format!(r#"{{"items":[],"as_of":7{}}}"#, " ".repeat(1_000));
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
         stream.write_all(head.as_bytes()).expect("the head is written");
