--- a/src/port/http.rs
+++ b/src/port/http.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use actix_web::body::{BodySize, MessageBody};
-use actix_web::web::Bytes;
+use actix_web::web::{Bytes, BytesMut};
 use awc::error::{ConnectError, SendRequestError};
-use awc::http::StatusCode;
+use awc::http::{StatusCode, header};
 use awc::{Client, ClientResponse, Connector, SendClientRequest};
+use tokio::time::{Instant as Deadline, timeout_at};
+use tokio_stream::StreamExt;
 
 use super::Clock;
 use crate::core::time::Instant;
@@ -18,6 +20,9 @@
 /// Size limit of an answer in bytes; the VM list of 30,000 workers has about 5 MB.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
+/// Longest time from the head of an answer to its end.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(20);
+
 /// Limit on open connections of a client. The long poll of each worker occupies one, and orders need further ones. The
 /// rest of the 4,096 file descriptors of a small VM is left for callers and peers.
 const MAX_CONNECTIONS: usize = 3_000;
@@ -46,20 +51,61 @@
     Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
 }
 
-/// Sends a request and waits for the complete answer, for at most `timeout` in total.
+/// Sends a request and waits for the complete answer.
+///
+/// The head of the answer must arrive within `wait`, for which the other side may delay it, and `timeout`; each further
+/// part of the answer must arrive within `timeout`. A transfer that makes progress is not given up before
+/// [`MAX_TRANSFER_TIME`], since a repetition would begin with its first byte again, and delay all transfers on the same
+/// link.
 ///
 /// On a timeout the connection is dropped with the future, so it is not reused.
-pub(crate) async fn receive(request: SendClientRequest, timeout: Duration) -> Result<Answer, Fault> {
-    match tokio::time::timeout(timeout, read_answer(request)).await {
-        Ok(result) => result,
-        Err(_) => Err(Fault::Lost),
+pub(crate) async fn receive(
+    request: SendClientRequest,
+    wait: Duration,
+    timeout: Duration,
+) -> Result<Answer, Fault> {
+    match receive_limited(request, wait, timeout, MAX_ANSWER_BYTES).await? {
+        Some(answer) => Ok(answer),
+        None => Err(Fault::Lost),
+    }
+}
+
+/// The same for an answer whose body has at most `limit` bytes. `None` for a larger one, which is given up: at its head if
+/// that states the length, otherwise after `limit` bytes.
+pub(crate) async fn receive_limited(
+    request: SendClientRequest,
+    wait: Duration,
+    timeout: Duration,
+    limit: usize,
+) -> Result<Option<Answer>, Fault> {
+    let Ok(response) = tokio::time::timeout(wait + timeout, request).await else { return Err(Fault::Lost) };
+    let mut response = response.map_err(|error| classify_error(&error))?;
+    if stated_length(&response).is_some_and(|length| length > limit) {
+        return Ok(None);
     }
+    let deadline = Deadline::now() + MAX_TRANSFER_TIME;
+    let mut body = BytesMut::new();
+    loop {
+        let part_deadline = deadline.min(Deadline::now() + timeout);
+        let part = timeout_at(part_deadline, response.next()).await.map_err(|_| cut_off(&body))?;
+        let Some(part) = part else { break };
+        body.extend_from_slice(&part.map_err(|_| cut_off(&body))?);
+        if body.len() > limit {
+            return Ok(None);
+        }
+    }
+    Ok(Some(Answer { status: response.status(), body: body.freeze() }))
+}
+
+/// Length of the body according to the head; `None` if it is not stated.
+fn stated_length<S>(response: &ClientResponse<S>) -> Option<usize> {
+    response.headers().get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-async fn read_answer(request: SendClientRequest) -> Result<Answer, Fault> {
-    let mut response: ClientResponse<_> = request.await.map_err(|error| classify_error(&error))?;
-    let body = response.body().limit(MAX_ANSWER_BYTES).await.map_err(|_| Fault::Lost)?;
-    Ok(Answer { status: response.status(), body })
+/// Logs that only a part of an answer arrived, and returns the fault.
+fn cut_off(body: &BytesMut) -> Fault {
+    log::warn!("an answer was cut off after {} bytes", body.len());
+    Fault::Lost
 }
 
 /// Classifies an error of awc. `Disconnected` counts as lost: awc reports it if an established connection ends before
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -5,11 +5,13 @@
 
 #![allow(dead_code)]
 
+pub mod link;
 pub mod store;
 pub mod worker;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use nutmegfold::core::effect::Effect;
@@ -22,12 +24,13 @@
 use nutmegfold::core::work::request::{self, Answer, Ticket, Verb};
 use nutmegfold::core::work::spec::{Id, Resources, Spec, Step};
 use nutmegfold::core::work::state::Identity;
-use nutmegfold::core::work::store::{Call, Reply, Request};
+use nutmegfold::core::work::store::{Call, Change, Item, Reply, Request};
 use nutmegfold::core::work::tuning::Tuning;
 use nutmegfold::core::{State, member, reduce, work};
 use nutmegfold::declare::zone;
 use nutmegfold::hash::{self, Map};
 
+use link::Link;
 use store::Store;
 use worker::{Observer, Worker};
 
@@ -53,10 +56,37 @@
 
 #[derive(Debug)]
 enum Action {
-    Event { vm: usize, incarnation: u64, event: Box<Event> },
-    Wake { vm: usize, incarnation: u64, at: Instant },
-    Store { vm: usize, incarnation: u64, call: Call, request: Request, deadline: Instant },
-    Order { vm: usize, incarnation: u64, worker: usize, envelope: Envelope, deadline: Instant },
+    Event {
+        vm: usize,
+        incarnation: u64,
+        event: Box<Event>,
+    },
+    Wake {
+        vm: usize,
+        incarnation: u64,
+        at: Instant,
+    },
+    Store {
+        vm: usize,
+        incarnation: u64,
+        call: Call,
+        request: Request,
+        deadline: Instant,
+    },
+    /// The transfer of a large answer of the store over the link.
+    Transfer {
+        vm: usize,
+        incarnation: u64,
+        call: Call,
+        event: Box<Event>,
+    },
+    Order {
+        vm: usize,
+        incarnation: u64,
+        worker: usize,
+        envelope: Envelope,
+        deadline: Instant,
+    },
 }
 
 /// An entry VM.
@@ -71,11 +101,15 @@
 pub struct Emulator {
     pub now: Instant,
     pub store: Store,
+    /// Link between the store and some of the entry VMs.
+    pub link: Link,
     pub workers: Vec<Worker>,
     pub observer: Observer,
     pub answers: Map<Ticket, Answer>,
     /// Requests of callers: when each was sent, its job and its operation.
     requests: Map<Ticket, (Instant, Option<Id>, Verb)>,
+    /// Entry VMs that wait for a newer configuration of another one, with the address of that one.
+    config_requests: Map<Ticket, (usize, u64, SocketAddr)>,
     /// Time by which the time of day of each entry VM is ahead.
     pub clock_leads: Vec<Duration>,
     /// Timeline entries of all entry VMs; tests search them for decisions and print them on failure.
@@ -90,6 +124,12 @@
     cpu_millicores: Vec<u32>,
 }
 
+/// Size of one queue of the configuration in an answer of the store, in bytes.
+pub const QUEUE_BYTES: usize = 270;
+
+/// Size of one queue of the configuration in a message between entry VMs, in bytes.
+const RELAYED_QUEUE_BYTES: usize = 60;
+
 /// Path prefix of the only queue.
 pub const PREFIX: &str = "/q/";
 
@@ -107,10 +147,12 @@
         let mut emulator = Self {
             now: Instant(1_000_000),
             store: Store::new(config()),
+            link: Link::default(),
             workers: (0..workers).map(Worker::new).collect(),
             observer: Observer::default(),
             answers: Map::default(),
             requests: Map::default(),
+            config_requests: Map::default(),
             clock_leads: vec![Duration::ZERO; cpu_millicores.len()],
             log: Vec::new(),
             event_count: 0,
@@ -208,6 +250,16 @@
         self.handle_event(vm, Event::Wake);
     }
 
+    /// Configuration that is in force on an entry VM.
+    pub fn config(&self, vm: usize) -> &Config {
+        &self.vms[vm].state.work.as_ref().expect("entry VMs of the emulator schedule jobs").config
+    }
+
+    /// Its version.
+    pub fn config_version(&self, vm: usize) -> u64 {
+        self.config(vm).version
+    }
+
     /// Whether an entry VM runs.
     pub fn is_up(&self, vm: usize) -> bool {
         self.vms[vm].is_up
@@ -303,6 +355,35 @@
             Effect::Work(WorkEffect::Forward { ticket, to, request }) => {
                 self.forward(vm, ticket, to, request)
             }
+            Effect::Work(WorkEffect::AskConfig { to, known, wait }) => {
+                let other = self.vm_at(to);
+                if !self.vms[other].is_up {
+                    let event = WorkEvent::ConfigUpdated { from: to, result: Err(Fault::Refused) };
+                    return self.schedule_event(vm, ONE_WAY_DELAY * 2, Event::Work(event));
+                }
+                let ticket = Ticket(self.next_random());
+                self.config_requests.insert(ticket, (vm, incarnation, to));
+                let event = WorkEvent::ConfigAsked { ticket, known, wait };
+                self.schedule_event(other, ONE_WAY_DELAY, Event::Work(event));
+            }
+            Effect::Work(WorkEffect::AnswerConfig { ticket, update }) => {
+                let Some((other, incarnation, from)) = self.config_requests.remove(&ticket) else { return };
+                if !self.is_alive(other, incarnation) {
+                    return;
+                }
+                let bytes = update.as_ref().map_or(0, |update| update.queues.len() * RELAYED_QUEUE_BYTES);
+                let event = Event::Work(WorkEvent::ConfigUpdated { from, result: Ok(update) });
+                if self.link.vms.contains(&vm) == self.link.vms.contains(&other) || bytes == 0 {
+                    return self.schedule_event(other, ONE_WAY_DELAY, event);
+                }
+                let call = Call(ticket.0);
+                self.link.start(other, call, bytes, self.now);
+                let event = Box::new(event);
+                self.schedule(
+                    self.now + POLL_INTERVAL,
+                    Action::Transfer { vm: other, incarnation, call, event },
+                );
+            }
             Effect::Work(WorkEffect::Store { call, request }) => {
                 let deadline = self.now + CALL_TIMEOUT;
                 self.schedule(
@@ -328,13 +409,17 @@
         }
     }
 
-    /// Forwards a request to another entry VM without network delay. A VM that is down refuses the connection.
-    fn forward(&mut self, vm: usize, ticket: Ticket, to: std::net::SocketAddr, request: request::Request) {
+    /// Entry VM with this address.
+    fn vm_at(&self, to: SocketAddr) -> usize {
         let address = |vm: &Vm| {
             vm.state.work.as_ref().expect("entry VMs of the emulator schedule jobs").identity.address
         };
-        let other =
-            self.vms.iter().position(|vm| address(vm) == to).expect("the request names an emulated VM");
+        self.vms.iter().position(|vm| address(vm) == to).expect("the request names an emulated VM")
+    }
+
+    /// Forwards a request to another entry VM without network delay. A VM that is down refuses the connection.
+    fn forward(&mut self, vm: usize, ticket: Ticket, to: SocketAddr, request: request::Request) {
+        let other = self.vm_at(to);
         if !self.vms[other].is_up {
             let event = WorkEvent::Forwarded { ticket, result: Err(Fault::Refused) };
             return self.schedule_event(vm, ONE_WAY_DELAY * 2, Event::Work(event));
@@ -355,7 +440,29 @@
                 self.handle_event(vm, Event::Wake);
             }
             Action::Store { vm, incarnation, call, request, deadline } => {
-                match self.store.execute(vm, &request, self.now, deadline) {
+                let limit = match &request {
+                    Request::List { limit, .. } | Request::Watch { limit, .. } => limit.unwrap_or(usize::MAX),
+                    _ => usize::MAX,
+                };
+                let outcome = match self.store.execute(vm, &request, self.now, deadline) {
+                    store::Outcome::Reply(reply) if answer_bytes(&reply) > limit => {
+                        store::Outcome::Reply(Reply::TooLarge)
+                    }
+                    outcome => outcome,
+                };
+                match outcome {
+                    store::Outcome::Reply(reply)
+                        if self.is_alive(vm, incarnation)
+                            && self.link.vms.contains(&vm)
+                            && answer_bytes(&reply) > 0 =>
+                    {
+                        self.link.start(vm, call, answer_bytes(&reply), self.now);
+                        let event = Box::new(Event::Work(WorkEvent::Store { call, reply }));
+                        self.schedule(
+                            self.now + POLL_INTERVAL,
+                            Action::Transfer { vm, incarnation, call, event },
+                        );
+                    }
                     store::Outcome::Reply(reply) if self.is_alive(vm, incarnation) => {
                         let is_commit = matches!(request, Request::Commit(_));
                         let delay = if is_commit { self.store.commit_delay } else { Duration::ZERO };
@@ -389,7 +496,16 @@
                     worker::Outcome::Event(_) => {}
                 }
             }
-            Action::Event { .. } | Action::Wake { .. } => {}
+            Action::Transfer { vm, incarnation, call, event } if self.is_alive(vm, incarnation) => {
+                if !self.link.finish(vm, call, self.now) {
+                    return self.schedule(
+                        self.now + POLL_INTERVAL,
+                        Action::Transfer { vm, incarnation, call, event },
+                    );
+                }
+                self.schedule_event(vm, ONE_WAY_DELAY, *event);
+            }
+            Action::Event { .. } | Action::Wake { .. } | Action::Transfer { .. } => {}
         }
     }
 
@@ -409,7 +525,27 @@
     }
 }
 
-fn config() -> Config {
+/// Size of the configurations in an answer of the store, in bytes as they are sent; the rest of an answer is small.
+fn answer_bytes(reply: &Reply) -> usize {
+    let config_bytes = |item: &Item| match item {
+        Item::Config(config) => config.queues.len() * QUEUE_BYTES,
+        _ => 0,
+    };
+    match reply {
+        Reply::Page { items, .. } => items.iter().map(|(item, _)| config_bytes(item)).sum(),
+        Reply::Changes { changes, .. } => changes
+            .iter()
+            .map(|change| match change {
+                Change::Set(item, _) => config_bytes(item),
+                Change::Removed(_) => 0,
+            })
+            .sum(),
+        _ => 0,
+    }
+}
+
+/// Configuration of the only queue.
+pub fn config() -> Config {
     let queue = Queue {
         name: "jobs".into(),
         host: HOST.into(),
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -92,6 +92,11 @@
         store
     }
 
+    /// Writes a configuration, as the operator does.
+    pub fn set_config(&mut self, config: Config) {
+        self.set("op/config".into(), Range::Config, Item::Config(config), None);
+    }
+
     /// Name of the VM that holds the leader's key, if one does.
     pub fn leader(&self) -> Option<String> {
         let (Value::Leader(leader), _) = self.read(Key::Leader)? else { return None };
@@ -209,7 +214,7 @@
             },
             Request::Commit(transaction) => self.commit(transaction),
             Request::Read(key) => Reply::Read(self.read(*key)),
-            Request::List { range, after } => self.list(*range, after.as_deref()),
+            Request::List { range, after, .. } => self.list(*range, after.as_deref()),
             Request::Watch { .. } => unreachable!("`execute` handles watches"),
         }
     }
