--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -302,6 +302,11 @@
         ticket
     }
 
+    /// Crashes a worker; it is back after some seconds.
+    pub fn crash_worker(&mut self, worker: usize) {
+        self.workers[worker].crash(self.now, &mut self.observer);
+    }
+
     /// Submits a job through an entry VM.
     pub fn submit(&mut self, vm: usize, id: u64, spec: Spec) -> Ticket {
         self.observer.record_submission(Id(id), &spec);
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -28,6 +28,13 @@
 /// Longest time from the answer to a cancellation to the last start of a task of the job.
 const CANCELLATION_LIMIT: Duration = Duration::from_secs(4);
 
+/// Crashed workers after which starts of the task that crashed them are limited, and the number of starts allowed then.
+const MAX_CRASHES: u32 = 3;
+const MAX_STARTS_AFTER_CRASHES: u32 = 2;
+
+/// Time from a crash until the worker is back.
+const CRASH_DURATION: Duration = Duration::from_secs(3);
+
 /// Mean load of a serving task by its own requests, as a share of its capacity. The load follows a sine wave with the
 /// amplitude and the period below.
 const MEAN_LOAD: f64 = 0.45;
@@ -121,6 +128,10 @@
     pub start_count: u32,
     /// Number of further runs of each task that fail.
     pub injected_failures: Map<Name, u32>,
+    /// Tasks that crash each worker that starts them.
+    pub deadly: Set<Name>,
+    /// Number of crashed workers, by the task that crashed them.
+    crash_counts: Map<Name, u32>,
     /// Total time that serving tasks were over their latency targets.
     pub time_over_target: Duration,
     /// Longest time without a break that one serving task was over its latency target.
@@ -218,6 +229,11 @@
         if self.failure_counts.get(&name).is_some_and(|count| *count >= 3) {
             self.violations.push(format!("{name}: run {number} started on {worker} after 3 failures"));
         }
+        let crashes = self.crash_counts.get(&name).copied().unwrap_or_default();
+        if crashes >= MAX_CRASHES + MAX_STARTS_AFTER_CRASHES {
+            self.violations
+                .push(format!("{name}: run {number} started on {worker} after {crashes} crashed workers"));
+        }
         let steps = self.step(name).map(|step| step.depends_on.clone()).unwrap_or_default();
         for before in steps {
             let count = self.jobs[&name.job].steps[before as usize].count;
@@ -289,6 +305,10 @@
     pub lost_start_replies: u32,
     /// Port of the worker's address.
     pub port: u16,
+    /// Number of crashes, by a task or ordered by the test.
+    pub crash_count: u32,
+    /// When the worker is back after a crash; `None` if it runs.
+    back_at: Option<Instant>,
     number: usize,
     incarnation: u64,
     started_at: Instant,
@@ -314,6 +334,8 @@
             interferences: Vec::new(),
             lost_start_replies: 0,
             port: 8_000,
+            crash_count: 0,
+            back_at: None,
             number,
             incarnation: 1,
             started_at: Instant::default(),
@@ -353,6 +375,16 @@
         self.highest_ended_run.clear();
     }
 
+    /// Ends the worker process. It refuses connections for some seconds and then starts again under the same identity.
+    pub fn crash(&mut self, now: Instant, observer: &mut Observer) {
+        for run in self.runs.drain(..) {
+            observer.record_end(&self.id, run.name, run.number, How::Lapsed);
+        }
+        self.crash_count += 1;
+        self.incarnation += 1;
+        self.back_at = Some(now + CRASH_DURATION);
+    }
+
     /// Pace of a task in percent of full speed, or `None` if the task does not run on this worker.
     pub fn pace_percent(&self, name: Name) -> Option<u32> {
         self.runs.iter().find(|run| run.name == name).map(|run| run.pace_percent)
@@ -369,6 +401,9 @@
 
     /// Advances all runs to `now`, and ends those that are finished, stopped or without a valid lease.
     pub(super) fn advance(&mut self, now: Instant, observer: &mut Observer) {
+        if self.back_at.take_if(|at| *at <= now).is_some() {
+            self.restart(now, observer);
+        }
         let clock_ms = self.clock_ms(now);
         let has_lapsed = clock_ms >= self.lease_expiry_ms;
         for (_, lapsed_since) in &mut self.ends {
@@ -444,7 +479,7 @@
         if envelope.receiver.is_some_and(|incarnation| incarnation != self.incarnation) {
             return Outcome::Event(failed_reply(envelope, Fault::Lost));
         }
-        if self.is_refusing {
+        if self.is_refusing || self.back_at.is_some() {
             let fault = if envelope.receiver.is_none() { Fault::Refused } else { Fault::Lost };
             return Outcome::Event(failed_reply(envelope, fault));
         }
@@ -524,6 +559,14 @@
         }
         self.extend_lease(until_ms, now);
         observer.record_start(&self.id, name, number, now);
+        if observer.deadly.contains(&name) {
+            *observer.crash_counts.entry(name).or_default() += 1;
+            self.crash(now, observer);
+            if let Some(others) = observer.running.get_mut(&name) {
+                others.remove(&(self.id.clone(), number));
+            }
+            return Ok(());
+        }
         let step = observer.step(name).cloned().unwrap_or_default();
         let failing = observer.injected_failures.get_mut(&name).filter(|left| **left > 0);
         let is_failing = failing.map(|left| *left -= 1).is_some();
