Give up a task after repeated crashes of the workers that start it

Cause: a run that ends with its worker's process is dropped (control::drop_lost) and its task is ready again at once. Only ends that a worker reports as failed count as attempts, and nothing else limits the starts.

Change: when a worker's process has ended without notice, each start that it has not listed is recorded as a crash under its task, in the progress of the job, and the task waits until that record is durable, so the count outlives the leader. Such a task is a suspect from then on: it is started only on a worker that has listed all of its runs and has been up for 4 s, and nothing is started beside it until the worker lists it. So its next crash has one possible cause, and other tasks on the worker are not blamed: the job fails after three crashes under one task of which two had no other possible cause. A start before a worker's leases expired counts once its process is known to have ended.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -9,7 +9,7 @@
 use super::request;
 use super::run::{self, Phase, Run};
 use super::spec::{Id, Name, Resources};
-use super::{journal, leadership, lifecycle, pace, state, task, worker};
+use super::{crash, journal, leadership, lifecycle, pace, state, task, worker};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -51,6 +51,7 @@
         charged,
         profile,
         phase: Phase::Starting,
+        is_listed: false,
         started_at: now,
         progress_percent: 0,
         progressed_at: now,
@@ -62,6 +63,10 @@
         pace_changed_at: now,
     });
     worker.add_run(run, charged, profile);
+    worker.unlisted_runs += 1;
+    if task.is_suspect() {
+        worker.suspect_run = Some(run);
+    }
     task.phase = task::Phase::Active;
     task.next_run = number + 1;
     task.runs.push(run);
@@ -224,6 +229,9 @@
     let Some(run) = state.runs.remove(key) else { return };
     if let Some(worker) = state.workers.all.get_mut(run.worker) {
         worker.remove_run(key, run.charged, run.profile);
+        if !run.is_listed {
+            worker.note_listed(key);
+        }
     }
     let Some(task_key) = run.task else { return };
     if let Some(task) = state.jobs.tasks.get_mut(task_key) {
@@ -260,6 +268,7 @@
     let Some(key) = find_run(state, worker, row.name, row.number) else {
         return adopt(state, worker, row, out);
     };
+    crash::note_listed(state, key);
     let Some(run) = state.runs.get_mut(key) else { return };
     match run.phase {
         Phase::Starting | Phase::Unconfirmed { .. } => run.phase = Phase::Active { since: now },
@@ -305,6 +314,7 @@
         charged,
         profile,
         phase: Phase::Active { since: now },
+        is_listed: true,
         started_at: now,
         progress_percent: row.progress_percent,
         progressed_at: now,
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -160,6 +160,9 @@
                     runs: Vec::new(),
                     next_run: first_run,
                     failed_runs: progress.map_or_else(Vec::new, |progress| progress.failed_runs.clone()),
+                    crashed_runs: progress.map_or_else(Vec::new, |progress| progress.crashed_runs.clone()),
+                    sole_crashes: progress.map_or_else(Vec::new, |progress| progress.sole_crashes.clone()),
+                    awaited_change: 0,
                     checkpoint: String::new(),
                     avoid_worker: None,
                     ready_at: now,
@@ -259,6 +262,8 @@
                     index,
                     done: true,
                     failed_runs: task.failed_runs,
+                    crashed_runs: Vec::new(),
+                    sole_crashes: Vec::new(),
                 });
             }
         }
@@ -284,10 +289,17 @@
         for occurrence in job.open_occurrences.values() {
             for task in occurrence.tasks.iter().flatten().filter_map(|task| self.tasks.get(*task)) {
                 let done = task.phase == task::Phase::Done;
-                if done || !task.failed_runs.is_empty() {
+                if done || !task.failed_runs.is_empty() || task.is_suspect() {
                     let Name { occurrence, step, index, .. } = task.name;
-                    let failed_runs = task.failed_runs.clone();
-                    task_progress.push(TaskProgress { occurrence, step, index, done, failed_runs });
+                    task_progress.push(TaskProgress {
+                        occurrence,
+                        step,
+                        index,
+                        done,
+                        failed_runs: task.failed_runs.clone(),
+                        crashed_runs: task.crashed_runs.clone(),
+                        sole_crashes: task.sole_crashes.clone(),
+                    });
                 }
             }
         }
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod config;
 mod control;
+pub mod crash;
 mod discovery;
 pub mod effect;
 pub mod event;
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -9,7 +9,7 @@
 use super::run::Phase;
 use super::spec::{Resources, Step};
 use super::worker::{Gate, Key, Worker};
-use super::{control, headroom, image, run, state, task};
+use super::{control, crash, headroom, image, run, state, task};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -18,6 +18,9 @@
 /// Score penalty of a worker that a task should avoid, such as one where it failed.
 const AVOIDED_WORKER_SCORE: i64 = -1_000_000_000;
 
+/// Score penalty for each run beside a task that may crash its worker.
+const SUSPECT_COMPANY_SCORE: i64 = -10_000;
+
 /// Score penalty of a worker outside the rack that holds the data of a task.
 const REMOTE_DATA_SCORE: i64 = -100_000_000;
 
@@ -98,6 +101,8 @@
     pub image: Option<image::Key>,
     /// Whether a filling task can wait for a worker whose serving tasks tolerate it at their peak load.
     pub urgency: Urgency,
+    /// Whether a run of the task may have crashed its worker.
+    pub is_suspect: bool,
     /// Worker to avoid, if any.
     pub avoid: Option<Key>,
 }
@@ -262,6 +267,7 @@
     let step = job.spec.steps[group.step as usize].clone();
     let (service, priority) = (job.service.clone(), job.priority);
     let (now, confirmed_at) = (state.now, state.journal.confirmed_at);
+    let durable = state.journal.durable_sequence;
     let waiting: Vec<task::Key> = state.jobs.ready.get(&group).into_iter().flatten().copied().collect();
     let is_startable = |key: &task::Key| {
         state.jobs.tasks.get(*key).is_some_and(|task| {
@@ -269,6 +275,7 @@
                 && task.not_before <= now
                 && !(pass.is_gated && task.may_have_unseen_run)
                 && task.lost_at.is_none_or(|at| at <= confirmed_at)
+                && task.awaited_change <= durable
         })
     };
     let candidates: Vec<task::Key> = waiting.iter().copied().filter(is_startable).collect();
@@ -285,6 +292,7 @@
         is_filling: step.is_filling,
         image: (!step.image.is_empty()).then(|| state.images.intern(&step.image)),
         urgency: Urgency::Deferrable,
+        is_suspect: candidates.iter().any(|key| state.jobs.tasks[*key].is_suspect()),
         avoid: None,
     };
     if step.is_gang {
@@ -294,13 +302,14 @@
         let task = &state.jobs.tasks[key];
         let has_waited = now.since(task.ready_at) >= state.tuning.max_deferral;
         let urgency = if has_waited { Urgency::Urgent } else { Urgency::Deferrable };
-        let need = Need { avoid: task.avoid_worker, urgency, ..need.clone() };
+        let is_suspect = task.is_suspect();
+        let need = Need { avoid: task.avoid_worker, urgency, is_suspect, ..need.clone() };
         if pass.unplaceable.iter().any(|other| needs_at_least(&need, other)) {
             preempt(state, key, &need, priority, pass, out);
             continue;
         }
         let Some(worker) = choose_worker(state, &need, &step, group, &Map::default(), pass) else {
-            if step.max_per_worker.is_none() && need.required_label.is_none() {
+            if step.max_per_worker.is_none() && need.required_label.is_none() && !need.is_suspect {
                 pass.unplaceable.push(need.clone());
             }
             preempt(state, key, &need, priority, pass, out);
@@ -341,14 +350,16 @@
             && worker.free_resources().saturating_sub(resources).covers(need.charged)
             && need.required_label.as_ref().is_none_or(|label| report.labels.contains(label))
             && step.max_per_worker.is_none_or(|most| count_group_runs(state, worker, group) + count < most)
+            && (!need.is_suspect || (count == 0 && crash::accepts_suspect(worker, state.now)))
     };
     let mut score = |(key, worker): (Key, &Worker)| {
         // A filling task is not placed where the serving tasks do not tolerate it; it waits for another worker.
         let filling = pass.filling(state, key, need)?;
         let avoided = if need.avoid == Some(key) { AVOIDED_WORKER_SCORE } else { 0 };
+        let company = if need.is_suspect { worker.runs.len() as i64 * SUSPECT_COMPANY_SCORE } else { 0 };
         let other_serving =
             if need.is_long_running { count_other_serving(state, worker, need.image) } else { 0 };
-        Some(((state.policy.score)(need, &Offer { worker, other_serving, filling }) + avoided, key))
+        Some(((state.policy.score)(need, &Offer { worker, other_serving, filling }) + avoided + company, key))
     };
     state.workers.all.iter().filter(fits).filter_map(&mut score).max().map(|(_, key)| key)
 }
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -8,10 +8,10 @@
 use super::event::Fault;
 use super::journal::{self, Change};
 use super::order::{Listing, Order, Refusal, Reply};
-use super::run::Phase;
+use super::run::{Phase, Run};
 use super::timer::Timer;
 use super::worker::Key;
-use super::{control, leadership, pace, state};
+use super::{control, crash, leadership, pace, state};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -66,6 +66,7 @@
     let is_renewed = !worker.runs.is_empty() && worker.silent_since.is_none();
     let until_ms = if is_renewed { worker.grant_lease(now, &state.tuning) } else { None };
     worker.renewal_sent_at = Some(now);
+    worker.renewal_timeout_at = now + wait + state.tuning.worker_timeout;
     worker.acknowledging_end = worker.next_acknowledgement(now);
     if worker.acknowledging_end > 0 {
         let (end, durable) = (worker.acknowledging_end, state.journal.durable_sequence);
@@ -126,12 +127,14 @@
         Ok(Reply { outcome: Err(Refusal::Instance), .. }) => {
             // Another worker has the address, so the process of this one has ended, with all of its runs.
             mark_gone(state, key, "another process has its address", out);
+            crash::record(state, key, |_| false, out);
             drop_all_lost(state, key, "another process has the address of its worker", out);
             mark_silent(state, key, out);
         }
         Err(Fault::Refused) if !worker.is_listed => {
             // Nothing listens at the worker's address and the store does not list it, so its process has ended.
             mark_gone(state, key, "it refuses connections and the store does not list it", out);
+            crash::record(state, key, |_| false, out);
             drop_all_lost(state, key, "its worker process has ended", out);
             mark_silent(state, key, out);
         }
@@ -159,6 +162,8 @@
     worker.confirmed_end = worker.confirmed_end.max(worker.acknowledging_end);
     worker.record_clock(clock_ms, now, &state.tuning);
     worker.last_answer_at = Some(now);
+    worker.lost_starts.clear();
+    worker.reset_at = None;
     worker.process_known_at.get_or_insert(now);
     if worker.silent_since.take().is_some() {
         state::record(out, Subject::Process, "worker-back", worker.id.clone());
@@ -235,6 +240,7 @@
     let Some(worker) = state.workers.all.get_mut(key) else { return };
     if worker.silent_since.is_none() {
         worker.silent_since = Some(now);
+        worker.reset_at = Some(now).filter(|at| *at < worker.renewal_timeout_at);
         state::record(out, Subject::Process, "worker-silent", worker.id.clone());
     }
     worker.next_renewal_at = now + state.tuning.worker_retry;
@@ -247,6 +253,7 @@
     let Some(worker) = state.workers.all.get(key) else { return };
     let Some(silent_since) = worker.silent_since else { return };
     if worker.leases_expire_at < now && !worker.runs.is_empty() && worker.renewal_sent_at.is_none() {
+        crash::keep_unlisted_starts(state, key);
         drop_all_lost(state, key, "its worker does not answer and the lease has expired", out);
     }
     let worker = &state.workers.all[key];
@@ -275,10 +282,14 @@
     let now = state.now;
     let id = state.workers.all[key].id.clone();
     state::record(out, Subject::Process, "worker-reborn", id);
+    let is_there = |run: &Run| {
+        listing.running.iter().any(|row| row.name == run.name && row.number == run.number)
+            || listing.ended.iter().any(|end| end.name == run.name && end.run == run.number)
+    };
+    crash::record(state, key, is_there, out);
     for run_key in state.workers.all[key].runs.clone() {
         let Some(run) = state.runs.get_mut(run_key) else { continue };
-        let is_there = listing.running.iter().any(|row| row.name == run.name && row.number == run.number)
-            || listing.ended.iter().any(|end| end.name == run.name && end.run == run.number);
+        let is_there = is_there(run);
         match run.phase {
             _ if is_there || listing.has_more_ends => {}
             Phase::Active { since } if since < sent => {
--- a/src/core/work/run.rs
+++ b/src/core/work/run.rs
@@ -63,6 +63,8 @@
     pub profile: Profile,
     /// Current state.
     pub phase: Phase,
+    /// Whether the worker has listed it.
+    pub is_listed: bool,
     /// When the order to start was sent, or when the run was first listed.
     pub started_at: Instant,
     /// Progress in percent.
--- a/src/core/work/store.rs
+++ b/src/core/work/store.rs
@@ -113,6 +113,10 @@
     pub done: bool,
     /// Numbers of the failed runs.
     pub failed_runs: Vec<u32>,
+    /// Numbers of the runs that may have crashed their workers.
+    pub crashed_runs: Vec<u32>,
+    /// Those of them whose worker had no other run that may have crashed it.
+    pub sole_crashes: Vec<u32>,
 }
 
 /// Range of keys that is listed or watched.
--- a/src/core/work/task.rs
+++ b/src/core/work/task.rs
@@ -39,6 +39,12 @@
     pub next_run: u32,
     /// Numbers of the failed runs, which makes a failure that is reported twice count once.
     pub failed_runs: Vec<u32>,
+    /// Numbers of the runs that may have crashed their workers.
+    pub crashed_runs: Vec<u32>,
+    /// Those of them whose worker had no other run that may have crashed it.
+    pub sole_crashes: Vec<u32>,
+    /// Change that must be durable before the next run starts; 0 if there is none.
+    pub awaited_change: u64,
     /// Checkpoint from which the next run resumes; empty if there is none.
     pub checkpoint: String,
     /// Worker on which the last run failed or stalled.
@@ -57,6 +63,11 @@
 }
 
 impl Task {
+    /// Whether a run of the task may have crashed its worker.
+    pub fn is_suspect(&self) -> bool {
+        !self.crashed_runs.is_empty()
+    }
+
     /// Group of the task: its step in its occurrence of the job.
     pub fn group(&self) -> job::Group {
         job::Group { job: self.job, occurrence: self.name.occurrence, step: self.name.step }
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -9,7 +9,7 @@
 use super::spec::Resources;
 use super::store::Member;
 use super::tuning::Tuning;
-use super::{image, run};
+use super::{crash, image, run};
 use crate::core::time::Instant;
 use crate::hash::Map;
 
@@ -100,6 +100,11 @@
     pub last_answer_at: Option<Instant>,
     /// Since when it does not answer; `None` if it answers.
     pub silent_since: Option<Instant>,
+    /// When its connection was lost without a timeout, which is the time of a crash; `None` if it answers, or if a call
+    /// timed out.
+    pub reset_at: Option<Instant>,
+    /// When the renewal in flight times out.
+    pub renewal_timeout_at: Instant,
     /// When the renewal in flight was sent; `None` if none is in flight.
     pub renewal_sent_at: Option<Instant>,
     /// Time of the next renewal.
@@ -118,6 +123,12 @@
     pub pending_acknowledgements: VecDeque<(u64, u64)>,
     /// Runs that reserve resources on it.
     pub runs: Vec<run::Key>,
+    /// Number of its runs that it has not listed yet.
+    pub unlisted_runs: u32,
+    /// Run of a task that may crash its workers, until the worker lists it; no other run is started beside it.
+    pub suspect_run: Option<run::Key>,
+    /// Starts that it had not listed when its leases expired; cleared when it answers.
+    pub lost_starts: Vec<crash::Start>,
     /// Resources that the runs reserve.
     pub used_resources: Resources,
     /// Processor time that serving runs reserve, in thousandths of a core.
@@ -153,6 +164,8 @@
             is_enrolled: false,
             last_answer_at: None,
             silent_since: None,
+            reset_at: None,
+            renewal_timeout_at: Instant::default(),
             renewal_sent_at: None,
             next_renewal_at: now,
             renewal_timer_at: None,
@@ -162,6 +175,9 @@
             acknowledging_end: 0,
             pending_acknowledgements: VecDeque::new(),
             runs: Vec::new(),
+            unlisted_runs: 0,
+            suspect_run: None,
+            lost_starts: Vec::new(),
             used_resources: Resources::default(),
             serving_cpu_millicores: 0,
             filling_runs: 0,
@@ -204,6 +220,7 @@
             && self.silent_since.is_none()
             && self.process_known_at.is_some_and(|at| at <= confirmed_at)
             && self.suspect_until <= now
+            && self.suspect_run.is_none()
     }
 
     /// Grants a lease from now on, and returns its end in milliseconds on the worker's clock; `None` while that clock is
@@ -229,6 +246,12 @@
         self.extend_leases(now, tuning.lease_max, tuning);
     }
 
+    /// Notes that a run was listed, or that it was removed before.
+    pub fn note_listed(&mut self, run: run::Key) {
+        self.unlisted_runs = self.unlisted_runs.saturating_sub(1);
+        self.suspect_run.take_if(|suspect| *suspect == run);
+    }
+
     /// Adds a run and reserves its resources.
     pub fn add_run(&mut self, run: run::Key, charged: Resources, profile: run::Profile) {
         self.runs.push(run);
--- a/src/wire/job.rs
+++ b/src/wire/job.rs
@@ -248,6 +248,8 @@
             index: task.index,
             done: task.done,
             failed_runs: task.failed_runs.clone(),
+            crashed_runs: task.crashed_runs.clone(),
+            sole_crashes: task.sole_crashes.clone(),
         };
         Self {
             phase: proto::Phase::from(progress.phase).into(),
@@ -265,6 +267,8 @@
             index: mark.index,
             done: mark.done,
             failed_runs: mark.failed_runs,
+            crashed_runs: mark.crashed_runs,
+            sole_crashes: mark.sole_crashes,
         };
         Self {
             phase: progress.phase().into(),
