--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -302,6 +302,12 @@
         ticket
     }
 
+    /// Changes the CPU capacity of a worker and updates its report in the store.
+    pub fn resize_worker(&mut self, worker: usize, cpu_millicores: u32) {
+        self.workers[worker].resize(cpu_millicores, self.now);
+        self.store.list_worker(&self.workers[worker]);
+    }
+
     /// Crashes a worker; it is back after some seconds.
     pub fn crash_worker(&mut self, worker: usize) {
         self.workers[worker].crash(self.now, &mut self.observer);
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -19,6 +19,9 @@
 /// CPU capacity of a worker in millicores.
 const CPU_MILLICORES: u32 = 8_000;
 
+/// Time after which the leader must know that the capacity of a worker has shrunk.
+const SHRINK_GRACE: Duration = Duration::from_millis(500);
+
 /// Most ends in the answer to one renewal; the others are listed once these are acknowledged.
 const ENDS_PER_LISTING: usize = 500;
 
@@ -298,6 +301,10 @@
     pub is_refusing: bool,
     /// Whether another process has the worker's address.
     pub is_replaced: bool,
+    /// CPU capacity in millicores.
+    cpu_millicores: u32,
+    /// When the capacity last changed.
+    resized_at: Instant,
     /// Whether a renewal is answered at once, whatever wait it asks for.
     pub answers_at_once: bool,
     /// Response time of the serving tasks in milliseconds while no interference is emulated.
@@ -336,6 +343,8 @@
             is_unresponsive: false,
             is_refusing: false,
             is_replaced: false,
+            cpu_millicores: CPU_MILLICORES,
+            resized_at: Instant::default(),
             answers_at_once: false,
             response_ms: 10,
             stop_duration: Duration::ZERO,
@@ -366,7 +375,7 @@
                 .expect("address"),
             zone: "z".into(),
             readiness: Readiness::Ready,
-            capacity: Some(Resources { cpu_millicores: CPU_MILLICORES, memory_mb: 32_000, gpu: 0 }),
+            capacity: Some(Resources { cpu_millicores: self.cpu_millicores, memory_mb: 32_000, gpu: 0 }),
             labels: vec!["a".into(), format!("r-{}", self.number / 3)],
             started_unix_ms: Some(self.incarnation),
         }
@@ -384,6 +393,13 @@
         self.highest_ended_run.clear();
     }
 
+    /// Changes the capacity; runs that exceed it go on.
+    pub fn resize(&mut self, cpu_millicores: u32, now: Instant) {
+        if cpu_millicores != self.cpu_millicores {
+            (self.cpu_millicores, self.resized_at) = (cpu_millicores, now);
+        }
+    }
+
     /// Ends the worker process. It refuses connections for some seconds and then starts again under the same identity.
     pub fn crash(&mut self, now: Instant, observer: &mut Observer) {
         for run in self.runs.drain(..) {
@@ -605,7 +621,9 @@
             .filter_map(|run| observer.step(run.name))
             .map(|step| step.charged().cpu_millicores)
             .sum();
-        if used > CPU_MILLICORES {
+        let is_recent = now.since(self.resized_at) < SHRINK_GRACE;
+        let capacity = if is_recent { CPU_MILLICORES } else { self.cpu_millicores };
+        if used > capacity {
             observer.violations.push(format!("{}: {used} millicores are in use", self.id));
         }
         Ok(())
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -685,3 +685,25 @@
         }
     }
 }
+
+/// Guards against starts that exceed the capacity of a worker which has shrunk while it runs.
+#[test]
+fn a_worker_whose_capacity_has_shrunk_is_given_too_much() {
+    for seed in 0..5 {
+        let mut emulator = Emulator::new(seed, 3, 2);
+        emulator.run_for(SECOND);
+        for round in 0..40 {
+            emulator.submit(0, round + 1, job([step(3)]));
+            let worker = (round % 2) as usize;
+            emulator.resize_worker(worker, if round % 4 < 2 { 3_000 } else { 8_000 });
+            emulator.run_for(SECOND / 2);
+        }
+        emulator.run_for(60 * SECOND);
+        assert!(emulator.observer.violations.is_empty(), "seed {seed}: {:#?}", emulator.observer.violations);
+        let leader = emulator.leader().expect("a leader");
+        for round in 0..40 {
+            let phase = emulator.read_job(leader, round + 1);
+            assert_eq!(phase, Some(Answer::Phase(Phase::Completed)), "seed {seed}, job {round}");
+        }
+    }
+}
