--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -9,7 +9,7 @@
 use super::request;
 use super::run::{self, Phase, Run};
 use super::spec::{Id, Name, Resources};
-use super::{journal, leadership, lifecycle, pace, state, task, worker};
+use super::{crash, journal, leadership, lifecycle, pace, state, task, worker};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -51,6 +51,7 @@
         charged,
         profile,
         phase: Phase::Starting,
+        has_survived: false,
         started_at: now,
         progress_percent: 0,
         progressed_at: now,
@@ -62,6 +63,10 @@
         pace_changed_at: now,
     });
     worker.add_run(run, charged, profile);
+    worker.last_start_at = now;
+    if task.is_suspect() {
+        worker.suspect_run = Some(run);
+    }
     task.phase = task::Phase::Active;
     task.next_run = number + 1;
     task.runs.push(run);
@@ -260,6 +265,7 @@
     let Some(key) = find_run(state, worker, row.name, row.number) else {
         return adopt(state, worker, row, out);
     };
+    crash::note_listed(state, key, sent);
     let Some(run) = state.runs.get_mut(key) else { return };
     match run.phase {
         Phase::Starting | Phase::Unconfirmed { .. } => run.phase = Phase::Active { since: now },
@@ -305,6 +311,7 @@
         charged,
         profile,
         phase: Phase::Active { since: now },
+        has_survived: true,
         started_at: now,
         progress_percent: row.progress_percent,
         progressed_at: now,
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -9,7 +9,7 @@
 use super::spec::Resources;
 use super::store::Member;
 use super::tuning::Tuning;
-use super::{image, run};
+use super::{crash, image, run};
 use crate::core::time::Instant;
 use crate::hash::Map;
 
@@ -100,6 +100,11 @@
     pub last_answer_at: Option<Instant>,
     /// Since when it does not answer; `None` if it answers.
     pub silent_since: Option<Instant>,
+    /// When its connection was lost without a timeout, which is the time of a crash; `None` if it answers, or if a call
+    /// timed out.
+    pub reset_at: Option<Instant>,
+    /// When the renewal in flight times out.
+    pub renewal_timeout_at: Instant,
     /// When the renewal in flight was sent; `None` if none is in flight.
     pub renewal_sent_at: Option<Instant>,
     /// Time of the next renewal.
@@ -118,6 +123,12 @@
     pub pending_acknowledgements: VecDeque<(u64, u64)>,
     /// Runs that reserve resources on it.
     pub runs: Vec<run::Key>,
+    /// When an order to start was last sent to it.
+    pub last_start_at: Instant,
+    /// Run of a task that may crash its workers, until it has survived its start; no other run is started beside it.
+    pub suspect_run: Option<run::Key>,
+    /// Starts that may have crashed it before its leases expired; cleared when it answers.
+    pub lost_starts: Vec<crash::Start>,
     /// Resources that the runs reserve.
     pub used_resources: Resources,
     /// Processor time that serving runs reserve, in thousandths of a core.
@@ -153,6 +164,8 @@
             is_enrolled: false,
             last_answer_at: None,
             silent_since: None,
+            reset_at: None,
+            renewal_timeout_at: Instant::default(),
             renewal_sent_at: None,
             next_renewal_at: now,
             renewal_timer_at: None,
@@ -162,6 +175,9 @@
             acknowledging_end: 0,
             pending_acknowledgements: VecDeque::new(),
             runs: Vec::new(),
+            last_start_at: Instant::default(),
+            suspect_run: None,
+            lost_starts: Vec::new(),
             used_resources: Resources::default(),
             serving_cpu_millicores: 0,
             filling_runs: 0,
@@ -204,6 +220,7 @@
             && self.silent_since.is_none()
             && self.process_known_at.is_some_and(|at| at <= confirmed_at)
             && self.suspect_until <= now
+            && self.suspect_run.is_none()
     }
 
     /// Grants a lease from now on, and returns its end in milliseconds on the worker's clock; `None` while that clock is
@@ -241,6 +258,7 @@
     /// Removes a run and releases its resources.
     pub fn remove_run(&mut self, run: run::Key, charged: Resources, profile: run::Profile) {
         self.runs.retain(|other| *other != run);
+        self.suspect_run.take_if(|suspect| *suspect == run);
         self.used_resources = self.used_resources.saturating_sub(charged);
         self.filling_runs -= u32::from(profile.filling_cpu_millicores > 0);
         self.serving_runs -= u32::from(profile.is_serving);
