Wait for the configuration before a campaign

Cause: a process that had just started became the leader (35.538), loaded the records (35.594) and read two failed runs before it had read the configuration (35.740). Without its queue a job gets the default limit of three attempts. The configuration was late because the process first asked the leader of before, which had been killed; without that, the order of the replies decided.

Change: a process without a configuration does not campaign.

--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -209,6 +209,10 @@
     if state.leadership.role != Role::Follower || !can_campaign(state) || state.is_stopping || !is_known {
         return;
     }
+    // Limits and priorities of jobs come from the configuration.
+    if state.config.version == 0 {
+        return state.timers.set(state.now + state.tuning.store_retry, Timer::Campaign);
+    }
     let term = state.leadership.newest_term.0 + 1;
     state.leadership.role = Role::Candidate { lease: None, term };
     state.call_store(Purpose::GrantLease, Request::Lease { ttl: state.tuning.leader_ttl }, out);
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -4,8 +4,9 @@
 
 use std::time::Duration;
 
-use emulator::{Emulator, QUEUE_BYTES, config};
+use emulator::{Emulator, QUEUE_BYTES, config, job, step};
 use nutmegfold::core::work::config::{Config, Queue};
+use nutmegfold::core::work::spec::{Id, Name, Step};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -132,3 +133,29 @@
     emulator.run_for(2 * SECOND);
     assert_eq!(emulator.config_version(vm), 3);
 }
+
+/// Guards against a leader that decides by defaults, since it has read the records before the configuration.
+#[test]
+fn a_leader_without_a_configuration_allows_too_many_attempts() {
+    for seed in 0..5 {
+        let mut emulator = Emulator::new(seed, 2, 4);
+        let mut stricter = Config { version: 2, ..config() };
+        stricter.queues[0].max_attempts = 2;
+        emulator.observer.max_attempts = 2;
+        emulator.store.set_config(stricter);
+        emulator.run_for(SECOND);
+        let task = Name { job: Id(1), occurrence: 0, step: 0, index: 0 };
+        emulator.observer.injected_failures.insert(task, 100);
+        emulator.submit(0, 1, job([Step { estimate: SECOND / 2, ..step(1) }]));
+        emulator.run_for(SECOND * 4 / 5);
+        emulator.kill(0);
+        emulator.kill(1);
+        emulator.store.silent_config_vms.insert(1);
+        emulator.start(1);
+        emulator.run_for(4 * SECOND);
+        emulator.store.silent_config_vms.clear();
+        emulator.run_for(12 * SECOND);
+        assert!(emulator.leader().is_some(), "seed {seed}: no leader: {:#?}", emulator.log);
+        assert!(emulator.observer.violations.is_empty(), "seed {seed}: {:#?}", emulator.observer.violations);
+    }
+}
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -39,6 +39,8 @@
     pub silent_vms: Set<usize>,
     /// Entry VMs whose watches see no change while their other calls are served, as on a connection that went silent.
     pub silent_watch_vms: Set<usize>,
+    /// Entry VMs whose reads of the configuration time out while their other calls are served.
+    pub silent_config_vms: Set<usize>,
     /// Entry VMs whose calls are refused without effect while the store serves the others.
     pub refused_vms: Set<usize>,
     /// Time from the execution of a commit to its reply; a reply after the timeout of the call is lost.
@@ -76,6 +78,7 @@
             lost_commit_replies: 0,
             silent_vms: Set::default(),
             silent_watch_vms: Set::default(),
+            silent_config_vms: Set::default(),
             refused_vms: Set::default(),
             commit_delay: Duration::ZERO,
             rejects_repeated_keys: false,
@@ -172,7 +175,12 @@
     /// VM waits for the timeout, at most until `deadline`.
     pub fn execute(&mut self, vm: usize, request: &Request, now: Instant, deadline: Instant) -> Outcome {
         let is_silent_watch = matches!(request, Request::Watch { .. }) && self.silent_watch_vms.contains(&vm);
-        if self.is_down || self.silent_vms.contains(&vm) || is_silent_watch {
+        let reads_config = matches!(
+            request,
+            Request::List { range: Range::Config, .. } | Request::Watch { range: Range::Config, .. }
+        );
+        let is_silent_config = reads_config && self.silent_config_vms.contains(&vm);
+        if self.is_down || self.silent_vms.contains(&vm) || is_silent_watch || is_silent_config {
             return if now >= deadline { Outcome::Reply(Reply::Lost) } else { Outcome::Wait };
         }
         if self.refused_vms.contains(&vm) {
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -110,8 +110,10 @@
 }
 
 /// Checks the guarantees of the scheduler against the runs on all workers and the answers to callers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Observer {
+    /// Failed runs of a task after which it is not started again.
+    pub max_attempts: u32,
     jobs: Map<Id, Spec>,
     /// What callers were told about the jobs that they requested.
     told: Map<Id, Told>,
@@ -151,6 +153,30 @@
     }
 }
 
+impl Default for Observer {
+    fn default() -> Self {
+        Self {
+            max_attempts: 3,
+            jobs: Map::default(),
+            told: Map::default(),
+            running: Map::default(),
+            completed: Set::default(),
+            acknowledged: Set::default(),
+            completed_runs: Map::default(),
+            repeated_runs: Set::default(),
+            failure_counts: Map::default(),
+            violations: Vec::new(),
+            stale_answers: Vec::new(),
+            start_count: 0,
+            injected_failures: Map::default(),
+            deadly: Set::default(),
+            crash_counts: Map::default(),
+            time_over_target: Duration::ZERO,
+            longest_over_target: Duration::ZERO,
+        }
+    }
+}
+
 impl Observer {
     /// Records a job that a caller submitted, so that its steps are known when its tasks start.
     pub fn record_submission(&mut self, id: Id, spec: &Spec) {
@@ -232,8 +258,11 @@
         }
         let before = self.completed_runs.get(&name).into_iter().flatten();
         self.repeated_runs.extend(before.map(|run| (name, *run)));
-        if self.failure_counts.get(&name).is_some_and(|count| *count >= 3) {
-            self.violations.push(format!("{name}: run {number} started on {worker} after 3 failures"));
+        if self.failure_counts.get(&name).is_some_and(|count| *count >= self.max_attempts) {
+            self.violations.push(format!(
+                "{name}: run {number} started on {worker} after {} failures",
+                self.max_attempts
+            ));
         }
         let crashes = self.crash_counts.get(&name).copied().unwrap_or_default();
         if crashes >= MAX_CRASHES + MAX_STARTS_AFTER_CRASHES {
