Advance the watch of the configuration only with an update that applies

An update that does not apply to the version at hand would have moved the revision from which the store is watched past a change that is not in force. By reading: no path to it is known, since nothing else changes the configuration while the leader is asked.

--- a/src/core/work/relay.rs
+++ b/src/core/work/relay.rs
@@ -133,14 +133,14 @@
     let Some(update) = update.filter(|update| update.version >= known) else {
         return state.timers.set(state.now + RETRY_INTERVAL, Timer::AskConfig);
     };
-    let revision = update.revision;
-    let pause = match update.apply(&state.config) {
-        Some(config) => {
-            watch::accept_config(state, config, revision, &format!("from {from}"), out);
-            WATCH_PAUSE
-        }
-        None => RETRY_INTERVAL,
-    };
+    let (is_newer, revision) = (update.version > known, update.revision);
+    let pause = if is_newer { WATCH_PAUSE } else { RETRY_INTERVAL };
+    if is_newer {
+        let Some(config) = update.apply(&state.config) else {
+            return state.timers.set(state.now + RETRY_INTERVAL, Timer::AskConfig);
+        };
+        watch::accept_config(state, config, revision, &format!("from {from}"), out);
+    }
     let watch = state.watches.entry(Range::Config).or_default();
     watch.watch_from = watch.watch_from.max(revision);
     watch.was_listed = true;
