--- a/src/core/work/crash.rs
+++ b/src/core/work/crash.rs
@@ -4,7 +4,7 @@
 //! crashes its workers does so shortly after its start. After a crash, every task with such a start on the worker becomes a
 //! suspect. Suspects are started one at a time on a worker: not shortly after another start, and nothing is started beside
 //! them until they have survived. So the next crash by the same task has only one possible cause. A job fails after
-//! [`CRASHES_MAX`] crashes under one of its tasks of which [`SOLE_CRASHES_MAX`] had no other possible cause.
+//! `CRASHES_MAX` crashes under one of its tasks of which `SOLE_CRASHES_MAX` had no other possible cause.
 
 use std::time::Duration;
 
