Add a failing test of a worker that is excluded for the failures of jobs

No test covered it.

Change: a long-running task waits while all other workers are full; the only room is on the worker where both runs have failed.

--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,101 @@
+//! Tests of when waiting tasks start although workers were excluded or have left, on an emulated deployment.
+
+mod emulator;
+
+use std::time::Duration;
+
+use emulator::{Emulator, job, step};
+use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+/// Number of seeds that each test plays.
+const SEEDS: u64 = 5;
+
+/// Number of workers.
+const WORKERS: usize = 8;
+
+/// Longest time that a long-running task may wait while a worker has room for it, by the rule `LOST` of the users.
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+
+/// All cores of a worker.
+const WHOLE_WORKER: Resources = Resources { cpu_millicores: 8_000, memory_mb: 1_000, gpu: 0 };
+
+/// Identity of the job whose tasks occupy workers, and that of the job with the task that waits.
+const OCCUPYING_JOB: u64 = 1;
+const WAITING_JOB: u64 = 2;
+
+/// Identities of two jobs whose first runs fail by themselves.
+const FAILING_JOBS: [u64; 2] = [3, 4];
+
+fn name(job: u64, index: u32) -> Name {
+    Name { job: Id(job), occurrence: 0, step: 0, index }
+}
+
+/// A step of tasks that each need all cores of a worker and run until their job is cancelled.
+fn occupying(count: u32) -> Step {
+    Step { resources: WHOLE_WORKER, is_long_running: true, ..step(count) }
+}
+
+/// A step of one task that needs less than half of a worker and runs until its job is cancelled.
+fn long_running() -> Step {
+    Step { is_long_running: true, ..step(1) }
+}
+
+/// Emulated deployment after one second, in which it has elected a leader and discovered its workers.
+fn ready(seed: u64) -> Emulator {
+    let mut emulator = Emulator::new(seed, 3, WORKERS);
+    emulator.run_for(SECOND);
+    assert!(emulator.leader().is_some(), "no leader after a second: {:#?}", emulator.log);
+    emulator
+}
+
+fn assert_no_violation(emulator: &Emulator, seed: u64) {
+    if std::env::var_os("NUTMEGFOLD_TRACE").is_some() && !emulator.observer.violations.is_empty() {
+        println!("{}", emulator.log.join("\n"));
+    }
+    assert!(emulator.observer.violations.is_empty(), "seed {seed}: {:#?}", emulator.observer.violations);
+}
+
+/// Whether a task has an active run; prints the log if it has none and `NUTMEGFOLD_TRACE` is set.
+fn has_started(emulator: &Emulator, name: Name) -> bool {
+    let is_running = emulator.observer.is_running(name);
+    if std::env::var_os("NUTMEGFOLD_TRACE").is_some() && !is_running {
+        println!("{}", emulator.log.join("\n"));
+    }
+    is_running
+}
+
+/// Number of timeline entries of a kind that contain a text.
+fn count_entries(emulator: &Emulator, kind: &str, text: &str) -> usize {
+    let kind = format!("\"{kind}\"");
+    emulator.log.iter().filter(|line| line.contains(&kind) && line.contains(text)).count()
+}
+
+/// Whether a long-running task starts in time where only a worker has room on which runs of two jobs have failed.
+fn starts_on_suspected_worker(seed: u64) -> bool {
+    let mut emulator = ready(seed);
+    emulator.submit(0, OCCUPYING_JOB, job([occupying(WORKERS as u32 - 1)]));
+    emulator.run_for(SECOND);
+    // The second run is shorter by more than the time between their starts, so that both fail before either task is
+    // started again.
+    for (id, estimate) in FAILING_JOBS.into_iter().zip([SECOND, SECOND - MILLISECOND * 20]) {
+        emulator.observer.injected_failures.insert(name(id, 0), 1);
+        emulator.submit(0, id, job([Step { estimate, ..step(1) }]));
+    }
+    emulator.run_for(SECOND * 3 / 2 + MILLISECOND * 100 * seed as u32);
+    assert_eq!(count_entries(&emulator, "ended", "Failed"), 2, "seed {seed}: {:#?}", emulator.log);
+    emulator.submit(0, WAITING_JOB, job([long_running()]));
+    emulator.run_for(LONGEST_WAIT);
+    assert_no_violation(&emulator, seed);
+    has_started(&emulator, name(WAITING_JOB, 0))
+}
+
+/// Guards against a worker without room for long-running tasks because two jobs on it have failed by themselves.
+#[test]
+fn a_long_running_task_waits_although_a_suspected_worker_has_room() {
+    let late: Vec<u64> = (0..SEEDS).filter(|seed| !starts_on_suspected_worker(*seed)).collect();
+    assert!(late.is_empty(), "seeds {late:?}: no start within {LONGEST_WAIT:?}");
+}
