Add a failing test of a gate that waits for workers that have left

Change: the emulator has workers that drain, take the drain back, and leave. A test plays two long-running tasks that are stopped on draining workers; the leader is killed 5.0 to 5.4 s after these have left, and all others become free.

a_long_running_task_waits_for_workers_that_left_before_the_leader_changed ...

--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -311,6 +311,25 @@
         self.store.list_worker(&self.workers[worker]);
     }
 
+    /// Lets a worker report that it is about to leave. Its runs go on until they end or are stopped.
+    pub fn drain_worker(&mut self, worker: usize) {
+        self.workers[worker].is_draining = true;
+        self.store.list_worker(&self.workers[worker]);
+    }
+
+    /// Lets a worker that was to leave report again that it takes new runs.
+    pub fn resume_worker(&mut self, worker: usize) {
+        self.workers[worker].is_draining = false;
+        self.store.list_worker(&self.workers[worker]);
+    }
+
+    /// Removes a worker's report from the store and lets calls to the worker time out, as when it has left. Runs that it
+    /// still has go on until their lease expires, as on a worker that is cut off.
+    pub fn remove_worker(&mut self, worker: usize) {
+        self.workers[worker].is_unresponsive = true;
+        self.store.unlist_worker(&self.workers[worker]);
+    }
+
     /// Crashes a worker; it is back after some seconds.
     pub fn crash_worker(&mut self, worker: usize) {
         self.workers[worker].crash(self.now, &mut self.observer);
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -330,6 +330,8 @@
     pub is_refusing: bool,
     /// Whether another process has the worker's address.
     pub is_replaced: bool,
+    /// Whether the worker reports that it is about to leave.
+    pub(super) is_draining: bool,
     /// CPU capacity in millicores.
     cpu_millicores: u32,
     /// When the capacity last changed.
@@ -372,6 +374,7 @@
             is_unresponsive: false,
             is_refusing: false,
             is_replaced: false,
+            is_draining: false,
             cpu_millicores: CPU_MILLICORES,
             resized_at: Instant::default(),
             answers_at_once: false,
@@ -403,7 +406,7 @@
                 .parse()
                 .expect("address"),
             zone: "z".into(),
-            readiness: Readiness::Ready,
+            readiness: if self.is_draining { Readiness::Draining } else { Readiness::Ready },
             capacity: Some(Resources { cpu_millicores: self.cpu_millicores, memory_mb: 32_000, gpu: 0 }),
             labels: vec!["a".into(), format!("r-{}", self.number / 3)],
             started_unix_ms: Some(self.incarnation),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -17,6 +17,9 @@
 /// Number of workers.
 const WORKERS: usize = 8;
 
+/// Number of workers that leave.
+const LEAVING: u32 = 2;
+
 /// Longest time that a long-running task may wait while a worker has room for it, by the rule `LOST` of the users.
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
 
@@ -74,6 +77,19 @@
     emulator.log.iter().filter(|line| line.contains(&kind) && line.contains(text)).count()
 }
 
+/// Workers on which runs of a job were started, according to the log.
+fn workers_of(emulator: &Emulator, job: u64) -> Vec<usize> {
+    let is_start = |worker: &usize| {
+        let text = format!(" of {}.0.0.", Id(job));
+        let place = format!(" on {}\"", emulator.workers[*worker].id);
+        emulator
+            .log
+            .iter()
+            .any(|line| line.contains("\"start\"") && line.contains(&text) && line.contains(&place))
+    };
+    (0..emulator.workers.len()).filter(is_start).collect()
+}
+
 /// Whether a long-running task starts in time where only a worker has room on which runs of two jobs have failed.
 fn starts_on_suspected_worker(seed: u64) -> bool {
     let mut emulator = ready(seed);
@@ -99,3 +115,40 @@
     let late: Vec<u64> = (0..SEEDS).filter(|seed| !starts_on_suspected_worker(*seed)).collect();
     assert!(late.is_empty(), "seeds {late:?}: no start within {LONGEST_WAIT:?}");
 }
+
+/// Whether a long-running task that was stopped on a draining worker starts in time under the next leader, where room
+/// becomes free after the worker has left and the leader was killed.
+fn starts_after_leader_change(seed: u64) -> bool {
+    let mut emulator = ready(seed);
+    emulator.submit(0, OCCUPYING_JOB, job([occupying(WORKERS as u32 - LEAVING)]));
+    emulator.run_for(SECOND / 2);
+    emulator.submit(0, WAITING_JOB, job([occupying(LEAVING)]));
+    emulator.run_for(SECOND / 2);
+    let leaving = workers_of(&emulator, WAITING_JOB);
+    assert_eq!(leaving.len(), LEAVING as usize, "seed {seed}: {:#?}", emulator.log);
+    leaving.iter().for_each(|worker| emulator.drain_worker(*worker));
+    emulator.run_for(SECOND);
+    assert_eq!(count_entries(&emulator, "ended", "Stopped"), 2, "seed {seed}: {:#?}", emulator.log);
+    leaving.iter().for_each(|worker| emulator.remove_worker(*worker));
+    emulator.run_for(5 * SECOND + MILLISECOND * 100 * seed as u32);
+    let leader = emulator.leader().expect("a leader");
+    emulator.kill(leader);
+    while emulator.leader_after(leader).is_none() {
+        emulator.run_for(MILLISECOND);
+    }
+    let next = emulator.leader_after(leader).expect("the next leader");
+    emulator.cancel(next, OCCUPYING_JOB);
+    emulator.run_for(LONGEST_WAIT);
+    assert_no_violation(&emulator, seed);
+    (0..LEAVING).all(|index| has_started(&emulator, name(WAITING_JOB, index)))
+}
+
+/// Guards against a gate that waits for workers on which, as the replaced leader knew, nothing runs.
+#[test]
+fn a_long_running_task_waits_for_workers_that_left_before_the_leader_changed() {
+    let late: Vec<u64> = (0..SEEDS).filter(|seed| !starts_after_leader_change(*seed)).collect();
+    assert!(
+        late.is_empty(),
+        "seeds {late:?}: no start within {LONGEST_WAIT:?} after the records were loaded"
+    );
+}
