Start long-running tasks on a suspected worker if no other has room

Cause: a worker on which runs of two jobs fail, with no completed run between them, took no new runs for 6 s, whatever waited. In a full deployment the room that becomes free there is the only room.

Change: suspicion after failed runs (core::work::health) is separate from the pause after a refused start. A suspected worker still gets no task with a limited number of attempts. A long-running task has no such limit, so it goes there if no other worker has room: one run as a trial, others once that one has survived its start, and the next trial 1 s after a failure. The search for a long-running task covers more workers than that for others, so a failed search for another task does not stand for it any more.

Why it works: a suspicion is a guess about attempts that would be wasted, and does not outweigh room for a task that loses nothing by a failed start.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -9,7 +9,7 @@
 use super::request;
 use super::run::{self, Phase, Run};
 use super::spec::{Id, Name, Resources};
-use super::{crash, journal, leadership, lifecycle, pace, state, task, worker};
+use super::{crash, health, journal, leadership, lifecycle, pace, state, task, worker};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -64,8 +64,10 @@
     });
     worker.add_run(run, charged, profile);
     worker.last_start_at = now;
-    if task.is_suspect() {
-        worker.suspect_run = Some(run);
+    let is_trial =
+        worker.suspicion.is_some_and(|suspicion| suspicion.until > now && !suspicion.has_passed_trial);
+    if task.is_suspect() || is_trial {
+        worker.trial_run = Some(run);
     }
     task.phase = task::Phase::Active;
     task.next_run = number + 1;
@@ -166,7 +168,7 @@
             state::record(out, Subject::Job(run.name.job), "start-not-sent", reason);
             let pause = now + state.tuning.worker_retry;
             if let Some(worker) = state.workers.all.get_mut(worker_key) {
-                worker.suspect_until = worker.suspect_until.max(pause);
+                worker.paused_until = worker.paused_until.max(pause);
             }
             drop_run(state, key, now);
         }
@@ -189,7 +191,7 @@
         _ => Duration::ZERO,
     };
     if let Some(worker) = state.workers.all.get_mut(worker) {
-        worker.suspect_until = worker.suspect_until.max(now + pause);
+        worker.paused_until = worker.paused_until.max(now + pause);
     }
     if let (Refusal::Malformed, Some(task)) = (refusal, task) {
         drop_run(state, key, now);
@@ -414,7 +416,7 @@
             task.avoid_worker = Some(worker_key);
         }
     }
-    record_health(state, worker_key, end, out);
+    health::record_end(state, worker_key, end, out);
     let retry_delay = if end.how == How::Failed { state.tuning.task_retry } else { Duration::ZERO };
     // The end is recorded before the run is dropped, since dropping a run queues its task again unless the task is
     // done.
@@ -448,26 +450,6 @@
     state.jobs.tasks[task].runs.retain(|other| *other != key);
 }
 
-/// Excludes a worker from placement for a while if runs of several jobs fail there and none completes.
-fn record_health(state: &mut super::State, key: worker::Key, end: &Ended, out: &mut Vec<Effect>) {
-    let now = state.now;
-    let Some(worker) = state.workers.all.get_mut(key) else { return };
-    match end.how {
-        How::Done => worker.failed_jobs.clear(),
-        How::Failed if !worker.failed_jobs.contains(&end.name.job) => worker.failed_jobs.push(end.name.job),
-        _ => {}
-    }
-    if end.how == How::Failed
-        && worker.failed_jobs.len() >= state.tuning.suspect_failures as usize
-        && worker.suspect_until <= now
-    {
-        worker.suspect_until = now + state.tuning.suspect_duration;
-        worker.failed_jobs.clear();
-        let reason = format!("runs of several jobs failed on {}", worker.id);
-        state::record(out, Subject::Process, "suspect-worker", reason);
-    }
-}
-
 /// Reconciles the runs of a worker with the answer to the renewal sent at `sent`: drops runs that it does not list,
 /// stops unconfirmed ones, and checks the progress of the others. While the worker has ends that it does not list, a
 /// missing run may have ended, so it is kept.
--- a/src/core/work/crash.rs
+++ b/src/core/work/crash.rs
@@ -12,7 +12,7 @@
 use super::request;
 use super::run::{self, Phase};
 use super::worker::{self, Readiness};
-use super::{lifecycle, state, task};
+use super::{health, lifecycle, state, task};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -59,7 +59,7 @@
     }
     run.has_survived = true;
     if let Some(worker) = state.workers.all.get_mut(run.worker) {
-        worker.suspect_run.take_if(|suspect| *suspect == key);
+        health::record_survival(worker, key);
     }
 }
 
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod handler;
 pub mod headroom;
+pub mod health;
 pub mod image;
 pub mod job;
 pub mod journal;
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -18,6 +18,9 @@
 /// Score penalty of a worker that a task should avoid, such as one where it failed.
 const AVOIDED_WORKER_SCORE: i64 = -1_000_000_000;
 
+/// Score penalty of a worker that is suspected of failing what it starts.
+const SUSPECTED_WORKER_SCORE: i64 = -1_000_000_000;
+
 /// Score penalty for each run beside a task that may crash its worker.
 const SUSPECT_COMPANY_SCORE: i64 = -10_000;
 
@@ -202,7 +205,10 @@
     let tasks = state.jobs.ready.values().flatten().filter_map(|key| state.jobs.tasks.get(*key));
     let waits = [state.tuning.preempt_after, state.tuning.max_deferral];
     let tasks = tasks.flat_map(|task| [task.not_before, task.ready_at + waits[0], task.ready_at + waits[1]]);
-    let workers = state.workers.all.values().map(|worker| worker.suspect_until);
+    let workers = state.workers.all.values().flat_map(|worker| {
+        let trials = worker.suspicion.into_iter().flat_map(|it| [it.until, it.next_trial_at]);
+        trials.chain([worker.paused_until])
+    });
     let gate = state.workers.gate.iter().map(|gate| gate.until);
     if state.jobs.ready.is_empty() {
         return None;
@@ -328,7 +334,9 @@
     let is_same_kind = need.is_filling == failed.is_filling
         && (!need.is_filling || (need.image == failed.image && need.urgency == failed.urgency));
     let needs_more = need.charged.covers(failed.charged) && need.cpu_millicores >= failed.cpu_millicores;
-    need.service == failed.service && is_same_kind && needs_more
+    // The search for a long-running task covers more workers.
+    let is_covered = failed.is_long_running || !need.is_long_running;
+    need.service == failed.service && is_same_kind && needs_more && is_covered
 }
 
 /// Returns the worker with the highest score among those with room for a task. `planned` holds the resources and the
@@ -342,11 +350,19 @@
     pass: &mut Pass,
 ) -> Option<Key> {
     pass.visits += state.workers.all.len() as u64;
+    let (now, confirmed_at) = (state.now, state.journal.confirmed_at);
+    let is_allowed = |worker: &Worker| {
+        if need.is_long_running {
+            worker.accepts_long_running(now, confirmed_at)
+        } else {
+            worker.is_schedulable(now, confirmed_at)
+        }
+    };
     let fits = |(key, worker): &(Key, &Worker)| {
         let Some(report) = &worker.report else { return false };
         let (resources, count) = planned.get(key).copied().unwrap_or_default();
         report.service == need.service
-            && worker.is_schedulable(state.now, state.journal.confirmed_at)
+            && is_allowed(worker)
             && worker.free_resources().saturating_sub(resources).covers(need.charged)
             && need.required_label.as_ref().is_none_or(|label| report.labels.contains(label))
             && step.max_per_worker.is_none_or(|most| count_group_runs(state, worker, group) + count < most)
@@ -356,10 +372,12 @@
         // A filling task is not placed where the serving tasks do not tolerate it; it waits for another worker.
         let filling = pass.filling(state, key, need)?;
         let avoided = if need.avoid == Some(key) { AVOIDED_WORKER_SCORE } else { 0 };
+        let suspected = if worker.is_suspected(now) { SUSPECTED_WORKER_SCORE } else { 0 };
         let company = if need.is_suspect { worker.runs.len() as i64 * SUSPECT_COMPANY_SCORE } else { 0 };
         let other_serving =
             if need.is_long_running { count_other_serving(state, worker, need.image) } else { 0 };
-        Some(((state.policy.score)(need, &Offer { worker, other_serving, filling }) + avoided + company, key))
+        let score = (state.policy.score)(need, &Offer { worker, other_serving, filling });
+        Some((score + avoided + suspected + company, key))
     };
     state.workers.all.iter().filter(fits).filter_map(&mut score).max().map(|(_, key)| key)
 }
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -6,6 +6,7 @@
 
 use slotmap::SlotMap;
 
+use super::health::Suspicion;
 use super::spec::Resources;
 use super::store::Member;
 use super::tuning::Tuning;
@@ -125,8 +126,9 @@
     pub runs: Vec<run::Key>,
     /// When an order to start was last sent to it.
     pub last_start_at: Instant,
-    /// Run of a task that may crash its workers, until it has survived its start; no other run is started beside it.
-    pub suspect_run: Option<run::Key>,
+    /// Run of a task that may crash its workers, or the first run on a suspected worker, until it has survived its start;
+    /// no other run is started beside it.
+    pub trial_run: Option<run::Key>,
     /// Starts that may have crashed it before its leases expired; cleared when it answers.
     pub lost_starts: Vec<crash::Start>,
     /// Resources that the runs reserve.
@@ -139,8 +141,10 @@
     pub serving_runs: u32,
     /// Jobs with a failed run on it since the last successful one.
     pub failed_jobs: Vec<super::spec::Id>,
-    /// Time until which it gets no new runs, after failures or refusals.
-    pub suspect_until: Instant,
+    /// Time until which it gets no new runs, after a start that was refused or not sent.
+    pub paused_until: Instant,
+    /// Newest suspicion that it fails what it starts, which may be over; `None` if there was none.
+    pub suspicion: Option<Suspicion>,
     /// When the pace of one of its runs was last changed.
     pub pace_changed_at: Instant,
     /// Earliest time of the next search for another worker for one of its slow filling runs.
@@ -176,14 +180,15 @@
             pending_acknowledgements: VecDeque::new(),
             runs: Vec::new(),
             last_start_at: Instant::default(),
-            suspect_run: None,
+            trial_run: None,
             lost_starts: Vec::new(),
             used_resources: Resources::default(),
             serving_cpu_millicores: 0,
             filling_runs: 0,
             serving_runs: 0,
             failed_jobs: Vec::new(),
-            suspect_until: Instant::default(),
+            paused_until: Instant::default(),
+            suspicion: None,
             pace_changed_at: Instant::default(),
             next_move_at: Instant::default(),
             filling_usage: Vec::new(),
@@ -206,11 +211,28 @@
         i64::from(self.free_resources().cpu_millicores) + reserved
     }
 
-    /// Returns whether new runs may be sent to the worker by a leader whose newest commit was sent at `confirmed_at`.
+    /// Whether it is suspected of failing what it starts.
+    pub fn is_suspected(&self, now: Instant) -> bool {
+        self.suspicion.is_some_and(|suspicion| suspicion.until > now)
+    }
+
+    /// Returns whether runs of all kinds may be sent to the worker by a leader whose newest commit was sent at
+    /// `confirmed_at`.
+    pub fn is_schedulable(&self, now: Instant, confirmed_at: Instant) -> bool {
+        self.is_available(now, confirmed_at) && !self.is_suspected(now)
+    }
+
+    /// Returns whether a run of a long-running task may be sent to the worker, which may be suspected.
+    pub fn accepts_long_running(&self, now: Instant, confirmed_at: Instant) -> bool {
+        self.is_available(now, confirmed_at)
+            && self.suspicion.is_none_or(|suspicion| suspicion.allows_long_running(now))
+    }
+
+    /// Returns whether the worker is known well enough for new runs, whatever the outcomes of earlier ones.
     ///
     /// A process that has restarted does not know the highest term, so it does not refuse a leader that has been replaced.
     /// No commit of such a leader takes effect.
-    pub fn is_schedulable(&self, now: Instant, confirmed_at: Instant) -> bool {
+    fn is_available(&self, now: Instant, confirmed_at: Instant) -> bool {
         let is_ready = self.report.as_ref().is_some_and(|report| report.readiness == Readiness::Ready);
         is_ready
             && self.is_listed
@@ -219,8 +241,8 @@
             && self.clock_reading.is_some()
             && self.silent_since.is_none()
             && self.process_known_at.is_some_and(|at| at <= confirmed_at)
-            && self.suspect_until <= now
-            && self.suspect_run.is_none()
+            && self.paused_until <= now
+            && self.trial_run.is_none()
     }
 
     /// Grants a lease from now on, and returns its end in milliseconds on the worker's clock; `None` while that clock is
@@ -258,7 +280,7 @@
     /// Removes a run and releases its resources.
     pub fn remove_run(&mut self, run: run::Key, charged: Resources, profile: run::Profile) {
         self.runs.retain(|other| *other != run);
-        self.suspect_run.take_if(|suspect| *suspect == run);
+        self.trial_run.take_if(|trial| *trial == run);
         self.used_resources = self.used_resources.saturating_sub(charged);
         self.filling_runs -= u32::from(profile.filling_cpu_millicores > 0);
         self.serving_runs -= u32::from(profile.is_serving);
@@ -275,7 +297,8 @@
         self.pending_acknowledgements.clear();
         self.failed_jobs.clear();
         self.filling_usage.clear();
-        self.suspect_until = Instant::default();
+        self.paused_until = Instant::default();
+        self.suspicion = None;
     }
 
     /// Returns the number of the last end to acknowledge now, or 0 to acknowledge none.
