Leave vacated workers out of the roster that the next leader waits for

What callers saw: after a change of the leader, long-running tasks that had been stopped on draining workers had no run for 10 s, although workers had room.

Cause: the next leader starts a task of an earlier term without a known run only when every worker of the stored roster has answered, or when the longest lease has expired. Workers stayed in the roster until they had been silent for 10 s under one leader, and it was not written when they were forgotten. So the gate waited for workers that had drained and left, although the earlier leader knew that nothing ran there.

Change: every 400 ms the leader retires the workers that are draining or not listed, on which it knows of no run and of no end that is not durable, and for which its own gate does not wait. They are not enrolled from then on and are left out of the next roster. A worker that is ready again starts nothing until a later roster with it is durable. The gate waits for the workers of the stored roster only, since nothing is started on others. A worker is forgotten only once its ends are durable, and the roster is written then.

Why it works: the roster already was the durable statement on which workers runs may exist, as each start waits for it; now it is also taken back durably.

--- a/src/core/work/discovery.rs
+++ b/src/core/work/discovery.rs
@@ -55,6 +55,7 @@
     worker.is_enrolled &= worker.address == report.address;
     worker.address = report.address;
     worker.is_listed = true;
+    worker.is_retired &= report.readiness == Readiness::Draining;
     worker.report = Some(report);
     if begins_draining {
         control::stop_long_running(state, key, out);
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -11,6 +11,7 @@
 use super::state::{self, Purpose};
 use super::store::{Key, Member, Reply, Request, Revision, Transaction, Value};
 use super::timer::Timer;
+use super::worker::Worker;
 use super::{job, leadership, lifecycle, renewal};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
@@ -238,6 +239,7 @@
                 .workers
                 .all
                 .values()
+                .filter(|worker| !worker.is_retired)
                 .map(|worker| Member { id: worker.id.clone(), address: worker.address });
             transaction.put.push((Key::Roster, Value::Roster(roster.collect()), None));
         }
@@ -399,9 +401,25 @@
 
 /// Queues a write of the roster if the stored one lacks a known worker.
 pub(super) fn enroll(state: &mut super::State, out: &mut Vec<Effect>) {
-    if state.load.is_none() && state.workers.all.values().any(|worker| !worker.is_enrolled) {
-        let sequence = enqueue(state, Change::Roster);
-        let reason = format!("{} workers, change {sequence}", state.workers.all.len());
-        state::record(out, Subject::Process, "enroll", reason);
+    let is_missing = |worker: &Worker| !worker.is_enrolled && !worker.is_retired;
+    if state.load.is_none() && state.workers.all.values().any(is_missing) {
+        write_roster(state, out);
     }
 }
+
+/// Queues a write of the roster without the workers on which no run is left and none will be started, so that the next
+/// leader does not wait for their answers.
+pub(super) fn retire_vacated(state: &mut super::State, out: &mut Vec<Effect>) {
+    if state.load.is_none() && state.workers.review_retirement() {
+        write_roster(state, out);
+    }
+}
+
+/// Queues a write of the roster.
+pub(super) fn write_roster(state: &mut super::State, out: &mut Vec<Effect>) {
+    let sequence = enqueue(state, Change::Roster);
+    let total = state.workers.all.len();
+    let retired = state.workers.all.values().filter(|worker| worker.is_retired).count();
+    let reason = format!("{} of {total} workers, change {sequence}", total - retired);
+    state::record(out, Subject::Process, "enroll", reason);
+}
--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -11,7 +11,7 @@
 use super::store::{Change, Item, Key, Leader, Removed, Reply, Request, Revision, Transaction, Value};
 use super::timer::Timer;
 use super::tuning::Tuning;
-use super::{handler, load, relay, renewal};
+use super::{handler, journal, load, relay, renewal};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -269,6 +269,7 @@
     if term != due {
         return;
     }
+    journal::retire_vacated(state, out);
     state.call_store(Purpose::Renew, Request::Renew { lease }, out);
     state.timers.set(state.now + state.tuning.leader_renewal, Timer::Renew(term));
 }
--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -8,7 +8,7 @@
 use super::state::{self, Purpose};
 use super::store::{Item, Key, Member, Progress, Range, Record, Reply, Request, Value};
 use super::timer::Timer;
-use super::worker::Gate;
+use super::worker::{self, Gate};
 use super::{handler, journal, lifecycle, renewal, watch};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
@@ -136,11 +136,12 @@
     }
     let Some(load) = state.load.take() else { return };
     state.journal.begin(load.tip_revision, state.now);
-    let enrolled = load.roster.len();
+    let mut enrolled = Vec::with_capacity(load.roster.len());
     for member in &load.roster {
-        state.workers.get_or_insert(&member.id, member.address, state.now);
+        enrolled.push(state.workers.get_or_insert(&member.id, member.address, state.now));
         state.workers.enroll(member);
     }
+    let enrolled_count = enrolled.len();
     let job_count = load.jobs.len();
     restore(state, load.jobs, load.progress);
     let (begun, tuning) = (load.started_at, state.tuning);
@@ -148,11 +149,12 @@
         // A worker that restarts before an order to start arrives grants the longest lease, since its clock starts anew.
         let longest =
             (tuning.leader_validity + tuning.worker_lease * 102 / 100).max(tuning.lease_max * 102 / 100);
-        close_gate(state, begun + longest + tuning.lease_margin, out);
+        close_gate(state, enrolled, begun + longest + tuning.lease_margin, out);
     }
     let elapsed_ms = state.now.since(begun).as_millis();
-    let reason = format!("{job_count} jobs, {enrolled} known workers, read in {elapsed_ms} ms");
+    let reason = format!("{job_count} jobs, {enrolled_count} known workers, read in {elapsed_ms} ms");
     state::record(out, Subject::Process, "loaded", reason);
+    journal::retire_vacated(state, out);
     journal::enroll(state, out);
     for key in state.workers.all.keys().collect::<Vec<_>>() {
         renewal::send_if_due(state, key, out);
@@ -162,9 +164,9 @@
     handler::serve_deferred(state, out);
 }
 
-/// Delays the tasks of earlier terms until all known workers have answered, or until `until`.
-fn close_gate(state: &mut super::State, until: Instant, out: &mut Vec<Effect>) {
-    let unreached: Vec<_> = state.workers.all.keys().collect();
+/// Delays the tasks of earlier terms until all workers of the roster have answered, or until `until`. Earlier leaders
+/// have started nothing on other workers, or know that it has ended.
+fn close_gate(state: &mut super::State, unreached: Vec<worker::Key>, until: Instant, out: &mut Vec<Effect>) {
     let (worker_count, wait_ms) = (unreached.len(), until.since(state.now).as_millis());
     let reason = format!("{worker_count} workers have to answer, for at most {wait_ms} ms");
     state::record(out, Subject::Process, "gate-close", reason);
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -257,8 +257,14 @@
         drop_all_lost(state, key, "its worker does not answer and the lease has expired", out);
     }
     let worker = &state.workers.all[key];
-    if !worker.is_listed && worker.runs.is_empty() && now.since(silent_since) > FORGET_AFTER {
+    let is_forgettable =
+        !worker.is_listed && worker.runs.is_empty() && worker.pending_acknowledgements.is_empty();
+    if is_forgettable && now.since(silent_since) > FORGET_AFTER {
+        let is_enrolled = worker.is_enrolled;
         state.workers.remove(key);
+        if is_enrolled {
+            journal::write_roster(state, out);
+        }
     }
 }
 
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -97,6 +97,8 @@
     pub leases_expire_at: Instant,
     /// Whether the roster in the store contains it with its current address.
     pub is_enrolled: bool,
+    /// Whether it is left out of the roster, since it takes no new runs and has none.
+    pub is_retired: bool,
     /// When it last answered a renewal in this term.
     pub last_answer_at: Option<Instant>,
     /// Since when it does not answer; `None` if it answers.
@@ -166,6 +168,7 @@
             clock_reading: None,
             leases_expire_at: Instant::default(),
             is_enrolled: false,
+            is_retired: false,
             last_answer_at: None,
             silent_since: None,
             reset_at: None,
@@ -245,6 +248,14 @@
             && self.trial_run.is_none()
     }
 
+    /// Whether the next leader need not ask the worker for runs: it takes no new ones, and this leader knows of none there
+    /// and of no end that is not durable.
+    fn is_vacated(&self) -> bool {
+        let is_ready = self.report.as_ref().is_some_and(|report| report.readiness == Readiness::Ready);
+        let takes_runs = self.is_listed && is_ready;
+        !takes_runs && self.runs.is_empty() && self.pending_acknowledgements.is_empty()
+    }
+
     /// Grants a lease from now on, and returns its end in milliseconds on the worker's clock; `None` while that clock is
     /// unknown.
     pub fn grant_lease(&mut self, now: Instant, tuning: &Tuning) -> Option<u64> {
@@ -338,8 +349,6 @@
     pub all: SlotMap<Key, Worker>,
     /// Workers by identity.
     pub by_id: Map<String, Key>,
-    /// Whether a worker is missing in the roster in the store.
-    pub is_roster_stale: bool,
     /// Gate that delays tasks of earlier terms; `None` once it is open.
     pub gate: Option<Gate>,
 }
@@ -372,11 +381,27 @@
         key
     }
 
-    /// Records that the roster in the store contains a worker, unless its address has changed since.
+    /// Records that the roster in the store contains a worker, unless its address has changed or it was retired since.
     pub fn enroll(&mut self, member: &Member) {
         if let Some(worker) = self.by_id.get(&member.id).and_then(|key| self.all.get_mut(*key)) {
-            worker.is_enrolled |= worker.address == member.address;
+            worker.is_enrolled |= worker.address == member.address && !worker.is_retired;
+        }
+    }
+
+    /// Retires the workers that are vacated, and takes back the others. Returns whether the roster has changed.
+    ///
+    /// From now on nothing is started on a retired worker until a later roster with it is durable. A worker that has not
+    /// answered in this term may have runs, so it stays in the roster while the gate waits for it.
+    pub fn review_retirement(&mut self) -> bool {
+        let mut has_changed = false;
+        for (key, worker) in &mut self.all {
+            let is_awaited = || self.gate.as_ref().is_some_and(|gate| gate.unreached.contains(&key));
+            let is_retired = worker.is_vacated() && !is_awaited();
+            has_changed |= is_retired != worker.is_retired;
+            worker.is_retired = is_retired;
+            worker.is_enrolled &= !is_retired;
         }
+        has_changed
     }
 
     /// Removes a worker from the table.
