Add a test of the starts on a worker that fails every run

Cause: no test covered what the exclusion of a worker after failures is for; it is about to be relaxed for long-running tasks (incident LOST).

Change: an emulated worker can be faulty, so that every run on it fails 50 ms after its start. Two long-running tasks have room nowhere else, and pairs of short tasks with three attempts share a place on a sound worker. The observer no longer counts failures of long-running tasks against the limit of attempts, which does not apply to them (`lifecycle::record_failure`); no emulated run of such a task could fail before.

--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -38,6 +38,9 @@
 /// Time that a deadly task runs before its worker crashes; a worker may list it in that time.
 const DEADLY_DURATION: Duration = Duration::from_millis(10);
 
+/// Time from the start of a run on a faulty worker to its failure.
+const FAULTY_DURATION: Duration = Duration::from_millis(50);
+
 /// Time from a crash until the worker is back.
 const CRASH_DURATION: Duration = Duration::from_secs(3);
 
@@ -69,6 +72,8 @@
     duration: Duration,
     is_long_running: bool,
     is_failing: bool,
+    /// When the run fails by a fault of its worker; `None` if the worker is sound.
+    fails_at: Option<Instant>,
     is_serving: bool,
     pace_percent: u32,
     image: String,
@@ -289,6 +294,8 @@
                 self.completed.insert(name);
                 self.completed_runs.entry(name).or_default().push(number);
             }
+            // A long-running task is started again after any number of failures.
+            How::Failed if self.step(name).is_some_and(|step| step.is_long_running) => {}
             How::Failed => *self.failure_counts.entry(name).or_default() += 1,
             _ => {}
         }
@@ -332,6 +339,10 @@
     pub is_replaced: bool,
     /// Whether the worker reports that it is about to leave.
     pub(super) is_draining: bool,
+    /// Whether every run that starts on the worker fails soon, long-running ones included.
+    pub is_faulty: bool,
+    /// Number of runs that have been started on the worker.
+    pub start_count: u32,
     /// CPU capacity in millicores.
     cpu_millicores: u32,
     /// When the capacity last changed.
@@ -375,6 +386,8 @@
             is_refusing: false,
             is_replaced: false,
             is_draining: false,
+            is_faulty: false,
+            start_count: 0,
             cpu_millicores: CPU_MILLICORES,
             resized_at: Instant::default(),
             answers_at_once: false,
@@ -476,8 +489,10 @@
             run.counted_at = now;
             let is_finished = !run.is_long_running && run.work_done >= run.duration;
             let is_stopped = run.stop_at.is_some_and(|at| at <= now);
+            let has_failed = run.fails_at.is_some_and(|at| at <= now);
             match (is_finished, has_lapsed) {
                 _ if is_stopped => self.end(run, How::Stopped, observer),
+                _ if has_failed => self.end(run, How::Failed, observer),
                 (true, _) if run.is_failing => self.end(run, How::Failed, observer),
                 (true, _) => self.end(run, How::Done, observer),
                 (_, true) => self.end(run, How::Lapsed, observer),
@@ -619,6 +634,7 @@
             return Err(Refusal::Late);
         }
         self.extend_lease(until_ms, now);
+        self.start_count += 1;
         observer.record_start(&self.id, name, number, now);
         if observer.deadly.contains(&name) {
             *observer.crash_counts.entry(name).or_default() += 1;
@@ -633,6 +649,7 @@
             duration: step.estimate,
             is_long_running: step.is_long_running,
             is_failing,
+            fails_at: self.is_faulty.then_some(now + FAULTY_DURATION),
             is_serving: step.serves(),
             pace_percent: 100,
             image: step.image.clone(),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use emulator::{Emulator, job, step};
+use nutmegfold::core::work::request::{Answer, Phase};
 use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -20,17 +21,27 @@
 /// Number of workers that leave.
 const LEAVING: u32 = 2;
 
+/// Time for which a worker is faulty, and the most starts a second on it over that time.
+const FAULT_DURATION: Duration = Duration::from_secs(20);
+const MAX_STARTS_PER_SECOND: u32 = 3;
+
 /// Longest time that a long-running task may wait while a worker has room for it, by the rule `LOST` of the users.
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
 
 /// All cores of a worker.
 const WHOLE_WORKER: Resources = Resources { cpu_millicores: 8_000, memory_mb: 1_000, gpu: 0 };
 
+/// Cores of which a worker has room for two such tasks, but not beside a task that needs most of it.
+const LESS_THAN_HALF: Resources = Resources { cpu_millicores: 3_000, memory_mb: 1_000, gpu: 0 };
+
 /// Identity of the job whose tasks occupy workers, and that of the job with the task that waits.
 const OCCUPYING_JOB: u64 = 1;
 const WAITING_JOB: u64 = 2;
 
-/// Identities of two jobs whose first runs fail by themselves.
+/// Identity of the first of the jobs with short tasks that can wait.
+const FIRST_SHORT_JOB: u64 = 100;
+
+/// Identities of two jobs of which runs fail.
 const FAILING_JOBS: [u64; 2] = [3, 4];
 
 fn name(job: u64, index: u32) -> Name {
@@ -152,3 +163,40 @@
         "seeds {late:?}: no start within {LONGEST_WAIT:?} after the records were loaded"
     );
 }
+
+/// Guards against starts without a limit on a worker that fails every run, and against short tasks that fail with it.
+#[test]
+fn a_faulty_worker_is_given_one_start_after_another() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed);
+        // One sound worker keeps room for a short task, which is too little for a long-running one.
+        let most_of_worker = Resources { cpu_millicores: 6_000, ..WHOLE_WORKER };
+        let partly_occupying = Step { resources: most_of_worker, ..occupying(1) };
+        emulator.submit(0, OCCUPYING_JOB, job([occupying(WORKERS as u32 - 2), partly_occupying]));
+        emulator.run_for(SECOND);
+        let faulty = (0..WORKERS).find(|worker| emulator.workers[*worker].start_count == 0);
+        let faulty = faulty.expect("a worker without runs");
+        emulator.workers[faulty].is_faulty = true;
+        for id in FAILING_JOBS {
+            emulator.submit(0, id, job([Step { resources: LESS_THAN_HALF, ..long_running() }]));
+        }
+        emulator.run_for(MILLISECOND * 100 * seed as u32);
+        let jobs = FIRST_SHORT_JOB..FIRST_SHORT_JOB + 8;
+        for id in jobs.clone() {
+            emulator.submit(0, id, job([step(2)]));
+            emulator.run_for(FAULT_DURATION / 8);
+        }
+        let starts = emulator.workers[faulty].start_count;
+        assert!(starts > 0, "seed {seed}: {:#?}", emulator.log);
+        let most = MAX_STARTS_PER_SECOND * FAULT_DURATION.as_secs() as u32;
+        assert!(starts <= most, "seed {seed}: {starts} starts in {FAULT_DURATION:?}");
+        emulator.workers[faulty].is_faulty = false;
+        emulator.run_for(5 * SECOND);
+        assert_no_violation(&emulator, seed);
+        let leader = emulator.leader().expect("a leader");
+        for id in jobs {
+            let answer = emulator.read_job(leader, id);
+            assert_eq!(answer, Some(Answer::Phase(Phase::Completed)), "seed {seed}, job {id}");
+        }
+    }
+}
