Add tests of drained workers that are cut off while a task runs there

No test covered workers that drain and are then cut off with a run.

Change: a worker is cut off and unlisted, and the leader replaced, (1) while a short task still runs on the drained worker, and (2) right after the first start since the drain was taken back. The run must have lapsed before the task starts again.

--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -25,6 +25,12 @@
 const FAULT_DURATION: Duration = Duration::from_secs(20);
 const MAX_STARTS_PER_SECOND: u32 = 3;
 
+/// Time in which a run of a worker that is cut off has lapsed and its task has been started again.
+const RECOVERY: Duration = Duration::from_secs(20);
+
+/// CPU of a worker that has no room for a task.
+const TOO_FEW_MILLICORES: u32 = 1_000;
+
 /// Longest time that a long-running task may wait while a worker has room for it, by the rule `LOST` of the users.
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
 
@@ -200,3 +206,69 @@
         }
     }
 }
+
+/// Cuts a worker off, replaces the leader at once, and checks that the only task runs again, but never twice at once.
+fn check_takeover_without_worker(emulator: &mut Emulator, worker: usize, wait: Duration, seed: u64) {
+    assert!(emulator.observer.is_running(name(WAITING_JOB, 0)), "seed {seed}: {:#?}", emulator.log);
+    emulator.remove_worker(worker);
+    emulator.run_for(wait);
+    let leader = emulator.leader().expect("a leader");
+    emulator.kill(leader);
+    emulator.store.revoke_leases();
+    emulator.run_for(RECOVERY);
+    assert_no_violation(emulator, seed);
+    assert_eq!(emulator.observer.start_count, 2, "seed {seed}: {:#?}", emulator.log);
+}
+
+/// A job with a task that runs for longer than any lease.
+fn longer_than_leases() -> Step {
+    Step { estimate: RECOVERY, ..step(1) }
+}
+
+/// Changes the CPU of all workers but one.
+fn resize_others(emulator: &mut Emulator, worker: usize, cpu_millicores: u32) {
+    (0..WORKERS)
+        .filter(|other| *other != worker)
+        .for_each(|other| emulator.resize_worker(other, cpu_millicores));
+}
+
+/// Waits until a run has started on a worker, and returns whether one has within `limit`.
+fn waits_for_start(emulator: &mut Emulator, worker: usize, limit: Duration) -> bool {
+    let end = emulator.now + limit;
+    while emulator.workers[worker].start_count == 0 && emulator.now < end {
+        emulator.run_for(MILLISECOND);
+    }
+    emulator.workers[worker].start_count > 0
+}
+
+/// Guards against a gate that does not wait for a drained worker although a short task still runs there.
+#[test]
+fn a_task_runs_twice_at_once_when_a_drained_worker_is_cut_off_with_its_run() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed);
+        emulator.submit(0, WAITING_JOB, job([longer_than_leases()]));
+        emulator.run_for(SECOND / 2);
+        let worker = workers_of(&emulator, WAITING_JOB)[0];
+        emulator.drain_worker(worker);
+        emulator.run_for(SECOND + MILLISECOND * 300 * seed as u32);
+        check_takeover_without_worker(&mut emulator, worker, MILLISECOND * 500 * seed as u32, seed);
+    }
+}
+
+/// Guards against a gate that does not wait for a worker that was drained, and took new runs again before it was cut off.
+#[test]
+fn a_task_runs_twice_at_once_when_a_worker_is_cut_off_after_its_drain_was_taken_back() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed);
+        let worker = 0;
+        resize_others(&mut emulator, worker, TOO_FEW_MILLICORES);
+        emulator.drain_worker(worker);
+        emulator.run_for(SECOND);
+        emulator.submit(0, WAITING_JOB, job([longer_than_leases()]));
+        emulator.run_for(2 * SECOND + MILLISECOND * 50 * seed as u32);
+        emulator.resume_worker(worker);
+        assert!(waits_for_start(&mut emulator, worker, LONGEST_WAIT), "seed {seed}: {:#?}", emulator.log);
+        resize_others(&mut emulator, worker, WHOLE_WORKER.cpu_millicores);
+        check_takeover_without_worker(&mut emulator, worker, Duration::ZERO, seed);
+    }
+}
