Add tests of a drain that is taken back while commits fail

No test covered a leader whose commits fail while it leads on.

Change: the emulated store can refuse all commits while it serves other calls. A worker drains and becomes ready again while commits are refused, or take effect without a reply; the only waiting task starts there, the worker is cut off and the leader replaced. The run must have lapsed before the task starts again. A later start, once commits succeed, is accepted.

--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -43,6 +43,8 @@
     pub silent_config_vms: Set<usize>,
     /// Entry VMs whose calls are refused without effect while the store serves the others.
     pub refused_vms: Set<usize>,
+    /// Whether every commit is refused without effect while other calls are served.
+    pub refuses_commits: bool,
     /// Time from the execution of a commit to its reply; a reply after the timeout of the call is lost.
     pub commit_delay: Duration,
     /// Whether a transaction that writes a key twice has no effect and no reply that its sender understands.
@@ -80,6 +82,7 @@
             silent_watch_vms: Set::default(),
             silent_config_vms: Set::default(),
             refused_vms: Set::default(),
+            refuses_commits: false,
             commit_delay: Duration::ZERO,
             rejects_repeated_keys: false,
             repeated_keys: Vec::new(),
@@ -183,7 +186,8 @@
         if self.is_down || self.silent_vms.contains(&vm) || is_silent_watch || is_silent_config {
             return if now >= deadline { Outcome::Reply(Reply::Lost) } else { Outcome::Wait };
         }
-        if self.refused_vms.contains(&vm) {
+        let is_refused_commit = matches!(request, Request::Commit(_)) && self.refuses_commits;
+        if self.refused_vms.contains(&vm) || is_refused_commit {
             return Outcome::Reply(Reply::Refused);
         }
         if let Request::Watch { range, after, .. } = request {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -272,3 +272,51 @@
         check_takeover_without_worker(&mut emulator, worker, Duration::ZERO, seed);
     }
 }
+
+/// Plays a worker that drains, and takes new runs again, while the commits of the leader fail.
+fn resume_worker_without_commits(seed: u64, fail: fn(&mut Emulator), heal: fn(&mut Emulator)) {
+    let mut emulator = ready(seed);
+    let worker = 0;
+    (0..WORKERS).for_each(|worker| emulator.resize_worker(worker, TOO_FEW_MILLICORES));
+    emulator.run_for(SECOND / 2);
+    emulator.submit(0, WAITING_JOB, job([longer_than_leases()]));
+    emulator.run_for(SECOND / 2);
+    emulator.drain_worker(worker);
+    // The commits begin to fail before the leader knows of the drain, or up to 160 ms later.
+    emulator.run_for(MILLISECOND * 40 * seed as u32);
+    fail(&mut emulator);
+    emulator.run_for(3 * SECOND);
+    emulator.resize_worker(worker, WHOLE_WORKER.cpu_millicores);
+    emulator.resume_worker(worker);
+    if !waits_for_start(&mut emulator, worker, 2 * SECOND) {
+        heal(&mut emulator);
+        assert!(waits_for_start(&mut emulator, worker, LONGEST_WAIT), "seed {seed}: {:#?}", emulator.log);
+    }
+    heal(&mut emulator);
+    resize_others(&mut emulator, worker, WHOLE_WORKER.cpu_millicores);
+    check_takeover_without_worker(&mut emulator, worker, Duration::ZERO, seed);
+}
+
+/// Guards against a stored drain that the gate relies on, while the commit that takes it back is not durable.
+#[test]
+fn a_task_runs_twice_at_once_when_a_drain_is_taken_back_while_commits_are_refused() {
+    for seed in 0..SEEDS {
+        resume_worker_without_commits(
+            seed,
+            |emulator| emulator.store.refuses_commits = true,
+            |emulator| emulator.store.refuses_commits = false,
+        );
+    }
+}
+
+/// Guards against the same where the commits take effect and their replies are lost.
+#[test]
+fn a_task_runs_twice_at_once_when_a_drain_is_taken_back_while_replies_to_commits_are_lost() {
+    for seed in 0..SEEDS {
+        resume_worker_without_commits(
+            seed,
+            |emulator| emulator.store.commit_delay = SECOND,
+            |emulator| emulator.store.commit_delay = Duration::ZERO,
+        );
+    }
+}
