--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use emulator::{Emulator, job, step};
+use nutmegfold::core::work::request::{Answer, Phase};
 use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -20,17 +21,33 @@
 /// Number of workers that leave.
 const LEAVING: u32 = 2;
 
+/// Time for which a worker is faulty, and the most starts a second on it over that time.
+const FAULT_DURATION: Duration = Duration::from_secs(20);
+const MAX_STARTS_PER_SECOND: u32 = 3;
+
+/// Time in which a run of a worker that is cut off has lapsed and its task has been started again.
+const RECOVERY: Duration = Duration::from_secs(20);
+
+/// CPU of a worker that has no room for a task.
+const TOO_FEW_MILLICORES: u32 = 1_000;
+
 /// Longest time that a long-running task may wait while a worker has room for it, by the rule `LOST` of the users.
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
 
 /// All cores of a worker.
 const WHOLE_WORKER: Resources = Resources { cpu_millicores: 8_000, memory_mb: 1_000, gpu: 0 };
 
+/// Cores of which a worker has room for two such tasks, but not beside a task that needs most of it.
+const LESS_THAN_HALF: Resources = Resources { cpu_millicores: 3_000, memory_mb: 1_000, gpu: 0 };
+
 /// Identity of the job whose tasks occupy workers, and that of the job with the task that waits.
 const OCCUPYING_JOB: u64 = 1;
 const WAITING_JOB: u64 = 2;
 
-/// Identities of two jobs whose first runs fail by themselves.
+/// Identity of the first of the jobs with short tasks that can wait.
+const FIRST_SHORT_JOB: u64 = 100;
+
+/// Identities of two jobs of which runs fail.
 const FAILING_JOBS: [u64; 2] = [3, 4];
 
 fn name(job: u64, index: u32) -> Name {
@@ -152,3 +169,154 @@
         "seeds {late:?}: no start within {LONGEST_WAIT:?} after the records were loaded"
     );
 }
+
+/// Guards against starts without a limit on a worker that fails every run, and against short tasks that fail with it.
+#[test]
+fn a_faulty_worker_is_given_one_start_after_another() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed);
+        // One sound worker keeps room for a short task, which is too little for a long-running one.
+        let most_of_worker = Resources { cpu_millicores: 6_000, ..WHOLE_WORKER };
+        let partly_occupying = Step { resources: most_of_worker, ..occupying(1) };
+        emulator.submit(0, OCCUPYING_JOB, job([occupying(WORKERS as u32 - 2), partly_occupying]));
+        emulator.run_for(SECOND);
+        let faulty = (0..WORKERS).find(|worker| emulator.workers[*worker].start_count == 0);
+        let faulty = faulty.expect("a worker without runs");
+        emulator.workers[faulty].is_faulty = true;
+        for id in FAILING_JOBS {
+            emulator.submit(0, id, job([Step { resources: LESS_THAN_HALF, ..long_running() }]));
+        }
+        emulator.run_for(MILLISECOND * 100 * seed as u32);
+        let jobs = FIRST_SHORT_JOB..FIRST_SHORT_JOB + 8;
+        for id in jobs.clone() {
+            emulator.submit(0, id, job([step(2)]));
+            emulator.run_for(FAULT_DURATION / 8);
+        }
+        let starts = emulator.workers[faulty].start_count;
+        assert!(starts > 0, "seed {seed}: {:#?}", emulator.log);
+        let most = MAX_STARTS_PER_SECOND * FAULT_DURATION.as_secs() as u32;
+        assert!(starts <= most, "seed {seed}: {starts} starts in {FAULT_DURATION:?}");
+        emulator.workers[faulty].is_faulty = false;
+        emulator.run_for(5 * SECOND);
+        assert_no_violation(&emulator, seed);
+        let leader = emulator.leader().expect("a leader");
+        for id in jobs {
+            let answer = emulator.read_job(leader, id);
+            assert_eq!(answer, Some(Answer::Phase(Phase::Completed)), "seed {seed}, job {id}");
+        }
+    }
+}
+
+/// Cuts a worker off, replaces the leader at once, and checks that the only task runs again, but never twice at once.
+fn check_takeover_without_worker(emulator: &mut Emulator, worker: usize, wait: Duration, seed: u64) {
+    assert!(emulator.observer.is_running(name(WAITING_JOB, 0)), "seed {seed}: {:#?}", emulator.log);
+    emulator.remove_worker(worker);
+    emulator.run_for(wait);
+    let leader = emulator.leader().expect("a leader");
+    emulator.kill(leader);
+    emulator.store.revoke_leases();
+    emulator.run_for(RECOVERY);
+    assert_no_violation(emulator, seed);
+    assert_eq!(emulator.observer.start_count, 2, "seed {seed}: {:#?}", emulator.log);
+}
+
+/// A job with a task that runs for longer than any lease.
+fn longer_than_leases() -> Step {
+    Step { estimate: RECOVERY, ..step(1) }
+}
+
+/// Changes the CPU of all workers but one.
+fn resize_others(emulator: &mut Emulator, worker: usize, cpu_millicores: u32) {
+    (0..WORKERS)
+        .filter(|other| *other != worker)
+        .for_each(|other| emulator.resize_worker(other, cpu_millicores));
+}
+
+/// Waits until a run has started on a worker, and returns whether one has within `limit`.
+fn waits_for_start(emulator: &mut Emulator, worker: usize, limit: Duration) -> bool {
+    let end = emulator.now + limit;
+    while emulator.workers[worker].start_count == 0 && emulator.now < end {
+        emulator.run_for(MILLISECOND);
+    }
+    emulator.workers[worker].start_count > 0
+}
+
+/// Guards against a gate that does not wait for a drained worker although a short task still runs there.
+#[test]
+fn a_task_runs_twice_at_once_when_a_drained_worker_is_cut_off_with_its_run() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed);
+        emulator.submit(0, WAITING_JOB, job([longer_than_leases()]));
+        emulator.run_for(SECOND / 2);
+        let worker = workers_of(&emulator, WAITING_JOB)[0];
+        emulator.drain_worker(worker);
+        emulator.run_for(SECOND + MILLISECOND * 300 * seed as u32);
+        check_takeover_without_worker(&mut emulator, worker, MILLISECOND * 500 * seed as u32, seed);
+    }
+}
+
+/// Guards against a gate that does not wait for a worker that was drained, and took new runs again before it was cut off.
+#[test]
+fn a_task_runs_twice_at_once_when_a_worker_is_cut_off_after_its_drain_was_taken_back() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed);
+        let worker = 0;
+        resize_others(&mut emulator, worker, TOO_FEW_MILLICORES);
+        emulator.drain_worker(worker);
+        emulator.run_for(SECOND);
+        emulator.submit(0, WAITING_JOB, job([longer_than_leases()]));
+        emulator.run_for(2 * SECOND + MILLISECOND * 50 * seed as u32);
+        emulator.resume_worker(worker);
+        assert!(waits_for_start(&mut emulator, worker, LONGEST_WAIT), "seed {seed}: {:#?}", emulator.log);
+        resize_others(&mut emulator, worker, WHOLE_WORKER.cpu_millicores);
+        check_takeover_without_worker(&mut emulator, worker, Duration::ZERO, seed);
+    }
+}
+
+/// Plays a worker that drains, and takes new runs again, while the commits of the leader fail.
+fn resume_worker_without_commits(seed: u64, fail: fn(&mut Emulator), heal: fn(&mut Emulator)) {
+    let mut emulator = ready(seed);
+    let worker = 0;
+    (0..WORKERS).for_each(|worker| emulator.resize_worker(worker, TOO_FEW_MILLICORES));
+    emulator.run_for(SECOND / 2);
+    emulator.submit(0, WAITING_JOB, job([longer_than_leases()]));
+    emulator.run_for(SECOND / 2);
+    emulator.drain_worker(worker);
+    // The commits begin to fail before the leader knows of the drain, or up to 160 ms later.
+    emulator.run_for(MILLISECOND * 40 * seed as u32);
+    fail(&mut emulator);
+    emulator.run_for(3 * SECOND);
+    emulator.resize_worker(worker, WHOLE_WORKER.cpu_millicores);
+    emulator.resume_worker(worker);
+    if !waits_for_start(&mut emulator, worker, 2 * SECOND) {
+        heal(&mut emulator);
+        assert!(waits_for_start(&mut emulator, worker, LONGEST_WAIT), "seed {seed}: {:#?}", emulator.log);
+    }
+    heal(&mut emulator);
+    resize_others(&mut emulator, worker, WHOLE_WORKER.cpu_millicores);
+    check_takeover_without_worker(&mut emulator, worker, Duration::ZERO, seed);
+}
+
+/// Guards against a stored drain that the gate relies on, while the commit that takes it back is not durable.
+#[test]
+fn a_task_runs_twice_at_once_when_a_drain_is_taken_back_while_commits_are_refused() {
+    for seed in 0..SEEDS {
+        resume_worker_without_commits(
+            seed,
+            |emulator| emulator.store.refuses_commits = true,
+            |emulator| emulator.store.refuses_commits = false,
+        );
+    }
+}
+
+/// Guards against the same where the commits take effect and their replies are lost.
+#[test]
+fn a_task_runs_twice_at_once_when_a_drain_is_taken_back_while_replies_to_commits_are_lost() {
+    for seed in 0..SEEDS {
+        resume_worker_without_commits(
+            seed,
+            |emulator| emulator.store.commit_delay = SECOND,
+            |emulator| emulator.store.commit_delay = Duration::ZERO,
+        );
+    }
+}
