Report why a ready task is not placed

Change: once a second while tasks are ready, core::work::wait adds an entry "waits" for each step of a job that has waited over 1 s, at most 20 a second, and one entry "waits-total". They tell what holds tasks back (gate, lost run, change, gang), and the room on workers that take new runs and on excluded workers, by reason. Placement uses the same function to decide which tasks are candidates. A timer of its own makes the report, since an outage of the store causes no placement passes; it uses no random number of the scheduler.

With 430 waiting groups, a report has 20 entries and a total.

--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -33,6 +33,7 @@
 pub mod task;
 pub mod timer;
 pub mod tuning;
+mod wait;
 mod watch;
 pub mod worker;
 
@@ -89,6 +90,7 @@
             Timer::RenewWorker(worker) => renewal::run_timer(state, worker, out),
             Timer::StoreImages(term) => pace::store_images(state, term),
             Timer::Place => place::run_timer(state, out),
+            Timer::ReportWaits => wait::run_timer(state, out),
             Timer::Release(job) => lifecycle::release_due(state, job),
             Timer::Forget(job) => lifecycle::remove_ended(state, job),
             Timer::Stop => stop::advance(state, out),
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -9,7 +9,7 @@
 use super::run::Phase;
 use super::spec::{Resources, Step};
 use super::worker::{Gate, Key, Worker};
-use super::{control, crash, headroom, image, run, state, task};
+use super::{control, crash, headroom, image, run, state, task, wait};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -137,8 +137,6 @@
 /// State of a placement pass.
 #[derive(Default)]
 struct Pass {
-    /// Whether unknown runs of earlier terms may still exist.
-    is_gated: bool,
     /// Requirements for which no worker was found.
     unplaceable: Vec<Need>,
     /// Requirements for which no worker has enough runs to preempt.
@@ -192,6 +190,7 @@
         if let Some(at) = next_pass_at(state) {
             state.schedule_placement_by(at);
         }
+        wait::schedule(state);
     }
 }
 
@@ -218,7 +217,7 @@
     if let Some(gate) = state.workers.open_gate(state.now) {
         record_open_gate(state, &gate, out);
     }
-    let mut pass = Pass { is_gated: state.workers.gate.is_some(), ..Pass::default() };
+    let mut pass = Pass::default();
     for waiting in sort_waiting(state) {
         place_group(state, waiting.group, &mut pass, out);
     }
@@ -266,17 +265,10 @@
     let Some(job) = state.jobs.all.get(group.job) else { return };
     let step = job.spec.steps[group.step as usize].clone();
     let (service, priority) = (job.service.clone(), job.priority);
-    let (now, confirmed_at) = (state.now, state.journal.confirmed_at);
-    let durable = state.journal.durable_sequence;
     let waiting: Vec<task::Key> = state.jobs.ready.get(&group).into_iter().flatten().copied().collect();
     let is_startable = |key: &task::Key| {
-        state.jobs.tasks.get(*key).is_some_and(|task| {
-            task.phase == task::Phase::Ready
-                && task.not_before <= now
-                && !(pass.is_gated && task.may_have_unseen_run)
-                && task.lost_at.is_none_or(|at| at <= confirmed_at)
-                && task.awaited_change <= durable
-        })
+        let task = state.jobs.tasks.get(*key);
+        task.is_some_and(|task| task.phase == task::Phase::Ready && wait::hold(state, task).is_none())
     };
     let candidates: Vec<task::Key> = waiting.iter().copied().filter(is_startable).collect();
     if step.is_gang && candidates.len() < step.count as usize {
@@ -300,7 +292,7 @@
     }
     for key in candidates {
         let task = &state.jobs.tasks[key];
-        let has_waited = now.since(task.ready_at) >= state.tuning.max_deferral;
+        let has_waited = state.now.since(task.ready_at) >= state.tuning.max_deferral;
         let urgency = if has_waited { Urgency::Urgent } else { Urgency::Deferrable };
         let is_suspect = task.is_suspect();
         let need = Need { avoid: task.avoid_worker, urgency, is_suspect, ..need.clone() };
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -137,6 +137,8 @@
     pub placement_not_before: Instant,
     /// Number of workers examined by placement, summed over all tasks and passes.
     pub placement_visits: u64,
+    /// When the next report about waiting tasks is due; `None` if none is scheduled.
+    pub next_wait_report: Option<Instant>,
     /// Policy that selects the worker of a task.
     pub policy: place::Policy,
     /// Whether a graceful shutdown is in progress.
@@ -179,6 +181,7 @@
             next_placement: None,
             placement_not_before: Instant::default(),
             placement_visits: 0,
+            next_wait_report: None,
             policy: place::PACKED,
             is_stopping: false,
             stop_deadline: Instant::default(),
--- a/src/core/work/timer.rs
+++ b/src/core/work/timer.rs
@@ -26,6 +26,8 @@
     StoreImages(u64),
     /// Run a placement pass.
     Place,
+    /// Report why ready tasks are not placed.
+    ReportWaits,
     /// Release the next occurrence of a job.
     Release(job::Key),
     /// Remove an ended job whose retention is over.
--- a/tests/work_log.rs
+++ b/tests/work_log.rs
@@ -1,4 +1,4 @@
-//! Tests of the timeline entries that lead from a task's name to the reason why it ran again.
+//! Tests of the timeline entries that lead from a task's name to the reason why it ran again, or why it does not run.
 
 mod emulator;
 
@@ -6,8 +6,9 @@
 
 use emulator::{Emulator, PREFIX, job, step};
 use nutmegfold::core::work::request::{Answer, Verb};
-use nutmegfold::core::work::spec::{Id, Step};
+use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
 use nutmegfold::core::work::tuning::Tuning;
+use nutmegfold::hash::{Map, Set};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -237,3 +238,147 @@
     }
     assert_eq!(entries(&emulator, "unknown-job").len(), 66, "{:#?}", emulator.log);
 }
+
+/// A long-running step of one task that takes a whole worker.
+fn whole_worker() -> Step {
+    let resources = Resources { cpu_millicores: 8_000, ..step(1).resources };
+    Step { is_long_running: true, resources, ..step(1) }
+}
+
+/// Entries `waits` of a job.
+fn waits_of(emulator: &Emulator, id: u64) -> Vec<String> {
+    let subject = format!("subject: Job({:?}),", Id(id));
+    entries(emulator, "waits").into_iter().filter(|line| line.contains(&subject)).collect()
+}
+
+/// Guards against a task that the gate holds back when its entry is missing, or looks like that of a task for which no
+/// worker has room.
+#[test]
+fn a_task_that_the_gate_holds_back_looks_like_one_without_room() {
+    let mut emulator = ready(10, 3);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+    emulator.run_for(SECOND);
+    let start = only_entry(&emulator, "start");
+    let silent = emulator.workers.iter().position(|worker| start.contains(&worker.id)).expect("a worker");
+    emulator.workers[silent].is_unresponsive = true;
+    replace_leader(&mut emulator, 9 * SECOND);
+    let lines = waits_of(&emulator, 1);
+    assert!(lines.len() >= 3, "{:#?}", emulator.log);
+    for line in &lines {
+        assert!(line.contains("held: gate 1 (1 of 3 workers unanswered); candidates: 0;"), "{line}");
+        assert!(
+            line.contains("workers that take runs: room on 2 of 2, most free 8000 millicores;"),
+            "{line}"
+        );
+    }
+    emulator.run_for(6 * SECOND);
+    assert_eq!(entries(&emulator, "start").len(), 2, "{:#?}", emulator.log);
+    let count = waits_of(&emulator, 1).len();
+    emulator.run_for(3 * SECOND);
+    assert_eq!(waits_of(&emulator, 1).len(), count, "the task has started: {:#?}", emulator.log);
+}
+
+/// Guards against a full deployment that cannot be told from one with room that is not used.
+#[test]
+fn a_task_without_room_looks_like_one_that_is_held_back() {
+    let mut emulator = ready(11, 2);
+    for id in 1..=2 {
+        emulator.submit(0, id, job([whole_worker()]));
+    }
+    emulator.run_for(SECOND);
+    assert!(entries(&emulator, "waits").is_empty(), "{:#?}", emulator.log);
+    emulator.submit(0, 3, job([Step { is_long_running: true, ..step(3) }]));
+    emulator.run_for(4 * SECOND);
+    let lines = waits_of(&emulator, 3);
+    assert!(lines.len() >= 2, "{:#?}", emulator.log);
+    let first = format!("3 ready, the first {}.0.0.0 for ", Id(3));
+    for line in &lines {
+        assert!(line.contains(&first), "{line}");
+        assert!(
+            line.contains("each long-running task needs 2000 millicores, 1000 MB; held: none;"),
+            "{line}"
+        );
+        let room = "candidates: 3; workers that take runs: room on 0 of 2, most free 0 millicores; \
+                    excluded workers: room on 0 of 0,";
+        assert!(line.contains(room), "{line}");
+    }
+    let total = entries(&emulator, "waits-total");
+    assert!(
+        total[0].contains("ready tasks: 3, groups: 1, groups without an entry: 0; held: none;"),
+        "{total:#?}"
+    );
+}
+
+/// Guards against a task for which only workers have room that take no new runs, when its entry looks like that of a task
+/// for which no worker has room, or hides why they take none.
+#[test]
+fn a_task_with_room_only_on_an_excluded_worker_looks_like_one_without_room() {
+    let mut emulator = ready(12, 2);
+    emulator.submit(0, 1, job([whole_worker()]));
+    emulator.run_for(SECOND);
+    for id in 2..=3 {
+        let name = Name { job: Id(id), occurrence: 0, step: 0, index: 0 };
+        emulator.observer.injected_failures.insert(name, 1);
+        emulator.submit(0, id, job([step(1)]));
+    }
+    emulator.run_for(5 * SECOND);
+    only_entry(&emulator, "suspect-worker");
+    let lines: Vec<_> = (2..=3).flat_map(|id| waits_of(&emulator, id)).collect();
+    assert!(lines.len() >= 2, "{:#?}", emulator.log);
+    for line in &lines {
+        let room = "candidates: 1; workers that take runs: room on 0 of 1, most free 0 millicores; \
+                    excluded workers: room on 1 of 1, most free 8000 millicores: paused 1 (1 with room)";
+        assert!(line.contains(room), "{line}");
+    }
+}
+
+/// Guards against a task that waits for the store without an entry, since an outage of the store causes no placement passes.
+#[test]
+fn a_task_that_waits_for_the_store_leaves_no_entry() {
+    let mut emulator = ready(14, 1);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+    emulator.run_for(SECOND);
+    emulator.store.is_down = true;
+    emulator.restart_worker(0);
+    emulator.run_for(4 * SECOND);
+    let line = waits_of(&emulator, 1).pop().expect("an entry");
+    assert!(line.contains("held: lost run not confirmed 1; candidates: 0;"), "{line}");
+    assert!(line.contains(": process not confirmed 1 (1 with room)"), "{line}");
+    emulator.run_for(4 * SECOND);
+    let line = waits_of(&emulator, 1).pop().expect("an entry");
+    assert!(line.contains("candidates: 0, but the leadership is not confirmed;"), "{line}");
+}
+
+/// Guards against a log that a long queue floods, and against entries for the groups that have waited least.
+#[test]
+fn hundreds_of_waiting_groups_flood_the_log() {
+    const SECONDS: usize = 6;
+    let mut emulator = ready(13, 1);
+    emulator.submit(0, 1, job([whole_worker()]));
+    emulator.run_for(SECOND);
+    for (ids, wait) in [(100..130, SECOND / 2), (200..600, (SECONDS as u32) * SECOND)] {
+        for id in ids {
+            emulator.submit(0, id, job([Step { is_long_running: true, ..step(1) }]));
+        }
+        emulator.run_for(wait);
+    }
+    let mut reports: Map<String, Set<u64>> = Map::default();
+    for line in entries(&emulator, "waits") {
+        let time = line.split(' ').next().expect("a time").to_owned();
+        let id = number_after(&line, "Job(Id(");
+        assert!((100..130).contains(&id), "a group that has waited less: {line}");
+        assert!(reports.entry(time).or_default().insert(id), "a second entry of one report: {line}");
+    }
+    assert!((SECONDS - 2..=SECONDS).contains(&reports.len()), "{} reports", reports.len());
+    assert!(reports.values().all(|ids| ids.len() <= 20), "{reports:?}");
+    // Few groups have waited for a second at the time of the first report.
+    let full_count = reports.values().filter(|ids| ids.len() == 20).count();
+    assert!(full_count + 1 >= reports.len(), "{reports:?}");
+    let totals = entries(&emulator, "waits-total");
+    assert_eq!(totals.len(), reports.len(), "{totals:#?}");
+    let last = totals.last().expect("an entry");
+    assert!(
+        last.contains("ready tasks: 430, groups: 430, groups without an entry: 410; held: none;"),
+        "{last}"
+    );
+}
