--- a/src/core/work/health.rs
+++ b/src/core/work/health.rs
@@ -35,7 +35,7 @@
 
     /// Whether a long-running task may be started on the worker.
     pub fn allows_long_running(&self, now: Instant) -> bool {
-        self.until <= now || self.has_passed_trial || self.next_trial_at <= now
+        self.has_passed_trial || self.next_trial_at <= now
     }
 }
 
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -222,13 +222,14 @@
     /// Returns whether runs of all kinds may be sent to the worker by a leader whose newest commit was sent at
     /// `confirmed_at`.
     pub fn is_schedulable(&self, now: Instant, confirmed_at: Instant) -> bool {
-        self.is_available(now, confirmed_at) && !self.is_suspected(now)
+        self.accepts(false, now, confirmed_at)
     }
 
-    /// Returns whether a run of a long-running task may be sent to the worker, which may be suspected.
-    pub fn accepts_long_running(&self, now: Instant, confirmed_at: Instant) -> bool {
-        self.is_available(now, confirmed_at)
-            && self.suspicion.is_none_or(|suspicion| suspicion.allows_long_running(now))
+    /// Returns whether a run may be sent to the worker, which may be suspected if the task is long-running.
+    pub fn accepts(&self, is_long_running: bool, now: Instant, confirmed_at: Instant) -> bool {
+        let allows_trial = self.suspicion.is_some_and(|suspicion| suspicion.allows_long_running(now));
+        let is_trusted = !self.is_suspected(now) || (is_long_running && allows_trial);
+        self.is_available(now, confirmed_at) && is_trusted
     }
 
     /// Returns whether the worker is known well enough for new runs, whatever the outcomes of earlier ones.
