Renew a worker's lease when a suspect has survived its start

Nothing starts on a worker beside a task that may crash it until a renewal that was sent 500 ms after its start is answered. A renewal sent earlier waits there for up to 1 s for the end of a run, so the worker was closed for up to two of these waits: 2.01 s in the test.

Such a renewal now waits until the suspect has survived at most, and the next one is answered at once. It is a renewal more for each start of a suspect; what counts as a crash and when a start may follow are unchanged. A long poll in flight before the start still ends by itself, after up to 1 s.

--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -97,11 +97,13 @@
     if !is_settled || is_urgent {
         return Duration::ZERO;
     }
-    if pace::needs_response_times(state, key) {
+    let wait = if pace::needs_response_times(state, key) {
         state.tuning.poll_wait_observed
     } else {
         state.tuning.poll_wait
-    }
+    };
+    // Nothing else starts on the worker until a renewal that was sent after the survival of the suspect is answered.
+    crash::time_to_survival(state, worker).map_or(wait, |left| wait.min(left))
 }
 
 /// Handles the answer to the renewal sent at `sent`.
