--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -366,7 +366,7 @@
 }
 
 impl Worker {
-    pub(super) fn new(number: usize) -> Self {
+    pub fn new(number: usize) -> Self {
         Self {
             id: format!("w-{number}"),
             is_unresponsive: false,
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -325,6 +325,22 @@
     );
 }
 
+/// Guards against tasks that wait for the end of a worker's quarantine although it works again and has the only room.
+#[test]
+fn tasks_wait_for_a_worker_in_quarantine_that_has_the_only_room() {
+    let mut session = started(BASE, Tuning::default(), 1);
+    session.worker_vms[1].worker.faults.is_failing = true;
+    apply(&mut session, "jobs", &job("tasks = 16\nrun_time = \"300 s\"\nretries = 50"));
+    let is_quarantined =
+        |session: &Session| session.timeline.iter().any(|line| line.entry.decision == "quarantine");
+    assert!(run_while(&mut session, |session| !is_quarantined(session)));
+    session.worker_vms[1].worker.faults.is_failing = false;
+    let mended = session.now;
+    let is_started = run_while(&mut session, |session| running_tasks(session) < 16);
+    let (running, waited) = (running_tasks(&session), session.now.since(mended));
+    assert!(is_started, "{running} of 16 tasks run {waited:?} after the worker works again");
+}
+
 /// Guards against the owner of a new cell that stops the tasks of another cell on its workers.
 #[test]
 fn work_of_another_cell_is_kept_when_the_number_of_cells_changes() {
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
+use emulator::worker::Worker;
 use emulator::{Emulator, job, step};
+use nutmegfold::core::work::request::{Answer, Phase};
 use nutmegfold::core::work::spec::{Id, Name, Step};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -12,6 +14,9 @@
 /// Number of seeds that each test plays.
 const SEEDS: u64 = 5;
 
+/// Longest time that a ready task may wait while a worker has room for it, as the users' rule for long-running tasks says.
+const WAIT_MAX: Duration = Duration::from_secs(3);
+
 fn name(job: u64, step: u32, index: u32) -> Name {
     Name { job: Id(job), occurrence: 0, step, index }
 }
@@ -24,6 +29,11 @@
     emulator
 }
 
+fn is_completed(emulator: &mut Emulator, id: u64) -> bool {
+    let leader = emulator.leader().expect("a leader");
+    emulator.read_job(leader, id) == Some(Answer::Phase(Phase::Completed))
+}
+
 /// Time until a run of the task is active, in steps of 10 ms; `limit` if none is by then.
 fn time_to_start(emulator: &mut Emulator, task: Name, limit: Duration) -> Duration {
     let begin = emulator.now;
@@ -37,6 +47,67 @@
     assert!(emulator.observer.violations.is_empty(), "seed {seed}: {:#?}", emulator.observer.violations);
 }
 
+/// Guards against a member of a gang that never runs again after the run of it failed while another member completed.
+#[test]
+fn a_gang_of_which_one_member_is_done_never_runs_again() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 4);
+        emulator.observer.injected_failures.insert(name(1, 0, 0), 1);
+        emulator.submit(0, 1, job([Step { is_gang: true, ..step(2) }]));
+        emulator.run_for(20 * SECOND);
+        assert_no_violation(&emulator, seed);
+        assert!(is_completed(&mut emulator, 1), "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against a task that may crash its worker and is never started again, because other tasks start on each worker
+/// all the time.
+#[test]
+fn a_suspect_never_starts_beside_a_stream_of_other_tasks() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 1);
+        emulator.run_for(5 * SECOND);
+        emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+        emulator.run_for(SECOND / 10);
+        emulator.crash_worker(0);
+        for id in 0..200 {
+            emulator.submit(0, 100 + id, job([Step { estimate: SECOND * 3 / 10, ..step(1) }]));
+            emulator.run_for(SECOND / 10);
+        }
+        assert_no_violation(&emulator, seed);
+        assert!(emulator.observer.is_running(name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against a task that may crash its worker and waits after a change of the leader until its workers have answered
+/// that leader for seconds, although their processes have run for long.
+#[test]
+fn a_suspect_waits_after_a_change_of_the_leader() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 3, 3);
+        emulator.run_for(5 * SECOND);
+        // The first run ends with its worker, and the second one fails after the change of the leader.
+        emulator.observer.injected_failures.insert(name(1, 0, 0), 2);
+        emulator.submit(0, 1, job([Step { estimate: 8 * SECOND, ..step(1) }]));
+        emulator.run_for(SECOND / 10);
+        let worker = (0..3).find(|worker| emulator.workers[*worker].pace_percent(name(1, 0, 0)).is_some());
+        emulator.crash_worker(worker.expect("the task runs"));
+        emulator.run_for(SECOND / 10);
+        let waited = time_to_start(&mut emulator, name(1, 0, 0), 20 * SECOND);
+        assert!(waited < 20 * SECOND, "seed {seed}: no second run: {:#?}", emulator.log);
+        emulator.run_for(11 * SECOND / 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.kill(leader);
+        while emulator.observer.is_running(name(1, 0, 0)) {
+            emulator.run_for(SECOND / 100);
+        }
+        assert!(emulator.leader().is_some(), "seed {seed}: the leader changes late: {:#?}", emulator.log);
+        let waited = time_to_start(&mut emulator, name(1, 0, 0), 20 * SECOND);
+        assert_no_violation(&emulator, seed);
+        assert!(waited < WAIT_MAX, "seed {seed}: {waited:?} after the second run: {:#?}", emulator.log);
+    }
+}
+
 /// Guards against a worker that takes no new runs for longer than a task that may crash it needs to survive its start.
 #[test]
 fn a_worker_takes_no_runs_long_after_a_suspect_has_survived() {
@@ -59,3 +130,27 @@
         );
     }
 }
+
+/// Guards against a gate after a change of the leader that waits for a worker on which no earlier leader can have started
+/// a task, since the stored roster lacks it.
+#[test]
+fn tasks_wait_for_a_new_worker_that_does_not_answer() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 3, 4);
+        // The steps have work for longer than the change of the leader takes.
+        emulator.submit(0, 1, job([step(1), Step { depends_on: vec![0], is_long_running: true, ..step(1) }]));
+        emulator.run_for(SECOND / 2);
+        let leader = emulator.leader().expect("a leader");
+        emulator.kill(leader);
+        let mut added = Worker::new(4);
+        added.is_unresponsive = true;
+        emulator.store.list_worker(&added);
+        emulator.workers.push(added);
+        while emulator.leader().is_none() {
+            emulator.run_for(SECOND / 100);
+        }
+        let waited = time_to_start(&mut emulator, name(1, 1, 0), 20 * SECOND);
+        assert_no_violation(&emulator, seed);
+        assert!(waited < WAIT_MAX, "seed {seed}: {waited:?} after the load: {:#?}", emulator.log);
+    }
+}
