Retire workers only once nothing about them is in doubt

Review of the roster that leaves out vacated workers. By reading: a roster that cannot be read opened the gate at once; a silent worker whose runs were dropped unseen was retired at once, though a start that reaches a restarted worker late lasts there for the longest lease; a worker with more ends than one listing holds could be retired between two listings; a worker for which the gate waits could be forgotten, and with it left out of the roster.

Change: a worker that does not answer is retired once the longest lease has passed since the last start there; one with unread ends is not retired; one that is retired stays so until it takes runs again; only retired workers are forgotten; without a roster the gate waits for all known workers. The members of one gang do not use a suspected worker together. The trial of a suspected worker uses the renewal that ends with the survival of its run.

--- a/src/core/work/crash.rs
+++ b/src/core/work/crash.rs
@@ -66,7 +66,7 @@
 /// Time until the suspect on a worker has survived its start, after which a listing of its run lets other runs start there;
 /// `None` without a suspect, and while a listing does not show that it has survived.
 pub(super) fn time_to_survival(state: &super::State, worker: &worker::Worker) -> Option<Duration> {
-    let run = state.runs.get(worker.suspect_run?)?;
+    let run = state.runs.get(worker.trial_run?)?;
     let left = (run.started_at + SURVIVAL).since(state.now);
     match run.phase {
         Phase::Starting => Some(left).filter(|left| !left.is_zero()),
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -399,7 +399,7 @@
     }
 }
 
-/// Queues a write of the roster if the stored one lacks a known worker.
+/// Queues a write of the roster if the stored one lacks a known worker that is not retired.
 pub(super) fn enroll(state: &mut super::State, out: &mut Vec<Effect>) {
     let is_missing = |worker: &Worker| !worker.is_enrolled && !worker.is_retired;
     if state.load.is_none() && state.workers.all.values().any(is_missing) {
@@ -410,7 +410,7 @@
 /// Queues a write of the roster without the workers on which no run is left and none will be started, so that the next
 /// leader does not wait for their answers.
 pub(super) fn retire_vacated(state: &mut super::State, out: &mut Vec<Effect>) {
-    if state.load.is_none() && state.workers.review_retirement() {
+    if state.load.is_none() && state.workers.review_retirement(state.now, &state.tuning) {
         write_roster(state, out);
     }
 }
--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -263,7 +263,7 @@
     load::load_records(state, out);
 }
 
-/// Renews the lease of the leader's key. `due` is the term that set the timer; a timer of an earlier term is ignored.
+/// Renews the lease of the leader's key, and reviews the roster at the same interval. `due` is the term that set the timer; a timer of an earlier term is ignored.
 pub(super) fn renew(state: &mut super::State, due: u64, out: &mut Vec<Effect>) {
     let Role::Leader { lease, term, .. } = state.leadership.role else { return };
     if term != due {
--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -142,6 +142,10 @@
         state.workers.enroll(member);
     }
     let enrolled_count = enrolled.len();
+    if enrolled.is_empty() {
+        // The roster could not be read, or no worker was left when it was written.
+        enrolled.extend(state.workers.all.keys());
+    }
     let job_count = load.jobs.len();
     restore(state, load.jobs, load.progress);
     let (begun, tuning) = (load.started_at, state.tuning);
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -352,6 +352,7 @@
             && need.required_label.as_ref().is_none_or(|label| report.labels.contains(label))
             && step.max_per_worker.is_none_or(|most| count_group_runs(state, worker, group) + count < most)
             && (!need.is_suspect || (count == 0 && crash::accepts_suspect(worker, state.now)))
+            && (count == 0 || !worker.is_suspected(now))
     };
     let mut score = |(key, worker): (Key, &Worker)| {
         // A filling task is not placed where the serving tasks do not tolerate it; it waits for another worker.
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -170,6 +170,7 @@
     if worker.silent_since.take().is_some() {
         state::record(out, Subject::Process, "worker-back", worker.id.clone());
     }
+    worker.has_unread_ends = listing.has_more_ends;
     if !listing.has_more_ends {
         state.workers.mark_reached(key);
     }
@@ -259,14 +260,9 @@
         drop_all_lost(state, key, "its worker does not answer and the lease has expired", out);
     }
     let worker = &state.workers.all[key];
-    let is_forgettable =
-        !worker.is_listed && worker.runs.is_empty() && worker.pending_acknowledgements.is_empty();
-    if is_forgettable && now.since(silent_since) > FORGET_AFTER {
-        let is_enrolled = worker.is_enrolled;
+    // A worker that is not retired may matter to the next leader, so it stays in the roster.
+    if !worker.is_listed && worker.is_retired && now.since(silent_since) > FORGET_AFTER {
         state.workers.remove(key);
-        if is_enrolled {
-            journal::write_roster(state, out);
-        }
     }
 }
 
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -50,9 +50,9 @@
     /// Time for which the state of an ended job is kept.
     pub retention: Duration,
     /// Number of different jobs with failed runs on a worker, without a success between them, after which the worker is
-    /// excluded from placement.
+    /// suspected of failing what it starts.
     pub suspect_failures: u32,
-    /// Time for which such a worker is excluded from placement.
+    /// Time for which such a worker gets long-running tasks only.
     pub suspect_duration: Duration,
     /// Time without progress, in addition to half of the step's estimate, after which a run is stopped and its task is
     /// started elsewhere.
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -116,6 +116,8 @@
     pub renewal_timer_at: Option<Instant>,
     /// Number of the last end that was read.
     pub last_end_read: u64,
+    /// Whether its last listing left out ends.
+    pub has_unread_ends: bool,
     /// Number of the last end whose record is durable, so that it may be acknowledged.
     pub durable_end: u64,
     /// Number of the last end whose acknowledgement the worker has confirmed.
@@ -177,6 +179,7 @@
             next_renewal_at: now,
             renewal_timer_at: None,
             last_end_read: 0,
+            has_unread_ends: false,
             durable_end: 0,
             confirmed_end: 0,
             acknowledging_end: 0,
@@ -249,12 +252,20 @@
             && self.trial_run.is_none()
     }
 
-    /// Whether the next leader need not ask the worker for runs: it takes no new ones, and this leader knows of none there
-    /// and of no end that is not durable.
-    fn is_vacated(&self) -> bool {
+    /// Whether it takes no new runs, being about to leave or not listed, and has none.
+    fn is_idle_and_leaving(&self) -> bool {
         let is_ready = self.report.as_ref().is_some_and(|report| report.readiness == Readiness::Ready);
-        let takes_runs = self.is_listed && is_ready;
-        !takes_runs && self.runs.is_empty() && self.pending_acknowledgements.is_empty()
+        !(self.is_listed && is_ready) && self.runs.is_empty()
+    }
+
+    /// Whether the next leader need not ask the worker for runs: it takes no new ones, and this leader knows of none there
+    /// and of no end that is not durable. The runs of a worker that does not answer may have been dropped unseen, and a
+    /// start that reaches a restarted worker late lasts there for the longest lease.
+    fn is_vacated(&self, now: Instant, tuning: &Tuning) -> bool {
+        let longest = tuning.lease_max * (1000 + CLOCK_SLOW_PER_MILLE) as u32 / 1000 + tuning.lease_margin;
+        let has_settled = self.silent_since.is_none() || self.last_start_at + longest <= now;
+        let has_open_ends = self.has_unread_ends || !self.pending_acknowledgements.is_empty();
+        self.is_idle_and_leaving() && has_settled && !has_open_ends
     }
 
     /// Grants a lease from now on, and returns its end in milliseconds on the worker's clock; `None` while that clock is
@@ -361,7 +372,7 @@
 /// of their runs have expired.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Gate {
-    /// Workers that have not answered in this term.
+    /// Workers of the stored roster that have not answered in this term.
     pub unreached: Vec<Key>,
     /// Number of workers that had to answer at first.
     pub worker_count: usize,
@@ -393,11 +404,15 @@
     ///
     /// From now on nothing is started on a retired worker until a later roster with it is durable. A worker that has not
     /// answered in this term may have runs, so it stays in the roster while the gate waits for it.
-    pub fn review_retirement(&mut self) -> bool {
+    pub fn review_retirement(&mut self, now: Instant, tuning: &Tuning) -> bool {
         let mut has_changed = false;
         for (key, worker) in &mut self.all {
             let is_awaited = || self.gate.as_ref().is_some_and(|gate| gate.unreached.contains(&key));
-            let is_retired = worker.is_vacated() && !is_awaited();
+            let is_retired = if worker.is_retired {
+                worker.is_idle_and_leaving()
+            } else {
+                worker.is_vacated(now, tuning) && !is_awaited()
+            };
             has_changed |= is_retired != worker.is_retired;
             worker.is_retired = is_retired;
             worker.is_enrolled &= !is_retired;
