Start the members of a gang that are not done without those that are

What callers see: a job with a gang never completes once one run of the gang has ended as done and another has failed.

Cause: a gang was started when as many members were ready as the step has tasks, and a member that is done is never ready again. Class: a doubt (the gang is not complete) that keeps a ready task from running without an end.

Change: the gang consists of the members that are not done.

--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -277,7 +277,10 @@
         task.is_some_and(|task| task.phase == task::Phase::Ready && wait::hold(state, task).is_none())
     };
     let candidates: Vec<task::Key> = waiting.iter().copied().filter(is_startable).collect();
-    if step.is_gang && candidates.len() < step.count as usize {
+    // Members that are done do not run again, so the gang consists of the others.
+    let occurrence = job.open_occurrences.get(&group.occurrence);
+    let members = occurrence.map_or(0, |occurrence| occurrence.remaining[group.step as usize]);
+    if step.is_gang && candidates.len() < members as usize {
         return;
     }
     let need = Need {
@@ -433,7 +436,8 @@
 ) {
     let racks: Vec<Option<String>> = if step.prefers_same_rack { racks(state) } else { Vec::new() };
     let plan = racks.iter().chain([&None]).find_map(|rack| {
-        plan_gang(state, group, step, &Need { affinity: rack.clone(), ..need.clone() }, rack, pass)
+        let need = Need { affinity: rack.clone(), ..need.clone() };
+        plan_gang(state, group, step, &need, (tasks.len(), rack), pass)
     });
     let Some(plan) = plan else { return };
     let number = tasks.iter().map(|task| state.jobs.tasks[*task].next_run).max().unwrap_or(1);
@@ -462,18 +466,18 @@
     racks
 }
 
-/// Returns a worker for each task of a gang, all within `rack` if it is given; `None` if they do not all find room.
+/// Returns a worker for each of `count` tasks of a gang, all within `rack` if it is given; `None` if they do not all find room.
 fn plan_gang(
     state: &super::State,
     group: Group,
     step: &Step,
     need: &Need,
-    rack: &Option<String>,
+    (count, rack): (usize, &Option<String>),
     pass: &mut Pass,
 ) -> Option<Vec<Key>> {
     let mut planned: Map<Key, (Resources, u32)> = Map::default();
-    let mut workers = Vec::with_capacity(step.count as usize);
-    for _ in 0..step.count {
+    let mut workers = Vec::with_capacity(count);
+    for _ in 0..count {
         let key = choose_worker(state, need, step, group, &planned, pass)?;
         let report = state.workers.all[key].report.as_ref()?;
         if rack.is_some() && report.rack() != rack.as_deref() {
