Hold a worker for a suspect that waits for a time without a start there

What callers see: a task that may have crashed its worker never runs while other tasks keep starting on the only workers with room.

Cause: a suspect is started on a worker without a start in the last 500 ms, and less urgent tasks were started there meanwhile, again and again.

Change: a placement pass that finds no worker for a suspect leaves the worker with room whose last start is longest ago alone for the rest of the pass, and schedules a pass for the end of the 500 ms.

--- a/src/core/work/crash.rs
+++ b/src/core/work/crash.rs
@@ -28,7 +28,7 @@
 const UPTIME_MIN: Duration = Duration::from_secs(4);
 
 /// Time after which a run has survived its start.
-const SURVIVAL: Duration = Duration::from_millis(500);
+pub(super) const SURVIVAL: Duration = Duration::from_millis(500);
 
 /// Longest time from a start until the loss of the connection to a worker that it crashed is noticed.
 const NOTICE_MAX: Duration = Duration::from_millis(2_000);
@@ -47,7 +47,8 @@
     worker.last_start_at + SURVIVAL <= now && has_uptime(worker, now)
 }
 
-fn has_uptime(worker: &worker::Worker, at: Instant) -> bool {
+/// Whether the process of a worker has run for so long that its crash is blamed on a task.
+pub(super) fn has_uptime(worker: &worker::Worker, at: Instant) -> bool {
     worker.process_known_at.is_some_and(|known_at| at.since(known_at) >= UPTIME_MIN)
 }
 
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -151,6 +151,8 @@
     visits: u64,
     /// Headroom of workers for filling tasks; an entry is removed when a run is started on the worker.
     headrooms: Map<Key, Headroom>,
+    /// Worker with room for a suspect that waits for a time without a start there; the less urgent tasks leave it alone.
+    held: Option<Key>,
 }
 
 impl Pass {
@@ -313,6 +315,9 @@
             if step.max_per_worker.is_none() && need.required_label.is_none() && !need.is_suspect {
                 pass.unplaceable.push(need.clone());
             }
+            if need.is_suspect && pass.held.is_none() {
+                hold_worker(state, &need, &step, group, pass);
+            }
             preempt(state, key, &need, priority, pass, out);
             continue;
         };
@@ -324,6 +329,26 @@
     }
 }
 
+/// Holds a worker with room for a suspect until nothing has started there for a while, so that a stream of other starts does
+/// not keep the suspect from starting.
+fn hold_worker(state: &mut super::State, need: &Need, step: &Step, group: Group, pass: &mut Pass) {
+    pass.visits += state.workers.all.len() as u64;
+    let is_suitable = |(_, worker): &(Key, &Worker)| {
+        is_eligible(worker, need)
+            && worker.is_schedulable(state.now, state.journal.confirmed_at)
+            && worker.free_resources().covers(need.charged)
+            && step.max_per_worker.is_none_or(|most| count_group_runs(state, worker, group) < most)
+            && crash::has_uptime(worker, state.now)
+    };
+    let held = state.workers.all.iter().filter(is_suitable).min_by_key(|(_, worker)| worker.last_start_at);
+    let Some((key, accepts_at)) = held.map(|(key, worker)| (key, worker.last_start_at + crash::SURVIVAL))
+    else {
+        return;
+    };
+    pass.held = Some(key);
+    state.schedule_placement_by(accepts_at);
+}
+
 /// Returns whether a need is at least as large as one that failed, so that the search for it would fail too.
 fn needs_at_least(need: &Need, failed: &Need) -> bool {
     let is_same_kind = need.is_filling == failed.is_filling
@@ -346,10 +371,12 @@
 ) -> Option<Key> {
     pass.visits += state.workers.all.len() as u64;
     let (now, confirmed_at) = (state.now, state.journal.confirmed_at);
+    let held = pass.held;
     let fits = |(key, worker): &(Key, &Worker)| {
         let Some(report) = &worker.report else { return false };
         let (resources, count) = planned.get(key).copied().unwrap_or_default();
         report.service == need.service
+            && held != Some(*key)
             && worker.accepts(need.is_long_running, now, confirmed_at)
             && worker.free_resources().saturating_sub(resources).covers(need.charged)
             && need.required_label.as_ref().is_none_or(|label| report.labels.contains(label))
