Skip the search for a worker if none can have room

What callers saw: long-running tasks without a run in a full deployment although a worker had room (LOST), and slow answers, while thousands of tasks waited.

Cause: a leader short of processor time reads the ends of runs 1 to 3 s late, so it does not know of room that is there.

Change: the largest free resources of the workers that accept a kind of task are computed once a pass. They only shrink during the pass, so a need beyond them finds no worker without a search. The waiting tasks that a pass looks at count for its rest, since passes without searches would follow each other too fast.

Measured: a_full_deployment_costs_a_search_for_each_waiting_task failed with 360,960 workers examined in a second (bound 90,000) and passes.

--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -306,6 +306,13 @@
         Some(Progress { phase: job.phase, task_progress, finished_unix_ms: job.finished_unix_ms })
     }
 
+    /// Number of tasks of a group that are not done.
+    pub fn count_unfinished(&self, group: Group) -> usize {
+        let occurrence = self.all.get(group.job).and_then(|job| job.open_occurrences.get(&group.occurrence));
+        let remaining = occurrence.and_then(|occurrence| occurrence.remaining.get(group.step as usize));
+        remaining.map_or(0, |remaining| *remaining as usize)
+    }
+
     /// Number of tasks of a job with at least one run that may still exist.
     pub fn count_tasks_with_runs(&self, key: Key) -> usize {
         let occurrences = self.all.get(key).into_iter().flat_map(|job| job.open_occurrences.values());
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -26,6 +26,7 @@
 pub mod relay;
 mod renewal;
 pub mod request;
+mod room;
 pub mod run;
 pub mod spec;
 pub mod state;
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -6,6 +6,7 @@
 use super::headroom::{Headroom, Urgency};
 use super::job::Group;
 use super::request;
+use super::room::Bounds;
 use super::run::Phase;
 use super::spec::{Resources, Step};
 use super::worker::{Gate, Key, Worker};
@@ -45,6 +46,9 @@
 /// Most workers that are examined as a better place for a run; a small sample is likely to contain one if many exist.
 const WORKER_SAMPLE: usize = 24;
 
+/// Number of worker visits that a look at a waiting task takes as long as, for the rest after a pass.
+const VISITS_PER_TASK: u64 = 8;
+
 /// Number of worker visits that a search for victims among the runs of one worker counts as.
 const VISITS_PER_VICTIM_SEARCH: u64 = 4;
 
@@ -147,8 +151,12 @@
     /// Resources by worker that runs being stopped will release and that are not promised to a task; `None` until they
     /// are needed.
     freed_resources: Option<Map<Key, Resources>>,
+    /// Bounds of the free resources of workers.
+    bounds: Bounds,
     /// Number of worker visits, over all tasks.
     visits: u64,
+    /// Number of waiting tasks that were examined.
+    task_visits: u64,
     /// Headroom of workers for filling tasks; an entry is removed when a run is started on the worker.
     headrooms: Map<Key, Headroom>,
     /// Worker with room for a suspect that waits for a time without a start there; the less urgent tasks leave it alone.
@@ -231,8 +239,8 @@
     }
     state.jobs.ready.retain(|_, tasks| !tasks.is_empty());
     state.placement_visits += pass.visits;
-    state.placement_not_before =
-        state.now + state.tuning.place_rest_per_visit * pass.visits.min(VISITS_MAX) as u32;
+    let visits = (pass.visits + pass.task_visits * VISITS_PER_TASK).min(VISITS_MAX);
+    state.placement_not_before = state.now + state.tuning.place_rest_per_visit * visits as u32;
 }
 
 /// Adds the opening of the gate to the timeline, with the workers that have not answered.
@@ -280,12 +288,10 @@
     };
     let candidates: Vec<task::Key> = waiting.iter().copied().filter(is_startable).collect();
     // Members that are done do not run again, so the gang consists of the others.
-    let occurrence = job.open_occurrences.get(&group.occurrence);
-    let members = occurrence.map_or(0, |occurrence| occurrence.remaining[group.step as usize]);
-    if step.is_gang && candidates.len() < members as usize {
+    if step.is_gang && candidates.len() < state.jobs.count_unfinished(group) {
         return;
     }
-    let need = Need {
+    let mut need = Need {
         service,
         charged: step.charged(),
         cpu_millicores: step.resources.cpu_millicores,
@@ -301,13 +307,15 @@
     if step.is_gang {
         return place_gang(state, group, &step, need, candidates, pass, out);
     }
+    pass.task_visits += candidates.len() as u64;
     for key in candidates {
         let task = &state.jobs.tasks[key];
         let has_waited = state.now.since(task.ready_at) >= state.tuning.max_deferral;
-        let urgency = if has_waited { Urgency::Urgent } else { Urgency::Deferrable };
-        let is_suspect = task.is_suspect();
-        let need = Need { avoid: task.avoid_worker, urgency, is_suspect, ..need.clone() };
-        if pass.unplaceable.iter().any(|other| needs_at_least(&need, other)) {
+        need.avoid = task.avoid_worker;
+        need.urgency = if has_waited { Urgency::Urgent } else { Urgency::Deferrable };
+        need.is_suspect = task.is_suspect();
+        let may_have_room = pass.bounds.may_have_room(state, &need, &mut pass.visits);
+        if !may_have_room || pass.unplaceable.iter().any(|other| needs_at_least(&need, other)) {
             preempt(state, key, &need, priority, pass, out);
             continue;
         }
--- a/src/core/work/spec.rs
+++ b/src/core/work/spec.rs
@@ -67,6 +67,15 @@
         }
     }
 
+    /// Larger value of each component.
+    pub fn max_by_component(self, other: Resources) -> Resources {
+        Resources {
+            cpu_millicores: self.cpu_millicores.max(other.cpu_millicores),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// Sum by component, limited to the range of the numbers.
     pub fn saturating_add(self, other: Resources) -> Resources {
         Resources {
--- a/src/core/work/wait.rs
+++ b/src/core/work/wait.rs
@@ -224,7 +224,7 @@
         holds[hold as usize] += 1;
     }
     let candidates = tasks.len() - holds.iter().sum::<usize>();
-    if step.is_gang && candidates < step.count as usize {
+    if step.is_gang && candidates < state.jobs.count_unfinished(group) {
         holds[Hold::Gang as usize] = candidates;
     }
     Some(Waiting {
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -590,6 +590,28 @@
     assert_no_violation(&emulator);
 }
 
+/// Guards against a leader that compares each waiting task with each worker of a full deployment, and notices ends late.
+#[test]
+fn a_full_deployment_costs_a_search_for_each_waiting_task() {
+    const WORKERS: u32 = 60;
+    const TASKS: u32 = 1_500;
+    let mut emulator = ready(21, 1, WORKERS as usize);
+    let whole = Resources { cpu_millicores: 8_000, memory_mb: 1_000, gpu: 0 };
+    emulator.submit(0, 1, job([Step { resources: whole, is_long_running: true, ..step(WORKERS) }]));
+    emulator.run_for(SECOND);
+    for id in 2..17 {
+        let limited = Step { is_long_running: true, max_per_worker: Some(2), ..step(TASKS / 15) };
+        emulator.submit(0, id, job([limited]));
+    }
+    emulator.run_for(SECOND);
+    let before = emulator.placement_visits();
+    emulator.run_for(SECOND);
+    let visits = emulator.placement_visits() - before;
+    let most = u64::from(WORKERS * TASKS);
+    assert!(visits < most, "{visits} workers examined in a second in which nothing could start");
+    assert_no_violation(&emulator);
+}
+
 /// Guards against filling tasks without an image that are all placed on one worker.
 #[test]
 fn filling_tasks_without_an_image_are_spread() {
