Skip the search for runs to preempt if no worker has enough

Cause: each placement pass looked for runs to preempt on each worker, once for each waiting need that no other failed need stands for.

Change: the largest sum of free and of preemptable resources of a worker is computed once a pass; a need beyond it starts no search.

--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -50,7 +50,7 @@
 const VISITS_PER_TASK: u64 = 8;
 
 /// Number of worker visits that a search for victims among the runs of one worker counts as.
-const VISITS_PER_VICTIM_SEARCH: u64 = 4;
+pub(super) const VISITS_PER_VICTIM_SEARCH: u64 = 4;
 
 /// Most visits from which the pause after a pass is computed, so that the pause does not exceed two seconds.
 const VISITS_MAX: u64 = 4_000_000;
@@ -558,6 +558,9 @@
         freed.insert(worker, resources.saturating_sub(need.charged));
         return;
     }
+    if !pass.bounds.may_preempt(state, need, priority, &mut pass.visits) {
+        return;
+    }
     pass.visits += state.workers.all.len() as u64 * VISITS_PER_VICTIM_SEARCH;
     let best = state
         .workers
@@ -605,6 +608,18 @@
     by_worker
 }
 
+/// Returns a run and its step if the run may be stopped for a task of a priority.
+pub(super) fn find_victim(state: &super::State, key: run::Key, priority: u32) -> Option<(&run::Run, &Step)> {
+    let run = state.runs.get(key).filter(|run| matches!(run.phase, Phase::Active { .. }))?;
+    let job = state.jobs.all.get(state.jobs.find(run.name.job)?)?;
+    let step = job.spec.steps.get(run.name.step as usize)?;
+    let is_victim = job.priority > priority
+        && !step.is_long_running
+        && !step.is_gang
+        && job.phase == request::Phase::Running;
+    is_victim.then_some((run, step))
+}
+
 /// Returns runs on a worker that would release enough resources for a task if stopped, with the total cost of stopping
 /// them.
 fn find_victims(state: &super::State, key: Key, need: &Need, priority: u32) -> Option<(u64, Vec<run::Key>)> {
@@ -613,15 +628,8 @@
         .runs
         .iter()
         .filter_map(|key| {
-            let run = state.runs.get(*key)?;
-            let job = state.jobs.all.get(state.jobs.find(run.name.job)?)?;
-            let step = job.spec.steps.get(run.name.step as usize)?;
-            let is_victim = matches!(run.phase, Phase::Active { .. })
-                && job.priority > priority
-                && !step.is_long_running
-                && !step.is_gang
-                && job.phase == request::Phase::Running;
-            is_victim.then(|| (preemption_cost(state, run, step), *key, run.charged))
+            let (run, step) = find_victim(state, *key, priority)?;
+            Some((preemption_cost(state, run, step), *key, run.charged))
         })
         .collect();
     candidates.sort_unstable_by_key(|(cost, ..)| *cost);
