Add review case 5: machines stay at an old configuration for good

The store refuses the leader for 1.5 s, in which a configuration over 32 KB changes twice; the other machines skip the second version.

--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -4,6 +4,7 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -30,31 +31,43 @@
     pub world: Arc<World>,
     pub nodes: Vec<Node>,
     pub workers: Vec<Arc<Worker>>,
+    /// By machine, whether the store turns away its calls.
+    pub is_refused: Vec<Arc<AtomicBool>>,
     folder: PathBuf,
 }
 
 impl Deployment {
     /// Starts the store, the workers and the processes, and waits until all of these are ready. `None` if they are not.
     pub fn start(folder: &Path, nodes: usize, workers: usize) -> Option<Deployment> {
+        Self::start_with_routes(folder, nodes, workers, 0)
+    }
+
+    /// The same, with a configuration that has further routes.
+    pub fn start_with_routes(
+        folder: &Path,
+        nodes: usize,
+        workers: usize,
+        extra_routes: usize,
+    ) -> Option<Deployment> {
         let record = Record::create(&folder.join("record.txt")).ok()?;
         let temporary = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&temporary).ok()?;
-        let listener = TcpListener::bind("127.0.0.1:0").ok()?;
-        let store_address = listener.local_addr().ok()?;
-        let store = Store::start(listener);
-        store.put("op/config", &config().to_string());
+        let store = Store::start();
+        store.put("op/config", &config(7, extra_routes).to_string());
         let world = World::new(record, store);
         let worker = |index: usize| {
             let (zone, rack) = (ZONES[index % ZONES.len()], format!("r-{}", index / 2));
             Worker::start(&world, &format!("i-{index}"), SERVICE, zone, &rack, 16_000)
         };
         let workers = (0..workers).map(worker).collect();
-        let node = |index: usize| {
-            let zone = ZONES[index % ZONES.len()];
-            Node::start(&temporary, &format!("edge-{zone}-{index}"), zone, store_address)
-        };
-        let nodes = (0..nodes).map(node).collect();
-        let mut deployment = Deployment { world, nodes, workers, folder: temporary };
+        let (mut started, mut is_refused) = (Vec::new(), Vec::new());
+        for index in 0..nodes {
+            let listener = TcpListener::bind("127.0.0.1:0").ok()?;
+            let (zone, address) = (ZONES[index % ZONES.len()], listener.local_addr().ok()?);
+            is_refused.push(world.store.serve(listener));
+            started.push(Node::start(&temporary, &format!("edge-{zone}-{index}"), zone, address));
+        }
+        let mut deployment = Deployment { world, nodes: started, workers, is_refused, folder: temporary };
         deployment.wait_until_ready().then_some(deployment)
     }
 
@@ -77,12 +90,27 @@
         false
     }
 
+    /// Writes a configuration as the operator does.
+    pub fn configure(&self, version: u64, extra_routes: usize) {
+        let text = config(version, extra_routes).to_string();
+        self.world.store.put("op/config", &text);
+        let size = text.len();
+        self.world.record.add(format!(
+            "version {version} of the configuration, {size} bytes, is acknowledged; its last route is {}",
+            extra_prefix(extra_routes - 1)
+        ));
+    }
+
     /// Sends a request of a client to one machine.
     pub fn request(&self, node: usize, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
+        self.request_path(node, method, &format!("{PREFIX}{id}"), body)
+    }
+
+    /// The same for any path.
+    pub fn request_path(&self, node: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
         let node = &self.nodes[node % self.nodes.len()];
-        let path = format!("{PREFIX}{id}");
         let headers = [("Host", HOST), ("X-Timeout-Ms", "3000"), ("Connection", "close")];
-        let answer = http::call(node.front, method, &path, &headers, body, CLIENT_TIMEOUT);
+        let answer = http::call(node.front, method, path, &headers, body, CLIENT_TIMEOUT);
         let text = match &answer {
             Some((status, body)) => format!("{status} {body}"),
             None => "no answer".to_owned(),
@@ -150,11 +178,16 @@
     table(vec![("spec", "x".into()), ("steps", steps.into())]).to_string()
 }
 
-fn config() -> Json {
-    let route = table(vec![
-        ("name", "r-3hwrr6x".into()),
+/// Prefix of a further route.
+pub fn extra_prefix(index: usize) -> String {
+    format!("/extra{index}/")
+}
+
+fn route(name: &str, prefix: &str) -> Json {
+    table(vec![
+        ("name", name.into()),
         ("host", HOST.into()),
-        ("prefix", PREFIX.into()),
+        ("prefix", prefix.into()),
         ("type", "non_idempotent".into()),
         ("timeout_ms", 3_000.into()),
         ("slo_ms", 400.into()),
@@ -162,7 +195,12 @@
         ("service", SERVICE.into()),
         ("max_attempts", 3.into()),
         ("stretch", Json::Number(1.5)),
-    ]);
+    ])
+}
+
+fn config(version: u64, extra_routes: usize) -> Json {
+    let mut routes = vec![route("r-3hwrr6x", PREFIX)];
+    routes.extend((0..extra_routes).map(|index| route(&format!("r-extra{index}"), &extra_prefix(index))));
     let service = table(vec![
         ("name", SERVICE.into()),
         ("health_path", "/health".into()),
@@ -173,8 +211,8 @@
         ("standby", Json::Bool(false)),
     ]);
     table(vec![
-        ("version", 7.into()),
-        ("routes", vec![route].into()),
+        ("version", version.into()),
+        ("routes", routes.into()),
         ("services", vec![service].into()),
         ("limits", table(vec![("max_body_bytes", 262_144.into())])),
     ])
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -81,6 +81,11 @@
         self.child = Some(child);
     }
 
+    /// Whether the log says that the process has led.
+    pub fn has_led(&self) -> bool {
+        fs::read_to_string(&self.log).is_ok_and(|log| log.contains("\"decision\":\"lead\""))
+    }
+
     /// Sends SIGKILL and waits for the end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -1,11 +1,13 @@
 //! The scenarios: what happens, and how it is judged.
 
 use std::path::Path;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, extra_prefix};
 use crate::json::Json;
+use crate::node::Node;
 use crate::worker::{Seen, Work};
 
 /// Plays a scenario. Returns whether the rule held; `None` if it could not run.
@@ -13,6 +15,8 @@
     match name {
         "gang" => gang(folder, has_trouble),
         "crashes" => crashes(folder, has_trouble),
+        "restarted" => restarted(folder, has_trouble),
+        "config" => config(folder, has_trouble),
         "late" => late(folder, has_trouble),
         _ => None,
     }
@@ -225,3 +229,101 @@
             .judge(holds, &again.unwrap_or_else(|| "no task started after it had ended done".to_owned())),
     )
 }
+
+/// The store turns the leader away for a short time, in which the configuration changes twice.
+fn config(folder: &Path, has_trouble: bool) -> Option<bool> {
+    /// Routes besides the first one; the configuration has about 60 KB with them.
+    const ROUTES: usize = 300;
+    /// Time for which the store turns the leader away.
+    const REFUSAL: Duration = Duration::from_millis(1_500);
+    /// Times from its begin to the two changes.
+    const CHANGES: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(900)];
+    /// `config_ms` and `max_skew_ms` of the site.
+    const BOUND: Duration = Duration::from_millis(2_500 + 6_000);
+    let deployment = Deployment::start_with_routes(folder, 3, 2, ROUTES)?;
+    thread::sleep(Duration::from_secs(6));
+    let leader = deployment.nodes.iter().position(Node::has_led)?;
+    if has_trouble {
+        deployment.world.record.add(format!("the store turns away {}", deployment.nodes[leader].name));
+        deployment.is_refused[leader].store(true, Ordering::Relaxed);
+    }
+    thread::sleep(CHANGES[0]);
+    deployment.configure(8, ROUTES + 1);
+    thread::sleep(CHANGES[1] - CHANGES[0]);
+    deployment.configure(9, ROUTES + 2);
+    thread::sleep(REFUSAL - CHANGES[1]);
+    if has_trouble {
+        deployment.world.record.add("the store serves all machines again");
+        deployment.is_refused[leader].store(false, Ordering::Relaxed);
+    }
+    // The route that only version 9 has.
+    let path = extra_prefix(ROUTES + 1);
+    let mut broken = Vec::new();
+    for wait in [BOUND, Duration::from_secs(20)] {
+        thread::sleep(wait);
+        broken.clear();
+        for node in 0..deployment.nodes.len() {
+            let (status, _) = deployment.request_path(node, "GET", &path, "")?;
+            if status == 404 {
+                broken.push(deployment.nodes[node].name.clone());
+            }
+        }
+        if broken.is_empty() {
+            break;
+        }
+    }
+    let text = format!(
+        "CONFIG: 404 for a route of the newest version, 28 s after its acknowledgement, at {broken:?}"
+    );
+    let holds = broken.is_empty();
+    Some(deployment.judge(holds, if holds { "all machines know the newest route" } else { &text }))
+}
+
+/// A worker starts again under its id, and its answers are cut off while it gets a start.
+fn restarted(folder: &Path, has_trouble: bool) -> Option<bool> {
+    const DOWN: Duration = Duration::from_millis(200);
+    /// Time from the restart until the job is handed in.
+    const PAUSE: Duration = Duration::from_millis(100);
+    let deployment = Deployment::start(folder, 3, 6)?;
+    thread::sleep(Duration::from_secs(8));
+    // An empty deployment starts the first task on the last worker.
+    let worker = deployment.workers.last()?.clone();
+    let id = worker.id();
+    if has_trouble {
+        worker.crash();
+        thread::sleep(DOWN);
+        worker.restart(&id);
+        worker.set_mute(true);
+        thread::sleep(PAUSE);
+    }
+    let step: Vec<(&str, Json)> = vec![
+        ("count", 1.into()),
+        ("cpu", 8_000.into()),
+        ("mem_mb", 1_000.into()),
+        ("estimate_ms", 10_000.into()),
+    ];
+    if !deployment.submit("00000000000000f1", step, Work { length_ms: 10_000, gang: 0 }) {
+        return None;
+    }
+    deployment.wait(Duration::from_secs(1), |it| !it.world.runs().is_empty());
+    if deployment.world.runs().first().is_none_or(|run| run.worker != id) {
+        return None;
+    }
+    thread::sleep(CUT - PAUSE - Duration::from_millis(20));
+    if has_trouble {
+        worker.set_mute(false);
+    }
+    thread::sleep(Duration::from_secs(20));
+    let runs = deployment.world.runs();
+    let overlap = runs.iter().zip(runs.iter().skip(1)).find(|(one, other)| {
+        one.task == other.task && one.ended.is_some_and(|(at_ms, _)| other.started_ms < at_ms)
+    });
+    let text = overlap.map(|(one, other)| {
+        format!(
+            "TWICE: {} run {} on {} and run {} on {}",
+            one.task, one.run, one.worker, other.run, other.worker
+        )
+    });
+    let holds = text.is_none();
+    Some(deployment.judge(holds, &text.unwrap_or_else(|| "no two runs at the same time".to_owned())))
+}
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -73,8 +74,8 @@
 }
 
 impl Store {
-    /// Starts a store on a listener.
-    pub fn start(listener: TcpListener) -> Arc<Store> {
+    /// Starts a store.
+    pub fn start() -> Arc<Store> {
         let store = Arc::new(Store::default());
         store.lock().revision = 1;
         let expiring = Arc::clone(&store);
@@ -94,11 +95,27 @@
                 expiring.changed.notify_all();
             }
         });
-        let serving = Arc::clone(&store);
-        Server::start(listener, Arc::new(move |request| serving.handle(request)));
         store
     }
 
+    /// Serves one machine on a listener. While the returned flag is set, its calls are turned away with 503.
+    pub fn serve(self: &Arc<Self>, listener: TcpListener) -> Arc<AtomicBool> {
+        let (store, is_refusing) = (Arc::clone(self), Arc::new(AtomicBool::new(false)));
+        let flag = Arc::clone(&is_refusing);
+        let handler = move |request: &Request| {
+            if flag.load(Ordering::Relaxed) {
+                return Reply::Send(503, "{}".into());
+            }
+            let reply = store.handle(request, &flag);
+            if flag.load(Ordering::Relaxed) && request.path == "/kv-watch" {
+                return Reply::Send(503, "{}".into());
+            }
+            reply
+        };
+        Server::start(listener, Arc::new(handler));
+        is_refusing
+    }
+
     fn lock(&self) -> MutexGuard<'_, Data> {
         self.data.lock().expect("lock")
     }
@@ -121,7 +138,7 @@
         self.changed.notify_all();
     }
 
-    fn handle(&self, request: &Request) -> Reply {
+    fn handle(&self, request: &Request, is_refusing: &AtomicBool) -> Reply {
         // The page gives 4 ms as the time of an answer.
         if request.path != "/kv-watch" {
             thread::sleep(Duration::from_millis(4));
@@ -130,7 +147,7 @@
         match (request.method.as_str(), path) {
             ("GET", "/kv-key") => self.read(request.parameter("key").unwrap_or_default()),
             ("GET", "/kv-range") => self.range(request),
-            ("GET", "/kv-watch") => self.watch(request),
+            ("GET", "/kv-watch") => self.watch(request, is_refusing),
             ("POST", "/kv-txn") => self.commit(&Json::parse(&request.body).unwrap_or(Json::Null)),
             ("POST", "/kv-lease") => self.grant(&Json::parse(&request.body).unwrap_or(Json::Null)),
             ("POST", _) if path.starts_with("/kv-keep/") => self.renew(&path["/kv-keep/".len()..]),
@@ -167,7 +184,7 @@
         Reply::Send(200, page.to_string())
     }
 
-    fn watch(&self, request: &Request) -> Reply {
+    fn watch(&self, request: &Request, is_refusing: &AtomicBool) -> Reply {
         let prefix = request.parameter("prefix").unwrap_or_default();
         let number = |name| request.parameter(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
         let (after, until) = (number("after"), Instant::now() + Duration::from_millis(number("wait_ms")));
@@ -187,7 +204,7 @@
                 })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() {
+            if !events.is_empty() || left.is_zero() || is_refusing.load(Ordering::Relaxed) {
                 let body = table(vec![("events", events.into()), ("as_of", data.revision.into())]);
                 return Reply::Send(200, body.to_string());
             }
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -117,6 +117,8 @@
     ended: Vec<End>,
     last_end: u64,
     is_cut: bool,
+    /// Whether only its answers are cut off.
+    is_mute: bool,
     is_down: bool,
 }
 
@@ -234,6 +236,14 @@
         self.changed.notify_all();
     }
 
+    /// Cuts off the worker's answers to all machines of the system, or ends that. Orders still arrive.
+    pub fn set_mute(&self, is_mute: bool) {
+        let mut life = self.lock();
+        life.is_mute = is_mute;
+        let state = if is_mute { "are cut off" } else { "arrive again" };
+        self.world.record.add(format!("the answers of worker {} {state}", life.id));
+    }
+
     /// Ends the process: its connections break, and all its runs are gone. Its entry lapses later.
     pub fn crash(self: &Arc<Self>) {
         let mut life = self.lock();
@@ -390,7 +400,8 @@
         if self.is_left_late(request, &body) {
             return Reply::Silent;
         }
-        self.execute(request)
+        let reply = self.execute(request);
+        if self.lock().is_mute { Reply::Silent } else { reply }
     }
 
     fn execute(&self, request: &Request) -> Reply {
@@ -545,6 +556,7 @@
         ended: Vec::new(),
         last_end: 0,
         is_cut: false,
+        is_mute: false,
         is_down: false,
     }
 }
