--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -102,6 +102,8 @@
     run: u64,
     how: &'static str,
     seen: usize,
+    /// Whether the worker's lease has lapsed since. Such an end doesn't count as taken note of.
+    has_lapsed: bool,
 }
 
 /// One life of a worker.
@@ -345,6 +347,9 @@
     /// Ends the runs whose time has come.
     fn advance(&self, life: &mut Life) {
         let has_lapsed = life.clock_ms() > life.lease_end_ms;
+        if has_lapsed {
+            life.ended.iter_mut().for_each(|end| end.has_lapsed = true);
+        }
         let tasks: Vec<String> = life.running.keys().cloned().collect();
         for task in tasks {
             let how = if has_lapsed { Some("lapsed") } else { self.outcome(&task, &life.running[&task]) };
@@ -389,6 +394,7 @@
             run: run.number,
             how,
             seen: run.seen,
+            has_lapsed: false,
         });
         self.world.seen.lock().expect("lock")[run.seen].ended = Some((self.world.record.now_ms(), how));
         self.world.record.add(format!("end {how} {task} run {} on {}", run.number, life.id));
@@ -496,6 +502,12 @@
         let now_ms = self.world.record.now_ms();
         let mut seen = self.world.seen.lock().expect("lock");
         for end in life.ended.iter().filter(|end| end.number <= acknowledged) {
+            if end.has_lapsed {
+                self.world
+                    .record
+                    .add(format!("a lapse came before the note of {} run {}", end.task, end.run));
+                continue;
+            }
             seen[end.seen].noted_ms = Some(now_ms);
             self.world.record.add(format!("noted {} {} run {} on {}", end.how, end.task, end.run, life.id));
         }
