Keep the runs of an unlisted worker that refuses connections until their leases end

Cause: a refused connection of a worker that the store does not list counted as the end of its process. Its runs were dropped at once, and the gate after a change of the leader counted it as answered. A cut causes both signs.

Change: a refused connection makes the worker silent, no more. Runs end with their leases, or by an answer of another process or of another start time. After the lease, the two signs still decide which task may have crashed the worker.

Related paths have tests that passed before.

--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -119,6 +119,7 @@
         return;
     }
     worker.renewal_sent_at = None;
+    worker.refuses_connections = matches!(result, Err(Fault::Refused));
     match result {
         Ok(Reply { outcome: Ok(listing), clock_ms }) => {
             handle_listing(state, key, sent, clock_ms, listing, out);
@@ -133,18 +134,22 @@
             drop_all_lost(state, key, "another process has the address of its worker", out);
             mark_silent(state, key, out);
         }
-        Err(Fault::Refused) if !worker.is_listed => {
-            // Nothing listens at the worker's address and the store does not list it, so its process has ended.
-            mark_gone(state, key, "it refuses connections and the store does not list it", out);
-            crash::record(state, key, |_| false, out);
-            drop_all_lost(state, key, "its worker process has ended", out);
-            mark_silent(state, key, out);
-        }
-        Ok(_) | Err(Fault::Refused | Fault::NotSent | Fault::Lost) => mark_silent(state, key, out),
+        Err(Fault::Refused) => handle_refused(state, key, out),
+        Ok(_) | Err(Fault::NotSent | Fault::Lost) => mark_silent(state, key, out),
     }
     set_timer(state, key);
 }
 
+/// Handles a refused connection, which does not prove that the worker's process has ended: a cut can reset connections, and
+/// the store does not list a worker that is cut off from it. The runs are kept until their leases have expired.
+fn handle_refused(state: &mut super::State, key: Key, out: &mut Vec<Effect>) {
+    let worker = &state.workers.all[key];
+    if worker.seems_ended() && worker.runs.is_empty() {
+        crash::record(state, key, |_| false, out);
+    }
+    mark_silent(state, key, out);
+}
+
 fn handle_listing(
     state: &mut super::State,
     key: Key,
@@ -256,7 +261,11 @@
     let Some(worker) = state.workers.all.get(key) else { return };
     let Some(silent_since) = worker.silent_since else { return };
     if worker.leases_expire_at < now && !worker.runs.is_empty() && worker.renewal_sent_at.is_none() {
-        crash::keep_possible_causes(state, key);
+        if worker.seems_ended() {
+            crash::record(state, key, |_| false, out);
+        } else {
+            crash::keep_possible_causes(state, key);
+        }
         drop_all_lost(state, key, "its worker does not answer and the lease has expired", out);
     }
     let worker = &state.workers.all[key];
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -103,6 +103,8 @@
     pub last_answer_at: Option<Instant>,
     /// Since when it does not answer; `None` if it answers.
     pub silent_since: Option<Instant>,
+    /// Whether its address refused the latest connection.
+    pub refuses_connections: bool,
     /// When its connection was lost without a timeout, which is the time of a crash; `None` if it answers, or if a call
     /// timed out.
     pub reset_at: Option<Instant>,
@@ -173,6 +175,7 @@
             is_retired: false,
             last_answer_at: None,
             silent_since: None,
+            refuses_connections: false,
             reset_at: None,
             renewal_timeout_at: Instant::default(),
             renewal_sent_at: None,
@@ -217,6 +220,12 @@
         i64::from(self.free_resources().cpu_millicores) + reserved
     }
 
+    /// Whether its process has probably ended: the store does not list it and its address refuses connections. A cut can
+    /// look the same, so this is no reason to start its tasks elsewhere.
+    pub fn seems_ended(&self) -> bool {
+        !self.is_listed && self.refuses_connections
+    }
+
     /// Whether it is suspected of failing what it starts.
     pub fn is_suspected(&self, now: Instant) -> bool {
         self.suspicion.is_some_and(|suspicion| suspicion.until > now)
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -69,6 +69,25 @@
     }
 }
 
+/// Guards against a crash that is not counted because the worker does not come back.
+#[test]
+fn a_task_whose_crashed_workers_stay_away_is_started_again_and_again() {
+    for seed in 0..SEEDS {
+        let mut emulator = with_deadly_task(seed, step(4));
+        for _ in 0..600 {
+            emulator.run_for(SECOND / 10);
+            for worker in &mut emulator.workers {
+                if worker.crash_count > 0 && !worker.is_refusing {
+                    worker.is_refusing = true;
+                    emulator.store.unlist_worker(worker);
+                }
+            }
+        }
+        assert_no_violation(&emulator, seed);
+        assert_eq!(phase(&mut emulator, DEADLY_JOB), Some(Answer::Phase(Phase::Failed)), "seed {seed}");
+    }
+}
+
 /// Guards against a crash that is not counted because the leader is busy and notices it late.
 #[test]
 fn a_task_that_crashes_its_workers_is_started_again_and_again_by_a_busy_leader() {
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -476,6 +476,63 @@
     }
 }
 
+/// Guards against the same by the leader that started the run, which then starts another one before the lease has expired.
+#[test]
+fn a_task_runs_twice_at_once_when_connections_to_its_unlisted_worker_are_reset() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        emulator.submit(0, 1, job([Step { estimate: 3 * SECOND, ..step(1) }]));
+        emulator.run_for(SECOND / 2);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.store.unlist_worker(&emulator.workers[worker]);
+        emulator.workers[worker].is_refusing = true;
+        emulator.run_for(SECOND);
+        emulator.workers[worker].is_refusing = false;
+        emulator.run_for(8 * SECOND);
+        assert_no_violation(&emulator, seed);
+        assert!(is_completed(&mut emulator, 1), "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against a task that waits for longer than the lease of its run, where the worker has ended and does not return.
+#[test]
+fn a_task_waits_longer_than_its_lease_when_its_worker_has_ended() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 2);
+        emulator.submit(0, 1, job([Step { is_long_running: true, ..step(1) }]));
+        emulator.run_for(SECOND / 2);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.crash_worker(worker);
+        emulator.workers[worker].is_refusing = true;
+        emulator.store.unlist_worker(&emulator.workers[worker]);
+        emulator.run_for(Tuning::default().worker_lease + SECOND);
+        assert_no_violation(&emulator, seed);
+        assert!(emulator.observer.is_running(name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against a leader that counts as ended, since its address refuses connections, and whose runs count as ended too.
+#[test]
+fn a_task_runs_twice_at_once_when_the_address_of_the_leader_refuses_connections() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 3, 2);
+        emulator.submit(0, 1, job([Step { estimate: 4 * SECOND, ..step(1) }]));
+        emulator.run_for(SECOND / 2);
+        let leader = emulator.leader().expect("a leader");
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        emulator.refusing_vms.insert(leader);
+        emulator.submit((leader + 1) % 3, 2, job([step(1)]));
+        emulator.run_for(SECOND);
+        assert!(emulator.leader_after(leader).is_some(), "seed {seed}: {:#?}", emulator.log);
+        emulator.run_for(SECOND);
+        emulator.workers[worker].is_unresponsive = false;
+        emulator.run_for(10 * SECOND);
+        assert_no_violation(&emulator, seed);
+        assert_eq!(emulator.observer.start_count, 1, "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
 /// Guards against an end as done that is acknowledged and does not count, because its task has another run by then.
 #[test]
 fn a_done_task_runs_again_when_its_end_is_read_after_its_lease() {
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -28,7 +28,7 @@
 use nutmegfold::core::work::tuning::Tuning;
 use nutmegfold::core::{State, member, reduce, work};
 use nutmegfold::declare::zone;
-use nutmegfold::hash::{self, Map};
+use nutmegfold::hash::{self, Map, Set};
 
 use link::Link;
 use store::Store;
@@ -106,6 +106,8 @@
     pub workers: Vec<Worker>,
     pub observer: Observer,
     pub answers: Map<Ticket, Answer>,
+    /// Entry VMs whose addresses refuse the connections of the others while their processes run.
+    pub refusing_vms: Set<usize>,
     /// Requests of callers: when each was sent, its job and its operation.
     requests: Map<Ticket, (Instant, Option<Id>, Verb)>,
     /// Entry VMs that wait for a newer configuration of another one, with the address of that one.
@@ -153,6 +155,7 @@
             workers: (0..workers).map(Worker::new).collect(),
             observer: Observer::default(),
             answers: Map::default(),
+            refusing_vms: Set::default(),
             requests: Map::default(),
             config_requests: Map::default(),
             lag: Duration::ZERO,
@@ -393,7 +396,7 @@
             }
             Effect::Work(WorkEffect::AskConfig { to, known, wait }) => {
                 let other = self.vm_at(to);
-                if !self.vms[other].is_up {
+                if !self.accepts_connections(other) {
                     let event = WorkEvent::ConfigUpdated { from: to, result: Err(Fault::Refused) };
                     return self.schedule_event(vm, ONE_WAY_DELAY * 2, Event::Work(event));
                 }
@@ -445,6 +448,11 @@
         }
     }
 
+    /// Whether the address of an entry VM accepts the connections of the others.
+    fn accepts_connections(&self, vm: usize) -> bool {
+        self.vms[vm].is_up && !self.refusing_vms.contains(&vm)
+    }
+
     /// Entry VM with this address.
     fn vm_at(&self, to: SocketAddr) -> usize {
         let address = |vm: &Vm| {
@@ -456,7 +464,7 @@
     /// Forwards a request to another entry VM without network delay. A VM that is down refuses the connection.
     fn forward(&mut self, vm: usize, ticket: Ticket, to: SocketAddr, request: request::Request) {
         let other = self.vm_at(to);
-        if !self.vms[other].is_up {
+        if !self.accepts_connections(other) {
             let event = WorkEvent::Forwarded { ticket, result: Err(Fault::Refused) };
             return self.schedule_event(vm, ONE_WAY_DELAY * 2, Event::Work(event));
         }
--- a/tests/work_log.rs
+++ b/tests/work_log.rs
@@ -188,28 +188,31 @@
 /// why, and against an entry for each of its refusals.
 #[test]
 fn a_worker_counts_as_answered_without_a_reason() {
-    type Fault = fn(&mut Emulator);
-    let faults: [(Fault, &str); 2] = [
-        (
-            |emulator| {
-                emulator.workers[0].is_refusing = true;
-                emulator.store.unlist_worker(&emulator.workers[0]);
-            },
-            "it refuses connections and the store does not list it",
-        ),
-        (|emulator| emulator.workers[0].is_replaced = true, "another process has its address"),
-    ];
-    for (inject, reason) in faults {
-        let mut emulator = ready(8, 3);
-        emulator.submit(0, 1, job([Step { is_long_running: true, ..step(12) }]));
-        emulator.run_for(SECOND);
-        inject(&mut emulator);
-        replace_leader(&mut emulator, 4 * SECOND);
-        let gone = only_entry(&emulator, "worker-gone");
-        assert!(gone.contains(&format!("w-0 counts as answered: {reason}")), "{gone}");
-        let opened = only_entry(&emulator, "gate-open");
-        assert!(opened.contains("all 3 workers have answered"), "{opened}");
-    }
+    let mut emulator = ready(8, 3);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(12) }]));
+    emulator.run_for(SECOND);
+    emulator.workers[0].is_replaced = true;
+    replace_leader(&mut emulator, 4 * SECOND);
+    let gone = only_entry(&emulator, "worker-gone");
+    assert!(gone.contains("w-0 counts as answered: another process has its address"), "{gone}");
+    let opened = only_entry(&emulator, "gate-open");
+    assert!(opened.contains("all 3 workers have answered"), "{opened}");
+}
+
+/// Guards against a gate that opens before the leases have expired, since an unlisted worker that refuses connections counts
+/// as answered, and against a gate that such a worker keeps closed for longer.
+#[test]
+fn an_unlisted_worker_that_refuses_connections_counts_as_answered() {
+    let mut emulator = ready(8, 3);
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(12) }]));
+    emulator.run_for(SECOND);
+    emulator.workers[0].is_refusing = true;
+    emulator.store.unlist_worker(&emulator.workers[0]);
+    replace_leader(&mut emulator, 14 * SECOND);
+    assert_eq!(entries(&emulator, "worker-gone"), Vec::<String>::new());
+    let opened = only_entry(&emulator, "gate-open");
+    let expected = "all leases of earlier terms have expired, 1 of 3 workers unanswered: w-0, after ";
+    assert!(opened.contains(expected), "{opened}");
 }
 
 /// Guards against a stored job that is answered as unknown without an entry, and against a log that callers flood by
