Keep a configuration together with the revision up to which it is the newest

Cause: the leader set the revision of its watch to the end of an answer of the store before it applied the versions in it one by one, and answered waiting VMs after the first of them: with that version, and the revision of the last. These VMs then watched only what came after the last one.

Change: Config holds the revision up to which it is known to be the newest, and an Update carries it. It is raised once a whole answer is applied, and not past a value that cannot be read. Of several versions in one answer only the last is applied. Works because no reader can continue after a version that its sender has not applied.

--- a/src/core/work/config.rs
+++ b/src/core/work/config.rs
@@ -44,11 +44,15 @@
     pub name: String,
 }
 
-/// The active configuration.
+/// A version of the configuration, with the revision of the store up to which it is known to be the newest.
+///
+/// A reader that continues after that revision misses no later version, so the two are kept together.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Config {
     /// Version; 0 until a configuration is received.
     pub version: u64,
+    /// Revision of the store up to which no newer version exists.
+    pub newest_until: Revision,
     /// Configured queues.
     pub queues: Vec<Queue>,
     /// Configured services.
@@ -56,6 +60,11 @@
 }
 
 impl Config {
+    /// Records that the store has no newer version up to a revision.
+    pub fn confirm(&mut self, revision: Revision) {
+        self.newest_until = self.newest_until.max(revision);
+    }
+
     /// Queue of `host` with the longest prefix of `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
         self.queues
@@ -83,19 +92,19 @@
     pub removed: Vec<String>,
     /// All services.
     pub services: Vec<Service>,
-    /// Revision of the store up to which its changes are included.
-    pub revision: Revision,
+    /// Revision of the store up to which `version` is the newest.
+    pub newest_until: Revision,
 }
 
 impl Update {
     /// Configuration after the changes; `None` if they do not apply to `config`.
     pub fn apply(self, config: &Config) -> Option<Config> {
-        let Self { base, version, queues, removed, services, .. } = self;
+        let Self { base, version, queues, removed, services, newest_until } = self;
         if version <= config.version || (base > 0 && base != config.version) {
             return None;
         }
         if base == 0 {
-            return Some(Config { version, queues, services });
+            return Some(Config { version, newest_until, queues, services });
         }
         let replaced: Set<&str> = queues
             .iter()
@@ -104,7 +113,8 @@
             .collect();
         let kept = config.queues.iter().filter(|queue| !replaced.contains(queue.name.as_str())).cloned();
         let kept: Vec<Queue> = kept.collect();
-        Some(Config { version, queues: kept.into_iter().chain(queues).collect(), services })
+        let queues = kept.into_iter().chain(queues).collect();
+        Some(Config { version, newest_until, queues, services })
     }
 }
 
@@ -137,16 +147,17 @@
     }
 
     /// Update from the version `base` to `config`, which is the newest version; the whole configuration if the changes
-    /// since `base` are not known. `revision` is the revision of the store that `config` was read at.
-    pub fn update_since(&self, base: u64, config: &Config, revision: Revision) -> Update {
-        let (version, services) = (config.version, config.services.clone());
+    /// since `base` are not known.
+    pub fn update_since(&self, base: u64, config: &Config) -> Update {
+        let Config { version, newest_until, .. } = *config;
         if base == version {
-            return Update { base, version, revision, ..Update::default() };
+            return Update { base, version, newest_until, ..Update::default() };
         }
+        let services = config.services.clone();
         let first = self.changes.iter().position(|change| change.base == base && base > 0);
         let Some(first) = first else {
             let queues = config.queues.clone();
-            return Update { base: 0, version, queues, removed: Vec::new(), services, revision };
+            return Update { base: 0, version, queues, removed: Vec::new(), services, newest_until };
         };
         let mut names: Set<&str> =
             self.changes.iter().skip(first).flat_map(|change| &change.names).map(String::as_str).collect();
@@ -154,6 +165,6 @@
         let queues: Vec<Queue> = changed.cloned().collect();
         let mut removed: Vec<String> = names.into_iter().map(str::to_owned).collect();
         removed.sort_unstable();
-        Update { base, version, queues, removed, services, revision }
+        Update { base, version, queues, removed, services, newest_until }
     }
 }
--- a/src/core/work/relay.rs
+++ b/src/core/work/relay.rs
@@ -133,16 +133,18 @@
     let Some(update) = update.filter(|update| update.version >= known) else {
         return state.timers.set(state.now + RETRY_INTERVAL, Timer::AskConfig);
     };
-    let (is_newer, revision) = (update.version > known, update.revision);
+    let is_newer = update.version > known;
     let pause = if is_newer { WATCH_PAUSE } else { RETRY_INTERVAL };
     if is_newer {
         let Some(config) = update.apply(&state.config) else {
             return state.timers.set(state.now + RETRY_INTERVAL, Timer::AskConfig);
         };
-        watch::accept_config(state, config, revision, &format!("from {from}"), out);
+        watch::accept_config(state, config, &format!("from {from}"), out);
+    } else {
+        state.config.confirm(update.newest_until);
     }
     let watch = state.watches.entry(Range::Config).or_default();
-    watch.watch_from = watch.watch_from.max(revision);
+    watch.watch_from = watch.watch_from.max(state.config.newest_until);
     watch.was_listed = true;
     state.timers.set(state.now + pause, Timer::Watch(Range::Config));
 }
@@ -166,11 +168,8 @@
     let (now, version) = (state.now, state.config.version);
     let is_due = |waiting: &mut Waiting| waiting.known < version || waiting.until <= now;
     let due: Vec<Waiting> = state.relay.waiting.extract_if(.., is_due).collect();
-    let watch_from = state.watches.get(&Range::Config).map_or(0, |watch| watch.watch_from);
-    let revision = watch_from.max(state.config_revision);
     for Waiting { ticket, known, .. } in due {
-        let update =
-            (known <= version).then(|| state.config_history.update_since(known, &state.config, revision));
+        let update = (known <= version).then(|| state.config_history.update_since(known, &state.config));
         out.push(Effect::Work(WorkEffect::AnswerConfig { ticket, update }));
     }
 }
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -105,8 +105,6 @@
     pub identity: Identity,
     /// The active configuration.
     pub config: Config,
-    /// Revision of the store at which the active configuration was written.
-    pub config_revision: Revision,
     /// Newest changes of the configuration.
     pub config_history: History,
     /// Requests for newer configurations from and to other entry VMs.
@@ -165,7 +163,6 @@
             lag: Lag::default(),
             identity: me,
             config: Config::default(),
-            config_revision: 0,
             config_history: History::default(),
             relay: relay::State::default(),
             leadership: leadership::State::default(),
--- a/src/core/work/watch.rs
+++ b/src/core/work/watch.rs
@@ -83,10 +83,11 @@
     if next.is_some() {
         return list_page(state, range, next, out);
     }
-    watch.watch_from = std::mem::take(&mut watch.list_revision);
+    let as_of = std::mem::take(&mut watch.list_revision);
+    watch.watch_from = as_of;
     watch.was_listed = true;
     let items = std::mem::take(&mut watch.pages);
-    apply_list(state, range, items, out);
+    apply_list(state, range, items, as_of, out);
     list_or_watch(state, range, out);
 }
 
@@ -102,8 +103,9 @@
     watch.call = None;
     match reply {
         Reply::Changes { changes, as_of } => {
-            watch.watch_from = as_of.max(watch.watch_from);
-            apply_changes(state, range, changes, out);
+            let after = watch.watch_from;
+            watch.watch_from = as_of.max(after);
+            apply_changes(state, range, changes, (after, as_of), out);
             list_or_watch(state, range, out);
         }
         Reply::TooLarge => relay::begin(state, out),
@@ -130,7 +132,13 @@
     }
 }
 
-fn apply_list(state: &mut super::State, range: Range, items: Vec<(Item, Revision)>, out: &mut Vec<Effect>) {
+fn apply_list(
+    state: &mut super::State,
+    range: Range,
+    items: Vec<(Item, Revision)>,
+    as_of: Revision,
+    out: &mut Vec<Effect>,
+) {
     match range {
         Range::Leadership => {
             leadership::handle_list(state, items, out);
@@ -138,8 +146,9 @@
         }
         Range::Config => {
             relay::end(state);
-            for (item, revision) in items {
-                accept_item(state, item, revision, out);
+            let is_read = accept_items(state, items, out);
+            if is_read {
+                state.config.confirm(as_of);
             }
         }
         Range::Workers => {
@@ -150,15 +159,26 @@
     }
 }
 
-fn apply_changes(state: &mut super::State, range: Range, changes: Vec<Change>, out: &mut Vec<Effect>) {
+/// Applies the changes between two revisions of the store.
+fn apply_changes(
+    state: &mut super::State,
+    range: Range,
+    changes: Vec<Change>,
+    (after, as_of): (Revision, Revision),
+    out: &mut Vec<Effect>,
+) {
     match range {
         Range::Leadership => leadership::handle_changes(state, changes, out),
         Range::Config => {
             relay::end(state);
-            for change in changes {
-                if let Change::Set(item, revision) = change {
-                    accept_item(state, item, revision, out);
-                }
+            let was_newest = state.config.newest_until >= after;
+            let items = changes.into_iter().filter_map(|change| match change {
+                Change::Set(item, revision) => Some((item, revision)),
+                Change::Removed(_) => None,
+            });
+            let is_read = accept_items(state, items, out);
+            if was_newest && is_read {
+                state.config.confirm(as_of);
             }
         }
         Range::Workers => discovery::handle_changes(state, changes, out),
@@ -166,32 +186,40 @@
     }
 }
 
-/// Activates a configuration that was read from the store.
-fn accept_item(state: &mut super::State, item: Item, revision: Revision, out: &mut Vec<Effect>) {
-    match item {
-        Item::Config(config) => accept_config(state, config, revision, "from the store", out),
-        Item::Unreadable(reason) => {
-            state::record(out, Subject::Config(state.config.version), "unreadable", reason);
+/// Activates the last configuration among items that were read from the store, each with its revision; every version is
+/// whole, so the earlier ones are not needed. Returns whether all items could be read.
+fn accept_items(
+    state: &mut super::State,
+    items: impl IntoIterator<Item = (Item, Revision)>,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let mut is_read = true;
+    let mut newest = None;
+    for (item, revision) in items {
+        match item {
+            Item::Config(config) => newest = Some(Config { newest_until: revision, ..config }),
+            Item::Unreadable(reason) => {
+                is_read = false;
+                state::record(out, Subject::Config(state.config.version), "unreadable", reason);
+            }
+            _ => {}
         }
-        _ => {}
     }
+    if let Some(config) = newest {
+        accept_config(state, config, "from the store", out);
+    }
+    is_read
 }
 
 /// Activates a configuration, unless it is older than the active one, as a stale reply may be.
-pub(super) fn accept_config(
-    state: &mut super::State,
-    config: Config,
-    revision: Revision,
-    source: &str,
-    out: &mut Vec<Effect>,
-) {
+pub(super) fn accept_config(state: &mut super::State, config: Config, source: &str, out: &mut Vec<Effect>) {
     if config.version <= state.config.version {
         return;
     }
     let version = config.version;
     let reason = format!("{} queues, {} services, {source}", config.queues.len(), config.services.len());
     state.config_history.record(&state.config, &config);
-    (state.config, state.config_revision) = (config, revision);
+    state.config = config;
     relay::end(state);
     state::record(out, Subject::Config(version), "in-force", reason);
     super::lifecycle::apply_config(state);
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -59,6 +59,7 @@
     let service = |entry: ServiceEntry| Service { name: entry.name };
     Ok(Config {
         version: document.version,
+        newest_until: 0,
         queues: document.routes.into_iter().map(queue).collect(),
         services: document.services.into_iter().map(service).collect(),
     })
--- a/src/wire/job.rs
+++ b/src/wire/job.rs
@@ -460,7 +460,7 @@
             queues: update.queues.into_iter().map(proto::Queue::from).collect(),
             removed: update.removed,
             services: update.services.into_iter().map(|service| service.name).collect(),
-            revision: update.revision,
+            revision: update.newest_until,
         }
     }
 }
@@ -473,7 +473,7 @@
             queues: update.queues.into_iter().map(Queue::from).collect(),
             removed: update.removed,
             services: update.services.into_iter().map(|name| Service { name }).collect(),
-            revision: update.revision,
+            newest_until: update.revision,
         })
     }
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -134,6 +134,70 @@
     assert_eq!(emulator.config_version(vm), 3);
 }
 
+/// Three entry VMs without a shared link, on which the first large configuration is in force.
+fn with_large_config(seed: u64) -> Emulator {
+    let mut emulator = Emulator::new(seed, 3, 2);
+    emulator.run_for(SECOND);
+    emulator.store.set_config(large_config(2));
+    emulator.run_for(LIMIT);
+    assert_eq!((0..3).map(|vm| emulator.config_version(vm)).min(), Some(2), "seed {seed}");
+    emulator
+}
+
+/// Guards against entry VMs that skip a version for good, since the leader answers them with the revision of a version that
+/// it has read and not applied.
+#[test]
+fn a_large_configuration_is_skipped_when_the_leader_reads_two_versions_at_once() {
+    for seed in 0..5 {
+        let mut emulator = with_large_config(seed);
+        let leader = emulator.leader().expect("a leader");
+        emulator.store.refused_vms.insert(leader);
+        emulator.store.set_config(large_config(3));
+        emulator.run_for(SECOND * 6 / 10);
+        emulator.store.set_config(large_config(4));
+        emulator.run_for(SECOND * 9 / 10);
+        emulator.store.refused_vms.clear();
+        emulator.run_for(LIMIT);
+        let versions: Vec<u64> = (0..3).map(|vm| emulator.config_version(vm)).collect();
+        assert_eq!(versions, [4, 4, 4], "seed {seed}");
+    }
+}
+
+/// Guards against a version that is skipped for good where a large configuration changes in quick pairs, while single entry
+/// VMs are refused by the store, hear of no change, or are killed.
+#[test]
+fn a_large_configuration_is_skipped_under_random_faults() {
+    for seed in 0..20 {
+        let mut emulator = with_large_config(seed);
+        let mut version = 2;
+        for _ in 0..6 {
+            let vm = emulator.next_random() as usize % 3;
+            let fault = emulator.next_random() % 4;
+            match fault {
+                0 => emulator.store.refused_vms.extend(emulator.leader()),
+                1 => emulator.store.refused_vms.extend([vm]),
+                2 => emulator.store.silent_watch_vms.extend(emulator.leader()),
+                _ => emulator.kill(vm),
+            }
+            for _ in 0..2 {
+                let pause = SECOND * (emulator.next_random() % 10) as u32 / 10;
+                emulator.run_for(pause);
+                version += 1;
+                emulator.store.set_config(large_config(version));
+            }
+            emulator.run_for(SECOND / 2);
+            emulator.store.refused_vms.clear();
+            emulator.store.silent_watch_vms.clear();
+            (0..3).filter(|vm| !emulator.is_up(*vm)).collect::<Vec<_>>().into_iter().for_each(|vm| {
+                emulator.start(vm);
+            });
+            emulator.run_for(LIMIT);
+            let versions: Vec<u64> = (0..3).map(|vm| emulator.config_version(vm)).collect();
+            assert_eq!(versions, [version; 3], "seed {seed}, fault {fault} of VM {vm}");
+        }
+    }
+}
+
 /// Guards against a leader that decides by defaults, since it has read the records before the configuration.
 #[test]
 fn a_leader_without_a_configuration_allows_too_many_attempts() {
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -601,7 +601,7 @@
         objective: Duration::from_secs(1),
     };
     let service = Service { name: "desk".into() };
-    Config { version: 1, queues: vec![queue], services: vec![service] }
+    Config { version: 1, newest_until: 0, queues: vec![queue], services: vec![service] }
 }
 
 /// A step of `count` tasks that each need two cores and take one second.
