Take the end of a member of a gang as done as the end of all members

Cause: an end as done counted for the task that it names only, although the members of a gang end as done together and one end stands for all. A member whose worker was cut off at that moment was taken as lost with its lease.

Change: such an end finishes all members in one change of the progress.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -426,13 +426,7 @@
             state.runs[key].task = Some(task);
         }
         match end.how {
-            How::Done if !is_long_running => {
-                if let Some(key) = key {
-                    detach_task(state, key, task);
-                }
-                state.jobs.dequeue(task);
-                lifecycle::finish_task(state, task, out);
-            }
+            How::Done if !is_long_running => lifecycle::finish_run(state, task, end.run, out),
             How::Failed if !is_long_running => {
                 lifecycle::record_failure(state, task, end.run, out);
             }
@@ -444,12 +438,6 @@
     }
 }
 
-/// Removes the link between a run and its task.
-fn detach_task(state: &mut super::State, key: run::Key, task: task::Key) {
-    state.runs[key].task = None;
-    state.jobs.tasks[task].runs.retain(|other| *other != key);
-}
-
 /// Reconciles the runs of a worker with the answer to the renewal sent at `sent`: drops runs that it does not list,
 /// stops unconfirmed ones, and checks the progress of the others. While the worker has ends that it does not list, a
 /// missing run may have ended, so it is kept.
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -9,7 +9,7 @@
 use super::store::{Progress, Record, TaskProgress};
 use super::task::{self, Task};
 use crate::core::time::Instant;
-use crate::hash::Map;
+use crate::hash::{Map, Set};
 
 slotmap::new_key_type! {
     /// Key of a job.
@@ -306,6 +306,25 @@
         Some(Progress { phase: job.phase, task_progress, finished_unix_ms: job.finished_unix_ms })
     }
 
+    /// Tasks of the gang that a task belongs to, or the task alone if its step is no gang.
+    pub fn gang_of(&self, key: task::Key) -> Vec<task::Key> {
+        let gang = || {
+            let task = self.tasks.get(key)?;
+            let job = self.all.get(task.job)?;
+            let step = task.name.step as usize;
+            let occurrence = job.open_occurrences.get(&task.name.occurrence)?;
+            job.spec.steps[step].is_gang.then(|| occurrence.tasks[step].clone())
+        };
+        gang().unwrap_or_else(|| vec![key])
+    }
+
+    /// Number of failed runs of a task or of its gang, whose members share the numbers of their runs.
+    pub fn count_failed_runs(&self, key: task::Key) -> usize {
+        let members = self.gang_of(key);
+        let tasks = members.iter().filter_map(|task| self.tasks.get(*task));
+        tasks.flat_map(|task| task.failed_runs.iter().copied()).collect::<Set<u32>>().len()
+    }
+
     /// Number of tasks of a group that are not done.
     pub fn count_unfinished(&self, group: Group) -> usize {
         let occurrence = self.all.get(group.job).and_then(|job| job.open_occurrences.get(&group.occurrence));
--- a/src/core/work/lifecycle.rs
+++ b/src/core/work/lifecycle.rs
@@ -146,19 +146,27 @@
     journal::enqueue(state, Change::Forget(id));
 }
 
-/// Marks a task as done and stops its other runs.
-pub(super) fn finish_task(state: &mut super::State, key: task::Key, out: &mut Vec<Effect>) {
-    let task = &state.jobs.tasks[key];
-    let (job, other_runs) = (task.job, task.runs.clone());
-    for run in other_runs {
-        control::stop(state, run, "another run of its task is done", out);
+/// Records that a run of a task has ended as done. The members of a gang end as done together, so the end of one stands for
+/// all: the others may be on workers that do not answer any more.
+pub(super) fn finish_run(state: &mut super::State, key: task::Key, run: u32, out: &mut Vec<Effect>) {
+    for task in state.jobs.gang_of(key) {
+        state.jobs.dequeue(task);
+        finish_task(state, task, run, out);
+    }
+}
+
+/// Marks a task as done, of which the run with this number is done, and stops its other runs.
+fn finish_task(state: &mut super::State, key: task::Key, number: u32, out: &mut Vec<Effect>) {
+    let Some(task) = state.jobs.tasks.get_mut(key) else { return };
+    let (job, runs) = (task.job, std::mem::take(&mut task.runs));
+    for run in runs {
+        if state.runs.get(run).is_some_and(|run| run.number != number) {
+            control::stop(state, run, "another run of its task is done", out);
+        }
         if let Some(run) = state.runs.get_mut(run) {
             run.task = None;
         }
     }
-    if let Some(task) = state.jobs.tasks.get_mut(key) {
-        task.runs.clear();
-    }
     if state.jobs.finish_task(key, state.now) {
         return end_job(state, job, Phase::Completed, out);
     }
@@ -166,7 +174,7 @@
 }
 
 /// Records the failure of a task's run. The job fails when the limit of failed runs is reached, unless the step is
-/// long-running.
+/// long-running. A gang runs as a whole, so the failed runs of all of its members count.
 pub(super) fn record_failure(state: &mut super::State, key: task::Key, run: u32, out: &mut Vec<Effect>) {
     let task = &mut state.jobs.tasks[key];
     let job_key = task.job;
@@ -174,10 +182,11 @@
     if !task.failed_runs.contains(&run) {
         task.failed_runs.push(run);
     }
-    let failures = task.failed_runs.len();
-    let is_lasting = job.spec.steps[task.name.step as usize].is_long_running;
-    if !is_lasting && failures >= job.max_attempts as usize {
-        let reason = format!("{} failed {failures} times", task.name);
+    let name = task.name;
+    let is_lasting = job.spec.steps[name.step as usize].is_long_running;
+    let (failures, max_attempts) = (state.jobs.count_failed_runs(key), job.max_attempts as usize);
+    if !is_lasting && failures >= max_attempts {
+        let reason = format!("{name} failed {failures} times");
         state::record(out, Subject::Job(job.id), "give-up", reason);
         return end_job(state, job_key, Phase::Failed, out);
     }
--- a/src/core/work/place.rs
+++ b/src/core/work/place.rs
@@ -287,7 +287,7 @@
         task.is_some_and(|task| task.phase == task::Phase::Ready && wait::hold(state, task).is_none())
     };
     let candidates: Vec<task::Key> = waiting.iter().copied().filter(is_startable).collect();
-    // Members that are done do not run again, so the gang consists of the others.
+    // The members of a gang work only together, so none starts before the others can.
     if step.is_gang && candidates.len() < state.jobs.count_unfinished(group) {
         return;
     }
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -533,6 +533,69 @@
     }
 }
 
+/// A step of a gang of two, each member of which needs a whole worker.
+fn gang() -> Step {
+    Step { is_gang: true, resources: WHOLE_WORKER, ..step(2) }
+}
+
+/// Guards against a member of a gang that is started again although the end of another member stands for both, since the
+/// worker of the first one does not answer.
+#[test]
+fn a_member_of_a_gang_runs_again_after_the_gang_has_ended_as_done() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 3);
+        emulator.submit(0, 1, job([gang(), Step { depends_on: vec![0], ..step(1) }]));
+        emulator.run_for(SECOND / 2);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        emulator.run_for(12 * SECOND);
+        emulator.workers[worker].is_unresponsive = false;
+        emulator.run_for(SECOND);
+        assert_no_violation(&emulator, seed);
+        assert!(is_completed(&mut emulator, 1), "seed {seed}: {:#?}", emulator.log);
+        assert_eq!(emulator.observer.start_count, 3, "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
+/// Guards against the same under the next leader, which reads the progress that this one has stored.
+#[test]
+fn a_member_of_a_gang_runs_again_under_the_next_leader() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 3);
+        let later = Step { depends_on: vec![0], estimate: 20 * SECOND, ..step(1) };
+        emulator.submit(0, 1, job([gang(), later]));
+        emulator.run_for(SECOND / 2);
+        let worker = worker_of(&emulator, "run 1 of 0000000000000001.0.0.0");
+        emulator.workers[worker].is_unresponsive = true;
+        emulator.run_for(SECOND);
+        let leader = emulator.leader().expect("a leader");
+        emulator.kill(leader);
+        emulator.run_for(16 * SECOND);
+        assert_no_violation(&emulator, seed);
+        assert!(!emulator.log.iter().any(|line| line.contains("run 1000 of 0000000000000001.0.0.")));
+        assert!(!emulator.log.iter().any(|line| line.contains("run 2000 of 0000000000000001.0.0.")));
+    }
+}
+
+/// Guards against a gang that is tried without limit, since each of its failed runs counts for another member only.
+#[test]
+fn a_gang_runs_again_after_its_last_attempt_when_each_time_another_member_fails() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 4);
+        emulator.observer.injected_failures.insert(name(1, 0, 0), 1);
+        emulator.submit(0, 1, job([Step { is_gang: true, resources: WHOLE_WORKER, ..step(4) }]));
+        emulator.run_for(SECOND / 4);
+        for member in 1..4 {
+            emulator.observer.injected_failures.insert(name(1, 0, member), 1);
+            emulator.run_for(SECOND * 6 / 10);
+        }
+        emulator.run_for(10 * SECOND);
+        let leader = emulator.leader().expect("a leader");
+        assert_eq!(emulator.read_job(leader, 1), Some(Answer::Phase(Phase::Failed)), "seed {seed}");
+        assert_eq!(emulator.observer.start_count, 12, "seed {seed}: {:#?}", emulator.log);
+    }
+}
+
 /// Guards against an end as done that is acknowledged and does not count, because its task has another run by then.
 #[test]
 fn a_done_task_runs_again_when_its_end_is_read_after_its_lease() {
