Keep what a placement pass finds out, and examine only what has changed

Cause: a placement pass compared each waiting need with each worker, whatever had changed since the last pass, and its rest was computed from a constant cost. With thousands of ready tasks passes took most of the leader's time. Answers of the store and of the workers waited behind them, leases expired, and the lost tasks joined the queue.

Change: place::Memory keeps needs and groups without room, and the headroom of workers. A pass compares each worker with how the last one saw it, and examines for what it remembers only the workers that have changed. A pass stops after 40,000 looks at workers and the next one goes on after the group where it stopped. A pass that began late is followed by a rest as long, up to 0.1 s. Needs are Copy values made once for each job, with hashes in place of names. place.rs is split by job: need, search, gang, preempt, memory.

Evidence: each_pass_searches_all_workers_for_each_need_that_waits and answers_wait_behind_the_placement_of_a_long_queue failed before (451,500 looks in a second, 228,060 between two events) and pass. a_task_waits_for_room_that_an_earlier_pass_did_not_find shows at 6,000 moments of random plays that a pass with memory starts what a pass without it starts.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -106,6 +106,7 @@
     run.phase = Phase::Stopping { sent: now, confirmed: None };
     let (worker, name, number) = (run.worker, run.name, run.number);
     state::record(out, Subject::Job(name.job), "stop", format!("run {number} of {name}: {reason}"));
+    state.workers.touch(worker);
     state.send_order(worker, Order::Stop { run: key, name, number }, out);
 }
 
@@ -155,7 +156,10 @@
         return;
     }
     match result {
-        Ok(Reply { outcome: Ok(()), .. }) => run.phase = Phase::Active { since: now },
+        Ok(Reply { outcome: Ok(()), .. }) => {
+            run.phase = Phase::Active { since: now };
+            state.workers.touch(worker_key);
+        }
         Ok(Reply { outcome: Err(refusal), .. }) => start_refused(state, key, refusal, out),
         Err(Fault::Lost) => {
             run.phase = Phase::Unconfirmed { since: now };
--- a/src/core/work/discovery.rs
+++ b/src/core/work/discovery.rs
@@ -56,7 +56,10 @@
     worker.address = report.address;
     worker.is_listed = true;
     worker.is_retired &= report.readiness == Readiness::Draining;
-    worker.report = Some(report);
+    if worker.report.as_ref() != Some(&report) {
+        worker.set_report(report);
+        state.placement.forget(key);
+    }
     if begins_draining {
         control::stop_long_running(state, key, out);
     }
--- a/src/core/work/headroom.rs
+++ b/src/core/work/headroom.rs
@@ -44,7 +44,7 @@
 }
 
 /// Whether a filling task can wait for a worker whose serving tasks tolerate it at their peak load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Urgency {
     /// The task can wait.
     Deferrable,
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -4,9 +4,11 @@
 
 use slotmap::SlotMap;
 
+use super::place::Need;
 use super::request::Phase;
 use super::spec::{Id, Name, Spec};
 use super::store::{Progress, Record, TaskProgress};
+use super::symbol;
 use super::task::{self, Task};
 use crate::core::time::Instant;
 use crate::hash::{Map, Set};
@@ -37,6 +39,8 @@
     pub queue: String,
     /// Service whose workers run the tasks.
     pub service: String,
+    /// Requirements of the tasks, by step.
+    pub needs: Vec<Need>,
     /// Specification from the caller.
     pub spec: Spec,
     /// Time of acceptance in milliseconds since the Unix epoch.
@@ -81,6 +85,14 @@
         }
     }
 
+    /// Changes the service whose workers run the tasks.
+    pub fn set_service(&mut self, service: &str) {
+        self.service = service.to_owned();
+        for need in &mut self.needs {
+            need.service = symbol::Key::of(service);
+        }
+    }
+
     /// Phase as callers see it: a terminal phase is visible only once it is durably stored.
     pub fn visible_phase(&self) -> Phase {
         if self.phase.has_ended() && !self.is_final { Phase::Running } else { self.phase }
@@ -109,6 +121,8 @@
     pub tasks: task::Table,
     /// Ready tasks by group, in the order in which they became ready.
     pub ready: Map<Group, VecDeque<task::Key>>,
+    /// Tasks that have become ready since the last placement pass.
+    pub newly_ready: Vec<task::Key>,
 }
 
 impl Table {
@@ -118,6 +132,7 @@
         self.by_id.clear();
         self.tasks.clear();
         self.ready.clear();
+        self.newly_ready.clear();
     }
 
     /// Job with this identity.
@@ -214,13 +229,27 @@
         task.phase = task::Phase::Ready;
         task.ready_at = now;
         self.ready.entry(task.group()).or_default().push_back(key);
+        self.newly_ready.push(key);
+    }
+
+    /// Removes the tasks that have started from the ready queue of their group.
+    pub fn remove_started(&mut self, group: Group) {
+        let Some(waiting) = self.ready.get_mut(&group) else { return };
+        waiting.retain(|key| self.tasks.get(*key).is_some_and(|task| task.phase == task::Phase::Ready));
+        if waiting.is_empty() {
+            self.ready.remove(&group);
+        }
     }
 
     /// Removes a task from the ready queue of its group; does not change its phase.
     pub fn dequeue(&mut self, key: task::Key) {
         let Some(task) = self.tasks.get(key) else { return };
-        if let Some(tasks) = self.ready.get_mut(&task.group()) {
+        let group = task.group();
+        if let Some(tasks) = self.ready.get_mut(&group) {
             tasks.retain(|other| *other != key);
+            if tasks.is_empty() {
+                self.ready.remove(&group);
+            }
         }
     }
 
--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -316,6 +316,7 @@
     state.workers = Default::default();
     state.runs.clear();
     state.jobs.clear();
+    state.placement = Default::default();
     state.journal = Default::default();
     super::watch::stop_watching(state, super::store::Range::Workers);
     super::watch::relist(state, super::store::Range::Leadership, Duration::ZERO);
--- a/src/core/work/lifecycle.rs
+++ b/src/core/work/lifecycle.rs
@@ -4,6 +4,7 @@
 
 use super::job::{self, Job};
 use super::journal::{self, Change};
+use super::place::Need;
 use super::request::Phase;
 use super::spec::{Id, Name};
 use super::store::Record;
@@ -18,13 +19,16 @@
 const DEFAULT_MAX_ATTEMPTS: u32 = 3;
 
 /// Creates a queued job without tasks from its record and the configuration of its queue.
-pub(super) fn new_job(state: &super::State, id: Id, record: Record) -> Job {
+pub(super) fn new_job(state: &mut super::State, id: Id, record: Record) -> Job {
     let queue = state.config.queue(&record.queue);
     let critical_path = record.spec.critical_path();
+    let service = queue.map_or(record.service, |queue| queue.service.clone());
+    let needs = record.spec.steps.iter().map(|step| Need::of(step, &service, &mut state.images)).collect();
     Job {
         id,
         queue: record.queue,
-        service: queue.map_or(record.service, |queue| queue.service.clone()),
+        service,
+        needs,
         deadline: state.now + queue.map_or(critical_path, |queue| queue.deadline(critical_path)),
         priority: queue.map_or(u32::MAX, |queue| queue.priority),
         max_attempts: queue.map_or(DEFAULT_MAX_ATTEMPTS, |queue| queue.max_attempts).max(1),
@@ -47,11 +51,13 @@
 pub(super) fn apply_config(state: &mut super::State) {
     for job in state.jobs.all.values_mut() {
         if let Some(queue) = state.config.queue(&job.queue) {
-            job.service.clone_from(&queue.service);
+            job.set_service(&queue.service);
             job.priority = queue.priority;
             job.max_attempts = queue.max_attempts.max(1);
         }
     }
+    // Other runs may be preempted under the new priorities.
+    state.placement.forget_all();
     state.schedule_placement();
 }
 
--- a/src/core/work/pace.rs
+++ b/src/core/work/pace.rs
@@ -328,6 +328,7 @@
     let (job, worker) = (run.name.job, run.worker);
     run.pace_percent = percent;
     run.pace_changed_at = state.now;
+    state.workers.touch(worker);
     state::record(out, Subject::Job(job), "pace", reason);
     state.send_order(worker, order, out);
 }
@@ -361,6 +362,7 @@
             {
                 run.pace_percent = 100;
                 let worker = run.worker;
+                state.workers.touch(worker);
                 if let Some(worker) = state.workers.all.get_mut(worker) {
                     worker.pace_changed_at = Instant::default();
                 }
--- /dev/null
+++ b/src/core/work/place/gang.rs
@@ -0,0 +1,82 @@
+//! Placement of gangs: all tasks of a gang start, or none.
+
+use super::need::Need;
+use super::search::{self, Plan, Scope, Siblings};
+use super::{Pass, control};
+use crate::core::effect::Effect;
+use crate::core::work::job::Group;
+use crate::core::work::state::State;
+use crate::core::work::worker::Key;
+use crate::core::work::{symbol, task};
+
+/// Starts all tasks of a gang, or none. Their runs share one number, and one rack if the step asks for it and some rack
+/// has room for all.
+pub(super) fn place(
+    state: &mut State,
+    group: Group,
+    need: Need,
+    tasks: &[task::Key],
+    pass: &mut Pass,
+    out: &mut Vec<Effect>,
+) {
+    // Only a worker that has changed helps a gang that found too little room, but a suspect among its members waits for time.
+    let has_changes = !pass.found.survey.workers_for(&need).is_empty();
+    if !need.is_suspect && pass.memory.is_stuck(group, need.urgency) && !has_changes {
+        pass.found.stuck.insert((group, need.urgency));
+        return;
+    }
+    let step = &state.jobs.all[group.job].spec.steps[group.step as usize];
+    let racks = if step.prefers_same_rack { racks(state) } else { Vec::new() };
+    let plan = racks.into_iter().map(Some).chain([None]).find_map(|rack| {
+        let need = Need { affinity: rack, ..need };
+        plan_gang(state, group, &need, tasks.len(), pass)
+    });
+    let Some(plan) = plan else {
+        if !need.is_suspect {
+            pass.found.stuck.insert((group, need.urgency));
+        }
+        return;
+    };
+    let number = tasks.iter().map(|task| state.jobs.tasks[*task].next_run).max().unwrap_or(1);
+    let checkpoint =
+        tasks.iter().map(|task| state.jobs.tasks[*task].checkpoint.clone()).max().unwrap_or_default();
+    for (key, worker) in tasks.iter().zip(plan) {
+        state.jobs.tasks[*key].checkpoint.clone_from(&checkpoint);
+        if control::start(state, *key, worker, number, out) {
+            pass.memory.note(state, worker);
+        }
+    }
+}
+
+/// Returns the racks of the workers that take new runs.
+fn racks(state: &State) -> Vec<symbol::Key> {
+    let mut racks: Vec<symbol::Key> = state
+        .workers
+        .all
+        .values()
+        .filter(|worker| worker.is_schedulable(state.now, state.journal.confirmed_at))
+        .filter_map(|worker| worker.rack())
+        .collect();
+    racks.sort_unstable();
+    racks.dedup();
+    racks
+}
+
+/// Returns a worker for each of `count` tasks of a gang, all within the rack of the need if it names one; `None` if they do
+/// not all find room.
+fn plan_gang(state: &State, group: Group, need: &Need, count: usize, pass: &mut Pass) -> Option<Vec<Key>> {
+    let mut plan = Plan::default();
+    let mut workers = Vec::with_capacity(count);
+    for _ in 0..count {
+        let siblings = Siblings { group, plan: &plan };
+        let key = search::choose_worker(state, need, siblings, Scope::All, pass)?;
+        if need.affinity.is_some() && state.workers.all[key].rack() != need.affinity {
+            return None;
+        }
+        let (resources, count) = plan.entry(key).or_default();
+        *resources = resources.saturating_add(need.charged);
+        *count += 1;
+        workers.push(key);
+    }
+    Some(workers)
+}
--- /dev/null
+++ b/src/core/work/place/mod.rs
@@ -0,0 +1,415 @@
+//! Placement: decides which task starts next, and on which worker.
+//!
+//! A pass visits the groups of waiting tasks, most urgent first, and starts each task on the worker with the highest
+//! score. A task of priority 0 that waits for resources longer than a limit preempts runs of lower priority.
+//!
+//! What a pass finds out is kept in a [`Memory`], so that later passes examine only what has changed. A pass that has
+//! examined many workers stops, and the next one goes on where it was, so that answers of the store and the workers do not
+//! wait behind it.
+
+mod gang;
+mod memory;
+mod need;
+mod preempt;
+mod search;
+
+use std::time::Duration;
+
+pub use memory::Memory;
+pub use need::Need;
+pub(super) use search::has_better_worker;
+
+use super::headroom::Urgency;
+use super::job::Group;
+use super::spec::Resources;
+use super::worker::{Gate, Key, Worker};
+use super::{control, state, task, wait};
+use crate::core::effect::Effect;
+use crate::core::time::Instant;
+use crate::core::trace::Subject;
+use crate::hash::Map;
+use memory::{Findings, add_need};
+use search::{Plan, Scope, Siblings};
+
+/// Score penalty of a worker outside the rack that holds the data of a task.
+const REMOTE_DATA_SCORE: i64 = -100_000_000;
+
+/// Score penalty for each serving run of another image: filling tasks often interfere with one image and not with
+/// another, so serving tasks of an image are kept together.
+const MIXED_IMAGE_SCORE: i64 = -30_000;
+
+/// Score penalty for the load that a filling task adds to a serving task, per load of 1, which saturates the serving
+/// task.
+const INTERFERENCE_SCORE: f64 = -100_000.0;
+
+/// Score penalty of a worker that tolerates all filling images: its resources are kept for images that few other
+/// workers tolerate.
+const COMPATIBLE_SHARE_SCORE: f64 = -8_000.0;
+
+/// Number of worker visits that a look at a waiting task takes as long as.
+const VISITS_PER_TASK: u64 = 8;
+
+/// Number of worker visits that a look at a group of waiting tasks takes as long as.
+const VISITS_PER_GROUP: u64 = 4;
+
+/// Number of worker visits after which a pass stops, and leaves the other groups to the next one.
+const PASS_VISITS_MAX: u64 = 40_000;
+
+/// Longest rest after a pass that began late.
+const LATE_REST_MAX: Duration = Duration::from_millis(100);
+
+/// Most workers that the timeline entry about the opening of the gate names.
+const UNREACHED_NAMES_MAX: usize = 20;
+
+/// How the worker of a task is chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Policy {
+    /// Returns the score of a worker with room for the task; the worker with the highest score is chosen.
+    pub score: fn(&Need, &Offer<'_>) -> i64,
+}
+
+/// A worker with room for a task, as input of its score.
+#[derive(Debug, Clone, Copy)]
+pub struct Offer<'a> {
+    /// The worker.
+    pub worker: &'a Worker,
+    /// Number of serving runs on the worker whose image is not that of the task.
+    pub other_serving: u32,
+    /// Conditions for a filling task on the worker; zero for other tasks.
+    pub filling: Filling,
+}
+
+/// Conditions that a filling task finds on a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Filling {
+    /// Processor time that is expected to be left, in thousandths of a core.
+    pub spare_cpu_millicores: i64,
+    /// Load that the task adds to the serving task on the worker that it interferes with most.
+    pub interference: f64,
+    /// Share of the filling images whose interference with all serving tasks on the worker is low, from 0 to 1.
+    pub compatible_share: f64,
+}
+
+/// Packs batch tasks onto few workers, keeps serving tasks of an image together, and puts filling tasks where most
+/// processor time is unused.
+pub const PACKED: Policy = Policy { score: packed };
+
+/// Puts each task on the worker with most free cores; the baseline that [`PACKED`] is compared with.
+pub const SPREAD: Policy =
+    Policy { score: |_, offer| i64::from(offer.worker.free_resources().cpu_millicores) };
+
+fn packed(need: &Need, offer: &Offer<'_>) -> i64 {
+    let worker = offer.worker;
+    let free = i64::from(worker.free_resources().cpu_millicores);
+    let is_remote = need.affinity.is_some_and(|rack| !worker.labels.contains(&rack));
+    let base = if need.is_filling {
+        let Filling { spare_cpu_millicores, interference, compatible_share } = offer.filling;
+        spare_cpu_millicores
+            + (INTERFERENCE_SCORE * interference + COMPATIBLE_SHARE_SCORE * compatible_share) as i64
+    } else if need.is_long_running {
+        free + MIXED_IMAGE_SCORE * i64::from(offer.other_serving)
+    } else {
+        -free
+    };
+    base + if is_remote { REMOTE_DATA_SCORE } else { 0 }
+}
+
+/// Place of a group in the order of a pass: priority, whether its deadline has passed, deadline, and the group.
+type Order = (u32, bool, Instant, Group);
+
+/// State of a placement pass.
+struct Pass {
+    /// What earlier passes have found out.
+    memory: Memory,
+    /// What this pass has found out.
+    found: Findings,
+    /// Resources by worker that runs being stopped will release and that are not promised to a task; `None` until they
+    /// are needed.
+    freed_resources: Option<Map<Key, Resources>>,
+    /// Number of worker visits, over all tasks.
+    visits: u64,
+    /// Number of waiting groups and tasks that were examined, as worker visits that take as long.
+    other_visits: u64,
+    /// Worker with room for a suspect that waits for a time without a start there; the less urgent tasks leave it alone.
+    held: Option<Key>,
+}
+
+impl Pass {
+    /// Begins a pass: compares the workers with how the last one saw them.
+    fn begin(state: &mut super::State) -> Self {
+        let mut memory = std::mem::take(&mut state.placement);
+        let survey = memory.look(state);
+        Self {
+            memory,
+            found: Findings { survey, ..Findings::default() },
+            freed_resources: None,
+            visits: state.workers.all.len() as u64,
+            other_visits: 0,
+            held: None,
+        }
+    }
+
+    /// Ends the pass, and keeps what it has found out.
+    fn end(mut self, state: &mut super::State) {
+        // A task may have found no room only because of this worker.
+        if let Some(held) = self.held {
+            self.memory.forget(held);
+        }
+        let is_whole = self.memory.resume_after.is_none();
+        self.memory.keep(state, self.found, is_whole);
+        state.placement = self.memory;
+    }
+
+    /// Number of worker visits that the pass has taken as long as.
+    fn cost(&self) -> u64 {
+        self.visits + self.other_visits
+    }
+
+    /// Whether only a worker that has changed can have room for a task of a group.
+    fn is_known_unplaceable(&self, group: Group, need: &Need) -> bool {
+        self.memory.is_stuck(group, need.urgency) || self.memory.is_unplaceable(need)
+    }
+
+    /// Whether no worker has room for a task of a group.
+    fn is_unplaceable(&mut self, state: &super::State, group: Group, need: &Need) -> bool {
+        if !self.found.survey.may_have_room(need)
+            || self.found.stuck.contains(&(group, need.urgency))
+            || self.found.unplaceable.iter().any(|other| need.is_at_least(other))
+        {
+            return true;
+        }
+        if !self.is_known_unplaceable(group, need) {
+            return false;
+        }
+        let keys = self.found.survey.workers_for(need);
+        self.visits += keys.len() as u64;
+        let has_room = search::has_room_among(state, &mut self.memory.headrooms, keys, need);
+        if !has_room {
+            self.add_stuck(group, need);
+        }
+        !has_room
+    }
+
+    /// Records that no worker suits a group.
+    fn add_stuck(&mut self, group: Group, need: &Need) {
+        self.found.stuck.insert((group, need.urgency));
+        if need.stands_for_larger() {
+            add_need(&mut self.found.unplaceable, *need);
+        }
+    }
+
+    /// Whether a look at the single tasks of a group is needless: no worker has room for them, nor runs to preempt.
+    fn is_hopeless(&mut self, state: &super::State, group: Group, need: &Need, priority: u32) -> bool {
+        let urgencies: &[Urgency] =
+            if need.is_filling { &[Urgency::Deferrable, Urgency::Urgent] } else { &[Urgency::Deferrable] };
+        let is_unplaceable = urgencies
+            .iter()
+            .all(|urgency| self.is_unplaceable(state, group, &Need { urgency: *urgency, ..*need }));
+        is_unplaceable
+            && (priority > preempt::PREEMPTING_PRIORITY || self.is_unpreemptable(state, group, need))
+    }
+
+    /// Whether this pass has found that no worker has enough runs to preempt for a task of a group.
+    fn has_no_victims(&self, group: Group, need: &Need) -> bool {
+        self.found.without_victims.contains(&group)
+            || self.found.unpreemptable.iter().any(|other| need.is_at_least(other))
+    }
+
+    /// Whether a task of a group neither preempts other runs nor waits for the room of runs that are being stopped.
+    fn is_unpreemptable(&mut self, state: &super::State, group: Group, need: &Need) -> bool {
+        if self.has_no_victims(group, need) {
+            return true;
+        }
+        let survey = &self.found.survey;
+        let may_preempt = survey.may_preempt(need)
+            && (!self.memory.has_no_victims(group, need)
+                || self.memory.may_preempt_among(state, &survey.changed, need));
+        let has_none = !may_preempt && self.freed(state).is_empty();
+        if has_none {
+            self.found.without_victims.insert(group);
+        }
+        has_none
+    }
+
+    /// Resources by worker that runs being stopped will release and that are not promised to a task.
+    fn freed(&mut self, state: &super::State) -> &mut Map<Key, Resources> {
+        self.freed_resources.get_or_insert_with(|| preempt::stopping_resources(state))
+    }
+}
+
+/// Handles an expired placement timer: runs a pass if one is due, and schedules the next. A timer that has been
+/// replaced by another one is ignored.
+pub(super) fn run_timer(state: &mut super::State, out: &mut Vec<Effect>) {
+    let Some(due) = state.next_placement.filter(|at| *at <= state.now) else { return };
+    state.next_placement = None;
+    run_pass(state, state.now.since(due), out);
+    note_ready(state);
+    if let Some(at) = next_pass_at(state) {
+        state.schedule_placement_by(at);
+    }
+    wait::schedule(state);
+}
+
+/// Notes when the waiting of the tasks that have become ready gets another meaning.
+fn note_ready(state: &mut super::State) {
+    let (now, tuning) = (state.now, state.tuning);
+    for key in std::mem::take(&mut state.jobs.newly_ready) {
+        let Some(task) = state.jobs.tasks.get(key) else { continue };
+        let job = &state.jobs.all[task.job];
+        let preempts_at = task.ready_at + tuning.preempt_after;
+        let urgent_at = task.ready_at + tuning.max_deferral;
+        let wakes = [
+            Some(task.not_before),
+            Some(preempts_at).filter(|_| job.priority == preempt::PREEMPTING_PRIORITY),
+            Some(urgent_at).filter(|_| job.needs[task.name.step as usize].is_filling),
+        ];
+        state.placement.wake_at(wakes.into_iter().flatten().filter(|at| *at > now));
+    }
+}
+
+/// Returns the earliest time at which a waiting task may become placeable without another event; `None` if there is
+/// none.
+fn next_pass_at(state: &mut super::State) -> Option<Instant> {
+    let now = state.now;
+    if state.jobs.ready.is_empty() {
+        return None;
+    }
+    let wake = state.placement.next_wake(now);
+    let workers = state.workers.all.values().flat_map(|worker| {
+        let trials = worker.suspicion.into_iter().flat_map(|it| [it.until, it.next_trial_at]);
+        trials.chain([worker.paused_until])
+    });
+    let gate = state.workers.gate.iter().map(|gate| gate.until);
+    workers.chain(gate).chain(wake).filter(|at| *at > now).min()
+}
+
+/// Starts the waiting tasks for which a worker is found. `lateness` is the time by which the pass begins late.
+fn run_pass(state: &mut super::State, lateness: Duration, out: &mut Vec<Effect>) {
+    if state.load.is_some() || !state.leadership.may_act(state.now, &state.tuning) {
+        return;
+    }
+    if let Some(gate) = state.workers.open_gate(state.now) {
+        record_open_gate(state, &gate, out);
+    }
+    let waiting = sort_waiting(state);
+    let mut pass = Pass::begin(state);
+    let resumed = pass.memory.resume_after.take();
+    let first = resumed.map_or(0, |last| waiting.partition_point(|order| *order <= last));
+    for order in &waiting[first..] {
+        place_group(state, order.3, &mut pass, out);
+        if pass.cost() >= PASS_VISITS_MAX {
+            pass.memory.resume_after = Some(*order);
+            break;
+        }
+    }
+    let is_whole = resumed.is_none() && pass.memory.resume_after.is_none();
+    state.placement_visits += pass.visits;
+    // Events that wait while the process is behind are handled before the next pass.
+    let rest = state.tuning.place_rest_per_visit * pass.cost() as u32;
+    state.placement_not_before = state.now + rest.max(lateness.min(LATE_REST_MAX));
+    pass.end(state);
+    if !is_whole {
+        state.schedule_placement();
+    }
+}
+
+/// Adds the opening of the gate to the timeline, with the workers that have not answered.
+fn record_open_gate(state: &super::State, gate: &Gate, out: &mut Vec<Effect>) {
+    let (total, elapsed_ms) = (gate.worker_count, state.now.since(gate.closed_at).as_millis());
+    let unreached = gate.unreached.len();
+    let cause = if unreached == 0 {
+        format!("all {total} workers have answered")
+    } else {
+        let names = gate.unreached.iter().filter_map(|key| state.workers.all.get(*key));
+        let names: Vec<_> = names.map(|worker| worker.id.as_str()).take(UNREACHED_NAMES_MAX).collect();
+        let names = names.join(", ");
+        format!(
+            "all leases of earlier terms have expired, {unreached} of {total} workers unanswered: {names}"
+        )
+    };
+    state::record(out, Subject::Process, "gate-open", format!("{cause}, after {elapsed_ms} ms"));
+}
+
+/// Returns the waiting groups, most urgent first. Within a priority, groups past their deadline come after those that
+/// can still meet it.
+fn sort_waiting(state: &super::State) -> Vec<Order> {
+    let mut waiting: Vec<Order> = state
+        .jobs
+        .ready
+        .keys()
+        .filter_map(|group| {
+            let job = state.jobs.all.get(group.job)?;
+            let is_late = job.deadline < state.now && !job.spec.is_long_running();
+            Some((job.priority, is_late, job.deadline, *group))
+        })
+        .collect();
+    waiting.sort_unstable();
+    waiting
+}
+
+fn place_group(state: &mut super::State, group: Group, pass: &mut Pass, out: &mut Vec<Effect>) {
+    pass.other_visits += VISITS_PER_GROUP;
+    let Some(job) = state.jobs.all.get(group.job) else { return };
+    let (mut need, priority) = (job.needs[group.step as usize], job.priority);
+
+    if pass.is_hopeless(state, group, &need, priority) {
+        return;
+    }
+    let candidates = candidates(state, group);
+    pass.other_visits += candidates.len() as u64 * VISITS_PER_TASK;
+    if need.is_gang {
+        // The members of a gang work only together, so none starts before the others can.
+        if candidates.len() >= state.jobs.count_unfinished(group) {
+            need.is_suspect = candidates.iter().any(|key| state.jobs.tasks[*key].is_suspect());
+            gang::place(state, group, need, &candidates, pass, out);
+        }
+    } else {
+        for key in candidates {
+            place_task(state, key, &need, priority, pass, out);
+        }
+    }
+    state.jobs.remove_started(group);
+}
+
+/// Returns the tasks of a group that may start now.
+fn candidates(state: &super::State, group: Group) -> Vec<task::Key> {
+    let is_startable = |key: &task::Key| {
+        let task = state.jobs.tasks.get(*key);
+        task.is_some_and(|task| task.phase == task::Phase::Ready && wait::hold(state, task).is_none())
+    };
+    state.jobs.ready.get(&group).into_iter().flatten().copied().filter(is_startable).collect()
+}
+
+/// Starts a task if a worker has room for it, or else preempts others if it may.
+fn place_task(
+    state: &mut super::State,
+    key: task::Key,
+    need: &Need,
+    priority: u32,
+    pass: &mut Pass,
+    out: &mut Vec<Effect>,
+) {
+    let task = &state.jobs.tasks[key];
+    let has_waited = need.is_filling && state.now.since(task.ready_at) >= state.tuning.max_deferral;
+    let urgency = if has_waited { Urgency::Urgent } else { Urgency::Deferrable };
+    let need = &Need { avoid: task.avoid_worker, is_suspect: task.is_suspect(), urgency, ..*need };
+    let (group, number) = (task.group(), task.next_run);
+    if pass.is_unplaceable(state, group, need) {
+        return preempt::preempt(state, key, need, priority, pass, out);
+    }
+    let is_known = pass.is_known_unplaceable(group, need);
+    let scope = if is_known && !need.is_suspect { Scope::Changed } else { Scope::All };
+    let plan = Plan::default();
+    let siblings = Siblings { group, plan: &plan };
+    let Some(worker) = search::choose_worker(state, need, siblings, scope, pass) else {
+        if need.is_suspect && pass.held.is_none() {
+            search::hold_worker(state, need, siblings, pass);
+        } else if !need.is_suspect {
+            pass.add_stuck(group, need);
+        }
+        return preempt::preempt(state, key, need, priority, pass, out);
+    };
+    if control::start(state, key, worker, number, out) {
+        pass.memory.note(state, worker);
+    }
+}
--- /dev/null
+++ b/src/core/work/place/search.rs
@@ -0,0 +1,217 @@
+//! Search for the worker of a task.
+
+use super::memory::Headrooms;
+use super::need::Need;
+use super::{Filling, Offer, Pass};
+use crate::core::work::headroom::{self, Urgency};
+use crate::core::work::job::Group;
+use crate::core::work::spec::Resources;
+use crate::core::work::state::State;
+use crate::core::work::worker::{Key, Worker};
+use crate::core::work::{crash, image, run};
+use crate::hash::Map;
+
+/// Score penalty of a worker that a task should avoid, such as one where it failed.
+const AVOIDED_WORKER_SCORE: i64 = -1_000_000_000;
+
+/// Score penalty of a worker that is suspected of failing what it starts.
+const SUSPECTED_WORKER_SCORE: i64 = -1_000_000_000;
+
+/// Score penalty for each run beside a task that may crash its worker.
+const SUSPECT_COMPANY_SCORE: i64 = -10_000;
+
+/// A filling task starts only on a worker that leaves unused the processor time that it requests, divided by this.
+const SPARE_CPU_DIVISOR: i64 = 2;
+
+/// Most workers that are examined as a better place for a run; a small sample is likely to contain one if many exist.
+const WORKER_SAMPLE: usize = 24;
+
+/// Resources and number of runs that a gang already uses on each worker.
+pub(super) type Plan = Map<Key, (Resources, u32)>;
+
+/// What other tasks of the group of a task have taken.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Siblings<'a> {
+    pub group: Group,
+    pub plan: &'a Plan,
+}
+
+/// Workers that are examined for a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Scope {
+    All,
+    /// Only those that have changed since the last pass, as the others are known to have no room.
+    Changed,
+}
+
+/// Returns the worker with the highest score among those with room for a task.
+pub(super) fn choose_worker(
+    state: &State,
+    need: &Need,
+    siblings: Siblings<'_>,
+    scope: Scope,
+    pass: &mut Pass,
+) -> Option<Key> {
+    let Pass { memory, found, held, visits, .. } = pass;
+    let held = *held;
+    let headrooms = &mut memory.headrooms;
+    let score = |(key, worker): (Key, &Worker)| {
+        (held != Some(key)).then_some(())?;
+        Some((score_worker(state, headrooms, (key, worker), need, siblings)?, key))
+    };
+    let best = match scope {
+        Scope::All => {
+            *visits += state.workers.all.len() as u64;
+            state.workers.all.iter().filter_map(score).max()
+        }
+        Scope::Changed => {
+            *visits += found.survey.changed.len() as u64;
+            let workers = found.survey.changed.iter();
+            workers.filter_map(|key| Some((*key, state.workers.all.get(*key)?))).filter_map(score).max()
+        }
+    };
+    best.map(|(_, key)| key)
+}
+
+/// Score of a worker for a task; `None` if it has no room for it.
+fn score_worker(
+    state: &State,
+    headrooms: &mut Headrooms,
+    (key, worker): (Key, &Worker),
+    need: &Need,
+    Siblings { group, plan }: Siblings<'_>,
+) -> Option<i64> {
+    let (planned, planned_runs) = plan.get(&key).copied().unwrap_or_default();
+    let fits = has_room(state, worker, need, planned)
+        && need
+            .max_per_worker
+            .is_none_or(|most| count_group_runs(state, worker, group) + planned_runs < most)
+        && (!need.is_suspect || (planned_runs == 0 && crash::accepts_suspect(worker, state.now)))
+        && (planned_runs == 0 || !worker.is_suspected(state.now));
+    if !fits {
+        return None;
+    }
+    // A filling task is not placed where the serving tasks do not tolerate it; it waits for another worker.
+    let filling = filling(state, headrooms, key, need)?;
+    let avoided = if need.avoid == Some(key) { AVOIDED_WORKER_SCORE } else { 0 };
+    let suspected = if worker.is_suspected(state.now) { SUSPECTED_WORKER_SCORE } else { 0 };
+    let company = if need.is_suspect { worker.runs.len() as i64 * SUSPECT_COMPANY_SCORE } else { 0 };
+    let other_serving = if need.is_long_running { count_other_serving(state, worker, need.image) } else { 0 };
+    let score = (state.policy.score)(need, &Offer { worker, other_serving, filling });
+    Some(score + avoided + suspected + company)
+}
+
+/// Returns whether a worker takes runs and has the resources for one more, besides those that are `planned`.
+fn has_room(state: &State, worker: &Worker, need: &Need, planned: Resources) -> bool {
+    worker.suits(need.service, need.required_label)
+        && worker.free_resources().saturating_sub(planned).covers(need.charged)
+        && worker.accepts(need.is_long_running, state.now, state.journal.confirmed_at)
+}
+
+/// Returns whether one of these workers has room for a task.
+pub(super) fn has_room_among(state: &State, headrooms: &mut Headrooms, keys: &[Key], need: &Need) -> bool {
+    keys.iter().any(|key| {
+        let Some(worker) = state.workers.all.get(*key) else { return false };
+        has_room(state, worker, need, Resources::default()) && filling(state, headrooms, *key, need).is_some()
+    })
+}
+
+/// Returns the conditions for a task on a worker; `None` for a filling task if the serving tasks on the worker do not
+/// tolerate it, or if too little processor time is left.
+fn filling(state: &State, headrooms: &mut Headrooms, key: Key, need: &Need) -> Option<Filling> {
+    if !need.is_filling {
+        return Some(Filling::default());
+    }
+    let headroom = headrooms.get(state, key);
+    let has_spare_cpu = headroom.spare_cpu_millicores >= i64::from(need.cpu_millicores) / SPARE_CPU_DIVISOR;
+    // The interference of a task that names no image is unknown, so only its processor time is checked.
+    let is_tolerable = || {
+        need.image.is_none_or(|image| {
+            headroom::slack_after(state, &headroom.slack, image, need.cpu_millicores, need.urgency) >= 0.0
+        })
+    };
+    if !has_spare_cpu || !is_tolerable() {
+        return None;
+    }
+    let interference = need
+        .image
+        .map(|image| headroom::max_interference(state, &headroom.slack, image, need.cpu_millicores));
+    Some(Filling {
+        spare_cpu_millicores: headroom.spare_cpu_millicores,
+        interference: interference.unwrap_or_default(),
+        compatible_share: headroom.compatible_share,
+    })
+}
+
+/// Holds a worker with room for a suspect until nothing has started there for a while, so that a stream of other starts does
+/// not keep the suspect from starting.
+pub(super) fn hold_worker(state: &mut State, need: &Need, siblings: Siblings<'_>, pass: &mut Pass) {
+    pass.visits += state.workers.all.len() as u64;
+    let is_suitable = |(_, worker): &(Key, &Worker)| {
+        has_room(state, worker, &Need { is_long_running: false, ..*need }, Resources::default())
+            && need.max_per_worker.is_none_or(|most| count_group_runs(state, worker, siblings.group) < most)
+            && crash::has_uptime(worker, state.now)
+    };
+    let held = state.workers.all.iter().filter(is_suitable).min_by_key(|(_, worker)| worker.last_start_at);
+    let Some((key, accepts_at)) = held.map(|(key, worker)| (key, worker.last_start_at + crash::SURVIVAL))
+    else {
+        return;
+    };
+    pass.held = Some(key);
+    state.schedule_placement_by(accepts_at);
+}
+
+/// Returns whether another worker has room for a filling run, and serving tasks that tolerate it at full speed. Only
+/// [`WORKER_SAMPLE`] workers are examined, beginning with a random one.
+pub(in crate::core::work) fn has_better_worker(state: &mut State, key: run::Key, urgency: Urgency) -> bool {
+    let first = state.next_random() as usize % state.workers.all.len().max(1);
+    let state = &*state;
+    let run = &state.runs[key];
+    let Some(image) = run.profile.image else { return false };
+    let Some(job) = state.jobs.find(run.name.job).and_then(|job| state.jobs.all.get(job)) else {
+        return false;
+    };
+    let cpu = run.profile.filling_cpu_millicores;
+    let is_better = |(key, worker): (Key, &Worker)| {
+        let is_able = key != run.worker
+            && worker.report.as_ref().is_some_and(|report| report.service == job.service)
+            && worker.is_schedulable(state.now, state.journal.confirmed_at)
+            && worker.free_resources().covers(run.charged)
+            && worker.fillable_cpu_millicores() >= i64::from(cpu);
+        is_able && {
+            let headroom = headroom::estimate(state, key);
+            headroom.spare_cpu_millicores >= i64::from(cpu)
+                && headroom::slack_after(state, &headroom.slack, image, cpu, urgency) >= 0.0
+        }
+    };
+    state
+        .workers
+        .all
+        .iter()
+        .cycle()
+        .skip(first)
+        .take(WORKER_SAMPLE.min(state.workers.all.len()))
+        .any(is_better)
+}
+
+/// Returns the number of serving runs on a worker whose image is not `image`.
+fn count_other_serving(state: &State, worker: &Worker, image: Option<image::Key>) -> u32 {
+    if worker.serving_runs == 0 {
+        return 0;
+    }
+    let is_other = |run: &&run::Key| {
+        state.runs.get(**run).is_some_and(|run| run.profile.is_serving && run.profile.image != image)
+    };
+    worker.runs.iter().filter(is_other).count() as u32
+}
+
+/// Returns the number of runs on a worker that belong to the same step and occurrence.
+fn count_group_runs(state: &State, worker: &Worker, group: Group) -> u32 {
+    let Some(job) = state.jobs.all.get(group.job) else { return 0 };
+    let is_same_group = |run: &&run::Key| {
+        state.runs.get(**run).is_some_and(|run| {
+            run.name.job == job.id && run.name.occurrence == group.occurrence && run.name.step == group.step
+        })
+    };
+    worker.runs.iter().filter(is_same_group).count() as u32
+}
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -197,6 +197,7 @@
         control::record_running(state, key, row, sent, out);
     }
     control::reconcile(state, key, sent, &listing, out);
+    state.workers.touch(key);
     control::resend_stops(state, key, out);
     mark_durable_ends(state, key);
     confirm_if_new(state, key);
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -137,6 +137,8 @@
     pub placement_visits: u64,
     /// When the next report about waiting tasks is due; `None` if none is scheduled.
     pub next_wait_report: Option<Instant>,
+    /// What placement passes have found out.
+    pub placement: place::Memory,
     /// Policy that selects the worker of a task.
     pub policy: place::Policy,
     /// Whether a graceful shutdown is in progress.
@@ -179,6 +181,7 @@
             placement_not_before: Instant::default(),
             placement_visits: 0,
             next_wait_report: None,
+            placement: place::Memory::default(),
             policy: place::PACKED,
             is_stopping: false,
             stop_deadline: Instant::default(),
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -10,7 +10,7 @@
 use super::spec::Resources;
 use super::store::Member;
 use super::tuning::Tuning;
-use super::{crash, image, run};
+use super::{crash, image, run, symbol};
 use crate::core::time::Instant;
 use crate::hash::Map;
 
@@ -60,13 +60,6 @@
     pub started_unix_ms: Option<u64>,
 }
 
-impl Report {
-    /// Returns the rack of the worker, if it is reported.
-    pub fn rack(&self) -> Option<&str> {
-        self.labels.get(1).map(String::as_str)
-    }
-}
-
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClockReading {
@@ -85,6 +78,12 @@
     pub address: SocketAddr,
     /// Newest report; `None` while the worker is known from the roster only.
     pub report: Option<Report>,
+    /// Service in the report; `None` while there is no report.
+    pub service: Option<symbol::Key>,
+    /// Labels in the report: its kind, then its rack.
+    pub labels: Vec<symbol::Key>,
+    /// Number of changes of its runs and their readings, by which what was derived from them is known to be outdated.
+    pub version: u64,
     /// Whether the store lists it.
     pub is_listed: bool,
     /// Start of the worker process that answered last, in milliseconds since the Unix epoch.
@@ -166,6 +165,9 @@
             id,
             address,
             report: None,
+            service: None,
+            labels: Vec::new(),
+            version: 0,
             is_listed: false,
             started_unix_ms: None,
             process_known_at: None,
@@ -204,6 +206,23 @@
         }
     }
 
+    /// Records a newer report.
+    pub fn set_report(&mut self, report: Report) {
+        self.service = Some(symbol::Key::of(&report.service));
+        self.labels = report.labels.iter().map(|label| symbol::Key::of(label)).collect();
+        self.report = Some(report);
+    }
+
+    /// Rack in the report, if there is one.
+    pub fn rack(&self) -> Option<symbol::Key> {
+        self.labels.get(1).copied()
+    }
+
+    /// Whether it belongs to a service and has a label.
+    pub fn suits(&self, service: symbol::Key, label: Option<symbol::Key>) -> bool {
+        self.service == Some(service) && label.is_none_or(|label| self.labels.contains(&label))
+    }
+
     /// Returns the free resources; none while the capacity is unknown.
     pub fn free_resources(&self) -> Resources {
         self.report
@@ -302,6 +321,7 @@
 
     /// Adds a run and reserves its resources.
     pub fn add_run(&mut self, run: run::Key, charged: Resources, profile: run::Profile) {
+        self.version += 1;
         self.runs.push(run);
         self.used_resources = self.used_resources.saturating_add(charged);
         self.filling_runs += u32::from(profile.filling_cpu_millicores > 0);
@@ -311,6 +331,7 @@
 
     /// Removes a run and releases its resources.
     pub fn remove_run(&mut self, run: run::Key, charged: Resources, profile: run::Profile) {
+        self.version += 1;
         self.runs.retain(|other| *other != run);
         self.trial_run.take_if(|trial| *trial == run);
         self.used_resources = self.used_resources.saturating_sub(charged);
@@ -402,6 +423,13 @@
         key
     }
 
+    /// Records a change of the runs of a worker or of their readings.
+    pub fn touch(&mut self, key: Key) {
+        if let Some(worker) = self.all.get_mut(key) {
+            worker.version += 1;
+        }
+    }
+
     /// Records that the roster in the store contains a worker, unless its address has changed or it was retired since.
     pub fn enroll(&mut self, member: &Member) {
         if let Some(worker) = self.by_id.get(&member.id).and_then(|key| self.all.get_mut(*key)) {
--- /dev/null
+++ b/tests/backlog.rs
@@ -0,0 +1,180 @@
+//! Tests of a long queue of ready tasks: what a placement pass costs, and that no task with room waits for it.
+
+mod emulator;
+
+use std::time::Duration;
+
+use emulator::{Emulator, job, step};
+use nutmegfold::core::work::request::{Answer, Phase};
+use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+/// Number of workers.
+const WORKERS: usize = 60;
+
+/// Most passes in a second: one each 4 ms.
+const PASSES_PER_SECOND: u64 = 250;
+
+/// Most workers that may be examined between two events: about 1 ms of processor time.
+const VISITS_BETWEEN_EVENTS_MAX: u64 = 45_000;
+
+/// All cores of a worker, and most of them.
+const WHOLE_WORKER: Resources = Resources { cpu_millicores: 8_000, memory_mb: 1_000, gpu: 0 };
+const MOST_OF_WORKER: Resources = Resources { cpu_millicores: 7_000, memory_mb: 1_000, gpu: 0 };
+
+/// Memory of a worker but for what a small task needs.
+const MOST_MEMORY: Resources = Resources { cpu_millicores: 1_000, memory_mb: 31_000, gpu: 0 };
+
+/// Resources of which a worker has enough for many runs.
+const LITTLE: Resources = Resources { cpu_millicores: 10, memory_mb: 10, gpu: 0 };
+
+/// Identity of the job whose tasks occupy workers.
+const OCCUPYING_JOB: u64 = 1_000_000;
+
+/// Emulated deployment after one second, in which it has elected a leader and discovered its workers.
+fn ready(seed: u64, workers: usize) -> Emulator {
+    let mut emulator = Emulator::new(seed, 1, workers);
+    emulator.run_for(SECOND);
+    assert!(emulator.leader().is_some(), "no leader after a second: {:#?}", emulator.log);
+    emulator
+}
+
+/// A deployment of which each worker has a task that runs until its job is cancelled.
+fn occupied(seed: u64, workers: usize, resources: Resources) -> Emulator {
+    let mut emulator = ready(seed, workers);
+    let occupying = Step { resources, is_long_running: true, ..step(workers as u32) };
+    emulator.submit(0, OCCUPYING_JOB, job([occupying]));
+    emulator.run_for(2 * SECOND);
+    assert_eq!(emulator.ready_count(), 0, "seed {seed}: {:#?}", emulator.log);
+    emulator
+}
+
+fn assert_no_violation(emulator: &Emulator, seed: u64) {
+    assert!(emulator.observer.violations.is_empty(), "seed {seed}: {:#?}", emulator.observer.violations);
+}
+
+/// Guards against a leader that searches all workers for each waiting task whenever one worker has answered, although
+/// nothing has changed that could give the task room.
+#[test]
+fn each_pass_searches_all_workers_for_each_need_that_waits() {
+    let mut emulator = ready(1, WORKERS);
+    // Half of the workers have processor time left, and the others have memory left.
+    for (id, resources) in [(OCCUPYING_JOB, MOST_MEMORY), (OCCUPYING_JOB + 1, MOST_OF_WORKER)] {
+        let occupying =
+            Step { resources, is_long_running: true, max_per_worker: Some(1), ..step(WORKERS as u32 / 2) };
+        emulator.submit(0, id, job([occupying]));
+        emulator.run_for(SECOND);
+    }
+    // Each job needs more processor time and less memory than the one before, so none implies another.
+    for id in 0..300_u32 {
+        let resources = Resources { cpu_millicores: 1_001 + id, memory_mb: 1_401 - id, gpu: 0 };
+        emulator.submit(0, u64::from(id), job([Step { resources, ..step(4) }]));
+    }
+    emulator.run_for(2 * SECOND);
+    assert_eq!(emulator.ready_count(), 1_200, "{:#?}", emulator.log);
+    let before = emulator.placement_visits();
+    emulator.run_for(SECOND);
+    let visits = emulator.placement_visits() - before;
+    let most = PASSES_PER_SECOND * WORKERS as u64;
+    assert!(visits <= most, "{visits} workers examined in a second in which nothing could start");
+    assert_no_violation(&emulator, 1);
+}
+
+/// Guards against a pass that places a long queue at once, while answers of the store and of the workers wait behind it.
+#[test]
+fn answers_wait_behind_the_placement_of_a_long_queue() {
+    let mut emulator = ready(2, WORKERS);
+    for id in 0..20 {
+        emulator.submit(0, id, job([Step { resources: LITTLE, ..step(200) }]));
+    }
+    emulator.run_for(5 * SECOND);
+    let most = emulator.most_visits;
+    assert!(most <= VISITS_BETWEEN_EVENTS_MAX, "{most} workers examined between two events");
+    for id in 0..20 {
+        assert_eq!(emulator.read_job(0, id), Some(Answer::Phase(Phase::Completed)), "job {id}");
+    }
+    assert_no_violation(&emulator, 2);
+}
+
+/// Guards against a task with room that never starts, since each pass stops at the groups before it, which find none.
+#[test]
+fn a_task_with_room_waits_behind_groups_without_room() {
+    let mut emulator = occupied(3, WORKERS, MOST_OF_WORKER);
+    let limited = Step { resources: WHOLE_WORKER, max_per_worker: Some(1), ..step(1) };
+    for id in 0..3_000 {
+        emulator.submit(0, id, job([limited.clone()]));
+    }
+    emulator.run_for(2 * SECOND);
+    let last = Step { resources: LITTLE, estimate: 30 * SECOND, ..step(1) };
+    emulator.submit(0, 5_000, job([last]));
+    emulator.run_for(SECOND / 2);
+    let name = Name { job: Id(5_000), occurrence: 0, step: 0, index: 0 };
+    assert!(emulator.observer.is_running(name), "no start in half a second");
+    assert_no_violation(&emulator, 3);
+}
+
+/// A step of a random kind that may or may not find room.
+fn random_step(emulator: &mut Emulator) -> Step {
+    let mut pick = |values: &[u32]| values[emulator.next_random() as usize % values.len()];
+    let resources = Resources {
+        cpu_millicores: pick(&[500, 1_000, 2_000, 3_000, 5_000, 8_000]),
+        memory_mb: pick(&[500, 2_000, 9_000]),
+        gpu: 0,
+    };
+    let sized =
+        Step { resources, estimate: MILLISECOND * pick(&[300, 900, 2_500]), ..step(pick(&[1, 2, 5])) };
+    match pick(&[0, 1, 2, 3, 4, 5]) {
+        0 => Step { is_long_running: true, ..sized },
+        1 => Step { is_filling: true, ..sized },
+        2 => Step { max_per_worker: Some(1), ..sized },
+        3 => Step { is_gang: true, ..sized },
+        4 => Step { required_label: Some("a".into()), ..sized },
+        _ => sized,
+    }
+}
+
+/// Changes a random worker in a way that gives or takes room.
+fn change_worker(emulator: &mut Emulator, workers: usize) {
+    let worker = emulator.next_random() as usize % workers;
+    match emulator.next_random() % 8 {
+        0 => emulator.workers[worker].is_unresponsive = true,
+        1 => emulator.workers.iter_mut().for_each(|worker| worker.is_unresponsive = false),
+        2 => emulator.resize_worker(worker, 3_000),
+        3 => emulator.resize_worker(worker, 8_000),
+        4 => emulator.drain_worker(worker),
+        5 => emulator.resume_worker(worker),
+        6 => emulator.workers[worker].is_faulty ^= true,
+        _ => emulator.restart_worker(worker),
+    }
+}
+
+/// Guards against a task that has room and is taken as one without, since what an earlier pass has found out does not hold
+/// any more.
+#[test]
+fn a_task_waits_for_room_that_an_earlier_pass_did_not_find() {
+    const FEW_WORKERS: usize = 8;
+    let mut compared = 0;
+    for seed in 0..10 {
+        let mut emulator = ready(seed, FEW_WORKERS);
+        for id in 0..60 {
+            let step = random_step(&mut emulator);
+            emulator.submit(0, id, job([step]));
+            if id >= 12 {
+                emulator.cancel(0, id - 12);
+            }
+            change_worker(&mut emulator, FEW_WORKERS);
+            for _ in 0..10 {
+                let pause = MILLISECOND * (emulator.next_random() % 40) as u32;
+                emulator.run_for(pause);
+                let (found, expected) = (emulator.starts_of_pass(0, false), emulator.starts_of_pass(0, true));
+                assert_eq!(found, expected, "seed {seed}, job {id}: {:#?}", emulator.log);
+                compared += expected.len();
+            }
+        }
+        assert_no_violation(&emulator, seed);
+    }
+    assert!(compared > 0, "no pass would have started a task");
+}
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -22,9 +22,10 @@
 use nutmegfold::core::work::event::{Event as WorkEvent, Fault};
 use nutmegfold::core::work::order::Order;
 use nutmegfold::core::work::request::{self, Answer, Ticket, Verb};
-use nutmegfold::core::work::spec::{Id, Resources, Spec, Step};
+use nutmegfold::core::work::spec::{Id, Name, Resources, Spec, Step};
 use nutmegfold::core::work::state::Identity;
 use nutmegfold::core::work::store::{Call, Change, Item, Reply, Request};
+use nutmegfold::core::work::timer::Timer;
 use nutmegfold::core::work::tuning::Tuning;
 use nutmegfold::core::{State, member, reduce, work};
 use nutmegfold::declare::zone;
@@ -120,6 +121,10 @@
     pub log: Vec<String>,
     /// Number of events that the entry VMs have processed.
     pub event_count: u64,
+    /// Most workers that placement has examined in one event.
+    pub most_visits: u64,
+    /// Processor time of the events with a placement pass, which only the benchmark reads.
+    pub pass_times: Vec<Duration>,
     vms: Vec<Vm>,
     queue: BinaryHeap<Reverse<(Instant, u64)>>,
     actions: Map<u64, Action>,
@@ -162,6 +167,8 @@
             clock_leads: vec![Duration::ZERO; cpu_millicores.len()],
             log: Vec::new(),
             event_count: 0,
+            most_visits: 0,
+            pass_times: Vec::new(),
             vms: Vec::new(),
             queue: BinaryHeap::new(),
             actions: Map::default(),
@@ -273,12 +280,38 @@
 
     /// Number of workers that placement has examined, over all entry VMs.
     pub fn placement_visits(&self) -> u64 {
-        self.vms
-            .iter()
-            .map(|vm| {
-                vm.state.work.as_ref().expect("entry VMs of the emulator schedule jobs").placement_visits
-            })
-            .sum()
+        (0..self.vms.len()).map(|vm| self.work(vm).placement_visits).sum()
+    }
+
+    /// Runs that a placement pass of an entry VM would start now, if it relies on what earlier passes have found out, or if
+    /// it has forgotten that.
+    pub fn starts_of_pass(&mut self, vm: usize, is_forgetful: bool) -> Vec<(Name, u32)> {
+        let mut state = self.vms[vm].state.clone();
+        let work = state.work.as_mut().expect("entry VMs of the emulator schedule jobs");
+        if is_forgetful {
+            work.placement.forget_all();
+        }
+        work.next_placement = Some(self.now);
+        work.timers.set(self.now, Timer::Place);
+        let unix_ms = (self.now + self.clock_leads[vm]).0 / 1_000;
+        let mut effects = Vec::new();
+        reduce(&mut state, Input { at: self.now, unix_ms, entropy: 0, event: Event::Wake }, &mut effects);
+        let start = |effect: Effect| match effect {
+            Effect::Work(WorkEffect::Worker { order: Order::Start { name, number, .. }, .. }) => {
+                Some((name, number))
+            }
+            _ => None,
+        };
+        effects.into_iter().filter_map(start).collect()
+    }
+
+    /// Number of ready tasks, over all entry VMs.
+    pub fn ready_count(&self) -> usize {
+        (0..self.vms.len()).flat_map(|vm| self.work(vm).jobs.ready.values()).map(|tasks| tasks.len()).sum()
+    }
+
+    fn work(&self, vm: usize) -> &work::State {
+        self.vms[vm].state.work.as_ref().expect("entry VMs of the emulator schedule jobs")
     }
 
     /// Sets the placement policy of all entry VMs.
@@ -362,7 +395,14 @@
         let unix_ms = (self.now + self.clock_leads[vm]).0 / 1_000;
         let input = Input { at: self.now, unix_ms, entropy, event };
         let mut effects = Vec::new();
+        let has_pass = self.work(vm).next_placement.is_some_and(|at| at <= self.now);
+        let visits = self.work(vm).placement_visits;
+        let begin = std::time::Instant::now();
         reduce(&mut self.vms[vm].state, input, &mut effects);
+        self.most_visits = self.most_visits.max(self.work(vm).placement_visits - visits);
+        if has_pass {
+            self.pass_times.push(begin.elapsed());
+        }
         for effect in effects {
             self.execute_effect(vm, effect);
         }
