--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -286,6 +286,7 @@
 /// Extends the rest after a placement pass if the previous input ran one, and took `spent`.
 pub(super) fn extend_rest(state: &mut super::State, spent: Duration) {
     if std::mem::take(&mut state.has_placed) {
+        state.meter.counts.pass_time += spent;
         let rest = (spent * REST_PER_PASS_TIME).min(MEASURED_REST_MAX);
         state.placement_not_before = state.placement_not_before.max(state.now + rest);
     }
@@ -345,6 +346,9 @@
     }
     let is_whole = resumed.is_none() && pass.memory.resume_after.is_none();
     state.placement_visits += pass.visits;
+    state.meter.counts.passes += 1;
+    state.meter.counts.worker_visits += pass.visits;
+    state.meter.counts.unproven_workers += pass.unproven.len() as u64;
     // Events that wait while the process is behind are handled before the next pass.
     let rest = state.tuning.place_rest_per_visit * pass.cost() as u32;
     state.placement_not_before = state.now + rest.max(lateness.min(LATE_REST_MAX));
@@ -408,6 +412,7 @@
 
 fn place_group(state: &mut super::State, group: Group, pass: &mut Pass, out: &mut Vec<Effect>) {
     pass.other_visits += VISITS_PER_GROUP;
+    state.meter.counts.group_visits += 1;
     let Some(job) = state.jobs.all.get(group.job) else { return };
     let (mut need, priority) = (job.needs[group.step as usize], job.priority);
 
@@ -417,6 +422,8 @@
     if need.is_gang {
         let candidates = candidates(state, group);
         pass.other_visits += candidates.len() as u64 * VISITS_PER_TASK;
+        state.meter.counts.task_visits += state.jobs.ready.get(&group).map_or(0, |tasks| tasks.len() as u64);
+        state.meter.counts.candidates += candidates.len() as u64;
         // The members of a gang work only together, so none starts before the others can.
         if candidates.len() >= state.jobs.count_unfinished(group) {
             need.is_suspect = candidates.iter().any(|key| state.jobs.tasks[*key].is_suspect());
@@ -463,12 +470,14 @@
         let Some(key) = state.jobs.ready.get(&group).and_then(|tasks| tasks.get(index)).copied() else {
             break;
         };
+        state.meter.counts.task_visits += 1;
         let Some(task) = state.jobs.tasks.get(key) else { continue };
         let urgency = urgency(state, need, task);
         if (urgency == Urgency::Urgent && is_closed_for_urgent) || !is_startable(state, key) {
             continue;
         }
         pass.other_visits += VISITS_PER_TASK;
+        state.meter.counts.candidates += 1;
         let need = Need { avoid: task.avoid_worker, is_suspect: task.is_suspect(), urgency, ..*need };
         if place_task(state, key, &need, priority, pass, out) == Outlook::Closed {
             // Only the first tasks of a group have waited for so long that they are urgent.
--- a/tests/work_log.rs
+++ b/tests/work_log.rs
@@ -62,7 +62,7 @@
     emulator.run_for(2 * SECOND);
     let ended = only_entry(&emulator, "ended");
     assert!(
-        ended.contains("on w-0: Done, end 1 waits for change") && ended.contains("job Running"),
+        ended.contains("on w-0: done, end 1 waits for change") && ended.contains("job Running"),
         "{ended}"
     );
     let acknowledged = only_entry(&emulator, "acknowledge");
@@ -199,8 +199,72 @@
     assert!(lost.contains(&format!("run 1 of 0000000000000001.0.0.0 on w-{silent}: last answer ")), "{lost}");
     assert!(number_after(&lost, "last answer ") >= 4_500, "{lost}");
     assert!(lost.contains(" ms, leases expired ") && lost.contains(" ms ago, listed"), "{lost}");
+    assert!(number_after(&lost, "; active for ") >= 4_500, "{lost}");
     let starts = entries(&emulator, "start");
-    assert!(starts[1].contains(" (after run 1: Lost(LeaseExpired)) on "), "{starts:#?}");
+    assert!(starts[1].contains(" (after run 1: lost, lease expired) on "), "{starts:#?}");
+}
+
+/// Asserts that no reason has the debug form of a value of the program.
+fn assert_readable(emulator: &Emulator) {
+    for line in &emulator.log {
+        let (_, reason) = line.split_once("reason: ").expect("an entry has a reason");
+        let reason = reason.strip_suffix(" }").expect("the reason is the last field");
+        let is_readable =
+            ["Some(", "None", "Instant(", "{", "Id(", "::"].iter().all(|form| !reason.contains(form));
+        assert!(is_readable, "{line}");
+    }
+}
+
+/// Guards against a run that is given up while it is stopped or started, when its entry shows the phase as the program
+/// prints it, with times that an operator cannot relate to the log.
+#[test]
+fn a_run_that_is_given_up_shows_its_phase_without_ages() {
+    let mut emulator = ready(18, 1);
+    for id in 1..=3 {
+        emulator.submit(0, id, job([Step { is_long_running: true, ..step(1) }]));
+    }
+    emulator.run_for(SECOND);
+    emulator.workers[0].is_unresponsive = true;
+    cancel(&mut emulator, 0, 1);
+    emulator.submit(0, 4, job([Step { is_long_running: true, ..step(1) }]));
+    emulator.run_for(SECOND * 14);
+    let lost = entries(&emulator, "lost-lease");
+    assert!(lost.len() >= 3, "{:#?}", emulator.log);
+    for line in &lost {
+        if line.contains("Job(Id(1))") {
+            let age = number_after(line, "; stop sent ");
+            assert!(
+                age < number_after(line, "last answer ") && line.contains(" ms ago, not confirmed\""),
+                "{line}"
+            );
+        } else {
+            assert!(line.contains("; active for ") || line.contains("; start unconfirmed for "), "{line}");
+        }
+    }
+    emulator.workers[0].is_unresponsive = false;
+    emulator.run_for(SECOND * 5);
+    emulator.restart_worker(0);
+    emulator.run_for(SECOND * 3);
+    assert!(!entries(&emulator, "worker-reborn").is_empty(), "{:#?}", emulator.log);
+    assert_readable(&emulator);
+}
+
+/// Guards against a refused start of which the log does not tell why, neither at the refusal nor at the next start.
+#[test]
+fn a_refused_start_shows_no_reason() {
+    let mut emulator = ready(19, 2);
+    emulator.workers[0].is_replaced = true;
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(4) }]));
+    emulator.run_for(SECOND * 3);
+    let refused = entries(&emulator, "start-refused");
+    assert!(!refused.is_empty(), "{:#?}", emulator.log);
+    for line in &refused {
+        assert!(line.ends_with(": another process has its address\" }"), "{line}");
+    }
+    let starts = entries(&emulator, "start");
+    let again = " (after run 1: start refused, another process has its address) on w-1";
+    assert!(starts.iter().any(|line| line.contains(again)), "{starts:#?}");
+    assert_readable(&emulator);
 }
 
 /// Guards against a restart of a worker that is not told apart from a cut in the log.
@@ -212,9 +276,9 @@
     emulator.restart_worker(0);
     emulator.run_for(3 * SECOND);
     let reborn = only_entry(&emulator, "worker-reborn");
-    assert!(reborn.contains("start time Some(1) before and Some(2) now"), "{reborn}");
+    assert!(reborn.contains("start time 1 before and 2 now"), "{reborn}");
     let starts = entries(&emulator, "start");
-    assert!(starts[1].contains(" (after run 1: Lost(Restarted)) on "), "{starts:#?}");
+    assert!(starts[1].contains(" (after run 1: lost, worker restarted) on "), "{starts:#?}");
 }
 
 /// Guards against ends that a worker has discarded before they were read, when no entry names them.
@@ -402,6 +466,116 @@
     assert!(line.contains("candidates: 0, but the leadership is not confirmed;"), "{line}");
 }
 
+/// Sum of the numbers that follow `label` in entries.
+fn sum_after(lines: &[String], label: &str) -> u64 {
+    lines.iter().map(|line| number_after(line, label)).sum()
+}
+
+/// Entries `leader-behind`, which only the leader may make, at most one in a second.
+fn checked_behind_entries(emulator: &Emulator) -> Vec<String> {
+    let leader = emulator.leader().expect("a leader");
+    let lines = entries(emulator, "leader-behind");
+    for line in &lines {
+        assert!(line.contains(&format!(" vm-{leader} ")), "an entry of a follower: {line}");
+        assert!(number_after(line, "\"in ") >= 1_000, "{line}");
+    }
+    lines
+}
+
+/// Guards against a leader that is behind without an entry that shows how far and with what work, against a flood of such
+/// entries, and against one from a follower.
+#[test]
+fn a_leader_that_is_behind_leaves_no_entry_or_too_many() {
+    const SECONDS: usize = 10;
+    let mut emulator = ready(15, 3);
+    emulator.lag = SECOND * 3 / 20;
+    for id in 1..=4 {
+        emulator.submit(0, id, job([step(3)]));
+        emulator.run_for(SECOND / 2);
+    }
+    emulator.run_for(SECOND * (SECONDS as u32 - 2));
+    let lines = checked_behind_entries(&emulator);
+    assert!((SECONDS - 2..=SECONDS).contains(&lines.len()), "{lines:#?}");
+    for line in &lines {
+        let (longest, last) = (number_after(line, "longest lag "), number_after(line, " ms, last "));
+        assert!((100..=150).contains(&longest) && last <= longest, "{line}");
+    }
+    let renewals = sum_after(&lines, "renew ");
+    assert!((1..=renewals).contains(&sum_after(&lines, "listings: ")), "{lines:#?}");
+    let starts = entries(&emulator, "start").len() as u64;
+    assert!(starts >= 12, "{:#?}", emulator.log);
+    assert_eq!(sum_after(&lines, "start "), starts, "{lines:#?}");
+    assert!(sum_after(&lines, "candidates: ") >= starts, "{lines:#?}");
+    assert!(sum_after(&lines, "tasks visited: ") >= sum_after(&lines, "candidates: "), "{lines:#?}");
+    assert!(sum_after(&lines, "groups visited: ") >= 4, "{lines:#?}");
+    let passes = sum_after(&lines, "placement passes: ");
+    assert!(passes > 0, "{lines:#?}");
+    let (seen, all) = (sum_after(&lines, "worker visits: "), emulator.placement_visits());
+    assert!(passes <= seen && seen <= all, "{seen} of {all} visits: {lines:#?}");
+    assert!(sum_after(&lines, "; commits: ") > 0, "{lines:#?}");
+    assert!(sum_after(&lines, ", changes: ") >= sum_after(&lines, "; commits: "), "{lines:#?}");
+    assert!(lines.iter().all(|line| number_after(line, "longest in flight ") < 800), "{lines:#?}");
+    assert!(sum_after(&lines, "ends in them: ") >= 12, "{lines:#?}");
+}
+
+/// Guards against entries of a leader that is not behind, also after it was. Starts in the polls of workers with runs set
+/// renewal timers for times that have passed, which shows no lateness.
+#[test]
+fn a_leader_that_keeps_up_looks_like_one_that_is_behind() {
+    let mut emulator = ready(16, 3);
+    emulator.submit(0, 1, job([step(12)]));
+    emulator.run_for(SECOND * 5);
+    for id in 10..22 {
+        emulator.submit(0, id, job([Step { is_long_running: true, ..step(1) }]));
+        emulator.run_for(SECOND / 3);
+    }
+    for id in 10..22 {
+        cancel(&mut emulator, 0, id);
+    }
+    emulator.run_for(SECOND);
+    assert_eq!(checked_behind_entries(&emulator), Vec::<String>::new());
+    emulator.lag = SECOND / 5;
+    emulator.run_for(SECOND * 3);
+    emulator.lag = Duration::ZERO;
+    emulator.run_for(SECOND * 2);
+    let count = checked_behind_entries(&emulator).len();
+    assert!(count > 0, "{:#?}", emulator.log);
+    emulator.submit(0, 2, job([step(12)]));
+    emulator.run_for(SECOND * 5);
+    assert_eq!(checked_behind_entries(&emulator).len(), count, "{:#?}", emulator.log);
+}
+
+/// Guards against an entry that does not tell the causes of lateness apart: starts without an answer and silent workers, a
+/// slow commit, and proofs that tasks wait for.
+#[test]
+fn an_entry_of_a_late_leader_shows_no_cause() {
+    let mut emulator = ready(17, 2);
+    emulator.lag = SECOND / 5;
+    emulator.run_for(SECOND * 2);
+    let calm = checked_behind_entries(&emulator);
+    assert!(!calm.is_empty(), "{:#?}", emulator.log);
+    assert_eq!(sum_after(&calm, "starts without an answer: "), 0, "{calm:#?}");
+    assert_eq!(sum_after(&calm, "workers that became silent: "), 0, "{calm:#?}");
+    emulator.store.commit_delay = SECOND / 2;
+    for worker in &mut emulator.workers {
+        worker.is_unresponsive = true;
+    }
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(2) }]));
+    emulator.run_for(SECOND * 3);
+    emulator.submit(0, 2, job([Step { is_long_running: true, ..step(5) }]));
+    emulator.run_for(SECOND * 4);
+    let lines = checked_behind_entries(&emulator);
+    let doubtful = entries(&emulator, "start-doubtful").len() as u64;
+    let silent = entries(&emulator, "worker-silent").len() as u64;
+    assert!(silent > 0, "{:#?}", emulator.log);
+    assert_eq!(sum_after(&lines, "starts without an answer: "), doubtful, "{lines:#?}");
+    assert_eq!(sum_after(&lines, "workers that became silent: "), silent, "{lines:#?}");
+    let unsent = entries(&emulator, "start-not-sent").len() as u64;
+    assert_eq!(sum_after(&lines, "starts not sent: "), unsent, "{lines:#?}");
+    assert!(lines.iter().any(|line| number_after(line, "longest in flight ") >= 500), "{lines:#?}");
+    assert!(lines.iter().any(|line| line.contains("; ready tasks: 5, groups: 1\"")), "{lines:#?}");
+}
+
 /// Guards against a log that a long queue floods, and against entries for the groups that have waited least.
 #[test]
 fn hundreds_of_waiting_groups_flood_the_log() {
