Count a change of a worker's report as a change of its headroom

Seen: a filling task waits on a worker that has grown until the next listing of that worker, up to 2.5 s for one without runs.

Cause: placement keeps the headroom of a worker by its version, which counted changes of runs and readings. The headroom also depends on the capacity in the report, which changed without a new version.

Change: a new report counts as a new version.

--- a/src/core/work/place/memory.rs
+++ b/src/core/work/place/memory.rs
@@ -118,7 +118,7 @@
     }
 }
 
-/// Headroom of workers, kept until their runs or the readings of these change.
+/// Headroom of workers, kept until their reports, their runs or the readings of these change.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Headrooms(SecondaryMap<Key, (u64, Headroom)>);
 
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -109,7 +109,8 @@
     pub service: Option<symbol::Key>,
     /// Labels in the report: its kind, then its rack.
     pub labels: Vec<symbol::Key>,
-    /// Number of changes of its runs and their readings, by which what was derived from them is known to be outdated.
+    /// Number of changes of its report, its runs and their readings, by which what was derived from them is known to be
+    /// outdated.
     pub version: u64,
     /// Whether the store lists it.
     pub is_listed: bool,
@@ -253,6 +254,7 @@
         self.service = Some(symbol::Key::of(&report.service));
         self.labels = report.labels.iter().map(|label| symbol::Key::of(label)).collect();
         self.report = Some(report);
+        self.version += 1;
     }
 
     /// Rack in the report, if there is one.
--- a/tests/backlog.rs
+++ b/tests/backlog.rs
@@ -116,6 +116,26 @@
     assert_no_violation(&emulator, 3);
 }
 
+/// Guards against a filling task that waits beside unused processor time, since the headroom of the worker is kept from
+/// before its capacity grew.
+#[test]
+fn a_filling_task_waits_for_the_next_listing_of_a_worker_that_has_grown() {
+    for seed in 0..5 {
+        let mut emulator = ready(seed, 1);
+        emulator.resize_worker(0, 3_000);
+        emulator.run_for(SECOND / 2);
+        emulator.submit(0, 1, job([Step { resources: WHOLE_WORKER, is_filling: true, ..step(1) }]));
+        emulator.run_for(SECOND / 2);
+        assert_eq!(emulator.ready_count(), 1, "seed {seed}: {:#?}", emulator.log);
+        emulator.resize_worker(0, 8_000);
+        // An idle worker is listed every 2.5 s, the first time in the second before the task is submitted.
+        emulator.run_for(SECOND / 5);
+        let name = Name { job: Id(1), occurrence: 0, step: 0, index: 0 };
+        assert!(emulator.observer.is_running(name), "seed {seed}: {:#?}", emulator.log);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// A step of a random kind that may or may not find room.
 fn random_step(emulator: &mut Emulator) -> Step {
     let mut pick = |values: &[u32]| values[emulator.next_random() as usize % values.len()];
