--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -194,7 +194,8 @@
 ) {
     let now = state.now;
     let worker = &mut state.workers.all[key];
-    if worker.started_unix_ms.is_some() && worker.started_unix_ms != listing.started_unix_ms {
+    let has_restarted = worker.started_unix_ms.is_some() && worker.started_unix_ms != listing.started_unix_ms;
+    if has_restarted {
         worker.acknowledging_end = 0;
         handle_restart(state, key, sent, &listing, out);
     }
@@ -241,6 +242,10 @@
     mark_durable_ends(state, key);
     confirm_if_new(state, key);
     schedule_next(state, key);
+    if has_restarted {
+        // Only an order with the higher token makes the new process refuse late orders to the earlier one.
+        state.workers.all[key].next_renewal_at = now;
+    }
     state.schedule_placement();
 }
 
