Count what placement examines

Cause: `placement_visits` counts only a part of the workers that a pass looks at, so a test cannot bound the work of a long queue by a number that is the same in each run. Change: `place::Tally` counts passes, workers, groups, tasks, comparisons with needs, and runs; no decision reads it.

--- a/src/core/work/place/memory.rs
+++ b/src/core/work/place/memory.rs
@@ -10,7 +10,7 @@
 use slotmap::SecondaryMap;
 
 use super::need::Need;
-use super::{Order, preempt, search};
+use super::{Order, Tally, preempt, search};
 use crate::core::time::Instant;
 use crate::core::work::headroom::{self, Headroom, Urgency};
 use crate::core::work::job::Group;
@@ -120,16 +120,23 @@
 
 /// Headroom of workers, kept until their runs or the readings of these change.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Headrooms(SecondaryMap<Key, (u64, Headroom)>);
+pub(super) struct Headrooms {
+    by_worker: SecondaryMap<Key, (u64, Headroom)>,
+    /// Number of runs that were examined, in estimates and in comparisons with them.
+    pub runs: u64,
+}
 
 impl Headrooms {
     /// Returns the headroom of a worker.
     pub fn get(&mut self, state: &State, key: Key) -> &Headroom {
         let version = state.workers.all[key].version;
-        if self.0.get(key).is_none_or(|(known, _)| *known != version) {
-            self.0.insert(key, (version, headroom::estimate(state, key)));
+        if self.by_worker.get(key).is_none_or(|(known, _)| *known != version) {
+            self.by_worker.insert(key, (version, headroom::estimate(state, key)));
+            self.runs += state.workers.all[key].runs.len() as u64;
         }
-        &self.0[key].1
+        let headroom = &self.by_worker[key].1;
+        self.runs += headroom.slack.len() as u64;
+        headroom
     }
 }
 
@@ -154,12 +161,16 @@
 
 impl Memory {
     /// Compares the workers with how the last pass saw them.
-    pub(super) fn look(&mut self, state: &State) -> Survey {
+    pub(super) fn look(&mut self, state: &State, tally: &mut Tally) -> Survey {
         let mut survey = Survey::default();
         for (key, worker) in &state.workers.all {
             let before = self.sights.get(key).copied();
             let sight = Sight::of(state, worker, before.as_ref());
             self.sights.insert(key, sight);
+            tally.workers += 1;
+            if before.is_none_or(|before| before.version != sight.version) {
+                tally.runs += worker.runs.len() as u64;
+            }
             if before.is_none_or(|before| sight.has_more_room(&before)) {
                 survey.roomier.push(key);
                 survey.changed.push(key);
@@ -190,6 +201,11 @@
         *self = Self { wakes: std::mem::take(&mut self.wakes), ..Self::default() };
     }
 
+    /// Number of remembered needs that a need is compared with.
+    pub(super) fn needs_count(&self) -> u64 {
+        (self.unplaceable.len() + self.unpreemptable.len()) as u64
+    }
+
     /// Whether only a worker that has changed can have room for a need.
     pub(super) fn is_unplaceable(&self, need: &Need) -> bool {
         self.unplaceable.iter().any(|failed| need.is_at_least(failed))
@@ -220,15 +236,18 @@
 
     /// Keeps what a pass has found out, and what it has not refuted. After a pass that has not visited all groups, the workers
     /// that it took as changed count as changed again, since the other groups have not been compared with them.
-    pub(super) fn keep(&mut self, state: &State, found: Findings, is_whole: bool) {
+    pub(super) fn keep(&mut self, state: &State, found: Findings, is_whole: bool, tally: &mut Tally) {
         let Findings { survey, unplaceable, unpreemptable, stuck, without_victims } = found;
         let mut kept = std::mem::take(&mut self.unplaceable);
         kept.retain(|need| {
-            !search::has_room_among(state, &mut self.headrooms, survey.workers_for(need), need)
+            let keys = survey.workers_for(need);
+            tally.workers += keys.len() as u64;
+            !search::has_room_among(state, &mut self.headrooms, keys, need)
         });
         unplaceable.iter().for_each(|need| add_need(&mut kept, *need));
         self.unplaceable = kept;
         let mut kept = std::mem::take(&mut self.unpreemptable);
+        tally.workers += (kept.len() * survey.changed.len()) as u64;
         kept.retain(|need| !self.may_preempt_among(state, &survey.changed, need));
         self.unpreemptable = kept;
         unpreemptable.iter().for_each(|need| add_need(&mut self.unpreemptable, *need));
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -12,12 +12,15 @@
 mod need;
 mod preempt;
 mod search;
+mod tally;
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 pub use memory::Memory;
 pub use need::Need;
 pub(super) use search::has_better_worker;
+pub use tally::Tally;
 
 use super::headroom::Urgency;
 use super::job::Group;
@@ -137,13 +140,16 @@
     held: Option<Key>,
     /// Workers that were chosen for tasks, but may have forgotten a later leader.
     unproven: Set<Key>,
+    /// What the pass has examined.
+    tally: Tally,
 }
 
 impl Pass {
     /// Begins a pass: compares the workers with how the last one saw them.
     fn begin(state: &mut super::State) -> Self {
         let mut memory = std::mem::take(&mut state.placement);
-        let survey = memory.look(state);
+        let mut tally = Tally { passes: 1, ..Tally::default() };
+        let survey = memory.look(state, &mut tally);
         Self {
             memory,
             found: Findings { survey, ..Findings::default() },
@@ -152,6 +158,7 @@
             other_visits: 0,
             held: None,
             unproven: Set::default(),
+            tally,
         }
     }
 
@@ -162,7 +169,9 @@
             self.memory.forget(held);
         }
         let is_whole = self.memory.resume_after.is_none();
-        self.memory.keep(state, self.found, is_whole);
+        self.memory.keep(state, self.found, is_whole, &mut self.tally);
+        self.tally.runs += std::mem::take(&mut self.memory.headrooms.runs);
+        state.placement_tally.add(&self.tally);
         state.placement = self.memory;
     }
 
@@ -172,12 +181,14 @@
     }
 
     /// Whether only a worker that has changed can have room for a task of a group.
-    fn is_known_unplaceable(&self, group: Group, need: &Need) -> bool {
+    fn is_known_unplaceable(&mut self, group: Group, need: &Need) -> bool {
+        self.tally.needs += self.memory.needs_count();
         self.memory.is_stuck(group, need.urgency) || self.memory.is_unplaceable(need)
     }
 
     /// Whether no worker has room for a task of a group.
     fn is_unplaceable(&mut self, state: &super::State, group: Group, need: &Need) -> bool {
+        self.tally.needs += self.found.unplaceable.len() as u64;
         if !self.found.survey.may_have_room(need)
             || self.found.stuck.contains(&(group, need.urgency))
             || self.found.unplaceable.iter().any(|other| need.is_at_least(other))
@@ -189,6 +200,7 @@
         }
         let keys = self.found.survey.workers_for(need);
         self.visits += keys.len() as u64;
+        self.tally.workers += keys.len() as u64;
         let has_room = search::has_room_among(state, &mut self.memory.headrooms, keys, need);
         if !has_room {
             self.add_stuck(group, need);
@@ -226,7 +238,9 @@
         if self.has_no_victims(group, need) {
             return true;
         }
+        self.tally.needs += self.memory.needs_count();
         let survey = &self.found.survey;
+        self.tally.workers += survey.changed.len() as u64;
         let may_preempt = survey.may_preempt(need)
             && (!self.memory.has_no_victims(group, need)
                 || self.memory.may_preempt_among(state, &survey.changed, need));
@@ -239,7 +253,10 @@
 
     /// Resources by worker that runs being stopped will release and that are not promised to a task.
     fn freed(&mut self, state: &super::State) -> &mut Map<Key, Resources> {
-        self.freed_resources.get_or_insert_with(|| preempt::stopping_resources(state))
+        self.freed_resources.get_or_insert_with(|| {
+            self.tally.runs += state.runs.len() as u64;
+            preempt::stopping_resources(state)
+        })
     }
 }
 
@@ -299,6 +316,7 @@
     }
     let waiting = sort_waiting(state);
     let mut pass = Pass::begin(state);
+    pass.tally.groups += waiting.len() as u64;
     let resumed = pass.memory.resume_after.take();
     let first = resumed.map_or(0, |last| waiting.partition_point(|order| *order <= last));
     for order in &waiting[first..] {
@@ -373,12 +391,14 @@
 
 fn place_group(state: &mut super::State, group: Group, pass: &mut Pass, out: &mut Vec<Effect>) {
     pass.other_visits += VISITS_PER_GROUP;
+    pass.tally.groups += 1;
     let Some(job) = state.jobs.all.get(group.job) else { return };
     let (mut need, priority) = (job.needs[group.step as usize], job.priority);
 
     if pass.is_hopeless(state, group, &need, priority) {
         return;
     }
+    pass.tally.tasks += state.jobs.ready.get(&group).map_or(0, VecDeque::len) as u64;
     let candidates = candidates(state, group);
     pass.other_visits += candidates.len() as u64 * VISITS_PER_TASK;
     if need.is_gang {
@@ -413,6 +433,7 @@
     pass: &mut Pass,
     out: &mut Vec<Effect>,
 ) {
+    pass.tally.tasks += 1;
     let task = &state.jobs.tasks[key];
     let has_waited = need.is_filling && state.now.since(task.ready_at) >= state.tuning.max_deferral;
     let urgency = if has_waited { Urgency::Urgent } else { Urgency::Deferrable };
--- a/src/core/work/place/preempt.rs
+++ b/src/core/work/place/preempt.rs
@@ -40,6 +40,7 @@
     if pass.has_no_victims(group, need) {
         return;
     }
+    pass.tally.workers += pass.freed(state).len() as u64;
     let freed = pass.freed(state);
     let promised = freed.iter().find(|(worker, resources)| {
         let Some(worker) = state.workers.all.get(**worker) else { return false };
@@ -82,10 +83,12 @@
     let best = if pass.memory.has_no_victims(group, need) {
         let changed = &pass.found.survey.changed;
         pass.visits += changed.len() as u64 * VISITS_PER_VICTIM_SEARCH;
+        pass.tally.workers += changed.len() as u64 * VISITS_PER_VICTIM_SEARCH;
         let changed = changed.iter().filter_map(|key| Some((*key, workers.get(*key)?)));
         changed.filter_map(victims).min_by_key(|(cost, ..)| *cost)
     } else {
         pass.visits += workers.len() as u64 * VISITS_PER_VICTIM_SEARCH;
+        pass.tally.workers += workers.len() as u64 * VISITS_PER_VICTIM_SEARCH;
         workers.iter().filter_map(victims).min_by_key(|(cost, ..)| *cost)
     };
     best.map(|(_, worker, runs)| (worker, runs))
--- a/src/core/work/place/search.rs
+++ b/src/core/work/place/search.rs
@@ -58,7 +58,7 @@
     scope: Scope,
     pass: &mut Pass,
 ) -> Option<Key> {
-    let Pass { memory, found, held, visits, .. } = pass;
+    let Pass { memory, found, held, visits, tally, .. } = pass;
     let held = *held;
     let headrooms = &mut memory.headrooms;
     let score = |(key, worker): (Key, &Worker)| {
@@ -68,10 +68,12 @@
     let best = match scope {
         Scope::All => {
             *visits += state.workers.all.len() as u64;
+            tally.workers += state.workers.all.len() as u64;
             state.workers.all.iter().filter_map(score).max()
         }
         Scope::Changed => {
             *visits += found.survey.changed.len() as u64;
+            tally.workers += found.survey.changed.len() as u64;
             let workers = found.survey.changed.iter();
             workers.filter_map(|key| Some((*key, state.workers.all.get(*key)?))).filter_map(score).max()
         }
@@ -165,6 +167,7 @@
 /// not keep the suspect from starting.
 pub(super) fn hold_worker(state: &mut State, need: &Need, siblings: Siblings<'_>, pass: &mut Pass) {
     pass.visits += state.workers.all.len() as u64;
+    pass.tally.workers += state.workers.all.len() as u64;
     let is_suitable = |(_, worker): &(Key, &Worker)| {
         has_room(state, worker, &Need { is_long_running: false, ..*need }, Resources::default())
             && need.max_per_worker.is_none_or(|most| count_group_runs(state, worker, siblings.group) < most)
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -140,6 +140,8 @@
     pub placement_not_before: Instant,
     /// Number of workers examined by placement, summed over all tasks and passes.
     pub placement_visits: u64,
+    /// What all placement passes have examined.
+    pub placement_tally: place::Tally,
     /// When the next report about waiting tasks is due; `None` if none is scheduled.
     pub next_wait_report: Option<Instant>,
     /// What placement passes have found out.
@@ -185,6 +187,7 @@
             next_placement: None,
             placement_not_before: Instant::default(),
             placement_visits: 0,
+            placement_tally: place::Tally::default(),
             next_wait_report: None,
             placement: place::Memory::default(),
             policy: place::PACKED,
