--- a/src/core/work/meter.rs
+++ b/src/core/work/meter.rs
@@ -8,6 +8,7 @@
 
 use super::effect::Effect as WorkEffect;
 use super::order::Order;
+use super::place::Tally;
 use super::state;
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
@@ -63,6 +64,14 @@
 }
 
 impl Counts {
+    /// Counts what a placement pass has examined.
+    pub fn add_pass(&mut self, tally: &Tally) {
+        self.passes += tally.passes;
+        self.worker_visits += tally.workers;
+        self.group_visits += tally.groups;
+        self.task_visits += tally.tasks;
+    }
+
     /// Counts an order to a worker.
     pub fn count_order(&mut self, order: &Order) {
         let count = match order {
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -12,12 +12,15 @@
 mod need;
 mod preempt;
 mod search;
+mod tally;
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 pub use memory::Memory;
 pub use need::Need;
 pub(super) use search::has_better_worker;
+pub use tally::Tally;
 
 use super::headroom::Urgency;
 use super::job::Group;
@@ -146,13 +149,16 @@
     unplaceable_suspects: Vec<Need>,
     /// Workers that were chosen for tasks, but may have forgotten a later leader.
     unproven: Set<Key>,
+    /// What the pass has examined.
+    tally: Tally,
 }
 
 impl Pass {
     /// Begins a pass: compares the workers with how the last one saw them.
     fn begin(state: &mut super::State) -> Self {
         let mut memory = std::mem::take(&mut state.placement);
-        let survey = memory.look(state);
+        let mut tally = Tally { passes: 1, ..Tally::default() };
+        let survey = memory.look(state, &mut tally);
         Self {
             memory,
             found: Findings { survey, ..Findings::default() },
@@ -162,6 +168,7 @@
             held: None,
             unplaceable_suspects: Vec::new(),
             unproven: Set::default(),
+            tally,
         }
     }
 
@@ -172,7 +179,10 @@
             self.memory.forget(held);
         }
         let is_whole = self.memory.resume_after.is_none();
-        self.memory.keep(state, self.found, is_whole);
+        self.memory.keep(state, self.found, is_whole, &mut self.tally);
+        self.tally.runs += std::mem::take(&mut self.memory.headrooms.runs);
+        state.placement_tally.add(&self.tally);
+        state.meter.counts.add_pass(&self.tally);
         state.placement = self.memory;
     }
 
@@ -182,12 +192,14 @@
     }
 
     /// Whether only a worker that has changed can have room for a task of a group.
-    fn is_known_unplaceable(&self, group: Group, need: &Need) -> bool {
+    fn is_known_unplaceable(&mut self, group: Group, need: &Need) -> bool {
+        self.tally.needs += self.memory.needs_count();
         self.memory.is_stuck(group, need.urgency) || self.memory.is_unplaceable(need)
     }
 
     /// Whether no worker has room for a task of a group.
     fn is_unplaceable(&mut self, state: &super::State, group: Group, need: &Need) -> bool {
+        self.tally.needs += self.found.unplaceable.len() as u64;
         if !self.found.survey.may_have_room(need)
             || self.found.stuck.contains(&(group, need.urgency))
             || self.found.unplaceable.iter().any(|other| need.is_at_least(other))
@@ -199,6 +211,7 @@
         }
         let keys = self.found.survey.workers_for(need);
         self.visits += keys.len() as u64;
+        self.tally.workers += keys.len() as u64;
         let has_room = search::has_room_among(state, &mut self.memory.headrooms, keys, need);
         if !has_room {
             self.add_stuck(group, need);
@@ -248,7 +261,9 @@
         if self.has_no_victims(group, need) {
             return true;
         }
+        self.tally.needs += self.memory.needs_count();
         let survey = &self.found.survey;
+        self.tally.workers += survey.changed.len() as u64;
         let may_preempt = survey.may_preempt(need)
             && (!self.memory.has_no_victims(group, need)
                 || self.memory.may_preempt_among(state, &survey.changed, need));
@@ -261,7 +276,10 @@
 
     /// Resources by worker that runs being stopped will release and that are not promised to a task.
     fn freed(&mut self, state: &super::State) -> &mut Map<Key, Resources> {
-        self.freed_resources.get_or_insert_with(|| preempt::stopping_resources(state))
+        self.freed_resources.get_or_insert_with(|| {
+            self.tally.runs += state.runs.len() as u64;
+            preempt::stopping_resources(state)
+        })
     }
 }
 
@@ -335,6 +353,7 @@
     }
     let waiting = sort_waiting(state);
     let mut pass = Pass::begin(state);
+    pass.tally.groups += waiting.len() as u64;
     let resumed = pass.memory.resume_after.take();
     let first = resumed.map_or(0, |last| waiting.partition_point(|order| *order <= last));
     for order in &waiting[first..] {
@@ -346,8 +365,6 @@
     }
     let is_whole = resumed.is_none() && pass.memory.resume_after.is_none();
     state.placement_visits += pass.visits;
-    state.meter.counts.passes += 1;
-    state.meter.counts.worker_visits += pass.visits;
     state.meter.counts.unproven_workers += pass.unproven.len() as u64;
     // Events that wait while the process is behind are handled before the next pass.
     let rest = state.tuning.place_rest_per_visit * pass.cost() as u32;
@@ -412,7 +429,7 @@
 
 fn place_group(state: &mut super::State, group: Group, pass: &mut Pass, out: &mut Vec<Effect>) {
     pass.other_visits += VISITS_PER_GROUP;
-    state.meter.counts.group_visits += 1;
+    pass.tally.groups += 1;
     let Some(job) = state.jobs.all.get(group.job) else { return };
     let (mut need, priority) = (job.needs[group.step as usize], job.priority);
 
@@ -422,7 +439,7 @@
     if need.is_gang {
         let candidates = candidates(state, group);
         pass.other_visits += candidates.len() as u64 * VISITS_PER_TASK;
-        state.meter.counts.task_visits += state.jobs.ready.get(&group).map_or(0, |tasks| tasks.len() as u64);
+        pass.tally.tasks += state.jobs.ready.get(&group).map_or(0, VecDeque::len) as u64;
         state.meter.counts.candidates += candidates.len() as u64;
         // The members of a gang work only together, so none starts before the others can.
         if candidates.len() >= state.jobs.count_unfinished(group) {
@@ -470,7 +487,7 @@
         let Some(key) = state.jobs.ready.get(&group).and_then(|tasks| tasks.get(index)).copied() else {
             break;
         };
-        state.meter.counts.task_visits += 1;
+        pass.tally.tasks += 1;
         let Some(task) = state.jobs.tasks.get(key) else { continue };
         let urgency = urgency(state, need, task);
         if (urgency == Urgency::Urgent && is_closed_for_urgent) || !is_startable(state, key) {
@@ -504,6 +521,7 @@
     pass: &mut Pass,
     out: &mut Vec<Effect>,
 ) -> Outlook {
+    pass.tally.tasks += 1;
     let task = &state.jobs.tasks[key];
     let (group, number) = (task.group(), task.next_run);
     if pass.is_unplaceable(state, group, need) || pass.is_unplaceable_suspect(need) {
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -145,6 +145,8 @@
     pub has_placed: bool,
     /// Number of workers examined by placement, summed over all tasks and passes.
     pub placement_visits: u64,
+    /// What all placement passes have examined.
+    pub placement_tally: place::Tally,
     /// When the next report about waiting tasks is due; `None` if none is scheduled.
     pub next_wait_report: Option<Instant>,
     /// What placement passes have found out.
@@ -192,6 +194,7 @@
             placement_not_before: Instant::default(),
             has_placed: false,
             placement_visits: 0,
+            placement_tally: place::Tally::default(),
             next_wait_report: None,
             placement: place::Memory::default(),
             policy: place::PACKED,
