Let the soak judge that nothing is lost

Cause: the judge of the soak knew one promise, that no task runs twice.

Change: callers tell the judge what they submit, ask and cancel, and what they are told; workers tell it when they take tasks. From 4 s after that fault on, the judge reports a request without an answer (502 and 504 leave the outcome open and count), an accepted job that is answered 410 or whose state can't be had at the end, a job that stands still for 3 s, and a lasting task that has not run for 3 s, from 6 s after its last run, while a worker has room twice over. A job that is shown as ended without a cause in its runs counts at any time. Orders that are still late when the faults end are lost.

`no_task_runs_twice_under_faults` becomes `a_task_runs_twice_or_something_is_lost_under_faults`; what it checked before, it still checks.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -11,6 +11,8 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 
+use crate::judge::lost::{self, Phase, Request, Verb};
+use crate::judge::{Event, Judge};
 use crate::worker::{Fleet, SERVICE, Work};
 
 const HOST: &str = "nony24.example";
@@ -24,9 +26,15 @@
 const ATTEMPTS: usize = 6;
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// Runs of a task that may end `failed` before its job is shown as failed.
+pub const MAX_ATTEMPTS: u32 = 3;
+
 /// Interval at which a caller asks for the state of its job.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Estimated duration of a task that lasts.
+const LASTING_ESTIMATE: Duration = Duration::from_secs(5);
+
 /// One step of a job; it follows the step before it.
 #[derive(Debug, Clone, Copy)]
 pub struct Step {
@@ -69,6 +77,38 @@
         }
     }
 
+    /// Draws a job of one step, whose tasks run until the day ends.
+    pub fn draw_lasting(rng: &mut StdRng, at: Duration) -> Job {
+        let work = Work { duration: LASTING_ESTIMATE, is_daemon: true, ..Work::default() };
+        let step =
+            Step { tasks: rng.random_range(2..=4), cpu_millicores: rng.random_range(1_000..2_000), work };
+        Job::with_step(rng, at, step)
+    }
+
+    /// Draws a job of one step with a few short tasks.
+    pub fn draw_short(rng: &mut StdRng, at: Duration) -> Job {
+        let duration = Duration::from_millis(rng.random_range(200..800));
+        let work = Work { duration, ..Work::default() };
+        let step =
+            Step { tasks: rng.random_range(1..=3), cpu_millicores: rng.random_range(500..1_500), work };
+        Job::with_step(rng, at, step)
+    }
+
+    fn with_step(rng: &mut StdRng, at: Duration, step: Step) -> Job {
+        let id = format!("{:016x}", rng.random::<u64>());
+        Job { at, id, steps: vec![step], cancelled_after: None, is_repeated: false }
+    }
+
+    /// What the judge knows of the job's steps.
+    fn judged_steps(&self) -> Vec<lost::Step> {
+        let step = |step: &Step| lost::Step {
+            tasks: step.tasks,
+            cpu_millicores: step.cpu_millicores,
+            lasts: step.work.is_daemon,
+        };
+        self.steps.iter().map(step).collect()
+    }
+
     fn body(&self) -> Value {
         let step = |(index, step): (usize, &Step)| {
             let mut body = json!({
@@ -95,7 +135,8 @@
         "version": 7,
         "routes": [{
             "name": "r-3hwrr6x", "host": HOST, "prefix": PREFIX, "type": "non_idempotent", "timeout_ms": 3_000,
-            "slo_ms": 400, "priority": 0, "service": SERVICE, "max_attempts": 3, "stretch": 1.5,
+            "slo_ms": 400, "priority": 0, "service": SERVICE, "max_attempts": MAX_ATTEMPTS,
+            "stretch": 1.5,
         }],
         "services": [{
             "name": SERVICE, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false,
@@ -121,20 +162,30 @@
 
 impl Traffic {
     /// Submits the jobs at their times, and follows them until `end`.
-    pub fn start(jobs: Vec<Job>, fronts: Vec<SocketAddr>, fleet: Fleet, end: Duration) -> Traffic {
-        let thread = thread::spawn(move || System::new().block_on(call(jobs, fronts, fleet, end)));
+    pub fn start(
+        jobs: Vec<Job>,
+        fronts: Vec<SocketAddr>,
+        fleet: Fleet,
+        judge: Judge,
+        end: Duration,
+    ) -> Traffic {
+        let thread = thread::spawn(move || System::new().block_on(call(jobs, fronts, fleet, judge, end)));
         Traffic { thread }
     }
 
     /// Waits for the last caller.
     pub fn join(self) -> Tally {
-        self.thread.join().unwrap_or_default()
+        self.thread.join().expect("no caller panics")
     }
 }
 
-async fn call(jobs: Vec<Job>, fronts: Vec<SocketAddr>, fleet: Fleet, end: Duration) -> Tally {
+fn client() -> Client {
+    Client::builder().connector(Connector::new().limit(0)).timeout(TIMEOUT).finish()
+}
+
+async fn call(jobs: Vec<Job>, fronts: Vec<SocketAddr>, fleet: Fleet, judge: Judge, end: Duration) -> Tally {
     let started = Instant::now();
-    let client = Client::builder().connector(Connector::new().limit(0)).timeout(TIMEOUT).finish();
+    let client = client();
     let callers: Vec<_> = jobs
         .into_iter()
         .enumerate()
@@ -143,12 +194,13 @@
                 fleet.set_work(&format!("{}.0.{step}", job.id), *work);
             }
             let rng = StdRng::seed_from_u64(index as u64);
-            spawn(Caller { client: client.clone(), fronts: fronts.clone(), rng, started, end }.follow(job))
+            let (client, fronts, judge) = (client.clone(), fronts.clone(), judge.clone());
+            spawn(Caller { client, fronts, judge, rng, started, end }.follow(job))
         })
         .collect();
     let mut tally = Tally::default();
     for caller in callers {
-        let told = caller.await.unwrap_or_default();
+        let told = caller.await.expect("no caller panics");
         tally.accepted += told.accepted;
         tally.completed += told.completed;
         tally.cancelled += told.cancelled;
@@ -156,9 +208,31 @@
     tally
 }
 
+/// Asks for the state of each accepted job that was not cancelled.
+pub fn ask_for_all(fronts: &[SocketAddr], judge: &Judge) {
+    System::new().block_on(async {
+        let (started, client) = (Instant::now(), client());
+        let callers: Vec<_> = judge
+            .uncancelled()
+            .into_iter()
+            .enumerate()
+            .map(|(index, job)| {
+                let (client, fronts, judge) = (client.clone(), fronts.to_vec(), judge.clone());
+                let rng = StdRng::seed_from_u64(index as u64);
+                let caller = Caller { client, fronts, judge, rng, started, end: Duration::ZERO };
+                spawn(caller.ask_at_the_end(job))
+            })
+            .collect();
+        for caller in callers {
+            caller.await.expect("no caller panics");
+        }
+    });
+}
+
 struct Caller {
     client: Client,
     fronts: Vec<SocketAddr>,
+    judge: Judge,
     rng: StdRng,
     started: Instant,
     end: Duration,
@@ -169,10 +243,12 @@
         let mut tally = Tally::default();
         time::sleep(job.at.saturating_sub(self.started.elapsed())).await;
         let body = job.body();
+        self.judge.observe(Event::Submitted { job: job.id.clone(), steps: job.judged_steps() });
         if !self.retry(Method::POST, &job.id, Some(&body)).await {
             return tally;
         }
         tally.accepted = 1;
+        self.judge.observe(Event::Accepted { job: job.id.clone() });
         if job.is_repeated {
             self.send(Method::POST, &job.id, Some(&body)).await;
         }
@@ -180,22 +256,41 @@
         while self.started.elapsed() < self.end {
             time::sleep(POLL_INTERVAL.min(job.cancelled_after.unwrap_or(POLL_INTERVAL))).await;
             if job.cancelled_after.is_some_and(|after| self.started.elapsed() >= accepted + after) {
+                self.judge.observe(Event::Cancelling { job: job.id.clone() });
                 tally.cancelled = usize::from(self.retry(Method::DELETE, &job.id, None).await);
                 return tally;
             }
-            let state = self.send(Method::GET, &job.id, None).await.and_then(|(_, body)| body);
-            match state.as_ref().and_then(|body| body["state"].as_str()) {
-                Some("completed") => {
+            match self.ask(&job.id).await {
+                Some(Phase::Completed) => {
                     tally.completed = 1;
                     return tally;
                 }
-                Some("failed" | "cancelled") => return tally,
-                _ => {}
+                Some(Phase::Failed | Phase::Cancelled) => return tally,
+                Some(Phase::Open) | None => {}
             }
         }
         tally
     }
 
+    /// Asks until the state is told or the attempts are used up. The judge knows from the answer if a job is unknown.
+    async fn ask_at_the_end(mut self, job: String) {
+        for _ in 0..ATTEMPTS {
+            if self.ask(&job).await.is_some() {
+                return;
+            }
+            time::sleep(RETRY_PAUSE).await;
+        }
+        self.judge.observe(Event::Untold { job });
+    }
+
+    /// Asks for the state of a job once.
+    async fn ask(&mut self, job: &str) -> Option<Phase> {
+        let (_, body) = self.send(Method::GET, job, None).await?;
+        let phase = phase(body?["state"].as_str()?)?;
+        self.judge.observe(Event::Shown { job: job.to_owned(), phase });
+        Some(phase)
+    }
+
     /// Sends a request until it is answered with success. Callers try again after each other answer, or none.
     async fn retry(&mut self, method: Method, id: &str, body: Option<&Value>) -> bool {
         for _ in 0..ATTEMPTS {
@@ -208,9 +303,24 @@
         false
     }
 
-    /// Sends a request to one VM. Connections to it stay open and are used again.
+    /// Sends a request to one VM, and tells the judge what became of it.
     async fn send(&mut self, method: Method, id: &str, body: Option<&Value>) -> Option<(u16, Option<Value>)> {
-        let front = self.fronts[self.rng.random_range(0..self.fronts.len())];
+        let vm = self.rng.random_range(0..self.fronts.len());
+        let (verb, sent) = (verb(&method), self.judge.now());
+        let answer = self.exchange(self.fronts[vm], method, id, body).await;
+        let status = answer.as_ref().map(|(status, _)| *status);
+        self.judge.observe(Event::Called(Request { verb, job: id.to_owned(), vm, sent, status }));
+        answer
+    }
+
+    /// Sends a request and waits for the whole answer. Connections stay open and are used again.
+    async fn exchange(
+        &self,
+        front: SocketAddr,
+        method: Method,
+        id: &str,
+        body: Option<&Value>,
+    ) -> Option<(u16, Option<Value>)> {
         let request = self
             .client
             .request(method, format!("http://{front}{PREFIX}{id}"))
@@ -221,8 +331,26 @@
             None => request.send(),
         };
         let mut response = sent.await.ok()?;
-        let body = response.json::<Value>().await.ok();
-        Some((response.status().as_u16(), body))
+        let bytes = response.body().await.ok()?;
+        Some((response.status().as_u16(), serde_json::from_slice(&bytes).ok()))
+    }
+}
+
+fn verb(method: &Method) -> Verb {
+    match *method {
+        Method::POST => Verb::Submit,
+        Method::DELETE => Verb::Cancel,
+        _ => Verb::Ask,
+    }
+}
+
+fn phase(state: &str) -> Option<Phase> {
+    match state {
+        "queued" | "running" => Some(Phase::Open),
+        "completed" => Some(Phase::Completed),
+        "failed" => Some(Phase::Failed),
+        "cancelled" => Some(Phase::Cancelled),
+        _ => None,
     }
 }
 
@@ -233,13 +361,14 @@
 }
 
 /// Waits until all VMs are ready and have a leader, which answers the number of waiting jobs. False if the time is over first.
-pub fn wait_until_ready(readies: &[SocketAddr], front: SocketAddr, limit: Duration) -> bool {
+pub fn wait_until_ready(readies: &[SocketAddr], front: SocketAddr, judge: &Judge, limit: Duration) -> bool {
     const INTERVAL: Duration = Duration::from_millis(50);
     System::new().block_on(async {
         let started = Instant::now();
         let client = Client::builder().timeout(TIMEOUT).finish();
         let rng = StdRng::seed_from_u64(0);
-        let mut caller = Caller { client: client.clone(), fronts: vec![front], rng, started, end: limit };
+        let (fronts, judge) = (vec![front], judge.clone());
+        let mut caller = Caller { client: client.clone(), fronts, judge, rng, started, end: limit };
         while started.elapsed() < limit {
             let mut are_ready = true;
             for ready in readies {
--- a/tests/soak/day.rs
+++ b/tests/soak/day.rs
@@ -10,6 +10,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::caller::Job;
+use crate::judge::lost::SETTLING;
 use crate::process::Signal;
 use crate::worker::Filter;
 use crate::{proxy, store};
@@ -19,8 +20,18 @@
 /// Time from the first job to the first fault, and to the latest.
 const FAULTS_FROM: Duration = Duration::from_millis(2_000);
 const FAULTS_UNTIL: Duration = Duration::from_millis(19_500);
-/// Time from the first job until all faults have ended and all tasks had time to start again.
-pub const LENGTH: Duration = Duration::from_secs(32);
+/// Time from the first job for which faults may last.
+const FAULTY: Duration = Duration::from_secs(32);
+/// Time from the end of the last fault to the end of the day. A lasting task whose run has ended with the fault is missed before.
+const TAIL: Duration = Duration::from_millis(9_500);
+
+/// Number of jobs whose tasks run until the end of the day.
+const LASTING_JOBS: usize = 3;
+/// Interval between the jobs that are submitted after the faults, and time from the last one to the end of the day.
+const CALM_JOB_INTERVAL: Duration = Duration::from_millis(400);
+const CALM_JOBS_UNTIL_END: Duration = Duration::from_secs(2);
+/// Makes the draws of lasting and of late jobs differ from those of the faults, which depend on the seed alone.
+const CALM_SEED: u64 = 0x6361_6c6d;
 
 /// Time for which a worker is down that is restarted while orders to it are late.
 const LATE_RESTART: Duration = Duration::from_millis(300);
@@ -172,8 +183,49 @@
         let slow_workers = (0..shape.workers).filter(|_| rng.random_ratio(1, 4)).collect();
         let jobs = draw_jobs(&mut rng, shape);
         let faults = draw_faults(&mut rng, shape);
-        Day { shape, slow_workers, jobs, faults }
+        let mut day = Day { shape, slow_workers, jobs, faults };
+        let mut rng = StdRng::seed_from_u64(seed ^ CALM_SEED);
+        day.jobs.extend(draw_lasting_jobs(&mut rng));
+        let calm_jobs = draw_calm_jobs(&mut rng, day.faults_end());
+        day.jobs.extend(calm_jobs);
+        day
     }
+
+    /// Time from the first job until all faults have ended.
+    pub fn faults_end(&self) -> Duration {
+        let (mut player, mut end) = (Player::new(self), FAULTY);
+        while let Some(due) = player.next_due() {
+            // Faults of the leader last as long whichever VM it is.
+            player.advance(due, Some(0));
+            end = end.max(due);
+        }
+        end
+    }
+
+    /// Time from the first job to the end of the day.
+    pub fn length(&self) -> Duration {
+        self.faults_end() + TAIL
+    }
+}
+
+fn draw_lasting_jobs(rng: &mut StdRng) -> Vec<Job> {
+    let mut draw = || {
+        let at = millis(rng, 0..TRAFFIC.as_millis() as u64);
+        Job::draw_lasting(rng, at)
+    };
+    (0..LASTING_JOBS).map(|_| draw()).collect()
+}
+
+/// Draws jobs that arrive in the calm after the faults.
+fn draw_calm_jobs(rng: &mut StdRng, faults_end: Duration) -> Vec<Job> {
+    let last = faults_end + TAIL - CALM_JOBS_UNTIL_END;
+    let mut at = faults_end + SETTLING;
+    let mut jobs = Vec::new();
+    while at <= last {
+        jobs.push(Job::draw_short(rng, at));
+        at += CALM_JOB_INTERVAL;
+    }
+    jobs
 }
 
 fn draw_jobs(rng: &mut StdRng, shape: Shape) -> Vec<Job> {
--- a/tests/soak/judge/mod.rs
+++ b/tests/soak/judge/mod.rs
@@ -1,10 +1,11 @@
-//! Judge of the rule that nothing runs twice, from what the workers see.
+//! Judge of the promises, from what callers and workers see: nothing runs twice, and nothing is lost ([`lost`]).
 //!
 //! Two runs of a task must not be at work at the same time on workers that are up. No run may start after another has
 //! ended `done`, if that end is taken note of, before the start or after it. An end is taken note of when a renewal
 //! acknowledges it, unless the lease of its worker lapsed in between. Steps with parallel copies are not judged.
 
 mod cases;
+pub mod lost;
 
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -13,6 +14,8 @@
 use nutmegfold::hash::Map;
 use slotmap::new_key_type;
 
+use lost::{Loss, Phase, Request, Step};
+
 new_key_type! {
     /// Run of a task.
     pub struct RunKey;
@@ -79,21 +82,37 @@
     by_task: Map<String, Vec<RunKey>>,
     violations: Vec<(Kind, Duration, RunKey, RunKey)>,
     counts: Counts,
+    lost: lost::State,
 }
 
-/// What a worker saw. A run that isn't judged is only counted. One ends `gone` if its worker crashes or leaves. An end has
-/// lapsed if the lease of the worker lapses while it is listed.
+/// What a worker or a caller saw; `Tick` is the passage of time.
+///
+/// A run that isn't judged is not compared with others. One ends `gone` if its worker crashes or leaves. An end has lapsed
+/// if the lease of the worker lapses while it is listed. A worker that has entered takes tasks until it drains or is down.
+/// Callers tell of a submission and a cancellation before they send them, and of each call when it has ended. A job is
+/// untold if its state can't be had.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
     Started { key: RunKey, run: Run, is_judged: bool },
     Ended { run: RunKey, how: &'static str },
     Lapsed { run: RunKey },
     Acknowledged { run: RunKey },
+    Entered { worker: String, cpu_millicores: u32 },
+    Left { worker: String },
+    Submitted { job: String, steps: Vec<Step> },
+    Accepted { job: String },
+    Cancelling { job: String },
+    Called(Request),
+    Shown { job: String, phase: Phase },
+    Untold { job: String },
+    FaultsEnded,
+    Tick,
 }
 
 impl State {
-    /// Applies what a worker saw.
+    /// Applies what a worker or a caller saw.
     pub fn reduce(&mut self, now: Duration, event: Event) {
+        self.lost.reduce(now, &event);
         match event {
             Event::Started { key, run, is_judged } => {
                 self.start(key, Seen { run: Run { started: now, ..run }, is_judged, has_lapsed: false });
@@ -106,6 +125,16 @@
             }
             Event::Lapsed { run } => self.seen(run).has_lapsed = true,
             Event::Acknowledged { run } => self.acknowledge(now, run),
+            Event::Entered { .. }
+            | Event::Left { .. }
+            | Event::Submitted { .. }
+            | Event::Accepted { .. }
+            | Event::Cancelling { .. }
+            | Event::Called(_)
+            | Event::Shown { .. }
+            | Event::Untold { .. }
+            | Event::FaultsEnded
+            | Event::Tick => {}
         }
     }
 
@@ -192,7 +221,16 @@
         self.lock().counts()
     }
 
-    /// Adds what a worker saw.
+    pub fn losses(&self) -> Vec<Loss> {
+        self.lock().lost.losses().to_vec()
+    }
+
+    /// Names of the accepted jobs whose cancellation was not sent.
+    pub fn uncancelled(&self) -> Vec<String> {
+        self.lock().lost.uncancelled()
+    }
+
+    /// Adds what a worker or a caller saw.
     pub fn observe(&self, event: Event) {
         let now = self.now();
         self.lock().reduce(now, event);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,7 +1,7 @@
 //! Fault soak: entry VMs as real processes, with stand-ins of the platform's store and of the workers in this process.
 //!
 //! Proxies stand between the VMs and the stand-ins. A seeded day of jobs and faults is played against them, while the judge
-//! watches that no task runs twice. Environment:
+//! watches that no task runs twice and that nothing is lost. Environment:
 //!
 //! - `SOAK_FIRST_SEED`, `SOAK_SEEDS`: first seed, and number of seeds.
 //! - `SOAK_JOBS`: number of seeds that are played at a time.
@@ -31,7 +31,8 @@
 
 use caller::{Tally, Traffic};
 use day::{Action, Day, Player};
-use judge::{Counts, Judge, Violation};
+use judge::lost::Loss;
+use judge::{Counts, Event, Judge, Violation};
 use process::Vm;
 use proxy::{Hub, Proxy};
 use store::Store;
@@ -59,6 +60,9 @@
 /// Time from the readiness of the VMs to the first job, in which the leader meets the workers.
 const SETTLE: Duration = Duration::from_secs(2);
 
+/// Interval at which the judge looks at what waits.
+const TICK: Duration = Duration::from_millis(100);
+
 /// Availability zones of the VMs.
 const VM_ZONES: [&str; 3] = ["basirhat", "siliguri", "canning"];
 
@@ -81,6 +85,7 @@
     counts: Counts,
     tally: Tally,
     violations: Vec<Violation>,
+    losses: Vec<Loss>,
     /// VMs whose process ended by itself.
     ended: Vec<String>,
     is_ready: bool,
@@ -90,6 +95,7 @@
     fn is_passed(&self) -> bool {
         self.is_ready
             && self.violations.is_empty()
+            && self.losses.is_empty()
             && self.ended.is_empty()
             && self.counts.starts >= MIN_STARTS
     }
@@ -128,7 +134,7 @@
 
     fn wait_until_ready(&self) -> bool {
         let readies: Vec<_> = self.vms.iter().map(|vm| vm.ready).collect();
-        caller::wait_until_ready(&readies, self.vms[0].front, READY_TIMEOUT)
+        caller::wait_until_ready(&readies, self.vms[0].front, &self.judge, READY_TIMEOUT)
     }
 
     /// Index of the VM that holds the leader's key.
@@ -177,29 +183,46 @@
         format!("the judge started at {:.3} s since 1970\n", epoch_s() - rig.judge.now().as_secs_f64());
     if is_ready {
         thread::sleep(SETTLE);
-        let fronts = rig.vms.iter().map(|vm| vm.front).collect();
-        let traffic = Traffic::start(day.jobs.clone(), fronts, rig.fleet.clone(), day::LENGTH);
-        play_faults(&mut rig, day, &mut actions)?;
+        let fronts: Vec<_> = rig.vms.iter().map(|vm| vm.front).collect();
+        let (fleet, judge) = (rig.fleet.clone(), rig.judge.clone());
+        let started = Instant::now();
+        let traffic = Traffic::start(day.jobs.clone(), fronts.clone(), fleet, judge, day.length());
+        play_faults(&mut rig, day, started, &mut actions)?;
+        let _ = writeln!(actions, "{:>8.3} s  all faults have ended", rig.judge.now().as_secs_f64());
+        watch_calm(&rig, started + day.length());
         tally = traffic.join();
+        caller::ask_for_all(&fronts, &rig.judge);
     }
     let ended = rig.vms.iter_mut().filter_map(|vm| (!vm.is_running()).then(|| vm.name.clone())).collect();
-    let (counts, violations) = (rig.judge.counts(), rig.judge.violations());
+    let (counts, violations, losses) = (rig.judge.counts(), rig.judge.violations(), rig.judge.losses());
     drop(rig);
-    let listed: String = violations.iter().map(|violation| format!("{violation}\n")).collect();
+    let mut listed: String = violations.iter().map(|violation| format!("{violation}\n")).collect();
+    listed.extend(losses.iter().map(|loss| format!("{loss}\n")));
     fs::write(folder.join("violations.txt"), listed)?;
     fs::write(folder.join("actions.txt"), actions)?;
-    Ok(Outcome { counts, tally, violations, ended, is_ready })
+    Ok(Outcome { counts, tally, violations, losses, ended, is_ready })
 }
 
-fn play_faults(rig: &mut Rig, day: &Day, actions: &mut String) -> io::Result<()> {
-    let (started, mut player) = (Instant::now(), Player::new(day));
+/// Ends what is left of the faults, and lets the judge look at what waits until the day ends.
+fn watch_calm(rig: &Rig, end: Instant) {
+    rig.fleet.end_lateness();
+    rig.judge.observe(Event::FaultsEnded);
+    while Instant::now() < end {
+        thread::sleep(TICK);
+        rig.judge.observe(Event::Tick);
+    }
+}
+
+/// Plays the faults of a day that began at `started`, until the last one has ended.
+fn play_faults(rig: &mut Rig, day: &Day, started: Instant, actions: &mut String) -> io::Result<()> {
+    let (mut player, end) = (Player::new(day), day.faults_end());
     loop {
         let now = started.elapsed();
         for action in player.advance(now, rig.leader()) {
             let _ = writeln!(actions, "{:>8.3} s  {action:?}", rig.judge.now().as_secs_f64());
             rig.execute(action, &mut player)?;
         }
-        let due = player.next_due().unwrap_or(day::LENGTH);
+        let due = player.next_due().unwrap_or(end);
         if due <= now && player.next_due().is_none() {
             return Ok(());
         }
@@ -231,11 +254,12 @@
     let Tally { accepted, completed, cancelled } = outcome.tally;
     let summary = format!(
         "seed {seed}: {}, {} faults, {} jobs ({accepted} accepted, {completed} completed, {cancelled} cancelled), \
-         {starts} starts, {ends} ends ({done} done, {lapses} lapsed), {notes} noted, {} violations, {:.0} s",
+         {starts} starts, {ends} ends ({done} done, {lapses} lapsed), {notes} noted, {} violations, {} losses, {:.0} s",
         day.shape.name,
         day.faults.len(),
         day.jobs.len(),
         outcome.violations.len(),
+        outcome.losses.len(),
         started.elapsed().as_secs_f64(),
     );
     println!("{summary}");
@@ -256,6 +280,9 @@
     for violation in &outcome.violations {
         let _ = write!(failure, "\n{violation}");
     }
+    for loss in &outcome.losses {
+        let _ = write!(failure, "\n{loss}");
+    }
     Some(failure)
 }
 
@@ -281,7 +308,7 @@
 }
 
 #[test]
-fn no_task_runs_twice_under_faults() {
+fn a_task_runs_twice_or_something_is_lost_under_faults() {
     let first = variable("SOAK_FIRST_SEED", FIRST_SEED);
     play_seeds(first..first + variable("SOAK_SEEDS", SEEDS));
 }
--- a/tests/soak/worker/cases.rs
+++ b/tests/soak/worker/cases.rs
@@ -256,6 +256,36 @@
     assert_eq!(fixture.order(worker, &start(1, 1, 6_000, 4)), (409, "fence".to_owned()));
 }
 
+#[test]
+fn an_order_is_late_after_the_end_of_lateness() {
+    let (mut fixture, worker) = Fixture::new(0);
+    let delay = Duration::from_millis(3_000);
+    fixture.apply(Event::LatenessSet { worker, filter: Filter::Start, count: 2, delay });
+    fixture.call(worker, &start(0, 1, 6_000, 5));
+    fixture.apply(Event::LatenessEnded);
+    fixture.wait(3_000);
+    assert_eq!(fixture.runs().len(), 0);
+    assert_eq!(fixture.order(worker, &start(1, 1, 6_000, 5)).0, 200);
+}
+
+#[test]
+fn a_worker_that_drains_or_is_down_counts_as_one_that_takes_tasks() {
+    let (mut fixture, worker) = Fixture::new(0);
+    let entered = judge::Event::Entered { worker: "i-0".to_owned(), cpu_millicores: 16_000 };
+    let left = judge::Event::Left { worker: "i-0".to_owned() };
+    let count = |fixture: &Fixture, event: &judge::Event| {
+        let is_counted = |effect: &&Effect| matches!(effect, Effect::Observe(seen) if seen == event);
+        fixture.effects.iter().filter(is_counted).count()
+    };
+    assert_eq!((count(&fixture, &entered), count(&fixture, &left)), (1, 0));
+    fixture.apply(Event::Drained { worker });
+    assert_eq!((count(&fixture, &entered), count(&fixture, &left)), (1, 1));
+    fixture.begin(worker, 2);
+    fixture.apply(Event::Crashed { worker });
+    // The process that drained leaves once more when it ends.
+    assert_eq!((count(&fixture, &entered), count(&fixture, &left)), (2, 3));
+}
+
 #[test]
 fn a_worker_remembers_its_last_life() {
     let (mut fixture, worker) = Fixture::new(0);
--- a/tests/soak/worker/mod.rs
+++ b/tests/soak/worker/mod.rs
@@ -174,6 +174,11 @@
         self.apply(Event::LatenessSet { worker, filter, count, delay });
     }
 
+    /// Ends the lateness of orders. Those that would still be carried out are lost.
+    pub fn end_lateness(&self) {
+        self.apply(Event::LatenessEnded);
+    }
+
     /// Withholds the answers, or sends them again. Orders are carried out.
     pub fn set_mute(&self, worker: Key, is_mute: bool) {
         self.apply(Event::Muted { worker, is_mute });
--- a/tests/soak/worker/state.rs
+++ b/tests/soak/worker/state.rs
@@ -101,7 +101,7 @@
     effects: Vec<Effect>,
 }
 
-/// What happens to a worker; `Tick` is the passage of time.
+/// What happens to a worker; `Tick` is the passage of time. When lateness ends, the late orders that are under way are lost.
 #[derive(Debug, Clone)]
 pub enum Event {
     Ordered { call: Call, worker: Key, order: Order },
@@ -110,6 +110,7 @@
     StoreCut { worker: Key, is_cut: bool },
     Muted { worker: Key, is_mute: bool },
     LatenessSet { worker: Key, filter: Filter, count: u32, delay: Duration },
+    LatenessEnded,
     FailuresSet { worker: Key, count: u32 },
     Crashed { worker: Key },
     Started { worker: Key, id: Option<String>, born_ms: u64 },
@@ -151,12 +152,18 @@
         Event::LatenessSet { worker, filter, count, delay } => {
             state.workers[worker].lateness = Some(Lateness { filter, count, delay });
         }
+        Event::LatenessEnded => {
+            state.workers.values_mut().for_each(|worker| worker.lateness = None);
+            state.late.clear();
+        }
         Event::FailuresSet { worker, count } => state.workers[worker].failing_starts = count,
         Event::Crashed { worker } => state.exit(worker),
         Event::Started { worker, id, born_ms } => state.begin(now, worker, id, born_ms),
         Event::Drained { worker } => {
             if let Some(life) = &mut state.workers[worker].life {
                 life.exits = Some(now + DRAIN);
+                let left = judge::Event::Left { worker: life.id.clone() };
+                state.observe(left);
             }
             state.workers[worker].next_heartbeat = now;
         }
@@ -301,6 +308,7 @@
         for key in life.running.into_values() {
             self.end(key, "gone");
         }
+        self.observe(judge::Event::Left { worker: life.id });
         let polls = self.polls.extract_if(.., |poll| poll.worker == worker);
         self.effects.extend(polls.map(|poll| Effect::Withhold { call: poll.call }));
         self.effects.push(Effect::Close { worker });
@@ -312,6 +320,11 @@
         worker.spec.id = id.unwrap_or_else(|| worker.spec.id.clone());
         worker.next_heartbeat = now;
         worker.life = Some(Life::new(worker.spec.id.clone(), born_ms, now, worker.spec.clock_percent_slow));
+        let entered = judge::Event::Entered {
+            worker: worker.spec.id.clone(),
+            cpu_millicores: worker.spec.cpu_millicores,
+        };
+        self.observe(entered);
     }
 
     /// Sends the heartbeat of a worker if it is due. The entry is written only if it changes.
