--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -313,9 +313,16 @@
     play_seeds(first..first + variable("SOAK_SEEDS", SEEDS));
 }
 
+/// Plays the first of them that the test before does not play by default.
 #[test]
-fn no_task_runs_twice_on_days_that_failed_once() {
-    if variable("SOAK_REGRESSIONS", 0) == 1 {
-        play_seeds(REGRESSIONS.iter().map(|(seed, _)| *seed));
-    }
+fn a_day_that_failed_once_fails_again() {
+    let mut seeds = REGRESSIONS.iter().map(|(seed, _)| *seed);
+    let seed = seeds.find(|seed| !(FIRST_SEED..FIRST_SEED + SEEDS).contains(seed));
+    play_seeds(seed.into_iter());
+}
+
+#[test]
+#[ignore = "played by hand, since it takes some minutes"]
+fn any_day_that_failed_once_fails_again_played_by_hand() {
+    play_seeds(REGRESSIONS.iter().map(|(seed, _)| *seed));
 }
