--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -6,6 +6,8 @@
 #![allow(dead_code)]
 
 pub mod link;
+pub mod processor;
+pub mod site;
 pub mod store;
 pub mod worker;
 
@@ -21,6 +23,7 @@
 use nutmegfold::core::work::effect::Effect as WorkEffect;
 use nutmegfold::core::work::event::{Event as WorkEvent, Fault};
 use nutmegfold::core::work::order::Order;
+use nutmegfold::core::work::place::Tally;
 use nutmegfold::core::work::request::{self, Answer, Ticket, Verb};
 use nutmegfold::core::work::spec::{Id, Name, Resources, Spec, Step};
 use nutmegfold::core::work::state::Identity;
@@ -32,6 +35,7 @@
 use nutmegfold::hash::{self, Map, Set};
 
 use link::Link;
+use processor::{Processor, Waiting};
 use store::Store;
 use worker::{Observer, Worker};
 
@@ -62,7 +66,12 @@
     Event {
         vm: usize,
         incarnation: u64,
-        event: Box<Event>,
+        input: Box<Waiting>,
+    },
+    /// The processor of an entry VM has handled an input and takes the next one.
+    Serve {
+        vm: usize,
+        incarnation: u64,
     },
     Wake {
         vm: usize,
@@ -90,6 +99,29 @@
         envelope: Envelope,
         deadline: Instant,
     },
+    /// A worker carries out an order that it has left without an answer.
+    LateOrder {
+        worker: usize,
+        envelope: Envelope,
+    },
+}
+
+/// Numbers of calls and events of the entry VMs.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Counts {
+    pub starts: u64,
+    pub stops: u64,
+    pub renewals: u64,
+    pub paces: u64,
+    pub key_reads: u64,
+    pub commits: u64,
+    pub events: u64,
+}
+
+impl From<Event> for Waiting {
+    fn from(event: Event) -> Self {
+        Self { event, call: None, arrived: Instant::default() }
+    }
 }
 
 /// An entry VM.
@@ -98,6 +130,7 @@
     incarnation: u64,
     is_up: bool,
     wake: Option<Instant>,
+    pub processor: Processor,
 }
 
 /// An emulated deployment and the queue of its pending actions.
@@ -125,6 +158,20 @@
     pub log: Vec<String>,
     /// Number of events that the entry VMs have processed.
     pub event_count: u64,
+    /// Numbers of their calls by kind.
+    pub counts: Counts,
+    /// Numbers of their timeline entries, by decision.
+    pub decisions: Map<&'static str, u64>,
+    /// When each request of a caller was answered.
+    pub answered_at: Map<Ticket, Instant>,
+    /// Interval at which all workers are advanced; zero to do so at each action. A worker that gets an order is always
+    /// advanced.
+    pub worker_step: Duration,
+    workers_advanced_at: Instant,
+    /// When the effects of the input that is being handled leave the entry VM.
+    departs_at: Instant,
+    /// Most placement passes in one event.
+    pub most_passes: u64,
     /// Most workers that placement has examined in one event.
     pub most_visits: u64,
     /// Processor time of the events with a placement pass, which only the benchmark reads.
@@ -172,6 +219,13 @@
             clock_leads: vec![Duration::ZERO; cpu_millicores.len()],
             log: Vec::new(),
             event_count: 0,
+            counts: Counts::default(),
+            decisions: Map::default(),
+            answered_at: Map::default(),
+            worker_step: Duration::ZERO,
+            workers_advanced_at: Instant::default(),
+            departs_at: Instant::default(),
+            most_passes: 0,
             most_visits: 0,
             pass_times: Vec::new(),
             vms: Vec::new(),
@@ -186,7 +240,8 @@
         }
         for number in 0..cpu_millicores.len() {
             let state = emulator.new_state(number);
-            emulator.vms.push(Vm { state, incarnation: 0, is_up: true, wake: None });
+            let processor = Processor::default();
+            emulator.vms.push(Vm { state, incarnation: 0, is_up: true, wake: None, processor });
             emulator.handle_event(number, Event::Wake);
         }
         emulator
@@ -228,8 +283,11 @@
             self.queue.pop();
             self.now = self.now.max(at);
             self.store.expire_leases(self.now);
-            for worker in &mut self.workers {
-                worker.advance(self.now, &mut self.observer);
+            if self.now >= self.workers_advanced_at + self.worker_step {
+                self.workers_advanced_at = self.now;
+                for worker in &mut self.workers {
+                    worker.advance(self.now, &mut self.observer);
+                }
             }
             if let Some(action) = self.actions.remove(&number) {
                 self.execute_action(action);
@@ -264,7 +322,8 @@
     pub fn start(&mut self, vm: usize) {
         let state = self.new_state(vm);
         let incarnation = self.vms[vm].incarnation;
-        self.vms[vm] = Vm { state, incarnation, is_up: true, wake: None };
+        let processor = Processor { share: self.vms[vm].processor.share, ..Processor::default() };
+        self.vms[vm] = Vm { state, incarnation, is_up: true, wake: None, processor };
         self.handle_event(vm, Event::Wake);
     }
 
@@ -349,7 +408,7 @@
             timeout: Duration::from_secs(3),
         };
         self.requests.insert(ticket, (self.now, request.job(), verb));
-        self.handle_event(vm, Event::Work(WorkEvent::Request { ticket, request, is_forwarded: false }));
+        self.deliver(vm, Event::Work(WorkEvent::Request { ticket, request, is_forwarded: false }).into());
         ticket
     }
 
@@ -378,6 +437,12 @@
         self.store.unlist_worker(&self.workers[worker]);
     }
 
+    /// Ends a worker for good: its runs end at once, its address refuses connections, and the store does not list it any more.
+    pub fn end_worker(&mut self, worker: usize) {
+        self.workers[worker].end_for_good(self.now, &mut self.observer);
+        self.store.unlist_worker(&self.workers[worker]);
+    }
+
     /// Crashes a worker; it is back after some seconds.
     pub fn crash_worker(&mut self, worker: usize) {
         self.workers[worker].crash(self.now, &mut self.observer);
@@ -401,20 +466,106 @@
         self.answers.get(&ticket).cloned()
     }
 
+    /// Limits the processor time of an entry VM to a share of a core.
+    pub fn limit_processor(&mut self, vm: usize, share: f64) {
+        self.vms[vm].processor.share = share;
+    }
+
+    /// Returns the longest time that an input of an entry VM has waited since this was last asked.
+    pub fn take_longest_wait(&mut self, vm: usize) -> Duration {
+        std::mem::take(&mut self.vms[vm].processor.longest_wait)
+    }
+
+    /// Processor of an entry VM.
+    pub fn processor(&self, vm: usize) -> &Processor {
+        &self.vms[vm].processor
+    }
+
+    /// What placement has examined, over all entry VMs.
+    pub fn placement_tally(&self) -> Tally {
+        let mut sum = Tally::default();
+        (0..self.vms.len()).for_each(|vm| sum.add(&self.work(vm).placement_tally));
+        sum
+    }
+
+    /// Number of groups of ready tasks, over all entry VMs.
+    pub fn ready_group_count(&self) -> usize {
+        (0..self.vms.len()).map(|vm| self.work(vm).jobs.ready.len()).sum()
+    }
+
+    /// Whether a worker leaves an order without an answer and carries it out late.
+    fn is_order_left(&mut self, envelope: &Envelope, worker: usize) -> bool {
+        let share = self.workers[worker].late_share;
+        share > 0.0
+            && envelope.receiver.is_none()
+            && !self.workers[worker].is_unresponsive
+            && (self.next_random() % 1_000) as f64 / 1_000.0 < share
+    }
+
+    /// Hands an input to an entry VM. It waits if the processor of the VM is busy.
+    fn deliver(&mut self, vm: usize, mut input: Waiting) {
+        if !self.vms[vm].processor.is_limited() {
+            return self.handle_event(vm, input.event);
+        }
+        input.arrived = self.now;
+        self.vms[vm].processor.waiting.push_back(input);
+        self.serve(vm);
+    }
+
+    /// Lets the processor of an entry VM handle the input that has waited longest, unless it is busy.
+    fn serve(&mut self, vm: usize) {
+        if self.vms[vm].processor.busy_until > self.now {
+            return;
+        }
+        let Some(input) = self.vms[vm].processor.waiting.pop_front() else { return };
+        let processor = &mut self.vms[vm].processor;
+        processor.longest_wait = processor.longest_wait.max(self.now.since(input.arrived));
+        self.handle_event(vm, input.read(self.now));
+        let (busy_until, incarnation) = (self.vms[vm].processor.busy_until, self.vms[vm].incarnation);
+        self.schedule(busy_until, Action::Serve { vm, incarnation });
+    }
+
+    /// Uses the processor time of an input, and returns when its effects leave.
+    fn spend(&mut self, vm: usize, event: &Event, placed: &Tally, effects: &[Effect]) -> Instant {
+        let mut calls = processor::Effects::default();
+        for effect in effects {
+            match effect {
+                Effect::Work(WorkEffect::Worker { .. }) => calls.worker_calls += 1,
+                Effect::Work(WorkEffect::Store { .. }) => calls.store_calls += 1,
+                Effect::Work(WorkEffect::Answer { .. }) => calls.answers += 1,
+                _ => {}
+            }
+        }
+        let time = processor::handling_time(event, placed, calls);
+        self.vms[vm].processor.spend(time, placed, self.now);
+        self.vms[vm].processor.busy_until
+    }
+
     fn handle_event(&mut self, vm: usize, event: Event) {
         self.event_count += 1;
+        self.counts.events += 1;
         let entropy = self.next_random();
         let unix_ms = (self.now + self.clock_leads[vm]).0 / 1_000;
+        let is_limited = self.vms[vm].processor.is_limited();
+        let handled = is_limited.then(|| event.clone());
+        // `Processor::last_duration` is for an input of the reducer that tells how long handling the previous one took.
         let input = Input { at: self.now, unix_ms, entropy, event };
         let mut effects = Vec::new();
+        let tally = self.work(vm).placement_tally;
         let has_pass = self.work(vm).next_placement.is_some_and(|at| at <= self.now);
         let visits = self.work(vm).placement_visits;
         let begin = std::time::Instant::now();
         reduce(&mut self.vms[vm].state, input, &mut effects);
         self.most_visits = self.most_visits.max(self.work(vm).placement_visits - visits);
+        let placed = self.work(vm).placement_tally.since(&tally);
+        self.most_passes = self.most_passes.max(placed.passes);
         if has_pass {
             self.pass_times.push(begin.elapsed());
         }
+        self.departs_at = self.now;
+        if let Some(event) = handled {
+            self.departs_at = self.spend(vm, &event, &placed, &effects);
+        }
         for effect in effects {
             self.execute_effect(vm, effect);
         }
@@ -441,6 +592,7 @@
                     let is_by_leader = self.store.leader() == Some(format!("vm-{vm}"));
                     self.observer.record_answer(*job, (*sent, verb), &answer, is_by_leader, self.now);
                 }
+                self.answered_at.insert(ticket, self.departs_at);
                 self.answers.insert(ticket, answer);
             }
             Effect::Work(WorkEffect::Forward { ticket, to, request }) => {
@@ -476,26 +628,46 @@
                 );
             }
             Effect::Work(WorkEffect::Store { call, request }) => {
-                let deadline = self.now + CALL_TIMEOUT;
+                match &request {
+                    Request::Read(_) => self.counts.key_reads += 1,
+                    Request::Commit(_) => self.counts.commits += 1,
+                    _ => {}
+                }
+                let deadline = self.departs_at + CALL_TIMEOUT;
                 self.schedule(
-                    self.now + ONE_WAY_DELAY,
+                    self.departs_at + ONE_WAY_DELAY,
                     Action::Store { vm, incarnation, call, request, deadline },
                 );
             }
-            Effect::Work(WorkEffect::Worker { id, address, fence, order, sent, .. }) => {
+            Effect::Work(WorkEffect::Worker { id, address, fence, order, sent, not_after }) => {
+                match &order {
+                    Order::Renew { .. } => self.counts.renewals += 1,
+                    Order::Start { .. } => self.counts.starts += 1,
+                    Order::Stop { .. } => self.counts.stops += 1,
+                    Order::Pace { .. } => self.counts.paces += 1,
+                }
                 let worker = self
                     .workers
                     .iter()
                     .position(|worker| worker.id == id)
                     .expect("the order names an emulated worker");
-                let deadline = self.now + CALL_TIMEOUT;
                 let envelope = Envelope { port: address.port(), fence, order, sent, receiver: None };
+                let is_limited = self.vms[vm].processor.is_limited();
+                if is_limited && self.departs_at > not_after {
+                    let event = Event::Work(worker::failed_reply(&envelope, Fault::NotSent));
+                    return self.schedule_event(vm, self.departs_at.since(self.now), event);
+                }
+                let timeout = if is_limited { processor::timeout(&envelope) } else { CALL_TIMEOUT };
+                let deadline = self.departs_at + timeout;
                 self.schedule(
-                    self.now + ONE_WAY_DELAY,
+                    self.departs_at + ONE_WAY_DELAY,
                     Action::Order { vm, incarnation, worker, envelope, deadline },
                 );
             }
-            Effect::Record(entry) => self.log.push(format!("{:?} vm-{vm} {entry:?}", self.now)),
+            Effect::Record(entry) => {
+                *self.decisions.entry(entry.decision).or_default() += 1;
+                self.log.push(format!("{:?} vm-{vm} {entry:?}", self.now));
+            }
             _ => {}
         }
     }
@@ -520,20 +692,21 @@
             let event = WorkEvent::Forwarded { ticket, result: Err(Fault::Refused) };
             return self.schedule_event(vm, ONE_WAY_DELAY * 2, Event::Work(event));
         }
-        self.handle_event(other, Event::Work(WorkEvent::Request { ticket, request, is_forwarded: true }));
+        self.deliver(other, Event::Work(WorkEvent::Request { ticket, request, is_forwarded: true }).into());
     }
 
     fn execute_action(&mut self, action: Action) {
         match action {
-            Action::Event { vm, incarnation, event } if self.is_alive(vm, incarnation) => {
-                self.handle_event(vm, *event)
+            Action::Event { vm, incarnation, input } if self.is_alive(vm, incarnation) => {
+                self.deliver(vm, *input)
             }
+            Action::Serve { vm, incarnation } if self.is_alive(vm, incarnation) => self.serve(vm),
             // A wake-up that an earlier one has replaced is ignored.
             Action::Wake { vm, incarnation, at }
                 if self.is_alive(vm, incarnation) && self.vms[vm].wake == Some(at) =>
             {
                 self.vms[vm].wake = None;
-                self.handle_event(vm, Event::Wake);
+                self.deliver(vm, Event::Wake.into());
             }
             Action::Store { vm, incarnation, call, request, deadline } => {
                 let limit = match &request {
@@ -577,6 +750,13 @@
                 }
             }
             Action::Order { vm, incarnation, worker, mut envelope, deadline } => {
+                if self.is_order_left(&envelope, worker) {
+                    let late_at = self.now + self.workers[worker].late_by;
+                    self.schedule(late_at, Action::LateOrder { worker, envelope: envelope.clone() });
+                    let event = Event::Work(worker::lost_reply(&envelope));
+                    return self.schedule_event(vm, deadline.since(self.now), event);
+                }
+                self.workers[worker].advance(self.now, &mut self.observer);
                 let outcome = if self.cut_calls.contains(&(vm, worker)) {
                     worker::lose(&envelope, self.now, deadline)
                 } else {
@@ -584,7 +764,10 @@
                 };
                 match outcome {
                     worker::Outcome::Event(event) if self.is_alive(vm, incarnation) => {
-                        self.schedule_event(vm, ONE_WAY_DELAY, Event::Work(event));
+                        let call = self.vms[vm].processor.is_limited().then_some((envelope, deadline));
+                        let input = Box::new(Waiting { call, ..Event::Work(event).into() });
+                        let at = self.now + ONE_WAY_DELAY + self.lag;
+                        self.schedule(at, Action::Event { vm, incarnation, input });
                     }
                     worker::Outcome::Wait => {
                         self.schedule(
@@ -595,6 +778,11 @@
                     worker::Outcome::Event(_) => {}
                 }
             }
+            Action::LateOrder { worker, mut envelope } => {
+                let now = self.now;
+                self.workers[worker].advance(now, &mut self.observer);
+                self.workers[worker].execute(&mut envelope, now, now, &mut self.observer);
+            }
             Action::Transfer { vm, incarnation, call, event } if self.is_alive(vm, incarnation) => {
                 if !self.link.finish(vm, call, self.now) {
                     return self.schedule(
@@ -604,7 +792,7 @@
                 }
                 self.schedule_event(vm, ONE_WAY_DELAY, *event);
             }
-            Action::Event { .. } | Action::Wake { .. } | Action::Transfer { .. } => {}
+            Action::Event { .. } | Action::Serve { .. } | Action::Wake { .. } | Action::Transfer { .. } => {}
         }
     }
 
@@ -614,7 +802,8 @@
 
     fn schedule_event(&mut self, vm: usize, delay: Duration, event: Event) {
         let incarnation = self.vms[vm].incarnation;
-        self.schedule(self.now + delay + self.lag, Action::Event { vm, incarnation, event: Box::new(event) });
+        let input = Box::new(event.into());
+        self.schedule(self.now + delay + self.lag, Action::Event { vm, incarnation, input });
     }
 
     fn schedule(&mut self, at: Instant, action: Action) {
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -202,7 +202,8 @@
     }
 
     fn watch(&self, range: Range, after: Revision, now: Instant, deadline: Instant) -> Outcome {
-        let matching = self.history.iter().filter(|(revision, of, _)| *revision > after && *of == range);
+        let seen = self.history.partition_point(|(revision, ..)| *revision <= after);
+        let matching = self.history[seen..].iter().filter(|(_, of, _)| *of == range);
         let changes: Vec<Change> = matching.map(|(.., change)| change.clone()).collect();
         if changes.is_empty() && now < deadline {
             return Outcome::Wait;
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -393,6 +393,9 @@
     pub interferences: Vec<Interference>,
     /// Number of further start orders that are executed but whose reply is lost.
     pub lost_start_replies: u32,
+    /// Share of the orders that the worker leaves without an answer, and the time after which it carries these out.
+    pub late_share: f64,
+    pub late_by: Duration,
     /// Port of the worker's address.
     pub port: u16,
     /// Number of crashes, by a task or ordered by the test.
@@ -436,6 +439,8 @@
             stop_duration: Duration::ZERO,
             interferences: Vec::new(),
             lost_start_replies: 0,
+            late_share: 0.0,
+            late_by: Duration::ZERO,
             port: 8_000,
             crash_count: 0,
             crash_at: None,
@@ -507,6 +512,12 @@
         self.back_at = Some(now + CRASH_DURATION);
     }
 
+    /// Ends the worker process; it does not come back.
+    pub(super) fn end_for_good(&mut self, now: Instant, observer: &mut Observer) {
+        self.crash(now, observer);
+        (self.back_at, self.is_refusing) = (None, true);
+    }
+
     /// Pace of a task in percent of full speed, or `None` if the task does not run on this worker.
     pub fn pace_percent(&self, name: Name) -> Option<u32> {
         self.runs.iter().find(|run| run.name == name).map(|run| run.pace_percent)
@@ -801,8 +812,13 @@
     if now >= deadline { Outcome::Event(failed_reply(envelope, Fault::Lost)) } else { Outcome::Wait }
 }
 
+/// Event for an order whose call got no answer in time.
+pub(super) fn lost_reply(envelope: &Envelope) -> Event {
+    failed_reply(envelope, Fault::Lost)
+}
+
 /// Event for an order whose call failed.
-fn failed_reply(envelope: &Envelope, fault: Fault) -> Event {
+pub(super) fn failed_reply(envelope: &Envelope, fault: Fault) -> Event {
     match &envelope.order {
         Order::Renew { worker, .. } => {
             Event::LeaseRenewed { worker: *worker, sent: envelope.sent, result: Err(fault) }
