Report the work of a leader, and one entry a second if it is behind

Change: the decisions increment `meter::Counts`: passes, visits, candidates, unproven workers, reads of the key, commits, listings, orders by kind, starts in doubt or not sent, silent workers. About once a second a leader hands them out as the effect `Report`, which the node records in metrics. If a timer was handled 100 ms late or later in that time, one entry `leader-behind` has the figures. Reports have no timer, so processes wake as before. No decision reads the counts.

The delay counts from the previous input if a timer was set for a time before that.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -174,11 +174,13 @@
             run.phase = Phase::Unconfirmed { since: now };
             let reason = format!("start of run {} of {} got no answer", run.number, run.name);
             state::record(out, Subject::Job(run.name.job), "start-doubtful", reason);
+            state.meter.counts.doubtful_starts += 1;
             super::renewal::schedule_now(state, worker_key);
         }
         Err(Fault::Refused | Fault::NotSent) => {
             let reason = format!("start of run {} of {} was not sent", run.number, run.name);
             state::record(out, Subject::Job(run.name.job), "start-not-sent", reason);
+            state.meter.counts.unsent_starts += 1;
             let pause = now + state.tuning.worker_retry;
             if let Some(worker) = state.workers.all.get_mut(worker_key) {
                 worker.paused_until = worker.paused_until.max(pause);
--- a/src/core/work/effect.rs
+++ b/src/core/work/effect.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::config::Update;
+use super::meter::Report;
 use super::order::Order;
 use super::request::{Answer, Request, Ticket};
 use super::store::{self, Call};
@@ -66,4 +67,6 @@
         /// Latest time at which the order may be sent; it is dropped and reported as not sent after that.
         not_after: Instant,
     },
+    /// Record the work and backlog of this leader in the metrics.
+    Report(Box<Report>),
 }
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -5,6 +5,7 @@
 //! executed late. One commit is in flight at a time. A commit without a reply is sent again until its outcome is known.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use super::request::{Answer, Ticket};
 use super::spec::Id;
@@ -113,6 +114,16 @@
         (callers(in_flight), callers(unwritten))
     }
 
+    /// Number of changes that are not in a commit yet.
+    pub fn queued_changes(&self) -> u64 {
+        self.queue.len() as u64
+    }
+
+    /// Time since the commit in flight was first sent; zero without one.
+    pub fn time_in_flight(&self, now: Instant) -> Duration {
+        self.in_flight.as_ref().map_or(Duration::ZERO, |commit| now.since(commit.sent))
+    }
+
     /// Whether no change is queued or in flight.
     pub fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.in_flight.is_none()
@@ -268,6 +279,7 @@
     state.journal.durable_sequence = commit.last_sequence();
     state.journal.failing_since = None;
     state.journal.confirmed_at = commit.sent;
+    state.meter.record_commit(commit.changes.len(), state.now.since(commit.sent));
     state.journal.next_commit = state.now + state.tuning.commit_interval;
     if !state.journal.queue.is_empty() {
         state.timers.set(state.journal.next_commit, Timer::Commit);
--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -289,6 +289,7 @@
 /// Reads the leader's key, unless a read is in flight.
 pub(super) fn read_key(state: &mut super::State, out: &mut Vec<Effect>) {
     if !state.has_call_in_flight(&Purpose::Confirm) {
+        state.meter.counts.key_reads += 1;
         state.call_store(Purpose::Confirm, Request::Read(Key::Leader), out);
     }
 }
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -20,6 +20,7 @@
 pub mod leadership;
 mod lifecycle;
 pub mod load;
+pub mod meter;
 pub mod order;
 mod pace;
 pub mod place;
@@ -76,9 +77,12 @@
 
 /// Sets the time and the random seed from an input, and runs all timers that have expired.
 pub(super) fn advance(state: &mut State, at: Instant, unix_ms: u64, entropy: u64, out: &mut Vec<Effect>) {
+    let last_input_at = state.now;
     state.advance(at, unix_ms, entropy);
     if let Some(due) = state.timers.next_due().filter(|due| *due <= state.now) {
         state.lag.record(due, state.now);
+        // A timer that the last input set for an earlier time was due no earlier than that input.
+        state.meter.record_lag(state.now.since(due.max(last_input_at)));
     }
     while let Some(timer) = state.timers.pop(state.now) {
         match timer {
@@ -98,6 +102,7 @@
             Timer::Stop => stop::advance(state, out),
         }
     }
+    meter::report(state, out);
 }
 
 fn handle_store_reply(state: &mut State, call: Call, reply: Reply, out: &mut Vec<Effect>) {
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -310,6 +310,9 @@
     }
     let is_whole = resumed.is_none() && pass.memory.resume_after.is_none();
     state.placement_visits += pass.visits;
+    state.meter.counts.passes += 1;
+    state.meter.counts.worker_visits += pass.visits;
+    state.meter.counts.unproven_workers += pass.unproven.len() as u64;
     // Events that wait while the process is behind are handled before the next pass.
     let rest = state.tuning.place_rest_per_visit * pass.cost() as u32;
     state.placement_not_before = state.now + rest.max(lateness.min(LATE_REST_MAX));
@@ -373,6 +376,7 @@
 
 fn place_group(state: &mut super::State, group: Group, pass: &mut Pass, out: &mut Vec<Effect>) {
     pass.other_visits += VISITS_PER_GROUP;
+    state.meter.counts.group_visits += 1;
     let Some(job) = state.jobs.all.get(group.job) else { return };
     let (mut need, priority) = (job.needs[group.step as usize], job.priority);
 
@@ -381,6 +385,8 @@
     }
     let candidates = candidates(state, group);
     pass.other_visits += candidates.len() as u64 * VISITS_PER_TASK;
+    state.meter.counts.task_visits += state.jobs.ready.get(&group).map_or(0, |tasks| tasks.len() as u64);
+    state.meter.counts.candidates += candidates.len() as u64;
     if need.is_gang {
         // The members of a gang work only together, so none starts before the others can.
         if candidates.len() >= state.jobs.count_unfinished(group) {
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -193,6 +193,8 @@
     out: &mut Vec<Effect>,
 ) {
     let now = state.now;
+    state.meter.counts.listings += 1;
+    state.meter.counts.listed_ends += listing.ended.len() as u64;
     let worker = &mut state.workers.all[key];
     if worker.started_unix_ms.is_some() && worker.started_unix_ms != listing.started_unix_ms {
         worker.acknowledging_end = 0;
@@ -302,6 +304,7 @@
         worker.silent_since = Some(now);
         worker.reset_at = Some(now).filter(|at| *at < worker.renewal_timeout_at);
         state::record(out, Subject::Process, "worker-silent", worker.evidence(now));
+        state.meter.counts.silent_workers += 1;
     }
     worker.next_renewal_at = now + state.tuning.worker_retry;
 }
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -6,6 +6,7 @@
 use super::config::{Config, History};
 use super::effect::Effect;
 use super::lag::Lag;
+use super::meter::Meter;
 use super::order::Order;
 use super::store::{Call, Item, Leader, Range, Reply, Request, Revision};
 use super::timer::Timer;
@@ -106,6 +107,8 @@
     pub timers: Queue<Timer>,
     /// Delay with which this process handles events.
     pub lag: Lag,
+    /// Counts of the work of a leader.
+    pub meter: Meter,
     /// Identity of this process.
     pub identity: Identity,
     /// The active configuration.
@@ -168,6 +171,7 @@
             tuning,
             timers,
             lag: Lag::default(),
+            meter: Meter::default(),
             identity: me,
             config: Config::default(),
             config_history: History::default(),
@@ -286,8 +290,9 @@
 
     /// Sends an order to a worker. The order is dropped if the leader's validity ends before it is sent, or if the proof ends
     /// on which an order to start rests.
-    pub(super) fn send_order(&self, key: worker::Key, order: Order, out: &mut Vec<CoreEffect>) {
+    pub(super) fn send_order(&mut self, key: worker::Key, order: Order, out: &mut Vec<CoreEffect>) {
         let Some(worker) = self.workers.all.get(key) else { return };
+        self.meter.counts.count_order(&order);
         let valid_until = self.leadership.valid_until(&self.tuning);
         let not_after = match order {
             Order::Start { .. } => valid_until.min(worker.proven_until(self.tenure())),
--- a/src/node/jobs.rs
+++ b/src/node/jobs.rs
@@ -129,6 +129,7 @@
             Effect::Work(WorkEffect::Worker { id, address, fence, order, sent, not_after }) => {
                 self.ports.worker.send(worker::Envelope { id, address, fence, order, sent, not_after });
             }
+            Effect::Work(WorkEffect::Report(report)) => self.metrics.record_leader(&report),
             Effect::Record(entry) => {
                 self.metrics.record_decision(entry.decision);
                 self.timeline.record(at, &entry);
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -8,6 +8,7 @@
 use prometheus::{Registry, TextEncoder};
 
 use crate::core::store::{Reply, Request};
+use crate::core::work::meter::{Counts, Report};
 use crate::error::{Error, Result};
 
 /// Name of the meter of all instruments.
@@ -30,6 +31,19 @@
     peer_bytes: Counter<u64>,
     tasks: Gauge<u64>,
     owned_cells: Gauge<u64>,
+    leader: LeaderInstruments,
+}
+
+/// Instruments for the work and backlog of a leader.
+#[derive(Debug, Clone)]
+struct LeaderInstruments {
+    work: Counter<u64>,
+    orders: Counter<u64>,
+    lag: Gauge<f64>,
+    commit_time: Gauge<f64>,
+    queued_changes: Gauge<u64>,
+    ready_tasks: Gauge<u64>,
+    ready_groups: Gauge<u64>,
 }
 
 /// Direction of traffic between entry VMs.
@@ -60,6 +74,8 @@
         let meter = provider.meter(METER);
         let counter = |name, description| meter.u64_counter(name).with_description(description).build();
         let gauge = |name, description| meter.u64_gauge(name).with_description(description).build();
+        let seconds =
+            |name, description| meter.f64_gauge(name).with_description(description).with_unit("s").build();
         Ok(Self {
             requests: counter("requests", "Requests of callers, by outcome"),
             request_latency: meter
@@ -73,6 +89,18 @@
             peer_bytes: counter("peer_bytes", "Bytes between entry VMs, by direction"),
             tasks: gauge("tasks", "Batch tasks of the cells owned here, by phase"),
             owned_cells: gauge("cells_owned", "Cells owned here"),
+            leader: LeaderInstruments {
+                work: counter("leader_work", "Work of this leader, by kind"),
+                orders: counter("leader_orders", "Orders to workers, by kind"),
+                lag: seconds("leader_lag", "Longest delay of a timer in the last report of this leader"),
+                commit_time: seconds(
+                    "leader_commit_time",
+                    "Longest time of a commit in flight in the last report of this leader",
+                ),
+                queued_changes: gauge("leader_queued_changes", "Changes that wait for a commit"),
+                ready_tasks: gauge("leader_ready_tasks", "Ready tasks of submitted jobs"),
+                ready_groups: gauge("leader_ready_groups", "Groups of ready tasks of submitted jobs"),
+            },
             registry,
             provider,
         })
@@ -115,6 +143,21 @@
         self.owned_cells.record(count, &[]);
     }
 
+    /// Adds a report of a leader.
+    pub fn record_leader(&self, report: &Report) {
+        for (kind, count) in work_kinds(&report.counts) {
+            self.leader.work.add(count, &[KeyValue::new("kind", kind)]);
+        }
+        for (kind, count) in order_kinds(&report.counts) {
+            self.leader.orders.add(count, &[KeyValue::new("kind", kind)]);
+        }
+        self.leader.lag.record(report.longest_lag.as_secs_f64(), &[]);
+        self.leader.commit_time.record(report.longest_commit.as_secs_f64(), &[]);
+        self.leader.queued_changes.record(report.queued_changes, &[]);
+        self.leader.ready_tasks.record(report.ready_tasks, &[]);
+        self.leader.ready_groups.record(report.ready_groups, &[]);
+    }
+
     /// Adds a counter of the timeline entries that are missing in the file; `total` returns their number.
     pub fn observe_lost_entries(&self, total: impl Fn() -> u64 + Send + Sync + 'static) {
         // The provider keeps the callback, so the instrument itself is not needed any more.
@@ -153,6 +196,34 @@
     }
 }
 
+/// Work of a leader by the label `kind`. The timeline entries count the starts without an answer, those that were not sent,
+/// and the workers that became silent.
+fn work_kinds(counts: &Counts) -> [(&'static str, u64); 11] {
+    [
+        ("pass", counts.passes),
+        ("worker-visit", counts.worker_visits),
+        ("group-visit", counts.group_visits),
+        ("task-visit", counts.task_visits),
+        ("candidate", counts.candidates),
+        ("unproven-worker", counts.unproven_workers),
+        ("key-read", counts.key_reads),
+        ("commit", counts.commits),
+        ("commit-change", counts.commit_changes),
+        ("listing", counts.listings),
+        ("listed-end", counts.listed_ends),
+    ]
+}
+
+/// Orders of a leader by the label `kind`.
+fn order_kinds(counts: &Counts) -> [(&'static str, u64); 4] {
+    [
+        ("renew", counts.renew_orders),
+        ("start", counts.start_orders),
+        ("stop", counts.stop_orders),
+        ("pace", counts.pace_orders),
+    ]
+}
+
 fn reply_label(reply: &Reply) -> &'static str {
     match reply {
         Reply::Unchanged => "unchanged",
@@ -183,6 +254,19 @@
         metrics.set_task_count("running", 5);
         metrics.set_owned_cell_count(2);
         metrics.observe_lost_entries(|| 3);
+        let counts =
+            Counts { passes: 3, worker_visits: 40, key_reads: 5, stop_orders: 6, ..Counts::default() };
+        let report = Report {
+            counts,
+            longest_lag: Duration::from_millis(250),
+            longest_commit: Duration::from_millis(125),
+            queued_changes: 7,
+            ready_tasks: 9,
+            ready_groups: 8,
+            ..Report::default()
+        };
+        metrics.record_leader(&report);
+        metrics.record_leader(&report);
         let text = metrics.render().expect("text");
         for line in [
             "nutmegfold_requests_total{outcome=\"answered\"} 2",
@@ -194,6 +278,26 @@
             "nutmegfold_tasks{phase=\"running\"} 5",
             "nutmegfold_cells_owned 2",
             "nutmegfold_timeline_entries_lost_total 3",
+            "nutmegfold_leader_work_total{kind=\"pass\"} 6",
+            "nutmegfold_leader_work_total{kind=\"worker-visit\"} 80",
+            "nutmegfold_leader_work_total{kind=\"group-visit\"} 0",
+            "nutmegfold_leader_work_total{kind=\"task-visit\"} 0",
+            "nutmegfold_leader_work_total{kind=\"candidate\"} 0",
+            "nutmegfold_leader_work_total{kind=\"unproven-worker\"} 0",
+            "nutmegfold_leader_work_total{kind=\"key-read\"} 10",
+            "nutmegfold_leader_work_total{kind=\"commit\"} 0",
+            "nutmegfold_leader_work_total{kind=\"commit-change\"} 0",
+            "nutmegfold_leader_work_total{kind=\"listing\"} 0",
+            "nutmegfold_leader_work_total{kind=\"listed-end\"} 0",
+            "nutmegfold_leader_orders_total{kind=\"renew\"} 0",
+            "nutmegfold_leader_orders_total{kind=\"start\"} 0",
+            "nutmegfold_leader_orders_total{kind=\"stop\"} 12",
+            "nutmegfold_leader_orders_total{kind=\"pace\"} 0",
+            "nutmegfold_leader_lag_seconds 0.25",
+            "nutmegfold_leader_commit_time_seconds 0.125",
+            "nutmegfold_leader_queued_changes 7",
+            "nutmegfold_leader_ready_tasks 9",
+            "nutmegfold_leader_ready_groups 8",
         ] {
             assert!(text.lines().any(|found| found == line), "{line} is missing in:\n{text}");
         }
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -20,6 +20,7 @@
 use nutmegfold::core::work::config::{Config, Queue, Service};
 use nutmegfold::core::work::effect::Effect as WorkEffect;
 use nutmegfold::core::work::event::{Event as WorkEvent, Fault};
+use nutmegfold::core::work::meter::Report;
 use nutmegfold::core::work::order::Order;
 use nutmegfold::core::work::request::{self, Answer, Ticket, Verb};
 use nutmegfold::core::work::spec::{Id, Name, Resources, Spec, Step};
@@ -123,6 +124,8 @@
     pub clock_leads: Vec<Duration>,
     /// Timeline entries of all entry VMs; tests search them for decisions and print them on failure.
     pub log: Vec<String>,
+    /// Reports of the leaders for the metrics.
+    pub reports: Vec<Report>,
     /// Number of events that the entry VMs have processed.
     pub event_count: u64,
     /// Most workers that placement has examined in one event.
@@ -171,6 +174,7 @@
             lag: Duration::ZERO,
             clock_leads: vec![Duration::ZERO; cpu_millicores.len()],
             log: Vec::new(),
+            reports: Vec::new(),
             event_count: 0,
             most_visits: 0,
             pass_times: Vec::new(),
@@ -495,6 +499,7 @@
                     Action::Order { vm, incarnation, worker, envelope, deadline },
                 );
             }
+            Effect::Work(WorkEffect::Report(report)) => self.reports.push(*report),
             Effect::Record(entry) => self.log.push(format!("{:?} vm-{vm} {entry:?}", self.now)),
             _ => {}
         }
--- a/tests/jobs_metrics.rs
+++ b/tests/jobs_metrics.rs
@@ -1,12 +1,16 @@
-//! Metrics of an entry VM that schedules jobs, read over its administration API.
+//! Metrics of an entry VM that schedules jobs.
+
+mod emulator;
 
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use actix_web::rt;
 use awc::Client;
+use emulator::{Emulator, job, step};
 use nutmegfold::node::jobs;
 use nutmegfold::settings;
+use nutmegfold::telemetry::metric::Metrics;
 
 /// Interval between two reads of the metrics.
 const READ_INTERVAL: Duration = Duration::from_millis(20);
@@ -50,3 +54,66 @@
     }
     panic!("no lost entry is counted: {}", read_metrics(admin).await);
 }
+
+/// Value of a metric of an emulated leader, whose reports are recorded in the order in which they were made.
+fn metric(emulator: &Emulator, name: &str) -> f64 {
+    let metrics = Metrics::new().expect("exporter");
+    for report in &emulator.reports {
+        metrics.record_leader(report);
+    }
+    let text = metrics.render().expect("text");
+    let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value.unwrap_or_else(|| panic!("no {name} in {text}")).parse().expect("a number")
+}
+
+/// Guards against the work of a leader that is missing in the metrics while it keeps up, with which that of a leader that is
+/// behind is compared.
+#[test]
+fn the_work_of_a_leader_that_keeps_up_is_in_the_metrics() {
+    let mut emulator = Emulator::new(1, 2, 3);
+    emulator.run_for(Duration::from_secs(2));
+    emulator.submit(0, 1, job([step(30)]));
+    emulator.run_for(Duration::from_secs(10));
+    let start_count = emulator.log.iter().filter(|line| line.contains("decision: \"start\"")).count();
+    assert!(start_count >= 30, "{:#?}", emulator.log);
+    assert!((10..=12).contains(&emulator.reports.len()), "{:#?}", emulator.reports);
+    let work = |kind: &str| metric(&emulator, &format!("nutmegfold_leader_work_total{{kind=\"{kind}\"}}"));
+    let orders =
+        |kind: &str| metric(&emulator, &format!("nutmegfold_leader_orders_total{{kind=\"{kind}\"}}"));
+    assert_eq!(orders("start"), start_count as f64);
+    assert!(orders("renew") > 0.0 && work("listing") > 0.0 && work("listed-end") >= 30.0);
+    assert!(work("pass") > 0.0 && work("group-visit") > 0.0);
+    assert!(work("worker-visit") > 0.0 && work("worker-visit") <= emulator.placement_visits() as f64);
+    assert!(work("candidate") >= start_count as f64 && work("task-visit") >= work("candidate"));
+    assert!(work("commit") > 0.0 && work("commit-change") >= work("commit"));
+    assert_eq!(metric(&emulator, "nutmegfold_leader_lag_seconds"), 0.0);
+    assert_eq!(metric(&emulator, "nutmegfold_leader_ready_tasks"), 0.0);
+    emulator.lag = Duration::from_millis(150);
+    emulator.run_for(Duration::from_secs(2));
+    assert!(metric(&emulator, "nutmegfold_leader_lag_seconds") >= 0.15);
+}
+
+/// Guards against a former leader that still shows a backlog in its metrics.
+#[test]
+fn a_former_leader_shows_no_backlog() {
+    let mut emulator = Emulator::new(2, 1, 1);
+    emulator.run_for(Duration::from_secs(2));
+    emulator.submit(0, 1, job([step(300)]));
+    emulator.run_for(Duration::from_secs(2));
+    assert!(metric(&emulator, "nutmegfold_leader_ready_tasks") > 0.0, "{:#?}", emulator.reports);
+    assert_eq!(metric(&emulator, "nutmegfold_leader_ready_groups"), 1.0);
+    emulator.store.revoke_leases();
+    for _ in 0..READS_MAX {
+        if emulator.leader().is_none() {
+            break;
+        }
+        emulator.run_for(Duration::from_millis(1));
+    }
+    // Without the store, the process does not lead again.
+    emulator.store.is_down = true;
+    emulator.run_for(Duration::from_secs(3));
+    assert!(emulator.log.iter().any(|line| line.contains("step-down")), "{:#?}", emulator.log);
+    for name in ["ready_tasks", "ready_groups", "queued_changes", "lag_seconds"] {
+        assert_eq!(metric(&emulator, &format!("nutmegfold_leader_{name}")), 0.0, "{name}");
+    }
+}
--- a/tests/work_log.rs
+++ b/tests/work_log.rs
@@ -402,6 +402,116 @@
     assert!(line.contains("candidates: 0, but the leadership is not confirmed;"), "{line}");
 }
 
+/// Sum of the numbers that follow `label` in entries.
+fn sum_after(lines: &[String], label: &str) -> u64 {
+    lines.iter().map(|line| number_after(line, label)).sum()
+}
+
+/// Entries `leader-behind`, which only the leader may make, at most one in a second.
+fn checked_behind_entries(emulator: &Emulator) -> Vec<String> {
+    let leader = emulator.leader().expect("a leader");
+    let lines = entries(emulator, "leader-behind");
+    for line in &lines {
+        assert!(line.contains(&format!(" vm-{leader} ")), "an entry of a follower: {line}");
+        assert!(number_after(line, "\"in ") >= 1_000, "{line}");
+    }
+    lines
+}
+
+/// Guards against a leader that is behind without an entry that shows how far and with what work, against a flood of such
+/// entries, and against one from a follower.
+#[test]
+fn a_leader_that_is_behind_leaves_no_entry_or_too_many() {
+    const SECONDS: usize = 10;
+    let mut emulator = ready(15, 3);
+    emulator.lag = SECOND * 3 / 20;
+    for id in 1..=4 {
+        emulator.submit(0, id, job([step(3)]));
+        emulator.run_for(SECOND / 2);
+    }
+    emulator.run_for(SECOND * (SECONDS as u32 - 2));
+    let lines = checked_behind_entries(&emulator);
+    assert!((SECONDS - 2..=SECONDS).contains(&lines.len()), "{lines:#?}");
+    for line in &lines {
+        let (longest, last) = (number_after(line, "longest lag "), number_after(line, " ms, last "));
+        assert!((100..=150).contains(&longest) && last <= longest, "{line}");
+    }
+    let renewals = sum_after(&lines, "renew ");
+    assert!((1..=renewals).contains(&sum_after(&lines, "listings: ")), "{lines:#?}");
+    let starts = entries(&emulator, "start").len() as u64;
+    assert!(starts >= 12, "{:#?}", emulator.log);
+    assert_eq!(sum_after(&lines, "start "), starts, "{lines:#?}");
+    assert!(sum_after(&lines, "candidates: ") >= starts, "{lines:#?}");
+    assert!(sum_after(&lines, "tasks visited: ") >= sum_after(&lines, "candidates: "), "{lines:#?}");
+    assert!(sum_after(&lines, "groups visited: ") >= 4, "{lines:#?}");
+    let passes = sum_after(&lines, "placement passes: ");
+    assert!(passes > 0, "{lines:#?}");
+    let (seen, all) = (sum_after(&lines, "worker visits: "), emulator.placement_visits());
+    assert!(passes <= seen && seen <= all, "{seen} of {all} visits: {lines:#?}");
+    assert!(sum_after(&lines, "; commits: ") > 0, "{lines:#?}");
+    assert!(sum_after(&lines, ", changes: ") >= sum_after(&lines, "; commits: "), "{lines:#?}");
+    assert!(lines.iter().all(|line| number_after(line, "longest in flight ") < 800), "{lines:#?}");
+    assert!(sum_after(&lines, "ends in them: ") >= 12, "{lines:#?}");
+}
+
+/// Guards against entries of a leader that is not behind, also after it was. Stops that workers confirm in their polls set
+/// renewal timers for times that have passed, which shows no lateness.
+#[test]
+fn a_leader_that_keeps_up_looks_like_one_that_is_behind() {
+    let mut emulator = ready(16, 3);
+    emulator.submit(0, 1, job([step(12)]));
+    emulator.run_for(SECOND * 5);
+    for id in 10..22 {
+        emulator.submit(0, id, job([Step { is_long_running: true, ..step(1) }]));
+        emulator.run_for(SECOND / 3);
+    }
+    for id in 10..22 {
+        cancel(&mut emulator, 0, id);
+    }
+    emulator.run_for(SECOND);
+    assert_eq!(checked_behind_entries(&emulator), Vec::<String>::new());
+    emulator.lag = SECOND / 5;
+    emulator.run_for(SECOND * 3);
+    emulator.lag = Duration::ZERO;
+    emulator.run_for(SECOND * 2);
+    let count = checked_behind_entries(&emulator).len();
+    assert!(count > 0, "{:#?}", emulator.log);
+    emulator.submit(0, 2, job([step(12)]));
+    emulator.run_for(SECOND * 5);
+    assert_eq!(checked_behind_entries(&emulator).len(), count, "{:#?}", emulator.log);
+}
+
+/// Guards against an entry that does not tell the causes of lateness apart: starts without an answer and silent workers, a
+/// slow commit, and proofs that tasks wait for.
+#[test]
+fn an_entry_of_a_late_leader_shows_no_cause() {
+    let mut emulator = ready(17, 2);
+    emulator.lag = SECOND / 5;
+    emulator.run_for(SECOND * 2);
+    let calm = checked_behind_entries(&emulator);
+    assert!(!calm.is_empty(), "{:#?}", emulator.log);
+    assert_eq!(sum_after(&calm, "starts without an answer: "), 0, "{calm:#?}");
+    assert_eq!(sum_after(&calm, "workers that became silent: "), 0, "{calm:#?}");
+    emulator.store.commit_delay = SECOND / 2;
+    for worker in &mut emulator.workers {
+        worker.is_unresponsive = true;
+    }
+    emulator.submit(0, 1, job([Step { is_long_running: true, ..step(2) }]));
+    emulator.run_for(SECOND * 3);
+    emulator.submit(0, 2, job([Step { is_long_running: true, ..step(5) }]));
+    emulator.run_for(SECOND * 4);
+    let lines = checked_behind_entries(&emulator);
+    let doubtful = entries(&emulator, "start-doubtful").len() as u64;
+    let silent = entries(&emulator, "worker-silent").len() as u64;
+    assert!(silent > 0, "{:#?}", emulator.log);
+    assert_eq!(sum_after(&lines, "starts without an answer: "), doubtful, "{lines:#?}");
+    assert_eq!(sum_after(&lines, "workers that became silent: "), silent, "{lines:#?}");
+    let unsent = entries(&emulator, "start-not-sent").len() as u64;
+    assert_eq!(sum_after(&lines, "starts not sent: "), unsent, "{lines:#?}");
+    assert!(lines.iter().any(|line| number_after(line, "longest in flight ") >= 500), "{lines:#?}");
+    assert!(lines.iter().any(|line| line.contains("; ready tasks: 5, groups: 1\"")), "{lines:#?}");
+}
+
 /// Guards against a log that a long queue floods, and against entries for the groups that have waited least.
 #[test]
 fn hundreds_of_waiting_groups_flood_the_log() {
