Take no timer as late that was set for a time that has passed

Cause: `schedule_now` sets the renewal timer of a worker whose poll is in flight for the time of that poll. `Lag` counted the timer as late by the age of the poll, up to 1 s, for 3 s. Twice the lag is added to the time in which a proof of the leadership lasts (`Worker::proven_until`), so a leader that is not behind could send starts on proofs that had ended, and took longer spans as possible crashes (`crash::possible_causes`).

Change: a timer that is found due counts from the previous input at the earliest. A timer that was set in time is due after the previous input, or it would have run there, so its delay is as before.

--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -80,9 +80,10 @@
     let last_input_at = state.now;
     state.advance(at, unix_ms, entropy);
     if let Some(due) = state.timers.next_due().filter(|due| *due <= state.now) {
-        state.lag.record(due, state.now);
         // A timer that the last input set for an earlier time was due no earlier than that input.
-        state.meter.record_lag(state.now.since(due.max(last_input_at)));
+        let due = due.max(last_input_at);
+        state.lag.record(due, state.now);
+        state.meter.record_lag(state.now.since(due));
     }
     while let Some(timer) = state.timers.pop(state.now) {
         match timer {
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -287,6 +287,11 @@
         self.vms[vm].is_up
     }
 
+    /// Delay with which an entry VM takes itself to handle events.
+    pub fn perceived_lag(&self, vm: usize) -> Duration {
+        self.work(vm).lag.longest()
+    }
+
     /// Number of workers that placement has examined, over all entry VMs.
     pub fn placement_visits(&self) -> u64 {
         (0..self.vms.len()).map(|vm| self.work(vm).placement_visits).sum()
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -155,3 +155,19 @@
         assert!(waited < WAIT_MAX, "seed {seed}: {waited:?} after the load: {:#?}", emulator.log);
     }
 }
+
+/// Guards against a leader that takes itself as late because the confirmation of a stop in the poll of a worker sets a timer
+/// for a time that has passed: it would start tasks on proofs that have ended, as only a leader that is behind may.
+#[test]
+fn stops_in_the_polls_of_workers_make_a_leader_late() {
+    let mut emulator = ready(31, 2, 3);
+    emulator.submit(0, 100, job([Step { is_long_running: true, ..step(6) }]));
+    for id in 1..=6 {
+        emulator.submit(0, id, job([Step { is_long_running: true, ..step(1) }]));
+        emulator.run_for(SECOND / 3);
+        emulator.cancel(0, id);
+        emulator.run_for(SECOND / 3);
+        let leader = emulator.leader().expect("a leader");
+        assert_eq!(emulator.perceived_lag(leader), Duration::ZERO, "{:#?}", emulator.log);
+    }
+}
