--- a/tests/work_log.rs
+++ b/tests/work_log.rs
@@ -518,7 +518,7 @@
     assert!(sum_after(&lines, "ends in them: ") >= 12, "{lines:#?}");
 }
 
-/// Guards against entries of a leader that is not behind, also after it was. Starts in the polls of workers with runs set
+/// Guards against entries of a leader that is not behind, also after it was. Stops that workers confirm in their polls set
 /// renewal timers for times that have passed, which shows no lateness.
 #[test]
 fn a_leader_that_keeps_up_looks_like_one_that_is_behind() {
