Hold no worker for a suspect that has no headroom there

Cause: a worker with room for a suspect is held until nothing has started there for a while, and less urgent tasks leave it alone. For a filling suspect the headroom of the worker was not asked, so a worker was held on which the suspect could not start, and a task with room there waited.

Change: a worker is held only if its headroom also admits the suspect.

--- a/src/core/work/place/search.rs
+++ b/src/core/work/place/search.rs
@@ -165,8 +165,10 @@
 /// not keep the suspect from starting.
 pub(super) fn hold_worker(state: &mut State, need: &Need, siblings: Siblings<'_>, pass: &mut Pass) {
     pass.visits += state.workers.all.len() as u64;
-    let is_suitable = |(_, worker): &(Key, &Worker)| {
+    let headrooms = &mut pass.memory.headrooms;
+    let is_suitable = |(key, worker): &(Key, &Worker)| {
         has_room(state, worker, &Need { is_long_running: false, ..*need }, Resources::default())
+            && filling(state, headrooms, *key, need).is_some()
             && need.max_per_worker.is_none_or(|most| count_group_runs(state, worker, siblings.group) < most)
             && crash::has_uptime(worker, state.now)
     };
