Measure the uptime of a worker's process by its clock

Cause: a suspect starts only on a worker whose process has run for 4 s, and that time was counted from the process's first answer to this leader, so each new leader began at zero.

Change: the clock of a worker starts with its process, so a reading of it proves how long the process has run. The longer of the two times counts; the 4 s stay.

--- a/src/core/work/crash.rs
+++ b/src/core/work/crash.rs
@@ -49,7 +49,7 @@
 
 /// Whether the process of a worker has run for so long that its crash is blamed on a task.
 pub(super) fn has_uptime(worker: &worker::Worker, at: Instant) -> bool {
-    worker.process_known_at.is_some_and(|known_at| at.since(known_at) >= UPTIME_MIN)
+    worker.uptime(at) >= UPTIME_MIN
 }
 
 /// Notes that a worker has listed a run in the answer to a renewal that was sent at `sent`.
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -408,6 +408,17 @@
             || self.started_unix_ms.is_none_or(|started_ms| unix_ms < started_ms + YOUNG_PROCESS_AGE_MS)
     }
 
+    /// Time for which its process had run at a moment, as far as this leader knows: since the process is known, or longer by
+    /// its clock, which starts with the process; zero before its first answer.
+    pub fn uptime(&self, at: Instant) -> Duration {
+        let Some(known_at) = self.process_known_at else { return Duration::ZERO };
+        let by_clock = self.clock_reading.map_or(Duration::ZERO, |reading| {
+            let at_reading = Duration::from_millis(reading.clock_ms);
+            (at_reading + at.since(reading.at)).saturating_sub(reading.at.since(at))
+        });
+        at.since(known_at).max(by_clock)
+    }
+
     /// Accounts for an answer of its process in `term`. Before the first one, an earlier leader may have computed a lease from
     /// the clock of an earlier process. A lease never shortens, so it can be the longest one that the worker grants, unless
     /// the process has run for long.
