Count the time limit of an order from when it was written

What callers saw: starts in doubt ("start-doubtful"), which are stopped and started again, while the leader was behind.

If the process did not run while a connection was made, the order was written after the limit and given up as lost in the same step, although it was executed.

Change: an order has the limit to be written, otherwise it is not sent, and the answer has the limit from the moment at which the body was written. The same holds for control calls of declared work.

An answer that already lies in the socket was and is read before the time limit is looked at: the second and third order of the test show it.

--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -179,13 +179,15 @@
         if self.clock.now() > envelope.not_after {
             return Err(Fault::NotSent);
         }
+        let body = DeadlineBody::new(body, self.clock, envelope.not_after);
+        let written = body.written();
         let request = self
             .client
             .post(format!("http://{}{path}", envelope.address))
             .insert_header((TARGET_HEADER, envelope.id.as_str()))
             .content_type("application/json")
-            .send_body(DeadlineBody::new(body, self.clock, envelope.not_after));
-        http::receive(request, wait, self.timeout).await.map_err(|fault| match fault {
+            .send_body(body);
+        http::receive_written(request, written, wait, self.timeout).await.map_err(|fault| match fault {
             http::Fault::Refused => Fault::Refused,
             http::Fault::NotWritten => Fault::NotSent,
             http::Fault::Lost => Fault::Lost,
--- a/src/port/http.rs
+++ b/src/port/http.rs
@@ -2,17 +2,19 @@
 //!
 //! Its errors distinguish calls that were not executed from calls that may have been executed.
 
-use std::pin::Pin;
+use std::cell::Cell;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use actix_web::body::{BodySize, MessageBody};
 use actix_web::web::{Bytes, BytesMut};
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::{StatusCode, header};
 use awc::{Client, ClientResponse, Connector, SendClientRequest};
 use tokio::time::{Instant as Deadline, timeout_at};
-use tokio_stream::StreamExt;
+use tokio_stream::{Stream, StreamExt};
 
 use super::Clock;
 use crate::core::time::Instant;
@@ -79,7 +81,42 @@
     limit: usize,
 ) -> Result<Option<Answer>, Fault> {
     let Ok(response) = tokio::time::timeout(wait + timeout, request).await else { return Err(Fault::Lost) };
-    let mut response = response.map_err(|error| classify_error(&error))?;
+    read_answer(response.map_err(|error| classify_error(&error))?, timeout, limit).await
+}
+
+/// Sends a request whose body is a [`DeadlineBody`] with the progress `written`, and waits for the complete answer.
+///
+/// The body must be written within `timeout`, and the head of the answer must arrive within `wait` and `timeout` after that.
+/// A single limit from the start of the call would end a call as lost whose connection was made while the process did not
+/// run: the request would be written after the limit, and given up at once.
+pub(crate) async fn receive_written(
+    request: SendClientRequest,
+    written: Written,
+    wait: Duration,
+    timeout: Duration,
+) -> Result<Answer, Fault> {
+    let mut request = pin!(request);
+    let response = match tokio::time::timeout(timeout, request.as_mut()).await {
+        Ok(response) => response,
+        Err(_) => {
+            let written_at = written.0.get().ok_or(Fault::NotWritten)?;
+            let deadline = written_at + wait + timeout;
+            timeout_at(deadline, request).await.map_err(|_| Fault::Lost)?
+        }
+    };
+    let response = response.map_err(|error| classify_error(&error))?;
+    read_answer(response, timeout, MAX_ANSWER_BYTES).await?.ok_or(Fault::Lost)
+}
+
+/// Reads the body of an answer; `None` if it has more than `limit` bytes.
+async fn read_answer<S>(
+    mut response: ClientResponse<S>,
+    timeout: Duration,
+    limit: usize,
+) -> Result<Option<Answer>, Fault>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
     if stated_length(&response).is_some_and(|length| length > limit) {
         return Ok(None);
     }
@@ -133,8 +170,13 @@
     bytes: Option<Bytes>,
     clock: Clock,
     not_after: Instant,
+    written: Written,
 }
 
+/// When the client took the bytes of a [`DeadlineBody`] to write them; from then on the request may be executed.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Written(Rc<Cell<Option<Deadline>>>);
+
 /// The deadline for writing the request has passed.
 #[derive(Debug, thiserror::Error)]
 #[error("the deadline for sending the request has passed")]
@@ -143,7 +185,12 @@
 impl DeadlineBody {
     /// Body with these `bytes`, which is not written after `not_after`.
     pub(crate) fn new(bytes: impl Into<Bytes>, clock: Clock, not_after: Instant) -> Self {
-        Self { bytes: Some(bytes.into()), clock, not_after }
+        Self { bytes: Some(bytes.into()), clock, not_after, written: Written::default() }
+    }
+
+    /// Progress of the body, which remains readable after the body has been passed to the client.
+    pub(crate) fn written(&self) -> Written {
+        self.written.clone()
     }
 }
 
@@ -163,6 +210,7 @@
         if self.clock.now() > self.not_after {
             return Poll::Ready(Some(Err(DeadlinePassed)));
         }
+        self.written.0.set(Some(Deadline::now()));
         Poll::Ready(Some(Ok(bytes)))
     }
 }
--- a/src/port/worker.rs
+++ b/src/port/worker.rs
@@ -56,8 +56,9 @@
         }
         let request = self.client.post(format!("http://{address}{}", wire::PATH));
         let request = request.content_type("application/json");
-        let request = request.send_body(DeadlineBody::new(body, self.clock, not_after));
-        let answer = http::receive(request, wait, self.timeout).await?;
+        let body = DeadlineBody::new(body, self.clock, not_after);
+        let written = body.written();
+        let answer = http::receive_written(request.send_body(body), written, wait, self.timeout).await?;
         if answer.status != StatusCode::OK {
             log::warn!(
                 "worker at {address} answered a control call with unexpected status {}",
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
@@ -227,3 +228,62 @@
     listener.set_nonblocking(true).expect("a listener without blocking");
     assert!(listener.accept().is_err(), "a connection was made");
 }
+
+/// A worker that counts its connections.
+struct CountingWorker {
+    address: SocketAddr,
+    /// Connections that were made so far.
+    made: Arc<AtomicUsize>,
+}
+
+/// Starts a worker that answers an order after `delay`.
+fn serve_counting(delay: Duration) -> CountingWorker {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a loopback port");
+    let address = listener.local_addr().expect("address of the bound listener");
+    let made = Arc::new(AtomicUsize::new(0));
+    let worker = CountingWorker { address, made: made.clone() };
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            made.fetch_add(1, Ordering::SeqCst);
+            std::thread::spawn(move || {
+                let mut buffer = vec![0; 64 << 10];
+                // The orders of these tests are small, so each arrives with its head or right after it.
+                let mut received = String::new();
+                while let Ok(count @ 1..) = stream.read(&mut buffer) {
+                    received.push_str(&String::from_utf8_lossy(&buffer[..count]));
+                    let is_complete =
+                        received.split("\r\n\r\n").nth(1).is_some_and(|body| body.ends_with('}'));
+                    if !is_complete {
+                        continue;
+                    }
+                    std::thread::sleep(delay);
+                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"clock_ms\":1}";
+                    if stream.write_all(answer).is_err() {
+                        break;
+                    }
+                    received.clear();
+                }
+            });
+        }
+    });
+    worker
+}
+
+/// Guards against a call that is lost, and leaves its start in doubt, because its connection was made while the process did
+/// not run: the order was written after the time limit of the call, and given up at once.
+#[actix_web::test]
+async fn a_start_is_lost_when_the_process_is_behind() {
+    let worker = serve_counting(Duration::from_millis(20));
+    let (inbox, mut events) = Inbox::new();
+    let timeout = Duration::from_millis(200);
+    let port = Port::new(timeout, Clock::start(), inbox);
+    for number in 0..3 {
+        send_start(&port, worker.address, "work".into(), Instant(u64::MAX));
+        // The port begins to connect, or writes on the connection of the order before. Then the process does not run.
+        tokio::task::yield_now().await;
+        std::thread::sleep(timeout * 2);
+        assert_eq!(next_start(&mut events).await, Ok(Ok(())), "order {number}");
+    }
+    assert_eq!(worker.made.load(Ordering::SeqCst), 1);
+}
