Limit the connections of a leader to each worker

Cause: each order that was sent while others were in flight opened one more connection to its worker. A lost machine leaves its connections half open, so those of successive leaders filled the 64 of the workers, which reset all new ones.

Change: orders to a worker use two connections and wait in turn for them, each until its deadline; an order whose turn does not come is not sent. Orders that have waited 0.15 s may use two more, which are closed after 2 s without need. Renewals do not wait. All connections to a worker close 10 s after its last order.

Tests: a_burst_of_orders_uses_a_connection_for_each, an_order_that_waits_for_a_connection_is_written_after_its_deadline and connections_that_are_not_needed_stay_open failed before. orders_wait_behind_unanswered_ones_until_these_time_out passed before; it guards the queue that is new here.

`max_conns` of the configuration is not read yet.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod entry;
 pub mod front;
 mod job;
+mod link;
 pub mod store;
 mod task;
 pub mod worker;
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -7,7 +7,9 @@
 use awc::Client;
 use awc::http::StatusCode;
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant as Deadline;
 
+use super::link::{Table, Turn};
 use super::task::{EndedRow, RunningRow};
 use crate::core::event::Event;
 use crate::core::time::Instant;
@@ -30,7 +32,7 @@
 /// Client of the workers; sends its orders on the arbiter on which it was created.
 #[derive(Clone)]
 pub struct Port {
-    client: Client,
+    links: Table,
     timeout: Duration,
     clock: Clock,
     inbox: Inbox,
@@ -111,7 +113,7 @@
 impl Port {
     /// Returns a client that waits `timeout` for an answer, plus the wait that an order requests.
     pub fn new(timeout: Duration, clock: Clock, inbox: Inbox) -> Self {
-        Self { client: http::client(timeout), timeout, clock, inbox }
+        Self { links: Table::new(timeout), timeout, clock, inbox }
     }
 
     /// Sends an order; the answer, or the reason why there is none, arrives as an event.
@@ -176,18 +178,27 @@
             log::error!("an order cannot be encoded: {error}");
             Fault::NotSent
         })?;
-        if self.clock.now() > envelope.not_after {
+        let now = self.clock.now();
+        if now > envelope.not_after {
             return Err(Fault::NotSent);
         }
+        let turn = match envelope.order {
+            Order::Renew { .. } => Turn::Renewal,
+            Order::Start { .. } | Order::Stop { .. } | Order::Pace { .. } => Turn::Order,
+        };
+        let deadline = Deadline::now() + envelope.not_after.since(now).min(self.timeout);
         let body = DeadlineBody::new(body, self.clock, envelope.not_after);
-        let written = body.written();
-        let request = self
-            .client
-            .post(format!("http://{}{path}", envelope.address))
-            .insert_header((TARGET_HEADER, envelope.id.as_str()))
-            .content_type("application/json")
-            .send_body(body);
-        http::receive_written(request, written, wait, self.timeout).await.map_err(|fault| match fault {
+        let call = async |client: Client| {
+            let written = body.written();
+            let request = client
+                .post(format!("http://{}{path}", envelope.address))
+                .insert_header((TARGET_HEADER, envelope.id.as_str()))
+                .content_type("application/json")
+                .send_body(body);
+            http::receive_written(request, written, wait, self.timeout).await
+        };
+        let answer = self.links.call(envelope.address, turn, deadline, call).await;
+        answer.unwrap_or(Err(http::Fault::NotWritten)).map_err(|fault| match fault {
             http::Fault::Refused => Fault::Refused,
             http::Fault::NotWritten => Fault::NotSent,
             http::Fault::Lost => Fault::Lost,
--- a/src/port/http.rs
+++ b/src/port/http.rs
@@ -49,7 +49,17 @@
 
 /// Returns a client that connects within half of `timeout`, so that a failure to connect is reported as not written.
 pub(crate) fn client(timeout: Duration) -> Client {
-    let connector = Connector::new().timeout(timeout / 2).limit(MAX_CONNECTIONS);
+    client_with_limit(timeout, MAX_CONNECTIONS)
+}
+
+/// The same without a limit on open connections, for a caller that limits its calls.
+pub(crate) fn unlimited_client(timeout: Duration) -> Client {
+    // The connector takes zero as no limit.
+    client_with_limit(timeout, 0)
+}
+
+fn client_with_limit(timeout: Duration, connections: usize) -> Client {
+    let connector = Connector::new().timeout(timeout / 2).limit(connections);
     Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
 }
 
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -234,18 +234,22 @@
     address: SocketAddr,
     /// Connections that were made so far.
     made: Arc<AtomicUsize>,
+    /// Connections that the port has not closed.
+    open: Arc<AtomicUsize>,
 }
 
-/// Starts a worker that answers an order after `delay`.
+/// Starts a worker that answers an order after `delay`, and leaves each order without an answer whose text contains
+/// `unanswered`.
 fn serve_counting(delay: Duration) -> CountingWorker {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a loopback port");
     let address = listener.local_addr().expect("address of the bound listener");
-    let made = Arc::new(AtomicUsize::new(0));
-    let worker = CountingWorker { address, made: made.clone() };
+    let (made, open) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let worker = CountingWorker { address, made: made.clone(), open: open.clone() };
     std::thread::spawn(move || {
         for stream in listener.incoming() {
-            let mut stream = stream.expect("a connection");
+            let (mut stream, open) = (stream.expect("a connection"), open.clone());
             made.fetch_add(1, Ordering::SeqCst);
+            open.fetch_add(1, Ordering::SeqCst);
             std::thread::spawn(move || {
                 let mut buffer = vec![0; 64 << 10];
                 // The orders of these tests are small, so each arrives with its head or right after it.
@@ -257,19 +261,74 @@
                     if !is_complete {
                         continue;
                     }
-                    std::thread::sleep(delay);
-                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"clock_ms\":1}";
-                    if stream.write_all(answer).is_err() {
-                        break;
+                    if !received.contains("unanswered") {
+                        std::thread::sleep(delay);
+                        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"clock_ms\":1}";
+                        if stream.write_all(answer).is_err() {
+                            break;
+                        }
                     }
                     received.clear();
                 }
+                open.fetch_sub(1, Ordering::SeqCst);
             });
         }
     });
     worker
 }
 
+/// Guards against a leader that opens a connection for each order of a burst: those of lost leaders add up until the worker
+/// accepts no more.
+#[actix_web::test]
+async fn a_burst_of_orders_uses_a_connection_for_each() {
+    let worker = serve_counting(Duration::from_millis(2));
+    let (inbox, mut events) = Inbox::new();
+    let port = Port::new(TIMEOUT, Clock::start(), inbox);
+    for _ in 0..40 {
+        send_start(&port, worker.address, "work".into(), Instant(u64::MAX));
+    }
+    for number in 0..40 {
+        assert_eq!(next_start(&mut events).await, Ok(Ok(())), "order {number}");
+    }
+    let made = worker.made.load(Ordering::SeqCst);
+    assert!(made <= 2, "{made} connections");
+}
+
+/// Guards against orders that wait behind others without an answer until these time out, and against a connection for each of
+/// the unanswered ones.
+#[actix_web::test]
+async fn orders_wait_behind_unanswered_ones_until_these_time_out() {
+    let worker = serve_counting(Duration::ZERO);
+    let (inbox, mut events) = Inbox::new();
+    let port = Port::new(TIMEOUT, Clock::start(), inbox);
+    for _ in 0..3 {
+        send_start(&port, worker.address, "unanswered".into(), Instant(u64::MAX));
+    }
+    send_start(&port, worker.address, "work".into(), Instant(u64::MAX));
+    let answer = rt::time::timeout(TIMEOUT / 2, next_start(&mut events)).await;
+    assert_eq!(answer, Ok(Ok(Ok(()))));
+    assert!(worker.made.load(Ordering::SeqCst) <= 4);
+}
+
+/// Guards against an order that is written after its deadline because it has waited for a free connection, and against one
+/// that counts as lost although it was not written.
+#[actix_web::test]
+async fn an_order_that_waits_for_a_connection_is_written_after_its_deadline() {
+    let worker = serve_counting(Duration::ZERO);
+    let (inbox, mut events) = Inbox::new();
+    let clock = Clock::start();
+    let port = Port::new(TIMEOUT, clock, inbox);
+    for _ in 0..4 {
+        send_start(&port, worker.address, "unanswered".into(), Instant(u64::MAX));
+    }
+    // The four orders occupy all connections for orders after 0.15 s.
+    rt::time::sleep(Duration::from_millis(300)).await;
+    send_start(&port, worker.address, "work".into(), clock.now() + Duration::from_millis(100));
+    let answer = rt::time::timeout(TIMEOUT / 2, next_start(&mut events)).await;
+    assert_eq!(answer, Ok(Err(Fault::NotSent)));
+    assert_eq!(worker.made.load(Ordering::SeqCst), 4);
+}
+
 /// Guards against a call that is lost, and leaves its start in doubt, because its connection was made while the process did
 /// not run: the order was written after the time limit of the call, and given up at once.
 #[actix_web::test]
@@ -287,3 +346,34 @@
     }
     assert_eq!(worker.made.load(Ordering::SeqCst), 1);
 }
+
+/// Guards against connections beyond the usual ones that stay open after the worker answers again, and against those to a
+/// worker that gets no more orders, which an entry VM that leads no more would keep.
+#[actix_web::test]
+async fn connections_that_are_not_needed_stay_open() {
+    let worker = serve_counting(Duration::ZERO);
+    let (inbox, mut events) = Inbox::new();
+    let port = Port::new(Duration::from_millis(800), Clock::start(), inbox);
+    for _ in 0..4 {
+        send_start(&port, worker.address, "unanswered".into(), Instant(u64::MAX));
+    }
+    for _ in 0..4 {
+        assert_eq!(next_start(&mut events).await, Err(Fault::Lost));
+    }
+    let mut slow = serve_counting(Duration::from_millis(400));
+    for _ in 0..4 {
+        send_start(&port, slow.address, "work".into(), Instant(u64::MAX));
+    }
+    for _ in 0..4 {
+        assert_eq!(next_start(&mut events).await, Ok(Ok(())));
+    }
+    assert_eq!(slow.open.load(Ordering::SeqCst), 4);
+    rt::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(slow.open.load(Ordering::SeqCst), 0, "connections after extra orders");
+    slow = worker;
+    send_start(&port, slow.address, "work".into(), Instant(u64::MAX));
+    assert_eq!(next_start(&mut events).await, Ok(Ok(())));
+    assert_eq!(slow.open.load(Ordering::SeqCst), 1);
+    rt::time::sleep(Duration::from_secs(12)).await;
+    assert_eq!(slow.open.load(Ordering::SeqCst), 0, "connections of a worker without orders");
+}
