Let gangs of the emulator work only while all members are present

Trace: the starts of two members were on their way to a worker that did not answer; in the emulator the other members of the gang ended as done meanwhile, and such an end stands for all of them. The workers of the platform cannot do that: members work only together, from the moment at which all tasks of one run are present, and end as done together.

The members now work only while all are present, and end as alone after 3 s without the others.

--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -53,6 +53,9 @@
 /// Response time of an idle serving task in milliseconds, used while interference is emulated.
 const IDLE_RESPONSE_MS: f64 = 10.0;
 
+/// Time after which a member of a gang ends if the others are not present.
+const GANG_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Interference between two images: serving image, filling image, and the load that one busy core of the filling image
 /// adds to each serving task on the same worker.
 pub type Interference = (&'static str, &'static str, f64);
@@ -81,6 +84,7 @@
     /// Cores that a filling task uses beside the serving tasks; 0 for other tasks.
     filling_cores: f64,
     target_ms: f64,
+    started_at: Instant,
     /// Time of work done at full pace, updated at `counted_at`.
     work_done: Duration,
     counted_at: Instant,
@@ -337,6 +341,17 @@
         }
     }
 
+    /// Whether all members of the gang of a run are present, as they work only together; true for other runs. One that has
+    /// ended as done in this run counts, since they end so together.
+    fn is_complete(&self, run: &Run) -> bool {
+        let is_present = |member: Name| {
+            let mut active = self.running.get(&member).into_iter().flatten();
+            active.any(|(_, number)| *number == run.number)
+                || self.completed_runs.get(&member).is_some_and(|runs| runs.contains(&run.number))
+        };
+        !run.is_gang || self.gang_of(run.name).into_iter().all(is_present)
+    }
+
     /// Whether another member of the gang has ended in this run, otherwise than as done.
     fn is_broken(&self, run: &Run) -> bool {
         run.is_gang && self.broken_gangs.contains(&(Name { index: 0, ..run.name }, run.number))
@@ -552,7 +567,10 @@
         }
         self.count_time_over_target(now, observer);
         for mut run in std::mem::take(&mut self.runs) {
-            run.work_done += now.since(run.counted_at) * run.pace_percent / 100;
+            let is_complete = observer.is_complete(&run);
+            if is_complete {
+                run.work_done += now.since(run.counted_at) * run.pace_percent / 100;
+            }
             run.counted_at = now;
             let is_finished = !run.is_long_running && run.work_done >= run.duration;
             let is_stopped = run.stop_at.is_some_and(|at| at <= now);
@@ -561,6 +579,9 @@
                 _ if is_stopped => self.end(run, How::Stopped, observer),
                 _ if has_failed => self.end(run, How::Failed, observer),
                 _ if observer.is_broken(&run) => self.end(run, How::Broken, observer),
+                _ if !is_complete && now.since(run.started_at) >= GANG_TIMEOUT => {
+                    self.end(run, How::Alone, observer);
+                }
                 (true, _) if run.is_failing => self.end(run, How::Failed, observer),
                 (true, _) => self.end(run, How::Done, observer),
                 (_, true) => self.end(run, How::Lapsed, observer),
@@ -745,6 +766,7 @@
                 0.0
             },
             target_ms: step.latency_target.unwrap_or_default().as_secs_f64() * 1_000.0,
+            started_at: now,
             work_done: Duration::ZERO,
             counted_at: now,
             time_over_target: Duration::ZERO,
