End the look at a group at a worker without a proof, and count the rest from the end of the pass

Nothing is reserved on a worker without a recent proof, so each later task of the group searched all workers and chose the same one: 735,000 looks for 1,500 tasks and 490 workers, with a rest by which the next pass can again have no proof. The look at the group ends there, except for suspects and tasks that avoid a worker. The rest by the time of a pass counted from the next input, which may be later than the end of the pass.

Each task that a pass reaches counts once in the tally.

--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -90,7 +90,7 @@
 ) {
     let last_input_at = state.now;
     state.advance(at, unix_ms, entropy);
-    place::extend_rest(state, spent);
+    place::extend_rest(state, last_input_at, spent);
     if let Some(due) = state.timers.next_due().filter(|due| *due <= state.now) {
         // A timer that the last input set for an earlier time was due no earlier than that input.
         let due = due.max(last_input_at);
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -15,6 +15,7 @@
 mod tally;
 
 use std::collections::VecDeque;
+use std::ops::ControlFlow;
 use std::time::Duration;
 
 pub use memory::Memory;
@@ -64,8 +65,8 @@
 /// Longest rest after a pass that began late.
 const LATE_REST_MAX: Duration = Duration::from_millis(100);
 
-/// Rest after a pass, as a multiple of the time that it took. Passes leave three quarters of the time to answers of the store
-/// and the workers, without which a leader that is behind never catches up.
+/// Rest after a pass, as a multiple of the time that it took. Up to the longest rest, passes leave three quarters of the time
+/// to answers of the store and the workers, without which a leader that is behind never catches up.
 const REST_PER_PASS_TIME: u32 = 3;
 
 /// Longest rest by the time that a pass took, which includes pauses of the process.
@@ -301,12 +302,13 @@
     wait::schedule(state);
 }
 
-/// Extends the rest after a placement pass if the previous input ran one, and took `spent`.
-pub(super) fn extend_rest(state: &mut super::State, spent: Duration) {
+/// Extends the rest after a placement pass if the previous input ran one. That input was handled from `begin` on, and took
+/// `spent`.
+pub(super) fn extend_rest(state: &mut super::State, begin: Instant, spent: Duration) {
     if std::mem::take(&mut state.has_placed) {
         state.meter.counts.pass_time += spent;
         let rest = (spent * REST_PER_PASS_TIME).min(MEASURED_REST_MAX);
-        state.placement_not_before = state.placement_not_before.max(state.now + rest);
+        state.placement_not_before = state.placement_not_before.max(begin + spent + rest);
     }
 }
 
@@ -464,15 +466,6 @@
     task.is_some_and(|task| task.phase == task::Phase::Ready && wait::hold(state, task).is_none())
 }
 
-/// What a look at a task means for the later ones of its group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Outlook {
-    /// Some of them may start, or preempt other runs.
-    Open,
-    /// None of them has room or runs to preempt in this pass, if its urgency is the same.
-    Closed,
-}
-
 /// Starts the tasks of a group one by one, in the order in which they became ready, as long as there may be room for them.
 fn place_tasks(
     state: &mut super::State,
@@ -482,7 +475,7 @@
     pass: &mut Pass,
     out: &mut Vec<Effect>,
 ) {
-    let mut is_closed_for_urgent = false;
+    let mut has_no_urgent_start = false;
     for index in 0.. {
         let Some(key) = state.jobs.ready.get(&group).and_then(|tasks| tasks.get(index)).copied() else {
             break;
@@ -490,18 +483,18 @@
         pass.tally.tasks += 1;
         let Some(task) = state.jobs.tasks.get(key) else { continue };
         let urgency = urgency(state, need, task);
-        if (urgency == Urgency::Urgent && is_closed_for_urgent) || !is_startable(state, key) {
+        if (urgency == Urgency::Urgent && has_no_urgent_start) || !is_startable(state, key) {
             continue;
         }
         pass.other_visits += VISITS_PER_TASK;
         state.meter.counts.candidates += 1;
         let need = Need { avoid: task.avoid_worker, is_suspect: task.is_suspect(), urgency, ..*need };
-        if place_task(state, key, &need, priority, pass, out) == Outlook::Closed {
+        if place_task(state, key, &need, priority, pass, out).is_break() {
             // Only the first tasks of a group have waited for so long that they are urgent.
             if urgency == Urgency::Deferrable {
                 break;
             }
-            is_closed_for_urgent = true;
+            has_no_urgent_start = true;
         }
     }
 }
@@ -512,7 +505,8 @@
     if has_waited { Urgency::Urgent } else { Urgency::Deferrable }
 }
 
-/// Starts a task if a worker has room for it, or else preempts others if it may.
+/// Starts a task if a worker has room for it, or else preempts others if it may. Breaks if no later task of its group with the
+/// same urgency can start or preempt in this pass.
 fn place_task(
     state: &mut super::State,
     key: task::Key,
@@ -520,8 +514,7 @@
     priority: u32,
     pass: &mut Pass,
     out: &mut Vec<Effect>,
-) -> Outlook {
-    pass.tally.tasks += 1;
+) -> ControlFlow<()> {
     let task = &state.jobs.tasks[key];
     let (group, number) = (task.group(), task.next_run);
     if pass.is_unplaceable(state, group, need) || pass.is_unplaceable_suspect(need) {
@@ -544,13 +537,17 @@
     };
     if !state.workers.all[worker].has_proof(state.tenure()) {
         pass.unproven.insert(worker);
-    } else if control::start(state, key, worker, number, out) {
+        // Nothing is reserved, so the same worker would be found for each later task that accepts it.
+        let is_usual = !need.is_suspect && need.avoid.is_none();
+        return if is_usual { ControlFlow::Break(()) } else { ControlFlow::Continue(()) };
+    }
+    if control::start(state, key, worker, number, out) {
         pass.memory.note(state, worker);
     }
-    Outlook::Open
+    ControlFlow::Continue(())
 }
 
-/// Preempts other runs for a task without room, if it may.
+/// Preempts other runs for a task without room, if it may. Breaks as [`place_task`].
 fn preempt_for(
     state: &mut super::State,
     key: task::Key,
@@ -558,8 +555,8 @@
     priority: u32,
     pass: &mut Pass,
     out: &mut Vec<Effect>,
-) -> Outlook {
+) -> ControlFlow<()> {
     let gets_room = preempt::preempt(state, key, need, priority, pass, out);
     // A suspect is accepted by fewer workers than the other tasks of its group.
-    if gets_room || need.is_suspect { Outlook::Open } else { Outlook::Closed }
+    if gets_room || need.is_suspect { ControlFlow::Continue(()) } else { ControlFlow::Break(()) }
 }
