--- a/src/core/work/meter.rs
+++ b/src/core/work/meter.rs
@@ -1,6 +1,6 @@
 //! Counts of the work of a leader, for the metrics and for the timeline of a leader that is behind.
 //!
-//! The decisions increment [`Counts`]. [`report`] hands them to the metrics about once a second as an effect, and adds one
+//! The decisions increment [`Counts`]. `report` hands them to the metrics about once a second as an effect, and adds one
 //! entry `leader-behind` to the timeline if timers were handled late in that time. Reports have no timer of their own: each
 //! is made with the first input after it is due, so that they do not change when the process wakes.
 
