--- a/tests/jobs_metrics.rs
+++ b/tests/jobs_metrics.rs
@@ -83,7 +83,7 @@
     assert_eq!(orders("start"), start_count as f64);
     assert!(orders("renew") > 0.0 && work("listing") > 0.0 && work("listed-end") >= 30.0);
     assert!(work("pass") > 0.0 && work("group-visit") > 0.0);
-    assert!(work("worker-visit") > 0.0 && work("worker-visit") <= emulator.placement_visits() as f64);
+    assert!(work("worker-visit") > 0.0 && work("worker-visit") <= emulator.placement_tally().workers as f64);
     assert!(work("candidate") >= start_count as f64 && work("task-visit") >= work("candidate"));
     assert!(work("commit") > 0.0 && work("commit-change") >= work("commit"));
     assert_eq!(metric(&emulator, "nutmegfold_leader_lag_seconds"), 0.0);
