Search the workers once for the tasks of a group, and end a pass after 100 starts

Cause: a pass searched all workers for each task, and ended after 40,000 looks. Ruled out: a hold, the gate, proofs and connections; `waits` shows all waiting tasks as candidates. Change: a start changes only its worker, so the tasks of a group with equal needs share one search, and the chosen worker is scored again. A preemption discards the search. Since looks no longer limit the starts of a pass, 100 starts do; a pass that ends within a group goes on with that group. The two new tests count: 2 looks a worker and one for each start, 100 starts at most.

--- a/src/core/work/place/memory.rs
+++ b/src/core/work/place/memory.rs
@@ -155,8 +155,8 @@
     without_victims: Set<Group>,
     /// Times at which the waiting of a task gets another meaning.
     wakes: BinaryHeap<Reverse<Instant>>,
-    /// Place in the order of the groups after which the next pass goes on; `None` to begin with the first.
-    pub(super) resume_after: Option<Order>,
+    /// Place in the order of the groups at which the next pass goes on; `None` to begin with the first.
+    pub(super) resume_at: Option<Order>,
 }
 
 impl Memory {
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -33,7 +33,7 @@
 use crate::core::trace::Subject;
 use crate::hash::{Map, Set};
 use memory::{Findings, add_need};
-use search::{Plan, Scope, Siblings};
+use search::{Plan, Scope, Shortlist, Siblings};
 
 /// Score penalty of a worker outside the rack that holds the data of a task.
 const REMOTE_DATA_SCORE: i64 = -100_000_000;
@@ -59,6 +59,10 @@
 /// Number of worker visits after which a pass stops, and leaves the other groups to the next one.
 const PASS_VISITS_MAX: u64 = 40_000;
 
+/// Number of starts after which a pass stops. The order of each is encoded and sent before the next event is handled, which
+/// takes much longer than a look at a worker.
+const PASS_STARTS_MAX: u64 = 100;
+
 /// Time between the passes while tasks wait for a proof.
 const PROOF_RETRY: Duration = Duration::from_millis(50);
 
@@ -144,6 +148,10 @@
     visits: u64,
     /// Number of waiting groups and tasks that were examined, as worker visits that take as long.
     other_visits: u64,
+    /// Number of tasks that were started.
+    starts: u64,
+    /// Workers with room for the tasks of the group that is being placed.
+    shortlist: Shortlist,
     /// Worker with room for a suspect that waits for a time without a start there; the less urgent tasks leave it alone.
     held: Option<Key>,
     /// Needs of suspects that no worker accepts.
@@ -166,6 +174,8 @@
             freed_resources: None,
             visits: state.workers.all.len() as u64,
             other_visits: 0,
+            shortlist: Shortlist::default(),
+            starts: 0,
             held: None,
             unplaceable_suspects: Vec::new(),
             unproven: Set::default(),
@@ -179,7 +189,7 @@
         if let Some(held) = self.held {
             self.memory.forget(held);
         }
-        let is_whole = self.memory.resume_after.is_none();
+        let is_whole = self.memory.resume_at.is_none();
         self.memory.keep(state, self.found, is_whole, &mut self.tally);
         self.tally.runs += std::mem::take(&mut self.memory.headrooms.runs);
         state.placement_tally.add(&self.tally);
@@ -192,6 +202,11 @@
         self.visits + self.other_visits
     }
 
+    /// Whether the pass has taken so long that the rest is left to the next one.
+    fn is_exhausted(&self) -> bool {
+        self.cost() >= PASS_VISITS_MAX || self.starts >= PASS_STARTS_MAX
+    }
+
     /// Whether only a worker that has changed can have room for a task of a group.
     fn is_known_unplaceable(&mut self, group: Group, need: &Need) -> bool {
         self.tally.needs += self.memory.needs_count();
@@ -356,16 +371,16 @@
     let waiting = sort_waiting(state);
     let mut pass = Pass::begin(state);
     pass.tally.groups += waiting.len() as u64;
-    let resumed = pass.memory.resume_after.take();
-    let first = resumed.map_or(0, |last| waiting.partition_point(|order| *order <= last));
-    for order in &waiting[first..] {
-        place_group(state, order.3, &mut pass, out);
-        if pass.cost() >= PASS_VISITS_MAX {
-            pass.memory.resume_after = Some(*order);
+    let resumed = pass.memory.resume_at.take();
+    let first = resumed.map_or(0, |at| waiting.partition_point(|order| *order < at));
+    for (index, order) in waiting.iter().enumerate().skip(first) {
+        let is_done = place_group(state, order.3, &mut pass, out).is_continue();
+        if pass.is_exhausted() {
+            pass.memory.resume_at = if is_done { waiting.get(index + 1).copied() } else { Some(*order) };
             break;
         }
     }
-    let is_whole = resumed.is_none() && pass.memory.resume_after.is_none();
+    let is_whole = resumed.is_none() && pass.memory.resume_at.is_none();
     state.placement_visits += pass.visits;
     state.meter.counts.unproven_workers += pass.unproven.len() as u64;
     // Events that wait while the process is behind are handled before the next pass.
@@ -429,15 +444,23 @@
     waiting
 }
 
-fn place_group(state: &mut super::State, group: Group, pass: &mut Pass, out: &mut Vec<Effect>) {
+/// Starts the tasks of a group that find room. Breaks if the pass has to stop before it has looked at all of them.
+fn place_group(
+    state: &mut super::State,
+    group: Group,
+    pass: &mut Pass,
+    out: &mut Vec<Effect>,
+) -> ControlFlow<()> {
     pass.other_visits += VISITS_PER_GROUP;
     pass.tally.groups += 1;
-    let Some(job) = state.jobs.all.get(group.job) else { return };
+    pass.shortlist.clear();
+    let Some(job) = state.jobs.all.get(group.job) else { return ControlFlow::Continue(()) };
     let (mut need, priority) = (job.needs[group.step as usize], job.priority);
 
     if pass.is_hopeless(state, group, &need, priority) {
-        return;
+        return ControlFlow::Continue(());
     }
+    let mut flow = ControlFlow::Continue(());
     if need.is_gang {
         let candidates = candidates(state, group);
         pass.other_visits += candidates.len() as u64 * VISITS_PER_TASK;
@@ -449,9 +472,10 @@
             gang::place(state, group, need, &candidates, pass, out);
         }
     } else {
-        place_tasks(state, group, &need, priority, pass, out);
+        flow = place_tasks(state, group, &need, priority, pass, out);
     }
     state.jobs.remove_started(group);
+    flow
 }
 
 /// Returns the tasks of a group that may start now.
@@ -467,6 +491,7 @@
 }
 
 /// Starts the tasks of a group one by one, in the order in which they became ready, as long as there may be room for them.
+/// Breaks if the pass has to stop before the last task.
 fn place_tasks(
     state: &mut super::State,
     group: Group,
@@ -474,12 +499,15 @@
     priority: u32,
     pass: &mut Pass,
     out: &mut Vec<Effect>,
-) {
+) -> ControlFlow<()> {
     let mut has_no_urgent_start = false;
     for index in 0.. {
         let Some(key) = state.jobs.ready.get(&group).and_then(|tasks| tasks.get(index)).copied() else {
             break;
         };
+        if pass.starts >= PASS_STARTS_MAX {
+            return ControlFlow::Break(());
+        }
         pass.tally.tasks += 1;
         let Some(task) = state.jobs.tasks.get(key) else { continue };
         let urgency = urgency(state, need, task);
@@ -497,6 +525,7 @@
             has_no_urgent_start = true;
         }
     }
+    ControlFlow::Continue(())
 }
 
 /// Whether a task can wait for a better worker; only filling tasks become urgent.
@@ -522,14 +551,13 @@
     }
     let is_known = pass.is_known_unplaceable(group, need);
     let scope = if is_known && !need.is_suspect { Scope::Changed } else { Scope::All };
-    let plan = Plan::default();
-    let siblings = Siblings { group, plan: &plan };
-    let Some(worker) = search::choose_worker(state, need, siblings, scope, pass) else {
+    let Some(worker) = search::choose_listed(state, need, group, scope, pass) else {
         if !need.is_suspect {
             pass.add_stuck(group, need);
         } else {
             if pass.held.is_none() {
-                search::hold_worker(state, need, siblings, pass);
+                let plan = Plan::default();
+                search::hold_worker(state, need, Siblings { group, plan: &plan }, pass);
             }
             pass.add_unplaceable_suspect(need);
         }
@@ -543,6 +571,7 @@
     }
     if control::start(state, key, worker, number, out) {
         pass.memory.note(state, worker);
+        pass.starts += 1;
     }
     ControlFlow::Continue(())
 }
@@ -557,6 +586,8 @@
     out: &mut Vec<Effect>,
 ) -> ControlFlow<()> {
     let gets_room = preempt::preempt(state, key, need, priority, pass, out);
+    // A run that is being stopped no longer counts beside a filling task.
+    pass.shortlist.clear();
     // A suspect is accepted by fewer workers than the other tasks of its group.
     if gets_room || need.is_suspect { ControlFlow::Continue(()) } else { ControlFlow::Break(()) }
 }
--- a/src/core/work/place/search.rs
+++ b/src/core/work/place/search.rs
@@ -1,5 +1,7 @@
 //! Search for the worker of a task.
 
+use std::collections::BinaryHeap;
+
 use super::memory::Headrooms;
 use super::need::Need;
 use super::{Filling, Offer, Pass};
@@ -50,6 +52,54 @@
     Changed,
 }
 
+/// Workers with room for the tasks of one group, by score. A start changes only its worker, so the tasks of a group share
+/// one search of all workers.
+#[derive(Debug, Default)]
+pub(super) struct Shortlist {
+    /// The need and the scope that the workers were searched for; `None` before the first search.
+    searched: Option<(Need, Scope)>,
+    by_score: BinaryHeap<(i64, Key)>,
+    /// Worker that was returned last, whose score may have changed since.
+    returned: Option<Key>,
+}
+
+impl Shortlist {
+    /// Forgets the workers, as after a change of other workers than that which was returned last.
+    pub(super) fn clear(&mut self) {
+        *self = Self::default();
+    }
+}
+
+/// Returns the worker with the highest score among those with room for a task of a group. Equal needs of the group are
+/// answered from one search.
+pub(super) fn choose_listed(
+    state: &State,
+    need: &Need,
+    group: Group,
+    scope: Scope,
+    pass: &mut Pass,
+) -> Option<Key> {
+    let plan = Plan::default();
+    let siblings = Siblings { group, plan: &plan };
+    let mut list = std::mem::take(&mut pass.shortlist);
+    if list.searched != Some((*need, scope)) {
+        let by_score = score_workers(state, need, siblings, scope, pass).collect();
+        list = Shortlist { searched: Some((*need, scope)), by_score, returned: None };
+    } else if let Some(key) = list.returned.take() {
+        pass.visits += 1;
+        pass.tally.workers += 1;
+        let worker = state.workers.all.get(key);
+        let score = worker.and_then(|worker| {
+            score_worker(state, &mut pass.memory.headrooms, (key, worker), need, siblings)
+        });
+        list.by_score.extend(score.map(|score| (score, key)));
+    }
+    list.returned = list.by_score.pop().map(|(_, key)| key);
+    let chosen = list.returned;
+    pass.shortlist = list;
+    chosen
+}
+
 /// Returns the worker with the highest score among those with room for a task.
 pub(super) fn choose_worker(
     state: &State,
@@ -58,27 +108,34 @@
     scope: Scope,
     pass: &mut Pass,
 ) -> Option<Key> {
+    score_workers(state, need, siblings, scope, pass).max().map(|(_, key)| key)
+}
+
+/// Scores of the workers with room for a task.
+fn score_workers<'a>(
+    state: &'a State,
+    need: &'a Need,
+    siblings: Siblings<'a>,
+    scope: Scope,
+    pass: &'a mut Pass,
+) -> impl Iterator<Item = (i64, Key)> + 'a {
     let Pass { memory, found, held, visits, tally, .. } = pass;
     let held = *held;
     let headrooms = &mut memory.headrooms;
-    let score = |(key, worker): (Key, &Worker)| {
-        (held != Some(key)).then_some(())?;
-        Some((score_worker(state, headrooms, (key, worker), need, siblings)?, key))
-    };
-    let best = match scope {
-        Scope::All => {
-            *visits += state.workers.all.len() as u64;
-            tally.workers += state.workers.all.len() as u64;
-            state.workers.all.iter().filter_map(score).max()
-        }
-        Scope::Changed => {
-            *visits += found.survey.changed.len() as u64;
-            tally.workers += found.survey.changed.len() as u64;
-            let workers = found.survey.changed.iter();
-            workers.filter_map(|key| Some((*key, state.workers.all.get(*key)?))).filter_map(score).max()
-        }
+    let all = (scope == Scope::All).then(|| state.workers.all.iter()).into_iter().flatten();
+    let changed = found.survey.changed.iter().filter(move |_| scope == Scope::Changed);
+    let count = match scope {
+        Scope::All => state.workers.all.len(),
+        Scope::Changed => found.survey.changed.len(),
     };
-    best.map(|(_, key)| key)
+    *visits += count as u64;
+    tally.workers += count as u64;
+    all.chain(changed.filter_map(|key| Some((*key, state.workers.all.get(*key)?)))).filter_map(
+        move |(key, worker)| {
+            (held != Some(key)).then_some(())?;
+            Some((score_worker(state, headrooms, (key, worker), need, siblings)?, key))
+        },
+    )
 }
 
 /// Score of a worker for a task; `None` if it has no room for it.
--- a/tests/backlog.rs
+++ b/tests/backlog.rs
@@ -100,6 +100,40 @@
     assert_no_violation(&emulator, 2);
 }
 
+/// Guards against a pass that searches all workers for each task of a group, so that it ends after a few starts although
+/// hundreds of workers have room.
+#[test]
+fn a_pass_searches_all_workers_for_each_task_of_a_group() {
+    const HUNDREDS_OF_WORKERS: usize = 300;
+    const TASKS: u32 = 90;
+    let mut emulator = ready(6, HUNDREDS_OF_WORKERS);
+    emulator.run_for(2 * SECOND);
+    emulator.most_visits = 0;
+    emulator.submit(0, 1, job([step(TASKS)]));
+    emulator.run_for(SECOND / 10);
+    assert_eq!(emulator.ready_count(), 0, "{:#?}", emulator.log);
+    // The pass compares the workers with how the last one saw them, searches them once, and looks at each chosen one again.
+    let most = 2 * HUNDREDS_OF_WORKERS as u64 + u64::from(TASKS);
+    let visits = emulator.most_visits;
+    assert!(visits <= most, "{visits} workers examined in a pass that starts {TASKS} tasks");
+    assert_no_violation(&emulator, 6);
+}
+
+/// Guards against a pass that starts a long queue at once where there is room for all of it, while answers wait behind it.
+#[test]
+fn a_pass_starts_all_tasks_of_a_large_group_at_once() {
+    const STARTS_PER_PASS_MAX: usize = 100;
+    let mut emulator = ready(7, WORKERS);
+    emulator.run_for(2 * SECOND);
+    emulator.submit(0, 1, job([Step { resources: LITTLE, ..step(450) }]));
+    emulator.run_for(6 * MILLISECOND);
+    let starts = emulator.starts_of_pass(0, false).len();
+    assert!(starts <= STARTS_PER_PASS_MAX, "{starts} starts in a pass");
+    emulator.run_for(SECOND / 2);
+    assert_eq!(emulator.ready_count(), 0, "{:#?}", emulator.log);
+    assert_no_violation(&emulator, 7);
+}
+
 /// Guards against a task with room that never starts, since each pass stops at the groups before it, which find none.
 #[test]
 fn a_task_with_room_waits_behind_groups_without_room() {
