Give the most urgent groups half of each pass, and rest less after a pass that began on time

Cause: a pass goes on where the last one stopped, so with a long queue an urgent group waited until all others had had their turn; and a rest of three times the pass held back a leader that was not behind. Change: the groups before that place get up to half of the looks and starts of a pass. The rest is as long as the pass, and three times as long only if the pass began more than the interval between passes late. Result: test an_urgent_task_waits_for_the_turns_of_a_long_queue.

--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -56,12 +56,9 @@
 /// Number of worker visits that a look at a group of waiting tasks takes as long as.
 const VISITS_PER_GROUP: u64 = 4;
 
-/// Number of worker visits after which a pass stops, and leaves the other groups to the next one.
-const PASS_VISITS_MAX: u64 = 40_000;
-
-/// Number of starts after which a pass stops. The order of each is encoded and sent before the next event is handled, which
-/// takes much longer than a look at a worker.
-const PASS_STARTS_MAX: u64 = 100;
+/// Work after which a pass stops, and leaves the other groups to the next one. The order of each start is encoded and sent
+/// before the next event is handled, which takes much longer than a look at a worker.
+const PASS_LIMIT: Limit = Limit { visits: 40_000, starts: 100 };
 
 /// Time between the passes while tasks wait for a proof.
 const PROOF_RETRY: Duration = Duration::from_millis(50);
@@ -69,9 +66,12 @@
 /// Longest rest after a pass that began late.
 const LATE_REST_MAX: Duration = Duration::from_millis(100);
 
-/// Rest after a pass, as a multiple of the time that it took. Up to the longest rest, passes leave three quarters of the time
-/// to answers of the store and the workers, without which a leader that is behind never catches up.
-const REST_PER_PASS_TIME: u32 = 3;
+/// Rest after a pass, as a multiple of the time that it took: half of the time is left to answers of the store and the workers.
+const REST_PER_PASS_TIME: u32 = 1;
+
+/// The same after a pass that began late, since answers wait: a leader that is behind never catches up without three quarters
+/// of the time.
+const REST_PER_LATE_PASS_TIME: u32 = 3;
 
 /// Longest rest by the time that a pass took, which includes pauses of the process.
 const MEASURED_REST_MAX: Duration = Duration::from_millis(250);
@@ -135,8 +135,25 @@
 /// Place of a group in the order of a pass: priority, whether its deadline has passed, deadline, and the group.
 type Order = (u32, bool, Instant, Group);
 
+/// Limit on the work of a pass.
+#[derive(Debug, Clone, Copy)]
+struct Limit {
+    /// Number of worker visits.
+    visits: u64,
+    /// Number of tasks that are started.
+    starts: u64,
+}
+
+impl Limit {
+    fn half(self) -> Self {
+        Self { visits: self.visits / 2, starts: self.starts / 2 }
+    }
+}
+
 /// State of a placement pass.
 struct Pass {
+    /// Limit for the groups that are being placed.
+    limit: Limit,
     /// What earlier passes have found out.
     memory: Memory,
     /// What this pass has found out.
@@ -169,6 +186,7 @@
         let mut tally = Tally { passes: 1, ..Tally::default() };
         let survey = memory.look(state, &mut tally);
         Self {
+            limit: PASS_LIMIT,
             memory,
             found: Findings { survey, ..Findings::default() },
             freed_resources: None,
@@ -204,7 +222,7 @@
 
     /// Whether the pass has taken so long that the rest is left to the next one.
     fn is_exhausted(&self) -> bool {
-        self.cost() >= PASS_VISITS_MAX || self.starts >= PASS_STARTS_MAX
+        self.cost() >= self.limit.visits || self.starts >= self.limit.starts
     }
 
     /// Whether only a worker that has changed can have room for a task of a group.
@@ -308,8 +326,9 @@
     if state.placement_not_before > state.now {
         return state.schedule_placement();
     }
-    run_pass(state, state.now.since(due.max(state.placement_not_before)), out);
-    state.has_placed = true;
+    let lateness = state.now.since(due.max(state.placement_not_before));
+    run_pass(state, lateness, out);
+    state.pass_lateness = Some(lateness);
     note_ready(state);
     if let Some(at) = next_pass_at(state) {
         state.schedule_placement_by(at);
@@ -320,11 +339,12 @@
 /// Extends the rest after a placement pass if the previous input ran one. That input was handled from `begin` on, and took
 /// `spent`.
 pub(super) fn extend_rest(state: &mut super::State, begin: Instant, spent: Duration) {
-    if std::mem::take(&mut state.has_placed) {
-        state.meter.counts.pass_time += spent;
-        let rest = (spent * REST_PER_PASS_TIME).min(MEASURED_REST_MAX);
-        state.placement_not_before = state.placement_not_before.max(begin + spent + rest);
-    }
+    let Some(lateness) = state.pass_lateness.take() else { return };
+    state.meter.counts.pass_time += spent;
+    let is_late = lateness > state.tuning.place_interval;
+    let multiple = if is_late { REST_PER_LATE_PASS_TIME } else { REST_PER_PASS_TIME };
+    let rest = (spent * multiple).min(MEASURED_REST_MAX);
+    state.placement_not_before = state.placement_not_before.max(begin + spent + rest);
 }
 
 /// Notes when the waiting of the tasks that have become ready gets another meaning.
@@ -372,15 +392,15 @@
     let mut pass = Pass::begin(state);
     pass.tally.groups += waiting.len() as u64;
     let resumed = pass.memory.resume_at.take();
-    let first = resumed.map_or(0, |at| waiting.partition_point(|order| *order < at));
-    for (index, order) in waiting.iter().enumerate().skip(first) {
-        let is_done = place_group(state, order.3, &mut pass, out).is_continue();
-        if pass.is_exhausted() {
-            pass.memory.resume_at = if is_done { waiting.get(index + 1).copied() } else { Some(*order) };
-            break;
-        }
-    }
-    let is_whole = resumed.is_none() && pass.memory.resume_at.is_none();
+    let resumed_index = resumed.map_or(0, |at| waiting.partition_point(|order| *order < at));
+    // The most urgent groups get up to half of each pass, so that they don't wait until the others have had their turn.
+    let (urgent, others) = waiting.split_at(resumed_index);
+    pass.limit = PASS_LIMIT.half();
+    let unfinished_urgent = place_groups(state, urgent, &mut pass, out);
+    pass.limit = PASS_LIMIT;
+    let unfinished = place_groups(state, others, &mut pass, out);
+    pass.memory.resume_at = unfinished.and_then(|index| others.get(index)).copied();
+    let is_whole = unfinished_urgent.is_none() && pass.memory.resume_at.is_none();
     state.placement_visits += pass.visits;
     state.meter.counts.unproven_workers += pass.unproven.len() as u64;
     // Events that wait while the process is behind are handled before the next pass.
@@ -444,6 +464,23 @@
     waiting
 }
 
+/// Starts the tasks of these groups that find room, one group after the other. Returns the index of the group at which the
+/// next pass goes on; `None` after the last one.
+fn place_groups(
+    state: &mut super::State,
+    groups: &[Order],
+    pass: &mut Pass,
+    out: &mut Vec<Effect>,
+) -> Option<usize> {
+    for (index, order) in groups.iter().enumerate() {
+        let is_done = place_group(state, order.3, pass, out).is_continue();
+        if pass.is_exhausted() {
+            return Some(if is_done { index + 1 } else { index });
+        }
+    }
+    None
+}
+
 /// Starts the tasks of a group that find room. Breaks if the pass has to stop before it has looked at all of them.
 fn place_group(
     state: &mut super::State,
@@ -505,7 +542,7 @@
         let Some(key) = state.jobs.ready.get(&group).and_then(|tasks| tasks.get(index)).copied() else {
             break;
         };
-        if pass.starts >= PASS_STARTS_MAX {
+        if pass.starts >= pass.limit.starts {
             return ControlFlow::Break(());
         }
         pass.tally.tasks += 1;
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -141,8 +141,8 @@
     pub next_placement: Option<Instant>,
     /// Earliest time of the next placement pass.
     pub placement_not_before: Instant,
-    /// Whether the previous input ran a placement pass.
-    pub has_placed: bool,
+    /// Time by which the placement pass of the previous input began late; `None` if it ran none.
+    pub pass_lateness: Option<Duration>,
     /// Number of workers examined by placement, summed over all tasks and passes.
     pub placement_visits: u64,
     /// What all placement passes have examined.
@@ -192,7 +192,7 @@
             watches: Map::default(),
             next_placement: None,
             placement_not_before: Instant::default(),
-            has_placed: false,
+            pass_lateness: None,
             placement_visits: 0,
             placement_tally: place::Tally::default(),
             next_wait_report: None,
--- a/tests/backlog.rs
+++ b/tests/backlog.rs
@@ -4,8 +4,9 @@
 
 use std::time::Duration;
 
-use emulator::{Emulator, job, step};
-use nutmegfold::core::work::request::{Answer, Phase};
+use emulator::{Emulator, config, job, step};
+use nutmegfold::core::work::config::{Config, Queue};
+use nutmegfold::core::work::request::{Answer, Phase, Verb};
 use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
 use nutmegfold::core::work::tuning::Tuning;
 
@@ -134,6 +135,38 @@
     assert_no_violation(&emulator, 7);
 }
 
+/// Configuration with a second queue, at `/urgent/`, of the highest priority.
+fn with_urgent_queue() -> Config {
+    let base = config();
+    let jobs = Queue { priority: 2, ..base.queues[0].clone() };
+    let urgent = Queue { name: "urgent".into(), prefix: "/urgent/".into(), priority: 0, ..jobs.clone() };
+    Config { version: 2, queues: vec![jobs, urgent], ..base }
+}
+
+/// Guards against an urgent task that waits until the groups of a long queue have had their turn, although it has room.
+#[test]
+fn an_urgent_task_waits_for_the_turns_of_a_long_queue() {
+    let mut emulator = Emulator::new(8, 1, WORKERS);
+    emulator.store.set_config(with_urgent_queue());
+    emulator.run_for(3 * SECOND);
+    for id in 0..60 {
+        emulator.submit(0, id, job([Step { resources: LITTLE, estimate: 60 * SECOND, ..step(200) }]));
+    }
+    emulator.run_for(SECOND / 5);
+    assert!(emulator.ready_count() > 5_000, "{} tasks are ready", emulator.ready_count());
+    let urgent = job([Step { resources: LITTLE, estimate: 60 * SECOND, ..step(5) }]);
+    let id = Id(1_000);
+    emulator.observer.record_submission(id, &urgent);
+    emulator.request(0, &format!("/urgent/{id}"), Verb::Submit(urgent));
+    emulator.run_for(SECOND / 20);
+    assert!(emulator.ready_count() > 1_000, "{} tasks are ready", emulator.ready_count());
+    for index in 0..5 {
+        let name = Name { job: id, occurrence: 0, step: 0, index };
+        assert!(emulator.observer.is_running(name), "{name} waits: {:#?}", emulator.log);
+    }
+    assert_no_violation(&emulator, 8);
+}
+
 /// Guards against a task with room that never starts, since each pass stops at the groups before it, which find none.
 #[test]
 fn a_task_with_room_waits_behind_groups_without_room() {
