Let serving tasks of an image share workers, so that others stay whole

Cause: serving tasks went to the worker with most free cores. Change: a serving task goes to a worker that has runs of its image and none of its group, then to one with few of its group, and opens a worker without serving runs before a fourth run of its group. Other long-running tasks as before. Test tasks_of_a_whole_worker_wait_behind_serving_tasks.

--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -42,6 +42,14 @@
 /// another, so serving tasks of an image are kept together.
 const MIXED_IMAGE_SCORE: i64 = -30_000;
 
+/// Score penalties of a worker for a serving task, each larger than the free cores of any worker in thousandths: for a run of
+/// the same group on it, whose crash both would share; for having no serving run yet; and for each serving run of another image.
+/// Serving tasks run for long and are not preempted, so they share few workers, and others stay whole for tasks that need
+/// most of a worker.
+const SIBLING_SCORE: i64 = -1_000_000;
+const EMPTY_WORKER_SCORE: i64 = -2_500_000;
+const MIXED_SERVING_SCORE: i64 = -10_000_000;
+
 /// Score penalty for the load that a filling task adds to a serving task, per load of 1, which saturates the serving
 /// task.
 const INTERFERENCE_SCORE: f64 = -100_000.0;
@@ -93,6 +101,8 @@
     pub worker: &'a Worker,
     /// Number of serving runs on the worker whose image is not that of the task.
     pub other_serving: u32,
+    /// Number of runs of the same group on the worker, if the task serves users.
+    pub siblings: u32,
     /// Conditions for a filling task on the worker; zero for other tasks.
     pub filling: Filling,
 }
@@ -124,6 +134,12 @@
         let Filling { spare_cpu_millicores, interference, compatible_share } = offer.filling;
         spare_cpu_millicores
             + (INTERFERENCE_SCORE * interference + COMPATIBLE_SHARE_SCORE * compatible_share) as i64
+    } else if need.is_serving {
+        let empty = if worker.serving_runs == 0 { EMPTY_WORKER_SCORE } else { 0 };
+        empty
+            + SIBLING_SCORE * i64::from(offer.siblings)
+            + MIXED_SERVING_SCORE * i64::from(offer.other_serving)
+            - free
     } else if need.is_long_running {
         free + MIXED_IMAGE_SCORE * i64::from(offer.other_serving)
     } else {
--- a/src/core/work/place/need.rs
+++ b/src/core/work/place/need.rs
@@ -24,6 +24,8 @@
     pub is_gang: bool,
     /// Whether it runs until its job is cancelled.
     pub is_long_running: bool,
+    /// Whether it serves users, so that its response time is limited.
+    pub is_serving: bool,
     /// Whether it is a filling task, which uses only processor time that others leave.
     pub is_filling: bool,
     /// Image that it runs; `None` if the step names none.
@@ -48,6 +50,7 @@
             max_per_worker: step.max_per_worker,
             is_gang: step.is_gang,
             is_long_running: step.is_long_running,
+            is_serving: step.serves(),
             is_filling: step.is_filling,
             image: (!step.image.is_empty()).then(|| images.intern(&step.image)),
             urgency: Urgency::Deferrable,
--- a/src/core/work/place/search.rs
+++ b/src/core/work/place/search.rs
@@ -163,7 +163,8 @@
     let company = if need.is_suspect { worker.runs.len() as i64 * SUSPECT_COMPANY_SCORE } else { 0 };
     let unproven = unproven_score(state, worker);
     let other_serving = if need.is_long_running { count_other_serving(state, worker, need.image) } else { 0 };
-    let score = (state.policy.score)(need, &Offer { worker, other_serving, filling });
+    let siblings = if need.is_serving { count_group_runs(state, worker, group) } else { 0 };
+    let score = (state.policy.score)(need, &Offer { worker, other_serving, siblings, filling });
     Some(score + avoided + suspected + company + unproven)
 }
 
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -362,6 +362,11 @@
         self.running.keys().any(|name| name.job == job)
     }
 
+    /// Worker with an active run of the task.
+    pub fn worker_of(&self, name: Name) -> Option<&str> {
+        self.running.get(&name)?.iter().next().map(|(worker, _)| worker.as_str())
+    }
+
     /// Whether a run of the task is active on any worker.
     pub fn is_running(&self, name: Name) -> bool {
         self.running.get(&name).is_some_and(|runs| !runs.is_empty())
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -7,6 +7,7 @@
 use emulator::{Emulator, job, step};
 use nutmegfold::core::work::request::{Answer, Phase};
 use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
+use nutmegfold::hash::Set;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -320,3 +321,30 @@
         );
     }
 }
+
+/// Guards against a task that needs a whole worker and never starts, since serving tasks stand on every worker and are not
+/// preempted.
+#[test]
+fn tasks_of_a_whole_worker_wait_behind_serving_tasks() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed);
+        for (id, image) in [(10, "desk"), (11, "ledger"), (12, "desk"), (13, "ledger")] {
+            let resources = Resources { cpu_millicores: 1_000, memory_mb: 500, gpu: 0 };
+            let latency_target = Some(50 * MILLISECOND);
+            let serving =
+                Step { resources, is_long_running: true, latency_target, image: image.into(), ..step(6) };
+            emulator.submit(0, id, job([serving]));
+            emulator.run_for(SECOND);
+        }
+        emulator.submit(0, WAITING_JOB, job([Step { resources: WHOLE_WORKER, ..step(2) }]));
+        emulator.run_for(LONGEST_WAIT);
+        let answer = emulator.read_job(0, WAITING_JOB);
+        assert_eq!(answer, Some(Answer::Phase(Phase::Completed)), "seed {seed}: {:#?}", emulator.log);
+        for id in 10..14 {
+            let workers: Set<_> =
+                (0..6).filter_map(|index| emulator.observer.worker_of(name(id, index))).collect();
+            assert!(workers.len() > 1, "seed {seed}: all tasks of job {id} on {workers:?}");
+        }
+        assert_no_violation(&emulator, seed);
+    }
+}
