Report tasks that wait although workers have room

Change: the reports about waiting tasks compare the longest waits with the workers. A task for which two reports find room gets the entry `leader-saturated` and the metric `leader_placement_delay`; `leader-behind` has the figure too. Result: test a_saturated_leader_looks_like_a_full_deployment, a leader of 0.02 cores.

--- a/src/core/work/meter.rs
+++ b/src/core/work/meter.rs
@@ -97,6 +97,8 @@
     pub last_lag: Duration,
     /// Longest time of a commit in flight, from when it was first sent to its effect, or to now.
     pub longest_commit: Duration,
+    /// Longest time between two reports on waiting tasks that both found room for the same task; zero if none did.
+    pub placement_delay: Duration,
     /// Changes that wait for a commit.
     pub queued_changes: u64,
     /// Groups of ready tasks.
@@ -113,6 +115,7 @@
     longest_lag: Duration,
     last_lag: Duration,
     longest_commit: Duration,
+    placement_delay: Duration,
     reported_at: Instant,
     /// Whether this process led at the last report.
     has_led: bool,
@@ -125,6 +128,11 @@
         self.longest_lag = self.longest_lag.max(lag);
     }
 
+    /// Records that a ready task has had room for `delay` and waits.
+    pub fn record_placement_delay(&mut self, delay: Duration) {
+        self.placement_delay = self.placement_delay.max(delay);
+    }
+
     /// Records a commit of `changes` that took effect after `in_flight`.
     pub fn record_commit(&mut self, changes: usize, in_flight: Duration) {
         self.counts.commits += 1;
@@ -161,6 +169,7 @@
         report.longest_lag = meter.longest_lag;
         report.last_lag = meter.last_lag;
         report.longest_commit = meter.longest_commit.max(in_flight);
+        report.placement_delay = meter.placement_delay;
         report.queued_changes = state.journal.queued_changes();
         report.ready_groups = state.jobs.ready.len() as u64;
         report.ready_tasks = state.jobs.ready.values().map(|tasks| tasks.len() as u64).sum();
@@ -179,12 +188,13 @@
         longest_lag,
         last_lag,
         longest_commit,
+        placement_delay,
         queued_changes,
         ready_groups,
         ready_tasks,
     } = report;
-    let [period, longest_lag, last_lag, longest_commit] =
-        [period, longest_lag, last_lag, longest_commit].map(Duration::as_millis);
+    let [period, longest_lag, last_lag, longest_commit, placement_delay] =
+        [period, longest_lag, last_lag, longest_commit, placement_delay].map(Duration::as_millis);
     let Counts {
         passes,
         pass_time,
@@ -213,7 +223,7 @@
          workers: {unproven_workers}, key reads: {key_reads}; commits: {commits}, changes: {commit_changes}, longest in flight \
          {longest_commit} ms, changes queued: {queued_changes}; listings: {listings}, ends in them: {listed_ends}; orders: \
          renew {renew_orders}, start {start_orders}, stop {stop_orders}, pace {pace_orders}; starts without an answer: \
-         {doubtful_starts}, starts not sent: {unsent_starts}, workers that became silent: {silent_workers}; ready tasks: \
-         {ready_tasks}, groups: {ready_groups}"
+         {doubtful_starts}, starts not sent: {unsent_starts}, workers that became silent: {silent_workers}; longest wait \
+         with room {placement_delay} ms; ready tasks: {ready_tasks}, groups: {ready_groups}"
     )
 }
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -8,6 +8,7 @@
 use super::lag::Lag;
 use super::meter::Meter;
 use super::order::Order;
+use super::spec::Name;
 use super::store::{Call, Item, Leader, Range, Reply, Request, Revision};
 use super::timer::Timer;
 use super::tuning::Tuning;
@@ -149,6 +150,8 @@
     pub placement_tally: place::Tally,
     /// When the next report about waiting tasks is due; `None` if none is scheduled.
     pub next_wait_report: Option<Instant>,
+    /// First tasks of waiting groups for which the last report found room, and the time of the first report that did.
+    pub tasks_with_room: Map<Name, Instant>,
     /// What placement passes have found out.
     pub placement: place::Memory,
     /// Policy that selects the worker of a task.
@@ -196,6 +199,7 @@
             placement_visits: 0,
             placement_tally: place::Tally::default(),
             next_wait_report: None,
+            tasks_with_room: Map::default(),
             placement: place::Memory::default(),
             policy: place::PACKED,
             is_stopping: false,
--- a/src/core/work/wait.rs
+++ b/src/core/work/wait.rs
@@ -1,8 +1,9 @@
 //! Reports why ready tasks are not placed.
 //!
 //! While tasks are ready, a report is made once a second. It adds an entry `waits` for each group that has waited longer
-//! than [`WAIT_MIN`], up to [`ENTRIES_MAX`] of them, and one entry `waits-total` for all such groups. So the number of
-//! entries does not grow with the queue. A report goes once over the ready tasks and once over the workers, and each worker
+//! than [`WAIT_MIN`], up to [`ENTRIES_MAX`] of them, and one entry `waits-total` for all such groups. A task for which workers
+//! have room in two reports shows that the leader does not keep up; the one that has waited longest so gets an entry
+//! `leader-saturated`. So the number of entries does not grow with the queue. A report goes once over the ready tasks and once over the workers, and each worker
 //! is compared with the groups that get an entry. It changes nothing but the timeline.
 
 use std::time::Duration;
@@ -97,6 +98,18 @@
     suspect_count: usize,
 }
 
+impl Waiting {
+    /// Whether a task of the group may start on any worker with free resources: it is a candidate, and neither the response
+    /// times on a worker nor a limit on the tasks of its group count.
+    fn is_decided_by_resources(&self, state: &super::State) -> bool {
+        let held: usize = self.holds.iter().sum();
+        let is_free = |step: &Step| !step.is_filling && !step.is_gang && step.max_per_worker.is_none();
+        held < self.task_count
+            && self.suspect_count == 0
+            && find_step(state, self.group).is_some_and(|(_, step)| is_free(step))
+    }
+}
+
 /// Room for a task on a set of workers.
 #[derive(Debug, Clone, Copy, Default)]
 struct Room {
@@ -180,19 +193,55 @@
 /// Makes a report, and schedules the next one if tasks are still ready.
 pub(super) fn run_timer(state: &mut super::State, out: &mut Vec<Effect>) {
     state.next_wait_report = None;
-    report(state, out);
+    let waiting = long_waiting(state);
+    report(state, &waiting, out);
+    report_delayed(state, waiting, out);
     schedule(state);
 }
 
+/// Adds the task to the timeline that has waited longest beside room: since an earlier report, workers have had room for it.
+/// A wait that ends before the next report, as when room has just become free, is none.
+fn report_delayed(state: &mut super::State, waiting: Vec<Waiting>, out: &mut Vec<Effect>) {
+    let now = state.now;
+    let earlier = std::mem::take(&mut state.tasks_with_room);
+    let since = |task: &Name| earlier.get(task).copied().unwrap_or(now);
+    let with_room = find_with_room(state, waiting);
+    state.tasks_with_room = with_room.iter().map(|(group, _)| (group.first, since(&group.first))).collect();
+    let longest = with_room.iter().min_by_key(|(group, _)| (since(&group.first), group.first));
+    let Some((group, room)) = longest.filter(|(group, _)| since(&group.first) < now) else { return };
+    let delay = now.since(since(&group.first));
+    state.meter.record_placement_delay(delay);
+    let (first, delay_ms) = (group.first, delay.as_millis());
+    let reason = format!("{first} waits and has had room for {delay_ms} ms, now {}", describe_room(*room));
+    state::record(out, Subject::Process, "leader-saturated", reason);
+}
+
+/// Groups that have waited longer than [`WAIT_MIN`].
+fn long_waiting(state: &super::State) -> Vec<Waiting> {
+    let groups = state.jobs.ready.iter();
+    groups
+        .filter_map(|(group, tasks)| summarize(state, *group, tasks))
+        .filter(|group| state.now.since(group.since) > WAIT_MIN)
+        .collect()
+}
+
+/// Returns the groups for whose tasks a worker has room, with that room. Only the [`ENTRIES_MAX`] groups with the longest waits
+/// are compared with the workers. Groups for which more than the free resources of a worker decides are left out.
+fn find_with_room(state: &super::State, mut waiting: Vec<Waiting>) -> Vec<(Waiting, Room)> {
+    waiting.retain(|group| group.is_decided_by_resources(state));
+    waiting.sort_unstable_by_key(|group| (group.since, group.group));
+    waiting.truncate(ENTRIES_MAX);
+    let rooms = offers(state, &waiting).into_iter().map(|offer| offer.open);
+    waiting.into_iter().zip(rooms).filter(|(_, room)| room.fitting > 0).collect()
+}
+
 /// Adds the groups that have waited longer than [`WAIT_MIN`] to the timeline: those of the highest priority and the
 /// longest wait, and the totals over all.
-fn report(state: &super::State, out: &mut Vec<Effect>) {
-    let mut waiting: Vec<Waiting> =
-        state.jobs.ready.iter().filter_map(|(group, tasks)| summarize(state, *group, tasks)).collect();
-    waiting.retain(|group| state.now.since(group.since) > WAIT_MIN);
+fn report(state: &super::State, waiting: &[Waiting], out: &mut Vec<Effect>) {
     if waiting.is_empty() {
         return;
     }
+    let mut waiting = waiting.to_vec();
     waiting.sort_unstable_by_key(|group| (group.priority, group.since, group.group));
     state::record(out, Subject::Process, "waits-total", describe_total(state, &waiting));
     waiting.truncate(ENTRIES_MAX);
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -42,6 +42,7 @@
     orders: Counter<u64>,
     lag: Gauge<f64>,
     commit_time: Gauge<f64>,
+    placement_delay: Gauge<f64>,
     queued_changes: Gauge<u64>,
     ready_tasks: Gauge<u64>,
     ready_groups: Gauge<u64>,
@@ -103,6 +104,10 @@
                     "leader_commit_time",
                     "Longest time of a commit in flight in the last report of this leader",
                 ),
+                placement_delay: seconds(
+                    "leader_placement_delay",
+                    "Longest time for which a ready task has had room and waits, in the last report of this leader",
+                ),
                 queued_changes: gauge("leader_queued_changes", "Changes that wait for a commit"),
                 ready_tasks: gauge("leader_ready_tasks", "Ready tasks of submitted jobs"),
                 ready_groups: gauge("leader_ready_groups", "Groups of ready tasks of submitted jobs"),
@@ -160,6 +165,7 @@
         self.leader.pass_time.add(report.counts.pass_time.as_secs_f64(), &[]);
         self.leader.lag.record(report.longest_lag.as_secs_f64(), &[]);
         self.leader.commit_time.record(report.longest_commit.as_secs_f64(), &[]);
+        self.leader.placement_delay.record(report.placement_delay.as_secs_f64(), &[]);
         self.leader.queued_changes.record(report.queued_changes, &[]);
         self.leader.ready_tasks.record(report.ready_tasks, &[]);
         self.leader.ready_groups.record(report.ready_groups, &[]);
@@ -273,6 +279,7 @@
             counts,
             longest_lag: Duration::from_millis(250),
             longest_commit: Duration::from_millis(125),
+            placement_delay: Duration::from_millis(1_500),
             queued_changes: 7,
             ready_tasks: 9,
             ready_groups: 8,
@@ -309,6 +316,7 @@
             "nutmegfold_leader_orders_total{kind=\"pace\"} 0",
             "nutmegfold_leader_lag_seconds 0.25",
             "nutmegfold_leader_commit_time_seconds 0.125",
+            "nutmegfold_leader_placement_delay_seconds 1.5",
             "nutmegfold_leader_queued_changes 7",
             "nutmegfold_leader_ready_tasks 9",
             "nutmegfold_leader_ready_groups 8",
--- a/tests/work_log.rs
+++ b/tests/work_log.rs
@@ -576,6 +576,35 @@
     assert!(lines.iter().any(|line| line.contains("; ready tasks: 5, groups: 1\"")), "{lines:#?}");
 }
 
+/// Guards against a leader that has too little processor time for the starts that are asked for, while no entry says that
+/// tasks wait beside room, and against such an entry where there is no room.
+#[test]
+fn a_saturated_leader_looks_like_a_full_deployment() {
+    const SECONDS: u32 = 6;
+    let mut emulator = ready(18, 4);
+    emulator.submit(0, 1, job([Step { count: 4, ..whole_worker() }]));
+    emulator.run_for(SECOND);
+    emulator.submit(0, 2, job([Step { is_long_running: true, ..step(2) }]));
+    emulator.run_for(SECOND * 4);
+    assert!(!entries(&emulator, "waits").is_empty(), "{:#?}", emulator.log);
+    assert_eq!(entries(&emulator, "leader-saturated"), Vec::<String>::new());
+    cancel(&mut emulator, 0, 1);
+    emulator.run_for(SECOND);
+    let leader = emulator.leader().expect("a leader");
+    emulator.limit_processor(leader, 0.02);
+    let little = Resources { cpu_millicores: 10, memory_mb: 10, gpu: 0 };
+    for id in 10..30 {
+        emulator.submit(0, id, job([Step { resources: little, estimate: SECOND * 60, ..step(60) }]));
+    }
+    emulator.run_for(SECOND * SECONDS);
+    let lines = entries(&emulator, "leader-saturated");
+    assert!((2..=SECONDS as usize).contains(&lines.len()), "{lines:#?}");
+    for line in &lines {
+        assert!(number_after(line, "has had room for ") >= 1_000, "{line}");
+        assert!(number_after(line, "now room on ") > 0, "{line}");
+    }
+}
+
 /// Guards against a log that a long queue floods, and against entries for the groups that have waited least.
 #[test]
 fn hundreds_of_waiting_groups_flood_the_log() {
