Commit acceptances of jobs before other changes

Change: acceptances have a queue and numbers of their own, and each commit takes all of them before other changes, so no commit ends a job whose record a later one writes. An acceptance behind the queued removal of a job with the same identity stays in the common queue. Entries name `acceptance N` in place of `change N`; the test of the withdrawal reads that label. Tests an_acceptance_waits_behind_the_progress_of_other_jobs and a_job_cancelled_before_its_acceptance_runs_under_the_next_leader; durability, schedules and work pass.

--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -235,7 +235,8 @@
         state::record(out, trace::Subject::Job(id), "unknown-job", reason);
     }
     let sequence = journal::enqueue(state, journal::Change::Confirm);
-    journal::answer_when_durable(state, sequence, ticket, id, Answer::UnknownJob);
+    let place = journal::Place::Change(sequence);
+    journal::answer_when_durable(state, place, ticket, id, Answer::UnknownJob);
 }
 
 /// Stores a job and answers when it is durable. The request is idempotent: a job with the same identity is not added
@@ -272,7 +273,7 @@
     state::record(out, trace::Subject::Job(id), "submit", reason);
     let key = state.jobs.all.insert(job);
     state.jobs.by_id.insert(id, key);
-    let acceptance = journal::enqueue(state, journal::Change::Accept(key));
+    let acceptance = journal::accept(state, key);
     state.jobs.all[key].acceptance = acceptance;
     journal::answer_when_durable(state, acceptance, ticket, id, Answer::Accepted);
 }
@@ -289,7 +290,8 @@
     state::record(out, trace::Subject::Job(id), "cancel", format!("was {:?}", job.phase));
     lifecycle::end_job(state, key, super::request::Phase::Cancelled, out);
     let sequence = journal::newest_change(state, id);
-    journal::answer_when_durable(state, sequence, ticket, id, Answer::Cancelled);
+    let place = journal::Place::Change(sequence);
+    journal::answer_when_durable(state, place, ticket, id, Answer::Cancelled);
 }
 
 /// Subject of a timeline entry about a request.
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -3,8 +3,12 @@
 //! Each commit is one transaction with two conditions: the leader's key is unchanged, and the tip key is as the previous
 //! commit wrote it. Commits therefore take effect in order and at most once each, even if a reply is lost or a call is
 //! executed late. One commit is in flight at a time. A commit without a reply is sent again until its outcome is known.
+//!
+//! Acceptances of jobs have a queue of their own, from which each commit takes first: their callers wait, and the tasks of
+//! the job start only then. The other changes wait behind each other in a second queue.
 
 use std::collections::VecDeque;
+use std::fmt;
 use std::time::Duration;
 
 use super::request::{Answer, Ticket};
@@ -40,6 +44,60 @@
     Confirm,
 }
 
+/// Place of a change in the order of its queue. Changes of a queue become durable in the order of their numbers, which begin
+/// at 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// Number of an acceptance.
+    Acceptance(u64),
+    /// Sequence number of any other change, or 0 for what is durable from the beginning.
+    Change(u64),
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Place::Acceptance(number) => write!(formatter, "acceptance {number}"),
+            Place::Change(number) => write!(formatter, "change {number}"),
+        }
+    }
+}
+
+impl Default for Place {
+    fn default() -> Self {
+        Place::Change(0)
+    }
+}
+
+/// Numbers of the last changes of both queues in a commit, or of the last durable ones.
+#[derive(Debug, Clone, Copy, Default)]
+struct Reach {
+    acceptance: u64,
+    change: u64,
+}
+
+impl Reach {
+    fn includes(self, place: Place) -> bool {
+        let (Place::Acceptance(number) | Place::Change(number)) = place;
+        number <= self.last_of_queue(place)
+    }
+
+    /// Number of the last change of the queue of `place`.
+    fn last_of_queue(self, place: Place) -> u64 {
+        match place {
+            Place::Acceptance(_) => self.acceptance,
+            Place::Change(_) => self.change,
+        }
+    }
+
+    fn extend(&mut self, place: Place) {
+        match place {
+            Place::Acceptance(number) => self.acceptance = self.acceptance.max(number),
+            Place::Change(number) => self.change = self.change.max(number),
+        }
+    }
+}
+
 /// A commit whose outcome is not known.
 #[derive(Debug, Clone)]
 struct Commit {
@@ -47,17 +105,19 @@
     id: u64,
     /// When it was first sent.
     sent: Instant,
-    /// Changes with their sequence numbers, in ascending order.
-    changes: Vec<(u64, Change)>,
+    /// Changes with their places, in ascending order of each queue.
+    changes: Vec<(Place, Change)>,
     transaction: Transaction,
     /// Whether a reply to the commit was lost, so that it may have taken effect.
     may_be_applied: bool,
 }
 
 impl Commit {
-    /// Highest sequence number of the changes.
-    fn last_sequence(&self) -> u64 {
-        self.changes.last().map_or(0, |(sequence, _)| *sequence)
+    /// Highest numbers of the changes of both queues.
+    fn reach(&self) -> Reach {
+        let mut reach = Reach::default();
+        self.changes.iter().for_each(|(place, _)| reach.extend(*place));
+        reach
     }
 }
 
@@ -67,8 +127,8 @@
 /// A request that is answered once a change is durable.
 #[derive(Debug, Clone)]
 struct Waiting {
-    /// Sequence number of the change.
-    sequence: u64,
+    /// Place of the change.
+    place: Place,
     ticket: Ticket,
     job: Id,
     answer: Answer,
@@ -78,7 +138,13 @@
 #[derive(Debug, Clone, Default)]
 pub struct State {
     tip_revision: Revision,
-    /// Changes with their sequence numbers that are not in a commit yet.
+    /// Acceptances with their numbers that are not in a commit yet.
+    acceptances: VecDeque<(u64, Change)>,
+    /// Number of the newest acceptance.
+    last_acceptance: u64,
+    /// Highest number of a durable acceptance.
+    durable_acceptance: u64,
+    /// Other changes with their sequence numbers that are not in a commit yet.
     queue: VecDeque<(u64, Change)>,
     /// Sequence numbers of the queued changes.
     queued_sequences: Map<Change, u64>,
@@ -104,11 +170,11 @@
 
     /// Removes all waiting requests: first those in a commit whose outcome is unknown, then those that had no effect.
     pub fn drain_waiting(&mut self) -> (Vec<Caller>, Vec<Caller>) {
-        let last_in_flight = self.in_flight.as_ref().map_or(0, Commit::last_sequence);
+        let reach = self.reach_in_flight();
         let (in_flight, unwritten): (Vec<_>, Vec<_>) = self
             .waiting
             .drain(..)
-            .partition(|waiting| waiting.sequence <= last_in_flight && !waiting.answer.is_without_effect());
+            .partition(|waiting| reach.includes(waiting.place) && !waiting.answer.is_without_effect());
         let callers =
             |list: Vec<Waiting>| list.into_iter().map(|waiting| (waiting.ticket, waiting.job)).collect();
         (callers(in_flight), callers(unwritten))
@@ -116,7 +182,43 @@
 
     /// Number of changes that are not in a commit yet.
     pub fn queued_changes(&self) -> u64 {
-        self.queue.len() as u64
+        (self.acceptances.len() + self.queue.len()) as u64
+    }
+
+    /// Numbers of the last changes that are durable or in the commit in flight.
+    fn reach_in_flight(&self) -> Reach {
+        let mut reach = Reach { acceptance: self.durable_acceptance, change: self.durable_sequence };
+        for (place, _) in self.in_flight.iter().flat_map(|commit| &commit.changes) {
+            reach.extend(*place);
+        }
+        reach
+    }
+
+    /// Whether a change is durable.
+    fn is_durable(&self, place: Place) -> bool {
+        Reach { acceptance: self.durable_acceptance, change: self.durable_sequence }.includes(place)
+    }
+
+    /// Takes the next change for a commit: all acceptances before other changes, so that no commit ends a job whose record a
+    /// later one writes.
+    fn take_next(&mut self) -> Option<(Place, Change)> {
+        if let Some((number, change)) = self.acceptances.pop_front() {
+            return Some((Place::Acceptance(number), change));
+        }
+        let (number, change) = self.queue.pop_front()?;
+        self.queued_sequences.remove(&change);
+        Some((Place::Change(number), change))
+    }
+
+    /// Returns a change of a commit without effect to the head of its queue.
+    fn put_back(&mut self, place: Place, change: Change) {
+        match place {
+            Place::Acceptance(number) => self.acceptances.push_front((number, change)),
+            Place::Change(number) => {
+                self.queued_sequences.insert(change, number);
+                self.queue.push_front((number, change));
+            }
+        }
     }
 
     /// Time since the commit in flight was first sent; zero without one.
@@ -124,9 +226,27 @@
         self.in_flight.as_ref().map_or(Duration::ZERO, |commit| now.since(commit.sent))
     }
 
+    /// Takes all acceptances out of both queues.
+    fn take_acceptances(&mut self) -> Vec<(Place, job::Key)> {
+        let (of_queue, rest): (VecDeque<_>, VecDeque<_>) =
+            self.queue.drain(..).partition(|(_, change)| matches!(change, Change::Accept(_)));
+        self.queue = rest;
+        let of_queue = of_queue.into_iter().map(|(number, change)| (Place::Change(number), change));
+        let of_acceptances =
+            self.acceptances.drain(..).map(|(number, change)| (Place::Acceptance(number), change));
+        let mut taken = Vec::new();
+        for (place, change) in of_acceptances.chain(of_queue) {
+            self.queued_sequences.remove(&change);
+            if let Change::Accept(key) = change {
+                taken.push((place, key));
+            }
+        }
+        taken
+    }
+
     /// Whether no change is queued or in flight.
     pub fn is_idle(&self) -> bool {
-        self.queue.is_empty() && self.in_flight.is_none()
+        self.acceptances.is_empty() && self.queue.is_empty() && self.in_flight.is_none()
     }
 }
 
@@ -134,7 +254,7 @@
 /// The number can be lower than that of an earlier change of the job, if a refused commit returned the change to the queue.
 pub(super) fn enqueue(state: &mut super::State, change: Change) -> u64 {
     let sequence = queue_change(state, change);
-    if let Change::Accept(key) | Change::Progress(key) = change
+    if let Change::Progress(key) = change
         && let Some(job) = state.jobs.all.get_mut(key)
     {
         job.newest_change = sequence;
@@ -142,6 +262,29 @@
     sequence
 }
 
+/// Queues the acceptance of a job, and returns its place. It waits behind the removal of an ended job with the same identity,
+/// whose progress a later leader would take for that of the new job.
+pub(super) fn accept(state: &mut super::State, key: job::Key) -> Place {
+    let change = Change::Accept(key);
+    let forget = state.jobs.all.get(key).map(|job| Change::Forget(job.id));
+    if forget.is_some_and(|forget| state.journal.queued_sequences.contains_key(&forget)) {
+        return Place::Change(queue_change(state, change));
+    }
+    let journal = &mut state.journal;
+    journal.last_acceptance += 1;
+    journal.acceptances.push_back((journal.last_acceptance, change));
+    let place = Place::Acceptance(journal.last_acceptance);
+    schedule_commit(state);
+    place
+}
+
+/// Sets the timer of the next commit, unless one is in flight.
+fn schedule_commit(state: &mut super::State) {
+    if state.journal.in_flight.is_none() {
+        state.timers.set(state.journal.next_commit.max(state.now), Timer::Commit);
+    }
+}
+
 /// Sequence number of the newest change of a job. An effect that rests on the state of the job leaves this process only
 /// once that change is durable, since the next leader knows nothing of an earlier state.
 ///
@@ -161,21 +304,20 @@
     journal.last_sequence += 1;
     journal.queued_sequences.insert(change, journal.last_sequence);
     journal.queue.push_back((journal.last_sequence, change));
-    if journal.in_flight.is_none() {
-        state.timers.set(journal.next_commit.max(state.now), Timer::Commit);
-    }
-    journal.last_sequence
+    let sequence = journal.last_sequence;
+    schedule_commit(state);
+    sequence
 }
 
-/// Answers a request once the change with this sequence number is durable.
+/// Answers a request once the change at this place is durable.
 pub(super) fn answer_when_durable(
     state: &mut super::State,
-    sequence: u64,
+    place: Place,
     ticket: Ticket,
     job: Id,
     answer: Answer,
 ) {
-    state.journal.waiting.push(Waiting { sequence, ticket, job, answer });
+    state.journal.waiting.push(Waiting { place, ticket, job, answer });
 }
 
 /// Sends the next commit, or repeats the commit whose reply was lost.
@@ -199,13 +341,12 @@
     };
     let mut changes = Vec::new();
     while transaction.put.len() + transaction.delete.len() + 1 < max_keys {
-        let Some((sequence, change)) = state.journal.queue.pop_front() else { break };
-        state.journal.queued_sequences.remove(&change);
+        let Some((place, change)) = state.journal.take_next() else { break };
         // A change of a refused commit returns to the queue beside a later one of the same key, whose value it writes.
         if !changes.iter().any(|(_, earlier)| *earlier == change) {
             add_to_transaction(state, change, &mut transaction);
         }
-        changes.push((sequence, change));
+        changes.push((place, change));
     }
     if changes.is_empty() {
         return;
@@ -276,12 +417,14 @@
     };
     let Some(revision) = revision else { return retry_later(state, commit, is_refused, out) };
     state.journal.tip_revision = revision;
-    state.journal.durable_sequence = commit.last_sequence();
+    let Reach { acceptance, change } = commit.reach();
+    state.journal.durable_acceptance = state.journal.durable_acceptance.max(acceptance);
+    state.journal.durable_sequence = state.journal.durable_sequence.max(change);
     state.journal.failing_since = None;
     state.journal.confirmed_at = commit.sent;
     state.meter.record_commit(commit.changes.len(), state.now.since(commit.sent));
     state.journal.next_commit = state.now + state.tuning.commit_interval;
-    if !state.journal.queue.is_empty() {
+    if !state.journal.is_idle() {
         state.timers.set(state.journal.next_commit, Timer::Commit);
     }
     for (_, change) in commit.changes {
@@ -300,9 +443,8 @@
     if commit.may_be_applied {
         journal.in_flight = Some(commit);
     } else {
-        for (sequence, change) in commit.changes.into_iter().rev() {
-            journal.queued_sequences.insert(change, sequence);
-            journal.queue.push_front((sequence, change));
+        for (place, change) in commit.changes.into_iter().rev() {
+            journal.put_back(place, change);
         }
     }
     journal.next_commit = state.now + state.tuning.store_retry;
@@ -324,27 +466,21 @@
     if !is_failing(state) {
         return;
     }
-    let (accepts, rest): (VecDeque<_>, VecDeque<_>) =
-        state.journal.queue.drain(..).partition(|(_, change)| matches!(change, Change::Accept(_)));
-    state.journal.queue = rest;
     let mut withdrawn = Vec::new();
-    for (sequence, change) in accepts {
-        state.journal.queued_sequences.remove(&change);
-        withdrawn.push(sequence);
-        if let Change::Accept(key) = change {
-            record_withdrawal(state, key, sequence, out);
-            lifecycle::remove_unstored(state, key);
-        }
+    for (place, key) in state.journal.take_acceptances() {
+        withdrawn.push(place);
+        record_withdrawal(state, key, place, out);
+        lifecycle::remove_unstored(state, key);
     }
-    let last_in_flight = state.journal.in_flight.as_ref().map_or(0, Commit::last_sequence);
-    for Waiting { sequence, ticket, job, answer } in std::mem::take(&mut state.journal.waiting) {
-        let (decision, answer) = if withdrawn.contains(&sequence) || answer.is_without_effect() {
+    let reach = state.journal.reach_in_flight();
+    for Waiting { place, ticket, job, answer } in std::mem::take(&mut state.journal.waiting) {
+        let (decision, answer) = if withdrawn.contains(&place) || answer.is_without_effect() {
             ("refuse", Answer::Refused(state.tuning.retry_after_s))
         } else {
             ("answer-unknown", Answer::Unknown)
         };
-        let reason =
-            format!("commits to the store fail: change {sequence}, in flight up to {last_in_flight}");
+        let last = reach.last_of_queue(place);
+        let reason = format!("commits to the store fail: {place}, in flight up to {last}");
         state::record(out, Subject::Job(job), decision, reason);
         out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
     }
@@ -355,11 +491,11 @@
 }
 
 /// Adds the removal of a job whose acceptance is withdrawn to the timeline.
-fn record_withdrawal(state: &super::State, key: job::Key, sequence: u64, out: &mut Vec<Effect>) {
+fn record_withdrawal(state: &super::State, key: job::Key, place: Place, out: &mut Vec<Effect>) {
     let Some(job) = state.jobs.all.get(key) else { return };
     let stored = if job.is_stored { "stored" } else { "not stored" };
     let count = state.jobs.count_tasks_with_runs(key);
-    let reason = format!("change {sequence}, the job is {stored}, {count} of its tasks have runs");
+    let reason = format!("{place}, the job is {stored}, {count} of its tasks have runs");
     state::record(out, Subject::Job(job.id), "withdraw", reason);
 }
 
@@ -403,9 +539,9 @@
 
 /// Answers the requests whose changes are durable.
 fn answer_durable(state: &mut super::State, out: &mut Vec<Effect>) {
-    let durable = state.journal.durable_sequence;
+    let waiting = std::mem::take(&mut state.journal.waiting);
     let (ready, waiting): (Vec<_>, Vec<_>) =
-        state.journal.waiting.drain(..).partition(|waiting| waiting.sequence <= durable);
+        waiting.into_iter().partition(|waiting| state.journal.is_durable(waiting.place));
     state.journal.waiting = waiting;
     for Waiting { ticket, answer, .. } in ready {
         out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
--- a/tests/durability.rs
+++ b/tests/durability.rs
@@ -1372,3 +1372,59 @@
         assert!(emulator.observer.is_running(name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
     }
 }
+
+/// Guards against a submission that is answered late, and a job that starts late, since the progress of many other jobs waits
+/// for the store.
+#[test]
+fn an_acceptance_waits_behind_the_progress_of_other_jobs() {
+    const OTHER_JOBS: u64 = 120;
+    const COMMIT_DELAY: Duration = Duration::from_millis(100);
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 1, 60);
+        for id in 0..OTHER_JOBS {
+            let short = Step { resources: LITTLE, estimate: SECOND, ..step(2) };
+            emulator.submit(0, FIRST_OTHER_JOB + id, job([short]));
+        }
+        emulator.run_for(SECOND * 9 / 10);
+        emulator.store.commit_delay = COMMIT_DELAY;
+        emulator.run_for(SECOND / 2);
+        let ticket = emulator.submit(0, 1, job([step(1)]));
+        // One commit may be in flight; the next one has the acceptance.
+        emulator.run_for(COMMIT_DELAY * 5 / 2);
+        assert_eq!(
+            emulator.answers.get(&ticket),
+            Some(&Answer::Accepted),
+            "seed {seed}: {:#?}",
+            emulator.log
+        );
+        assert!(emulator.observer.is_running(name(1, 0, 0)), "seed {seed}: {:#?}", emulator.log);
+        assert!(!is_completed(&mut emulator, FIRST_OTHER_JOB + OTHER_JOBS - 1), "seed {seed}: no job waits");
+        emulator.run_for(SECOND * 10);
+        assert!(is_completed(&mut emulator, FIRST_OTHER_JOB + OTHER_JOBS - 1), "seed {seed}");
+        assert_no_violation(&emulator, seed);
+    }
+}
+
+/// Guards against a cancelled job that a later leader starts, since the record of the job became durable after its end.
+#[test]
+fn a_job_cancelled_before_its_acceptance_runs_under_the_next_leader() {
+    for seed in 0..SEEDS {
+        let mut emulator = ready(seed, 2, 4);
+        let leader = emulator.leader().expect("a leader");
+        emulator.store.commit_delay = SECOND / 20;
+        for id in 0..JOBS_OVER_ONE_COMMIT * 2 {
+            emulator.submit(leader, FIRST_OTHER_JOB + id, job([Step { resources: LITTLE, ..step(1) }]));
+        }
+        emulator.submit(leader, 1, job([step(1)]));
+        emulator.cancel(leader, 1);
+        emulator.run_for(SECOND);
+        let phase = emulator.read_job(leader, 1);
+        assert_eq!(phase, Some(Answer::Phase(Phase::Cancelled)), "seed {seed}: {:#?}", emulator.log);
+        emulator.kill(leader);
+        emulator.run_for(SECOND * 15);
+        let next = emulator.leader_after(leader).expect("another leader");
+        assert_eq!(emulator.read_job(next, 1), Some(Answer::Phase(Phase::Cancelled)), "seed {seed}");
+        assert!(!emulator.observer.has_started(Id(1)), "seed {seed}: {:#?}", emulator.log);
+        assert_no_violation(&emulator, seed);
+    }
+}
--- a/tests/work_log.rs
+++ b/tests/work_log.rs
@@ -124,8 +124,8 @@
     emulator.run_for(SECOND);
     let withdrawn = only_entry(&emulator, "withdraw");
     let refused = only_entry(&emulator, "refuse");
-    let change = number_after(&refused, "commits to the store fail: change ");
-    let expected = format!("change {change}, the job is not stored, 0 of its tasks have runs");
+    let acceptance = number_after(&refused, "commits to the store fail: acceptance ");
+    let expected = format!("acceptance {acceptance}, the job is not stored, 0 of its tasks have runs");
     assert!(withdrawn.contains("Job(Id(2))") && withdrawn.contains(&expected), "{withdrawn}\n{refused}");
     assert_eq!(emulator.answers.get(&in_flight), Some(&Answer::Unknown));
     assert!(matches!(emulator.answers.get(&queued), Some(Answer::Refused(_))));
