--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -13,8 +13,8 @@
 use nutmegfold::core::work::request::Verb;
 use nutmegfold::core::work::spec::{Id, Resources, Step};
 
-/// Numbers of workers: those of the two grown deployments.
-const WORKERS: [usize; 2] = [350, 490];
+/// Numbers of workers: those of two grown deployments and of the large one.
+const WORKERS: [usize; 3] = [350, 490, 890];
 
 /// Jobs that wait, and tasks of each.
 const WAITING_JOBS: u64 = 1_400;
