--- a/src/core/work/wait.rs
+++ b/src/core/work/wait.rs
@@ -1,10 +1,11 @@
 //! Reports why ready tasks are not placed.
 //!
 //! While tasks are ready, a report is made once a second. It adds an entry `waits` for each group that has waited longer
-//! than [`WAIT_MIN`], up to [`ENTRIES_MAX`] of them, and one entry `waits-total` for all such groups. A task for which workers
-//! have room in two reports shows that the leader does not keep up; the one that has waited longest so gets an entry
-//! `leader-saturated`. So the number of entries does not grow with the queue. A report goes once over the ready tasks and once over the workers, and each worker
-//! is compared with the groups that get an entry. It changes nothing but the timeline.
+//! than [`WAIT_MIN`], up to [`ENTRIES_MAX`] of them, and one entry `waits-total` for all such groups. If workers had room for
+//! a task in the report before and have it now, the leader does not keep up; the task that has had room for longest gets an
+//! entry `leader-saturated`. So the number of entries does not grow with the queue. A report goes once over the ready tasks,
+//! and compares each worker with the groups that get an entry and with those that have waited longest. It changes nothing
+//! but the timeline and the metrics.
 
 use std::time::Duration;
 
@@ -199,8 +200,8 @@
     schedule(state);
 }
 
-/// Adds the task to the timeline that has waited longest beside room: since an earlier report, workers have had room for it.
-/// A wait that ends before the next report, as when room has just become free, is none.
+/// Adds the task to the timeline for which workers have had room for longest. Room that no earlier report has found may just
+/// have become free, so it does not count.
 fn report_delayed(state: &mut super::State, waiting: Vec<Waiting>, out: &mut Vec<Effect>) {
     let now = state.now;
     let earlier = std::mem::take(&mut state.tasks_with_room);
