--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -235,8 +235,8 @@
         state::record(out, trace::Subject::Job(id), "unknown-job", reason);
     }
     let sequence = journal::enqueue(state, journal::Change::Confirm);
-    let place = journal::Place::Change(sequence);
-    journal::answer_when_durable(state, place, ticket, id, Answer::UnknownJob);
+    let position = journal::Position::Change(sequence);
+    journal::answer_when_durable(state, position, ticket, id, Answer::UnknownJob);
 }
 
 /// Stores a job and answers when it is durable. The request is idempotent: a job with the same identity is not added
@@ -290,8 +290,8 @@
     state::record(out, trace::Subject::Job(id), "cancel", format!("was {:?}", job.phase));
     lifecycle::end_job(state, key, super::request::Phase::Cancelled, out);
     let sequence = journal::newest_change(state, id);
-    let place = journal::Place::Change(sequence);
-    journal::answer_when_durable(state, place, ticket, id, Answer::Cancelled);
+    let position = journal::Position::Change(sequence);
+    journal::answer_when_durable(state, position, ticket, id, Answer::Cancelled);
 }
 
 /// Subject of a timeline entry about a request.
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -4,7 +4,7 @@
 
 use slotmap::SlotMap;
 
-use super::journal::Place;
+use super::journal::Position;
 use super::place::Need;
 use super::request::Phase;
 use super::spec::{Id, Name, Spec};
@@ -69,8 +69,8 @@
     /// Term in which the job was loaded from the store, so that an earlier leader may have started its tasks; `None` if
     /// this term accepted it.
     pub inherited_in: Option<u64>,
-    /// Place of the change that stores the record.
-    pub acceptance: Place,
+    /// Position of the change that stores the record.
+    pub acceptance: Position,
     /// Sequence number of the newest change of the job in the journal; 0 if this process has changed nothing.
     pub newest_change: u64,
 }
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -44,28 +44,28 @@
     Confirm,
 }
 
-/// Place of a change in the order of its queue. Changes of a queue become durable in the order of their numbers, which begin
+/// Position of a change in the order of its queue. Changes of a queue become durable in the order of their numbers, which begin
 /// at 1.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Place {
+pub enum Position {
     /// Number of an acceptance.
     Acceptance(u64),
     /// Sequence number of any other change, or 0 for what is durable from the beginning.
     Change(u64),
 }
 
-impl fmt::Display for Place {
+impl fmt::Display for Position {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Place::Acceptance(number) => write!(formatter, "acceptance {number}"),
-            Place::Change(number) => write!(formatter, "change {number}"),
+            Position::Acceptance(number) => write!(formatter, "acceptance {number}"),
+            Position::Change(number) => write!(formatter, "change {number}"),
         }
     }
 }
 
-impl Default for Place {
+impl Default for Position {
     fn default() -> Self {
-        Place::Change(0)
+        Position::Change(0)
     }
 }
 
@@ -77,23 +77,23 @@
 }
 
 impl Reach {
-    fn includes(self, place: Place) -> bool {
-        let (Place::Acceptance(number) | Place::Change(number)) = place;
-        number <= self.last_of_queue(place)
+    fn includes(self, position: Position) -> bool {
+        let (Position::Acceptance(number) | Position::Change(number)) = position;
+        number <= self.last_of_queue(position)
     }
 
-    /// Number of the last change of the queue of `place`.
-    fn last_of_queue(self, place: Place) -> u64 {
-        match place {
-            Place::Acceptance(_) => self.acceptance,
-            Place::Change(_) => self.change,
+    /// Number of the last change of the queue of `position`.
+    fn last_of_queue(self, position: Position) -> u64 {
+        match position {
+            Position::Acceptance(_) => self.acceptance,
+            Position::Change(_) => self.change,
         }
     }
 
-    fn extend(&mut self, place: Place) {
-        match place {
-            Place::Acceptance(number) => self.acceptance = self.acceptance.max(number),
-            Place::Change(number) => self.change = self.change.max(number),
+    fn extend(&mut self, position: Position) {
+        match position {
+            Position::Acceptance(number) => self.acceptance = self.acceptance.max(number),
+            Position::Change(number) => self.change = self.change.max(number),
         }
     }
 }
@@ -105,8 +105,8 @@
     id: u64,
     /// When it was first sent.
     sent: Instant,
-    /// Changes with their places, in ascending order of each queue.
-    changes: Vec<(Place, Change)>,
+    /// Changes with their positions, in ascending order of each queue.
+    changes: Vec<(Position, Change)>,
     transaction: Transaction,
     /// Whether a reply to the commit was lost, so that it may have taken effect.
     may_be_applied: bool,
@@ -116,7 +116,7 @@
     /// Highest numbers of the changes of both queues.
     fn reach(&self) -> Reach {
         let mut reach = Reach::default();
-        self.changes.iter().for_each(|(place, _)| reach.extend(*place));
+        self.changes.iter().for_each(|(position, _)| reach.extend(*position));
         reach
     }
 }
@@ -127,8 +127,8 @@
 /// A request that is answered once a change is durable.
 #[derive(Debug, Clone)]
 struct Waiting {
-    /// Place of the change.
-    place: Place,
+    /// Position of the change.
+    position: Position,
     ticket: Ticket,
     job: Id,
     answer: Answer,
@@ -174,7 +174,7 @@
         let (in_flight, unwritten): (Vec<_>, Vec<_>) = self
             .waiting
             .drain(..)
-            .partition(|waiting| reach.includes(waiting.place) && !waiting.answer.is_without_effect());
+            .partition(|waiting| reach.includes(waiting.position) && !waiting.answer.is_without_effect());
         let callers =
             |list: Vec<Waiting>| list.into_iter().map(|waiting| (waiting.ticket, waiting.job)).collect();
         (callers(in_flight), callers(unwritten))
@@ -188,33 +188,33 @@
     /// Numbers of the last changes that are durable or in the commit in flight.
     fn reach_in_flight(&self) -> Reach {
         let mut reach = Reach { acceptance: self.durable_acceptance, change: self.durable_sequence };
-        for (place, _) in self.in_flight.iter().flat_map(|commit| &commit.changes) {
-            reach.extend(*place);
+        for (position, _) in self.in_flight.iter().flat_map(|commit| &commit.changes) {
+            reach.extend(*position);
         }
         reach
     }
 
     /// Whether a change is durable.
-    fn is_durable(&self, place: Place) -> bool {
-        Reach { acceptance: self.durable_acceptance, change: self.durable_sequence }.includes(place)
+    fn is_durable(&self, position: Position) -> bool {
+        Reach { acceptance: self.durable_acceptance, change: self.durable_sequence }.includes(position)
     }
 
     /// Takes the next change for a commit: all acceptances before other changes, so that no commit ends a job whose record a
     /// later one writes.
-    fn take_next(&mut self) -> Option<(Place, Change)> {
+    fn take_next(&mut self) -> Option<(Position, Change)> {
         if let Some((number, change)) = self.acceptances.pop_front() {
-            return Some((Place::Acceptance(number), change));
+            return Some((Position::Acceptance(number), change));
         }
         let (number, change) = self.queue.pop_front()?;
         self.queued_sequences.remove(&change);
-        Some((Place::Change(number), change))
+        Some((Position::Change(number), change))
     }
 
     /// Returns a change of a commit without effect to the head of its queue.
-    fn put_back(&mut self, place: Place, change: Change) {
-        match place {
-            Place::Acceptance(number) => self.acceptances.push_front((number, change)),
-            Place::Change(number) => {
+    fn put_back(&mut self, position: Position, change: Change) {
+        match position {
+            Position::Acceptance(number) => self.acceptances.push_front((number, change)),
+            Position::Change(number) => {
                 self.queued_sequences.insert(change, number);
                 self.queue.push_front((number, change));
             }
@@ -227,18 +227,18 @@
     }
 
     /// Takes all acceptances out of both queues.
-    fn take_acceptances(&mut self) -> Vec<(Place, job::Key)> {
+    fn take_acceptances(&mut self) -> Vec<(Position, job::Key)> {
         let (of_queue, rest): (VecDeque<_>, VecDeque<_>) =
             self.queue.drain(..).partition(|(_, change)| matches!(change, Change::Accept(_)));
         self.queue = rest;
-        let of_queue = of_queue.into_iter().map(|(number, change)| (Place::Change(number), change));
+        let of_queue = of_queue.into_iter().map(|(number, change)| (Position::Change(number), change));
         let of_acceptances =
-            self.acceptances.drain(..).map(|(number, change)| (Place::Acceptance(number), change));
+            self.acceptances.drain(..).map(|(number, change)| (Position::Acceptance(number), change));
         let mut taken = Vec::new();
-        for (place, change) in of_acceptances.chain(of_queue) {
+        for (position, change) in of_acceptances.chain(of_queue) {
             self.queued_sequences.remove(&change);
             if let Change::Accept(key) = change {
-                taken.push((place, key));
+                taken.push((position, key));
             }
         }
         taken
@@ -262,20 +262,20 @@
     sequence
 }
 
-/// Queues the acceptance of a job, and returns its place. It waits behind the removal of an ended job with the same identity,
+/// Queues the acceptance of a job, and returns its position. It waits behind the removal of an ended job with the same identity,
 /// whose progress a later leader would take for that of the new job.
-pub(super) fn accept(state: &mut super::State, key: job::Key) -> Place {
+pub(super) fn accept(state: &mut super::State, key: job::Key) -> Position {
     let change = Change::Accept(key);
     let forget = state.jobs.all.get(key).map(|job| Change::Forget(job.id));
     if forget.is_some_and(|forget| state.journal.queued_sequences.contains_key(&forget)) {
-        return Place::Change(queue_change(state, change));
+        return Position::Change(queue_change(state, change));
     }
     let journal = &mut state.journal;
     journal.last_acceptance += 1;
     journal.acceptances.push_back((journal.last_acceptance, change));
-    let place = Place::Acceptance(journal.last_acceptance);
+    let position = Position::Acceptance(journal.last_acceptance);
     schedule_commit(state);
-    place
+    position
 }
 
 /// Sets the timer of the next commit, unless one is in flight.
@@ -309,15 +309,15 @@
     sequence
 }
 
-/// Answers a request once the change at this place is durable.
+/// Answers a request once the change at this position is durable.
 pub(super) fn answer_when_durable(
     state: &mut super::State,
-    place: Place,
+    position: Position,
     ticket: Ticket,
     job: Id,
     answer: Answer,
 ) {
-    state.journal.waiting.push(Waiting { place, ticket, job, answer });
+    state.journal.waiting.push(Waiting { position, ticket, job, answer });
 }
 
 /// Sends the next commit, or repeats the commit whose reply was lost.
@@ -341,12 +341,12 @@
     };
     let mut changes = Vec::new();
     while transaction.put.len() + transaction.delete.len() + 1 < max_keys {
-        let Some((place, change)) = state.journal.take_next() else { break };
+        let Some((position, change)) = state.journal.take_next() else { break };
         // A change of a refused commit returns to the queue beside a later one of the same key, whose value it writes.
         if !changes.iter().any(|(_, earlier)| *earlier == change) {
             add_to_transaction(state, change, &mut transaction);
         }
-        changes.push((place, change));
+        changes.push((position, change));
     }
     if changes.is_empty() {
         return;
@@ -443,8 +443,8 @@
     if commit.may_be_applied {
         journal.in_flight = Some(commit);
     } else {
-        for (place, change) in commit.changes.into_iter().rev() {
-            journal.put_back(place, change);
+        for (position, change) in commit.changes.into_iter().rev() {
+            journal.put_back(position, change);
         }
     }
     journal.next_commit = state.now + state.tuning.store_retry;
@@ -467,20 +467,20 @@
         return;
     }
     let mut withdrawn = Vec::new();
-    for (place, key) in state.journal.take_acceptances() {
-        withdrawn.push(place);
-        record_withdrawal(state, key, place, out);
+    for (position, key) in state.journal.take_acceptances() {
+        withdrawn.push(position);
+        record_withdrawal(state, key, position, out);
         lifecycle::remove_unstored(state, key);
     }
     let reach = state.journal.reach_in_flight();
-    for Waiting { place, ticket, job, answer } in std::mem::take(&mut state.journal.waiting) {
-        let (decision, answer) = if withdrawn.contains(&place) || answer.is_without_effect() {
+    for Waiting { position, ticket, job, answer } in std::mem::take(&mut state.journal.waiting) {
+        let (decision, answer) = if withdrawn.contains(&position) || answer.is_without_effect() {
             ("refuse", Answer::Refused(state.tuning.retry_after_s))
         } else {
             ("answer-unknown", Answer::Unknown)
         };
-        let last = reach.last_of_queue(place);
-        let reason = format!("commits to the store fail: {place}, in flight up to {last}");
+        let last = reach.last_of_queue(position);
+        let reason = format!("commits to the store fail: {position}, in flight up to {last}");
         state::record(out, Subject::Job(job), decision, reason);
         out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
     }
@@ -491,11 +491,11 @@
 }
 
 /// Adds the removal of a job whose acceptance is withdrawn to the timeline.
-fn record_withdrawal(state: &super::State, key: job::Key, place: Place, out: &mut Vec<Effect>) {
+fn record_withdrawal(state: &super::State, key: job::Key, position: Position, out: &mut Vec<Effect>) {
     let Some(job) = state.jobs.all.get(key) else { return };
     let stored = if job.is_stored { "stored" } else { "not stored" };
     let count = state.jobs.count_tasks_with_runs(key);
-    let reason = format!("{place}, the job is {stored}, {count} of its tasks have runs");
+    let reason = format!("{position}, the job is {stored}, {count} of its tasks have runs");
     state::record(out, Subject::Job(job.id), "withdraw", reason);
 }
 
@@ -541,7 +541,7 @@
 fn answer_durable(state: &mut super::State, out: &mut Vec<Effect>) {
     let waiting = std::mem::take(&mut state.journal.waiting);
     let (ready, waiting): (Vec<_>, Vec<_>) =
-        waiting.into_iter().partition(|waiting| state.journal.is_durable(waiting.place));
+        waiting.into_iter().partition(|waiting| state.journal.is_durable(waiting.position));
     state.journal.waiting = waiting;
     for Waiting { ticket, answer, .. } in ready {
         out.push(Effect::Work(WorkEffect::Answer { ticket, answer }));
--- a/src/core/work/lifecycle.rs
+++ b/src/core/work/lifecycle.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::job::{self, Job};
-use super::journal::{self, Change, Place};
+use super::journal::{self, Change, Position};
 use super::place::Need;
 use super::request::Phase;
 use super::spec::{Id, Name};
@@ -42,7 +42,7 @@
         task_progress: Vec::new(),
         finished_unix_ms: 0,
         inherited_in: None,
-        acceptance: Place::default(),
+        acceptance: Position::default(),
         newest_change: 0,
     }
 }
