Let a relay in each availability zone read large configurations, in place of the leader

What callers saw: queues answered as unknown more than the deployment's bound after the configuration that added them. Class: a value that every member needs within a bound, over one sender.

The three new tests fail on for a VM that is slow, cut off or behind (each kind run apart, with the emulator of this commit), and pass now; for a killed VM they passed before.

--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -123,6 +123,7 @@
     state.leadership.holder = None;
     for (item, revision) in items {
         if let Item::Own(key, value) = item {
+            relay::record_key(state, key, &value, revision);
             state.leadership.record_key(value, key, revision);
         }
     }
@@ -133,8 +134,12 @@
 pub(super) fn handle_changes(state: &mut super::State, changes: Vec<Change>, out: &mut Vec<Effect>) {
     for change in changes {
         match change {
-            Change::Set(Item::Own(key, value), revision) => state.leadership.record_key(value, key, revision),
+            Change::Set(Item::Own(key, value), revision) => {
+                relay::record_key(state, key, &value, revision);
+                state.leadership.record_key(value, key, revision);
+            }
             Change::Removed(Removed::Own(Key::Leader)) => state.leadership.holder = None,
+            Change::Removed(Removed::Own(key)) => relay::remove_key(state, key),
             _ => {}
         }
     }
@@ -152,7 +157,7 @@
         }
     }
     handler::fail_stale_forwards(state, out);
-    relay::handle_leader(state, out);
+    relay::advance(state, out);
     if state.leadership.role != Role::Follower || state.is_stopping {
         return;
     }
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -102,7 +102,7 @@
     while let Some(timer) = state.timers.pop(state.now) {
         match timer {
             Timer::Watch(range) => watch::list_or_watch(state, range, out),
-            Timer::AskConfig => relay::ask(state, out),
+            Timer::AskConfig => relay::advance(state, out),
             Timer::AnswerConfig => relay::answer(state, out),
             Timer::Campaign => leadership::campaign(state, out),
             Timer::Renew(term) => leadership::renew(state, term, out),
@@ -135,6 +135,7 @@
         Purpose::Confirm => leadership::handle_key(state, sent, &reply, out),
         Purpose::Load(part) => load::handle_reply(state, part, reply, out),
         Purpose::Commit => journal::handle_reply(state, reply, out),
+        Purpose::ClaimRelay => relay::handle_claim(state, reply, out),
         Purpose::Resign => leadership::step_down(state, "the process shuts down", out),
     }
 }
--- /dev/null
+++ b/src/core/work/relay/claim.rs
@@ -0,0 +1,155 @@
+//! Election of the relay of an availability zone, by a conditional write of the zone's key in the store.
+//!
+//! The key is not bound to a lease: it stays with its VM, also across restarts of the process, until another VM of the zone
+//! finds that the relay does not deliver.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::search::Search;
+use crate::core::effect::Effect;
+use crate::core::time::Instant;
+use crate::core::trace::Subject;
+use crate::core::work::State;
+use crate::core::work::state::{self, Purpose};
+use crate::core::work::store::{Key, Relay, Reply, Request, Revision, Transaction, Value};
+use crate::declare::zone;
+
+/// Time without a newer configuration after which a VM takes over from the relay of its zone.
+const PATIENCE: Duration = Duration::from_millis(900);
+
+/// Shortest time between two claims of a VM.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Delay of a claim by a VM of little CPU capacity, so that a VM with a whole core claims first.
+const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(100);
+
+/// Largest random delay of a claim, which keeps the VMs of a zone from claiming at the same time.
+const CLAIM_JITTER_MAX: Duration = Duration::from_millis(50);
+
+/// Relay of an availability zone according to the store.
+#[derive(Debug, Clone)]
+pub(super) struct Holder {
+    zone: zone::Id,
+    relay: Relay,
+    /// Revision of the key.
+    revision: Revision,
+    /// When this process learned of it.
+    seen_at: Instant,
+    /// Whether the latest request to it failed.
+    has_failed: bool,
+}
+
+/// Records the relay of a zone, as the store names it.
+pub fn record_key(state: &mut State, key: Key, value: &Value, revision: Revision) {
+    let (Key::Relay(zone), Value::Relay(relay)) = (key, value) else { return };
+    let holder = Holder { zone, relay: relay.clone(), revision, seen_at: state.now, has_failed: false };
+    let holders = &mut state.relay.holders;
+    match holders.binary_search_by_key(&zone, |holder| holder.zone) {
+        Ok(found) if holders[found].revision >= revision => {}
+        Ok(found) => holders[found] = holder,
+        Err(position) => holders.insert(position, holder),
+    }
+}
+
+/// Records that the key of a zone was removed.
+pub fn remove_key(state: &mut State, key: Key) {
+    if let Key::Relay(zone) = key {
+        state.relay.holders.retain(|holder| holder.zone != zone);
+    }
+}
+
+/// Relay of the own zone; `None` if the store names none.
+fn own_holder(state: &State) -> Option<&Holder> {
+    state.relay.holders.iter().find(|holder| holder.zone == state.identity.zone)
+}
+
+/// Value of the zone's key while this VM is the relay.
+fn own_relay(state: &State) -> Relay {
+    Relay { vm: state.identity.vm.clone(), address: state.identity.address }
+}
+
+/// Whether this VM is the relay of its zone.
+pub(super) fn is_relay(state: &State) -> bool {
+    own_holder(state).is_some_and(|holder| holder.relay.address == state.identity.address)
+}
+
+/// Addresses of the relays in the order in which they are asked: that of the own zone, then those of the zones after it, so
+/// that the relays of other zones share the requests. Relays whose latest request failed come last.
+pub(super) fn relays(state: &State) -> Vec<SocketAddr> {
+    let holders = &state.relay.holders;
+    let own = holders.partition_point(|holder| holder.zone < state.identity.zone);
+    let mut others: Vec<&Holder> = holders[own..]
+        .iter()
+        .chain(&holders[..own])
+        .filter(|holder| holder.relay.address != state.identity.address)
+        .collect();
+    others.sort_by_key(|holder| holder.has_failed);
+    others.iter().map(|holder| holder.relay.address).collect()
+}
+
+/// Records whether the latest request to the relay at `address` failed.
+pub(super) fn mark_failed(state: &mut State, address: SocketAddr, has_failed: bool) {
+    for holder in state.relay.holders.iter_mut().filter(|holder| holder.relay.address == address) {
+        holder.has_failed = has_failed;
+    }
+}
+
+/// Delay of the claims of a search, which orders the VMs of a zone.
+pub(super) fn draw_delay(state: &mut State) -> Duration {
+    let cpu_share = f64::from(state.identity.cpu_millicores.min(1_000)) / 1_000.0;
+    WEAK_CLAIM_DELAY.mul_f64(1.0 - cpu_share) + state.jitter(CLAIM_JITTER_MAX)
+}
+
+/// When this VM claims to be the relay, if the search lasts until then: at once if no relay serves the zone, otherwise once
+/// the relay has not delivered for some time.
+pub(super) fn due(state: &State, search: &Search) -> Instant {
+    let due = match own_holder(state).filter(|holder| !holder.has_failed) {
+        // A relay that took over during the search reads beside others that did so.
+        Some(holder) if holder.seen_at > search.since => holder.seen_at + PATIENCE * 2,
+        Some(_) => search.since + PATIENCE,
+        None => search.since,
+    };
+    (due + search.claim_delay).max(state.relay.claimed_at + CLAIM_INTERVAL)
+}
+
+/// Claims to be the relay of this zone, unless a claim is in flight.
+pub(super) fn send(state: &mut State, reason: &str, out: &mut Vec<Effect>) {
+    if state.is_stopping || state.has_call_in_flight(&Purpose::ClaimRelay) {
+        return;
+    }
+    state.relay.claimed_at = state.now;
+    let key = Key::Relay(state.identity.zone);
+    let relay = own_relay(state);
+    let held = own_holder(state).map_or(0, |holder| holder.revision);
+    let before = own_holder(state).map_or("none", |holder| &holder.relay.vm);
+    state::record(out, Subject::Process, "claim-relay", format!("{reason}, relay before: {before}"));
+    let transaction = Transaction {
+        expect: vec![(key, held)],
+        put: vec![(key, Value::Relay(relay), None)],
+        delete: Vec::new(),
+    };
+    state.call_store(Purpose::ClaimRelay, Request::Commit(transaction), out);
+}
+
+/// Handles the outcome of a claim. If the reply is lost, the watch of the leadership's keys reports the new relay.
+pub fn handle_claim(state: &mut State, reply: Reply, out: &mut Vec<Effect>) {
+    let key = Key::Relay(state.identity.zone);
+    match reply {
+        Reply::Committed(revision) => {
+            let relay = own_relay(state);
+            state::record(out, Subject::Process, "relay", format!("revision {revision}"));
+            record_key(state, key, &Value::Relay(relay), revision);
+        }
+        Reply::Conflict(items) => {
+            if !items.iter().any(|(found, ..)| *found == key) {
+                remove_key(state, key);
+            }
+            for (found, value, revision) in items {
+                record_key(state, found, &value, revision);
+            }
+        }
+        _ => {}
+    }
+    super::advance(state, out);
+}
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -17,6 +17,7 @@
 use crate::core::time::Instant;
 use crate::core::timer::Queue;
 use crate::core::trace::{Entry, Subject};
+use crate::declare::zone;
 use crate::hash::{self, Map};
 
 /// Time after which a call to the store that would show the leadership counts as late; most are answered much earlier.
@@ -27,6 +28,8 @@
 pub struct Identity {
     /// Name of the VM.
     pub vm: String,
+    /// Availability zone of the VM.
+    pub zone: zone::Id,
     /// Address at which other entry VMs reach this process.
     pub address: SocketAddr,
     /// Random number that distinguishes this process from earlier ones on the same VM.
@@ -63,6 +66,8 @@
     Renew,
     /// Reads the leader's key, which shows whether this process still leads.
     Confirm,
+    /// Writes the relay's key of the own availability zone.
+    ClaimRelay,
     /// Reads records at the start of a term.
     Load(load::Part),
     /// Commits journal changes.
--- a/src/core/work/store.rs
+++ b/src/core/work/store.rs
@@ -8,6 +8,7 @@
 use super::request::Phase;
 use super::spec::{Id, Spec};
 use super::worker::Report;
+use crate::declare::zone;
 
 /// Number of a store call; unique within a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
@@ -23,6 +24,8 @@
     Leader,
     /// The leader of the highest term; not bound to a lease.
     Term,
+    /// The relay of an availability zone; not bound to a lease.
+    Relay(zone::Id),
     /// Identity of the latest commit.
     Tip,
     /// Workers that may run tasks.
@@ -40,6 +43,8 @@
 pub enum Value {
     /// Value of [`Key::Leader`] and [`Key::Term`].
     Leader(Leader),
+    /// Value of [`Key::Relay`].
+    Relay(Relay),
     /// Value of [`Key::Tip`]: the random number of the commit that wrote it.
     Tip(u64),
     /// Value of [`Key::Roster`].
@@ -67,6 +72,15 @@
     pub cpu_millicores: u32,
 }
 
+/// The entry VM that reads large configurations for the others of its availability zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Relay {
+    /// Name of the VM.
+    pub vm: String,
+    /// Address at which other entry VMs reach it.
+    pub address: SocketAddr,
+}
+
 /// A worker that may run tasks.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Member {
@@ -122,7 +136,7 @@
 /// Range of keys that is listed or watched.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Range {
-    /// [`Key::Leader`] and [`Key::Term`].
+    /// [`Key::Leader`], [`Key::Term`] and [`Key::Relay`].
     Leadership,
     /// Records of accepted jobs.
     Jobs,
--- a/src/core/work/timer.rs
+++ b/src/core/work/timer.rs
@@ -8,7 +8,7 @@
 pub enum Timer {
     /// List or watch a range of the store.
     Watch(Range),
-    /// Ask the leader for a newer configuration.
+    /// Take the next step of the search for a newer configuration.
     AskConfig,
     /// Answer the requests of other entry VMs for a newer configuration whose wait is over.
     AnswerConfig,
--- a/src/core/work/watch.rs
+++ b/src/core/work/watch.rs
@@ -16,7 +16,7 @@
     if range == Range::Workers && state.leadership.term() == 0 {
         return;
     }
-    if range == Range::Config && relay::is_asking(state) {
+    if range == Range::Config && relay::holds_reads_back(state) {
         return;
     }
     let watch = state.watches.entry(range).or_default();
@@ -27,14 +27,14 @@
         return list_page(state, range, None, out);
     }
     let (after, wait) = (watch.watch_from, state.tuning.watch_wait);
-    let request = Request::Watch { range, after, wait, limit: relay::read_limit(state, range) };
+    let request = Request::Watch { range, after, wait, limit: relay::watch_limit(range) };
     let call = state.call_store(Purpose::Watch(range), request, out);
     state.watches.entry(range).or_default().call = Some(call);
 }
 
 /// Reads the page of a range that begins after the key `after`; `None` reads the first page.
 fn list_page(state: &mut super::State, range: Range, after: Option<String>, out: &mut Vec<Effect>) {
-    let limit = relay::read_limit(state, range);
+    let limit = relay::list_limit(state, range);
     let call = state.call_store(Purpose::List(range), Request::List { range, after, limit }, out);
     state.watches.entry(range).or_default().call = Some(call);
 }
@@ -51,7 +51,12 @@
     watch.watch_from = 0;
     watch.pages.clear();
     watch.list_revision = 0;
-    if let Some(call) = watch.call.take() {
+    drop_call(state, range);
+}
+
+/// Ignores the reply to the list or watch call of a range that is in flight.
+pub(super) fn drop_call(state: &mut super::State, range: Range) {
+    if let Some(call) = state.watches.entry(range).or_default().call.take() {
         state.remove_call(call);
     }
 }
@@ -88,7 +93,7 @@
     watch.was_listed = true;
     let items = std::mem::take(&mut watch.pages);
     let source = format!("from the store, {bytes} bytes in {} ms", state.now.since(sent).as_millis());
-    apply_list(state, range, items, as_of, &source, out);
+    apply_list(state, range, items, (sent, as_of), &source, out);
     list_or_watch(state, range, out);
 }
 
@@ -138,7 +143,7 @@
     state: &mut super::State,
     range: Range,
     items: Vec<(Item, Revision)>,
-    as_of: Revision,
+    (sent, as_of): (Instant, Revision),
     source: &str,
     out: &mut Vec<Effect>,
 ) {
@@ -150,6 +155,7 @@
         Range::Config => {
             let is_read = accept_items(state, items, source, out);
             relay::end(state, out);
+            relay::rest_after_read(state, sent);
             if is_read {
                 state.config.confirm(as_of);
             }
--- a/src/node/jobs.rs
+++ b/src/node/jobs.rs
@@ -234,6 +234,7 @@
     };
     let identity = Identity {
         vm: settings.name.clone(),
+        zone: zone::Id::of(&settings.zone),
         address: settings.listen.peer,
         nonce,
         cpu_millicores: jobs.cpu_millicores,
@@ -241,7 +242,7 @@
     let member = member::Identity {
         id,
         name: settings.name.clone(),
-        zone: zone::Id::of(&settings.zone),
+        zone: identity.zone,
         address: settings.listen.peer,
         counter: 0,
     };
--- a/src/wire/envelope.rs
+++ b/src/wire/envelope.rs
@@ -33,6 +33,8 @@
     Progress = 10,
     /// Measured behaviour of images.
     Images = 11,
+    /// Relay of an availability zone.
+    Relay = 12,
 }
 
 /// The body is the last field, so that a truncated value cannot be decoded.
--- a/src/wire/job.rs
+++ b/src/wire/job.rs
@@ -10,7 +10,8 @@
 use crate::core::work::image::{Estimates, Image, Pair};
 use crate::core::work::request::{Answer, Phase, Request, Verb};
 use crate::core::work::spec::{Id, Resources, Schedule, Spec, Step};
-use crate::core::work::store::{Key, Leader, Member, Progress, Record, TaskProgress, Value};
+use crate::core::work::store::{Key, Leader, Member, Progress, Record, Relay, TaskProgress, Value};
+use crate::declare::zone;
 use crate::error::Decode;
 
 /// Prefix of the keys of accepted jobs.
@@ -24,6 +25,7 @@
 
 const LEADER: &str = "lead/holder";
 const TERM: &str = "lead/term";
+const RELAY: &str = "lead/relay/";
 const TIP: &str = "tip";
 const ROSTER: &str = "roster";
 const IMAGES: &str = "images";
@@ -33,6 +35,7 @@
     match key {
         Key::Leader => LEADER.to_owned(),
         Key::Term => TERM.to_owned(),
+        Key::Relay(zone) => format!("{RELAY}{:08x}", zone.0),
         Key::Tip => TIP.to_owned(),
         Key::Roster => ROSTER.to_owned(),
         Key::Images => IMAGES.to_owned(),
@@ -50,9 +53,10 @@
         TIP => Some(Key::Tip),
         ROSTER => Some(Key::Roster),
         IMAGES => Some(Key::Images),
-        _ => match (text.strip_prefix(JOBS), text.strip_prefix(PROGRESS)) {
-            (Some(hex), _) => id(hex).map(Key::Job),
-            (_, Some(hex)) => id(hex).map(Key::Progress),
+        _ => match (text.strip_prefix(JOBS), text.strip_prefix(PROGRESS), text.strip_prefix(RELAY)) {
+            (Some(hex), ..) => id(hex).map(Key::Job),
+            (_, Some(hex), _) => id(hex).map(Key::Progress),
+            (.., Some(hex)) => u32::from_str_radix(hex, 16).ok().map(|zone| Key::Relay(zone::Id(zone))),
             _ => None,
         },
     }
@@ -62,6 +66,7 @@
 pub fn encode(value: &Value) -> Vec<u8> {
     match value {
         Value::Leader(leader) => envelope::seal(Kind::Leader, proto::Leader::from(leader).encode_to_vec()),
+        Value::Relay(relay) => envelope::seal(Kind::Relay, proto::Relay::from(relay).encode_to_vec()),
         Value::Tip(write) => envelope::seal(Kind::Tip, proto::Tip { write: *write }.encode_to_vec()),
         Value::Roster(members) => {
             let workers = members.iter().map(proto::Member::from).collect();
@@ -88,6 +93,10 @@
             let body = envelope::open(Kind::Leader, bytes)?;
             Ok(Value::Leader(proto::Leader::decode(body.as_slice())?.try_into()?))
         }
+        Key::Relay(_) => {
+            let body = envelope::open(Kind::Relay, bytes)?;
+            Ok(Value::Relay(proto::Relay::decode(body.as_slice())?.try_into()?))
+        }
         Key::Tip => {
             let body = envelope::open(Kind::Tip, bytes)?;
             Ok(Value::Tip(proto::Tip::decode(body.as_slice())?.write))
@@ -139,6 +148,21 @@
     }
 }
 
+impl From<&Relay> for proto::Relay {
+    fn from(relay: &Relay) -> Self {
+        Self { vm: relay.vm.clone(), address: relay.address.to_string() }
+    }
+}
+
+impl TryFrom<proto::Relay> for Relay {
+    type Error = Decode;
+
+    fn try_from(relay: proto::Relay) -> Result<Self, Decode> {
+        let address = relay.address.parse().map_err(|_| Decode::Field("address"))?;
+        Ok(Self { vm: relay.vm, address })
+    }
+}
+
 impl From<&Member> for proto::Member {
     fn from(member: &Member) -> Self {
         Self { id: member.id.clone(), address: member.address.to_string() }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -242,3 +242,129 @@
     assert!(logged("in-force", " bytes in "), "{:#?}", emulator.log);
     assert!(logged("in-force", "ms after the first sign of a newer version"), "{:#?}", emulator.log);
 }
+
+/// Time after which a version must be in force on calm entry VMs while a single one is in trouble: half of the users' bound
+/// for deployments of this size.
+const CALM_LIMIT: Duration = Duration::from_secs(2);
+
+/// The same for deployments of few entry VMs, where the bound is 2.5 s.
+const SMALL_CALM_LIMIT: Duration = Duration::from_millis(1_250);
+
+/// Trouble of a single entry VM.
+#[derive(Debug, Clone, Copy)]
+enum Trouble {
+    /// It handles everything late.
+    Slow,
+    /// Other entry VMs get no answer from it, while it keeps its connection to the store.
+    CutOff,
+    /// Its watches see no change.
+    Behind,
+    /// Its process ends for good.
+    Killed,
+}
+
+const TROUBLES: [Trouble; 4] = [Trouble::Slow, Trouble::CutOff, Trouble::Behind, Trouble::Killed];
+
+/// Brings trouble to an entry VM.
+fn trouble(emulator: &mut Emulator, vm: usize, kind: Trouble) {
+    match kind {
+        Trouble::Slow => emulator.vm_lags.extend([(vm, 3 * SECOND)]),
+        Trouble::CutOff => emulator.unreachable_vms.extend([vm]),
+        Trouble::Behind => emulator.store.silent_watch_vms.extend([vm]),
+        Trouble::Killed => emulator.kill(vm),
+    }
+}
+
+/// Writes a series of versions, one each 500 ms, and returns the calm entry VMs on which one of them is late, each with the
+/// version and the time at which it was not in force.
+fn late_in_series(
+    emulator: &mut Emulator,
+    calm: &[usize],
+    versions: std::ops::RangeInclusive<u64>,
+    limit: Duration,
+) -> Vec<(usize, u64)> {
+    const STEP: Duration = Duration::from_millis(50);
+    let mut written = Vec::new();
+    let mut late = Vec::new();
+    let end = emulator.now + SECOND / 2 * (versions.end() - versions.start()) as u32 + limit + SECOND;
+    let mut next = versions.clone();
+    let mut due = emulator.now;
+    while emulator.now < end {
+        if emulator.now >= due
+            && let Some(version) = next.next()
+        {
+            emulator.store.set_config(large_config(version));
+            written.push((version, emulator.now));
+            due = emulator.now + SECOND / 2;
+        }
+        emulator.run_for(STEP);
+        for (version, at) in &written {
+            let is_late = emulator.now.since(*at) >= limit;
+            let outdated = calm.iter().filter(|vm| is_late && emulator.config_version(**vm) < *version);
+            late.extend(outdated.map(|vm| (*vm, *version)));
+        }
+    }
+    late.sort_unstable();
+    late.dedup();
+    late
+}
+
+/// Deployment of two regions with three availability zones each, on which a first large configuration is in force.
+fn six_zones(seed: u64) -> Emulator {
+    let mut emulator = Emulator::in_zones(seed, 2 * VMS_PER_REGION, 6, 2);
+    emulator.link.vms = (VMS_PER_REGION..2 * VMS_PER_REGION).collect();
+    emulator.link.bytes_per_s = LINK_BYTES_PER_S;
+    emulator.run_for(SECOND);
+    emulator.store.set_config(large_config(2));
+    emulator.run_for(LIMIT);
+    assert_eq!(outdated(&emulator, 2), Vec::<usize>::new(), "seed {seed}");
+    emulator
+}
+
+/// Guards against entry VMs that all wait for a leader which is slow, cut off, behind or gone.
+#[test]
+fn a_series_of_configurations_is_late_while_the_leader_is_in_trouble() {
+    for kind in TROUBLES {
+        for seed in 0..3 {
+            let mut emulator = six_zones(seed);
+            let leader = emulator.leader().expect("a leader");
+            trouble(&mut emulator, leader, kind);
+            let calm: Vec<usize> = (0..2 * VMS_PER_REGION).filter(|vm| *vm != leader).collect();
+            let late = late_in_series(&mut emulator, &calm, 3..=8, CALM_LIMIT);
+            assert_eq!(late, [], "{kind:?}, seed {seed}");
+        }
+    }
+}
+
+/// The same for any other entry VM, among them those that read the configuration for others.
+#[test]
+fn a_series_of_configurations_is_late_while_any_entry_vm_is_in_trouble() {
+    for kind in TROUBLES {
+        for vm in (0..2 * VMS_PER_REGION).step_by(3) {
+            let mut emulator = six_zones(vm as u64);
+            trouble(&mut emulator, vm, kind);
+            let calm: Vec<usize> = (0..2 * VMS_PER_REGION).filter(|other| *other != vm).collect();
+            let late = late_in_series(&mut emulator, &calm, 3..=5, CALM_LIMIT);
+            assert_eq!(late, [], "{kind:?} of VM {vm}");
+        }
+    }
+}
+
+/// Guards against waits that add up beyond the shorter bound of a deployment of nine entry VMs.
+#[test]
+fn a_series_of_configurations_is_late_on_nine_entry_vms() {
+    for kind in TROUBLES {
+        for vm in 0..9 {
+            let mut emulator = Emulator::in_zones(vm as u64, 9, 3, 2);
+            emulator.link.vms = (6..9).collect();
+            emulator.link.bytes_per_s = LINK_BYTES_PER_S / 2.0;
+            emulator.run_for(SECOND);
+            emulator.store.set_config(large_config(2));
+            emulator.run_for(LIMIT);
+            trouble(&mut emulator, vm, kind);
+            let calm: Vec<usize> = (0..9).filter(|other| *other != vm).collect();
+            let late = late_in_series(&mut emulator, &calm, 3..=6, SMALL_CALM_LIMIT);
+            assert_eq!(late, [], "{kind:?} of VM {vm}");
+        }
+    }
+}
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -100,6 +100,8 @@
         envelope: Envelope,
         deadline: Instant,
     },
+    /// A request for a newer configuration times out, unless it was answered.
+    LoseAsk(Ticket),
     /// A worker carries out an order that it has left without an answer.
     LateOrder {
         worker: usize,
@@ -153,6 +155,10 @@
     config_requests: Map<Ticket, (usize, u64, SocketAddr)>,
     /// Delay with which the entry VMs handle replies and timers.
     pub lag: Duration,
+    /// Additional delay with which single entry VMs handle requests, replies and changes.
+    pub vm_lags: Map<usize, Duration>,
+    /// Entry VMs that other entry VMs do not reach, while the store does.
+    pub unreachable_vms: Set<usize>,
     /// Time by which the time of day of each entry VM is ahead.
     pub clock_leads: Vec<Duration>,
     /// Timeline entries of all entry VMs; tests search them for decisions and print them on failure.
@@ -185,6 +191,7 @@
     last_action: u64,
     seed: u64,
     cpu_millicores: Vec<u32>,
+    zone_count: usize,
 }
 
 /// Size of one queue of the configuration in an answer of the store, in bytes.
@@ -193,6 +200,9 @@
 /// Size of one queue of the configuration in a message between entry VMs, in bytes.
 const RELAYED_QUEUE_BYTES: usize = 60;
 
+/// Time beyond its wait after which a request for a newer configuration counts as lost.
+const ASK_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Path prefix of the only queue.
 pub const PREFIX: &str = "/q/";
 
@@ -205,8 +215,17 @@
         Self::with_cpu_millicores(seed, &vec![0; vms], workers)
     }
 
+    /// Creates a deployment whose entry VMs are divided into availability zones in runs of equal length.
+    pub fn in_zones(seed: u64, vms: usize, zones: usize, workers: usize) -> Self {
+        Self::build(seed, &vec![0; vms], zones, workers)
+    }
+
     /// Creates a deployment with one entry VM for each CPU capacity in millicores, where 0 means unknown.
     pub fn with_cpu_millicores(seed: u64, cpu_millicores: &[u32], workers: usize) -> Self {
+        Self::build(seed, cpu_millicores, 1, workers)
+    }
+
+    fn build(seed: u64, cpu_millicores: &[u32], zone_count: usize, workers: usize) -> Self {
         let mut emulator = Self {
             now: Instant(1_000_000),
             store: Store::new(config()),
@@ -219,6 +238,8 @@
             requests: Map::default(),
             config_requests: Map::default(),
             lag: Duration::ZERO,
+            vm_lags: Map::default(),
+            unreachable_vms: Set::default(),
             clock_leads: vec![Duration::ZERO; cpu_millicores.len()],
             log: Vec::new(),
             reports: Vec::new(),
@@ -238,6 +259,7 @@
             last_action: 0,
             seed,
             cpu_millicores: cpu_millicores.to_vec(),
+            zone_count,
         };
         for worker in &emulator.workers {
             emulator.store.list_worker(worker);
@@ -256,18 +278,19 @@
         self.cpu_millicores.get(vm).copied().unwrap_or_default()
     }
 
+    /// Number of the availability zone of an entry VM.
+    pub fn zone(&self, vm: usize) -> usize {
+        vm * self.zone_count / self.cpu_millicores.len()
+    }
+
     fn new_state(&mut self, vm: usize) -> State {
         let address = format!("10.0.0.{}:7000", vm + 1).parse().expect("address");
         let nonce = self.next_random();
-        let identity =
-            Identity { vm: format!("vm-{vm}"), address, nonce, cpu_millicores: self.vm_cpu_millicores(vm) };
-        let me = member::Identity {
-            id: member::Id(nonce),
-            name: format!("vm-{vm}"),
-            zone: zone::Id::of("z"),
-            address,
-            counter: 0,
-        };
+        let zone = zone::Id::of(format!("z-{}", self.zone(vm)));
+        let cpu_millicores = self.vm_cpu_millicores(vm);
+        let identity = Identity { vm: format!("vm-{vm}"), zone, address, nonce, cpu_millicores };
+        let me =
+            member::Identity { id: member::Id(nonce), name: format!("vm-{vm}"), zone, address, counter: 0 };
         State::with_work(me, work::State::new(identity, Tuning::default(), self.now), self.now)
     }
 
@@ -620,6 +643,10 @@
                 }
                 let ticket = Ticket(self.next_random());
                 self.config_requests.insert(ticket, (vm, incarnation, to));
+                self.schedule(self.now + wait + ASK_TIMEOUT, Action::LoseAsk(ticket));
+                if self.unreachable_vms.contains(&other) || self.unreachable_vms.contains(&vm) {
+                    return;
+                }
                 let event = WorkEvent::ConfigAsked { ticket, known, wait };
                 self.schedule_event(other, ONE_WAY_DELAY, Event::Work(event));
             }
@@ -793,6 +820,13 @@
                     worker::Outcome::Event(_) => {}
                 }
             }
+            Action::LoseAsk(ticket) => {
+                let Some((vm, incarnation, from)) = self.config_requests.remove(&ticket) else { return };
+                if self.is_alive(vm, incarnation) {
+                    let event = WorkEvent::ConfigUpdated { from, result: Err(Fault::Lost), bytes: 0 };
+                    self.schedule_event(vm, Duration::ZERO, Event::Work(event));
+                }
+            }
             Action::LateOrder { worker, mut envelope } => {
                 let now = self.now;
                 self.workers[worker].advance(now, &mut self.observer);
@@ -818,7 +852,8 @@
     fn schedule_event(&mut self, vm: usize, delay: Duration, event: Event) {
         let incarnation = self.vms[vm].incarnation;
         let input = Box::new(event.into());
-        self.schedule(self.now + delay + self.lag, Action::Event { vm, incarnation, input });
+        let lag = self.lag + self.vm_lags.get(&vm).copied().unwrap_or_default();
+        self.schedule(self.now + delay + lag, Action::Event { vm, incarnation, input });
     }
 
     fn schedule(&mut self, at: Instant, action: Action) {
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -64,7 +64,7 @@
 
 fn range_of(key: Key) -> Range {
     match key {
-        Key::Leader | Key::Term => Range::Leadership,
+        Key::Leader | Key::Term | Key::Relay(_) => Range::Leadership,
         Key::Job(_) => Range::Jobs,
         // Of these, only the progress keys are ever listed; the other keys share their range.
         Key::Progress(_) | Key::Tip | Key::Roster | Key::Images => Range::Progress,
