Forward a request for an unknown queue while a newer configuration is known

What callers saw: a queue answered as unknown (404) by a VM that had seen the sign of the version that adds it. Such an answer may be wrong, and callers take it as final. The VM now forwards the request to the leader, which answers it if it has the queue; otherwise it is refused with the time to come back. Weighed: hold the request until the version is in force (the caller waits without need if another VM has it). Without a sign of a newer version nothing changes.

--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -11,7 +11,7 @@
 use super::spec::{Id, Spec};
 use super::state;
 use super::store::Record;
-use super::{journal, leadership, lifecycle};
+use super::{journal, leadership, lifecycle, relay};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace;
@@ -79,12 +79,7 @@
         return refuse(state, ticket, job, "no configuration", out);
     }
     let Some(target) = resolve_target(state, &request) else {
-        // The entry VM that forwarded the request may have a newer configuration than this one.
-        return if forwarded {
-            refuse(state, ticket, job, "the queue is not in this process's configuration", out)
-        } else {
-            answer(ticket, Answer::UnknownQueue, out)
-        };
+        return handle_unknown_queue(state, ticket, request, forwarded, out);
     };
     match state.leadership.role {
         Role::Leader { .. } if state.load.is_some() => state.requests.deferred.push((ticket, request)),
@@ -97,6 +92,27 @@
     }
 }
 
+/// Answers a request whose queue this process does not know. The answer would be wrong if a newer configuration has the
+/// queue, so one is forwarded while a newer version is known, and refused if it cannot be forwarded.
+fn handle_unknown_queue(
+    state: &mut super::State,
+    ticket: Ticket,
+    request: Request,
+    forwarded: bool,
+    out: &mut Vec<Effect>,
+) {
+    let leads = matches!(state.leadership.role, Role::Leader { .. });
+    let is_outdated = relay::pending_time(state).is_some();
+    if !forwarded && !is_outdated {
+        return answer(ticket, Answer::UnknownQueue, out);
+    }
+    if forwarded || leads {
+        let reason = "the queue is not in this process's configuration";
+        return refuse(state, ticket, request.job(), reason, out);
+    }
+    forward(state, ticket, request, out);
+}
+
 /// Queue and subject of a request; `None` if no configured queue matches or the path is malformed.
 fn resolve_target(state: &super::State, request: &Request) -> Option<(String, Subject)> {
     let queue = state.config.route(&request.host, &request.path)?;
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -6,6 +6,7 @@
 
 use emulator::{Emulator, QUEUE_BYTES, config, job, step};
 use nutmegfold::core::work::config::{Config, Queue};
+use nutmegfold::core::work::request::{Answer, Verb};
 use nutmegfold::core::work::spec::{Id, Name, Step};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -368,3 +369,58 @@
         }
     }
 }
+
+/// Writes a version with a queue more, which does not reach the given entry VMs; on all others it is in force.
+fn behind_a_new_version(emulator: &mut Emulator, vms: &[usize]) {
+    emulator.link.vms = vms.iter().copied().collect();
+    emulator.link.bytes_per_s = 1_000.0;
+    emulator.unreachable_vms = vms.iter().copied().collect();
+    let mut added = large_config(3);
+    let queue = Queue { name: "added".into(), prefix: "/added/".into(), ..added.queues[0].clone() };
+    added.queues.push(queue);
+    emulator.store.set_config(added);
+    // One of these VMs may be the relay, which the others replace.
+    emulator.run_for(CALM_LIMIT);
+    vms.iter().for_each(|vm| assert_eq!(emulator.config_version(*vm), 2));
+}
+
+/// Answer of an entry VM to a read of the queue that the new version adds.
+fn read_added_queue(emulator: &mut Emulator, vm: usize) -> Option<Answer> {
+    let ticket = emulator.request(vm, "/added/", Verb::Read);
+    emulator.run_for(Duration::from_millis(100));
+    emulator.answers.get(&ticket).cloned()
+}
+
+/// Guards against an entry VM that answers a queue as unknown while it knows that a newer configuration may have it.
+#[test]
+fn an_added_queue_is_unknown_while_a_newer_version_is_known() {
+    for seed in 0..5 {
+        let mut emulator = with_large_config(seed);
+        let leader = emulator.leader().expect("a leader");
+        let follower = (leader + 1) % 3;
+        behind_a_new_version(&mut emulator, &[follower]);
+        assert_eq!(read_added_queue(&mut emulator, follower), Some(Answer::Pending(0)), "seed {seed}");
+    }
+}
+
+/// The same while the leader does not have the newer configuration either.
+#[test]
+fn an_added_queue_is_unknown_while_the_leader_is_outdated_too() {
+    for seed in 0..5 {
+        let mut emulator = with_large_config(seed);
+        behind_a_new_version(&mut emulator, &[0, 1, 2]);
+        for vm in 0..3 {
+            let answer = read_added_queue(&mut emulator, vm);
+            assert!(matches!(answer, Some(Answer::Refused(_))), "seed {seed}, VM {vm}: {answer:?}");
+        }
+    }
+}
+
+/// Guards against a request for a queue that no version has and that is forwarded, or refused, instead of answered.
+#[test]
+fn an_unknown_queue_is_not_answered_as_unknown() {
+    let mut emulator = with_large_config(0);
+    for vm in 0..3 {
+        assert_eq!(read_added_queue(&mut emulator, vm), Some(Answer::UnknownQueue), "VM {vm}");
+    }
+}
