Take the distance to the store from the list of the leadership's keys only

An entry VM campaigns after three times the duration of its latest list, so that one near the store wins. Since a relay lists large configurations, and before that each VM that had lost patience did, this duration could be that of a transfer: 1.5 s of it delay a campaign by 4.5 s.

--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -69,7 +69,7 @@
     pub newest_term: (u64, Revision),
     /// CPU capacity of the VM that led the highest term, in thousandths of a core; 0 if it is not known.
     pub newest_cpu_millicores: u32,
-    /// Duration of the latest list call to the store.
+    /// Duration of the latest list of the leadership's keys; the lists of other ranges may be large.
     pub store_round_trip: Duration,
     /// Revision of the leader's key whose process is known to have ended.
     pub dead_revision: Option<Revision>,
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -45,7 +45,7 @@
 use event::Event;
 pub use state::State;
 use state::{Pending, Purpose};
-use store::{Call, Reply};
+use store::{Call, Range, Reply};
 use timer::Timer;
 
 use super::effect::Effect;
@@ -125,7 +125,9 @@
     state.track_store_health(&reply, out);
     match purpose {
         Purpose::List(range) => {
-            state.leadership.store_round_trip = state.now.since(sent);
+            if range == Range::Leadership {
+                state.leadership.store_round_trip = state.now.since(sent);
+            }
             watch::handle_page(state, range, sent, reply, out);
         }
         Purpose::Watch(range) => watch::handle_changes(state, range, sent, reply, out),
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -8,6 +8,7 @@
 use nutmegfold::core::work::config::{Config, Queue};
 use nutmegfold::core::work::request::{Answer, Verb};
 use nutmegfold::core::work::spec::{Id, Name, Step};
+use nutmegfold::core::work::tuning::Tuning;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -424,3 +425,22 @@
         assert_eq!(read_added_queue(&mut emulator, vm), Some(Answer::UnknownQueue), "VM {vm}");
     }
 }
+
+/// Guards against an entry VM that campaigns late, since the list of a large configuration took long.
+#[test]
+fn an_election_is_late_after_a_large_configuration() {
+    const TRANSFER: Duration = Duration::from_millis(1_500);
+    for seed in 0..3 {
+        let mut emulator = Emulator::in_zones(seed, 2, 2, 1);
+        emulator.link.vms = (0..2).collect();
+        emulator.link.bytes_per_s = LARGEST_BYTES as f64 / TRANSFER.as_secs_f64();
+        emulator.run_for(SECOND);
+        emulator.store.set_config(large_config(2));
+        emulator.run_for(2 * LIMIT);
+        assert_eq!((0..2).map(|vm| emulator.config_version(vm)).min(), Some(2), "seed {seed}");
+        let leader = emulator.leader().expect("a leader");
+        emulator.kill(leader);
+        emulator.run_for(Tuning::default().leader_ttl + SECOND);
+        assert_eq!(emulator.leader_after(leader), Some(1 - leader), "seed {seed}");
+    }
+}
