Let relays far from the store ask a nearer one, and strong VMs be relays

A relay now asks one that is nearer to the store first, so only differences cross the link, and the key of a relay has its processor time: a VM with twice as much takes over at the next version.

New tests: the link carries less than one copy for six versions while all VMs are well, and at most a copy for each zone and version while one is in trouble; a weak VM does not stay the relay.

--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -171,12 +171,12 @@
 }
 
 /// Whether one VM has at most half of the CPU capacity of another; false if either capacity is not known.
-fn has_at_most_half(one: u32, other: u32) -> bool {
+pub(super) fn has_at_most_half(one: u32, other: u32) -> bool {
     one > 0 && one.saturating_mul(2) <= other
 }
 
 /// Whether this VM has at most half of the latest leader's CPU capacity, so that it lets larger VMs campaign first.
-fn is_weak(state: &super::State) -> bool {
+pub(super) fn is_weak(state: &super::State) -> bool {
     has_at_most_half(state.identity.cpu_millicores, state.leadership.newest_cpu_millicores)
 }
 
--- a/src/core/work/relay/claim.rs
+++ b/src/core/work/relay/claim.rs
@@ -11,6 +11,7 @@
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
 use crate::core::work::State;
+use crate::core::work::leadership;
 use crate::core::work::state::{self, Purpose};
 use crate::core::work::store::{Key, Relay, Reply, Request, Revision, Transaction, Value};
 use crate::declare::zone;
@@ -21,11 +22,15 @@
 /// Shortest time between two claims of a VM.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Delay of a claim by a VM of little CPU capacity, so that a VM with a whole core claims first.
-const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(100);
+/// Additional delay of a claim by a VM with little CPU capacity, so that VMs with more can claim first.
+const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(300);
 
 /// Largest random delay of a claim, which keeps the VMs of a zone from claiming at the same time.
-const CLAIM_JITTER_MAX: Duration = Duration::from_millis(50);
+const CLAIM_JITTER_MAX: Duration = Duration::from_millis(100);
+
+/// Difference of the round trips to the store from which a relay takes another one to be nearer to the store. It lies between
+/// a round trip within a region and one between regions.
+const REGION_ROUND_TRIP: Duration = Duration::from_millis(10);
 
 /// Relay of an availability zone according to the store.
 #[derive(Debug, Clone)]
@@ -66,7 +71,12 @@
 
 /// Value of the zone's key while this VM is the relay.
 fn own_relay(state: &State) -> Relay {
-    Relay { vm: state.identity.vm.clone(), address: state.identity.address }
+    Relay {
+        vm: state.identity.vm.clone(),
+        address: state.identity.address,
+        cpu_millicores: state.identity.cpu_millicores,
+        store_round_trip: state.leadership.store_round_trip,
+    }
 }
 
 /// Whether this VM is the relay of its zone.
@@ -74,20 +84,31 @@
     own_holder(state).is_some_and(|holder| holder.relay.address == state.identity.address)
 }
 
-/// Addresses of the relays in the order in which they are asked: that of the own zone, then those of the zones after it, so
-/// that the relays of other zones share the requests. Relays whose latest request failed come last.
-pub(super) fn relays(state: &State) -> Vec<SocketAddr> {
+/// Relays of other VMs, that of the own zone first and then those of the zones after it, so that the relays of other zones
+/// share the requests.
+fn other_relays(state: &State) -> impl Iterator<Item = &Holder> {
     let holders = &state.relay.holders;
     let own = holders.partition_point(|holder| holder.zone < state.identity.zone);
-    let mut others: Vec<&Holder> = holders[own..]
-        .iter()
-        .chain(&holders[..own])
-        .filter(|holder| holder.relay.address != state.identity.address)
-        .collect();
+    let in_order = holders[own..].iter().chain(&holders[..own]);
+    in_order.filter(|holder| holder.relay.address != state.identity.address)
+}
+
+/// Addresses of the relays in the order in which they are asked. Relays whose latest request failed come last.
+pub(super) fn relays(state: &State) -> Vec<SocketAddr> {
+    let mut others: Vec<&Holder> = other_relays(state).collect();
     others.sort_by_key(|holder| holder.has_failed);
     others.iter().map(|holder| holder.relay.address).collect()
 }
 
+/// Relay that is nearer to the store than this VM, the relay of its zone; `None` if there is none that answers. Its changes
+/// take less of the link between two regions than the whole configuration.
+pub(super) fn nearer_relay(state: &State) -> Option<SocketAddr> {
+    let own = own_holder(state).filter(|_| is_relay(state))?.relay.store_round_trip;
+    let is_nearer = |holder: &&Holder| holder.relay.store_round_trip + REGION_ROUND_TRIP <= own;
+    let nearer = other_relays(state).filter(|holder| !holder.has_failed).find(is_nearer)?;
+    Some(nearer.relay.address)
+}
+
 /// Records whether the latest request to the relay at `address` failed.
 pub(super) fn mark_failed(state: &mut State, address: SocketAddr, has_failed: bool) {
     for holder in state.relay.holders.iter_mut().filter(|holder| holder.relay.address == address) {
@@ -97,20 +118,29 @@
 
 /// Delay of the claims of a search, which orders the VMs of a zone.
 pub(super) fn draw_delay(state: &mut State) -> Duration {
-    let cpu_share = f64::from(state.identity.cpu_millicores.min(1_000)) / 1_000.0;
-    WEAK_CLAIM_DELAY.mul_f64(1.0 - cpu_share) + state.jitter(CLAIM_JITTER_MAX)
+    let weak_delay = if leadership::is_weak(state) { WEAK_CLAIM_DELAY } else { Duration::ZERO };
+    weak_delay + state.jitter(CLAIM_JITTER_MAX)
 }
 
-/// When this VM claims to be the relay, if the search lasts until then: at once if no relay serves the zone, otherwise once
-/// the relay has not delivered for some time.
+/// When this VM claims to be the relay, if the search lasts until then: at once if no relay serves the zone, or one with much
+/// less CPU capacity does, otherwise once the relay has not delivered for some time.
 pub(super) fn due(state: &State, search: &Search) -> Instant {
-    let due = match own_holder(state).filter(|holder| !holder.has_failed) {
+    let serving = own_holder(state).filter(|holder| !holder.has_failed);
+    let is_weaker = |holder: &Holder| {
+        leadership::has_at_most_half(holder.relay.cpu_millicores, state.identity.cpu_millicores)
+    };
+    let earliest = state.relay.claimed_at + CLAIM_INTERVAL;
+    // A weak relay may deliver before the delay of a claim is over, so it would stay.
+    if serving.is_some_and(is_weaker) {
+        return search.since.max(earliest);
+    }
+    let due = match serving {
         // A relay that took over during the search reads beside others that did so.
         Some(holder) if holder.seen_at > search.since => holder.seen_at + PATIENCE * 2,
         Some(_) => search.since + PATIENCE,
         None => search.since,
     };
-    (due + search.claim_delay).max(state.relay.claimed_at + CLAIM_INTERVAL)
+    (due + search.claim_delay).max(earliest)
 }
 
 /// Claims to be the relay of this zone, unless a claim is in flight.
--- a/src/core/work/relay/search.rs
+++ b/src/core/work/relay/search.rs
@@ -89,7 +89,7 @@
     }
     let Some(search) = state.relay.search else { return };
     if reads_whole(state) {
-        return read_whole(state, search, out);
+        return advance_reader(state, search, out);
     }
     let asked = 1 + (state.now.since(search.since).as_millis() / HEDGE_DELAY.as_millis()) as u32;
     for to in claim::relays(state).into_iter().take(asked.min(RELAYS_MAX) as usize) {
@@ -109,6 +109,19 @@
     }
 }
 
+/// Takes the steps of a VM that reads whole configurations: it does so unless a relay that is nearer to the store has the
+/// changes soon.
+fn advance_reader(state: &mut State, search: Search, out: &mut Vec<Effect>) {
+    let read_at = search.since + HEDGE_DELAY;
+    match claim::nearer_relay(state).filter(|_| state.now < read_at) {
+        Some(nearer) => {
+            ask(state, nearer, UPDATE_WAIT, out);
+            schedule_step(state, read_at);
+        }
+        None => read_whole(state, search, out),
+    }
+}
+
 /// Schedules the next step, unless an earlier one is scheduled.
 fn schedule_step(state: &mut State, at: Instant) {
     if state.relay.next_step.is_none_or(|next| next > at) {
--- a/src/core/work/store.rs
+++ b/src/core/work/store.rs
@@ -79,6 +79,10 @@
     pub vm: String,
     /// Address at which other entry VMs reach it.
     pub address: SocketAddr,
+    /// CPU capacity of the VM in thousandths of a core; 0 if it is not known.
+    pub cpu_millicores: u32,
+    /// Round trip between the VM and the store.
+    pub store_round_trip: Duration,
 }
 
 /// A worker that may run tasks.
--- a/src/wire/job.rs
+++ b/src/wire/job.rs
@@ -150,7 +150,12 @@
 
 impl From<&Relay> for proto::Relay {
     fn from(relay: &Relay) -> Self {
-        Self { vm: relay.vm.clone(), address: relay.address.to_string() }
+        Self {
+            vm: relay.vm.clone(),
+            address: relay.address.to_string(),
+            cpu: relay.cpu_millicores,
+            round_trip_us: u32::try_from(relay.store_round_trip.as_micros()).unwrap_or(u32::MAX),
+        }
     }
 }
 
@@ -159,7 +164,12 @@
 
     fn try_from(relay: proto::Relay) -> Result<Self, Decode> {
         let address = relay.address.parse().map_err(|_| Decode::Field("address"))?;
-        Ok(Self { vm: relay.vm, address })
+        Ok(Self {
+            vm: relay.vm,
+            address,
+            cpu_millicores: relay.cpu,
+            store_round_trip: Duration::from_micros(relay.round_trip_us.into()),
+        })
     }
 }
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -18,6 +18,9 @@
 /// Capacity of the link between the regions in bytes per second: 60 Mbit/s.
 const LINK_BYTES_PER_S: f64 = 7_500_000.0;
 
+/// One-way delay of the link between the regions.
+const LINK_DELAY: Duration = Duration::from_millis(12);
+
 /// Size of the largest configuration in an answer of the store, in bytes: a value of 1 MB in base64.
 const LARGEST_BYTES: usize = 1_400_000;
 
@@ -315,6 +318,7 @@
 fn six_zones(seed: u64) -> Emulator {
     let mut emulator = Emulator::in_zones(seed, 2 * VMS_PER_REGION, 6, 2);
     emulator.link.vms = (VMS_PER_REGION..2 * VMS_PER_REGION).collect();
+    emulator.link.delay = LINK_DELAY;
     emulator.link.bytes_per_s = LINK_BYTES_PER_S;
     emulator.run_for(SECOND);
     emulator.store.set_config(large_config(2));
@@ -346,8 +350,11 @@
             let mut emulator = six_zones(vm as u64);
             trouble(&mut emulator, vm, kind);
             let calm: Vec<usize> = (0..2 * VMS_PER_REGION).filter(|other| *other != vm).collect();
+            emulator.link.bytes = 0;
             let late = late_in_series(&mut emulator, &calm, 3..=5, CALM_LIMIT);
             assert_eq!(late, [], "{kind:?} of VM {vm}");
+            let copies = emulator.link.bytes as f64 / LARGEST_BYTES as f64;
+            assert!(copies <= 9.0, "{copies} copies of 3 versions for 3 zones, {kind:?} of VM {vm}");
         }
     }
 }
@@ -359,6 +366,7 @@
         for vm in 0..9 {
             let mut emulator = Emulator::in_zones(vm as u64, 9, 3, 2);
             emulator.link.vms = (6..9).collect();
+            emulator.link.delay = LINK_DELAY;
             emulator.link.bytes_per_s = LINK_BYTES_PER_S / 2.0;
             emulator.run_for(SECOND);
             emulator.store.set_config(large_config(2));
@@ -444,3 +452,33 @@
         assert_eq!(emulator.leader_after(leader), Some(1 - leader), "seed {seed}");
     }
 }
+
+/// Guards against whole configurations on the link between two regions while all entry VMs are well.
+#[test]
+fn a_series_of_configurations_fills_the_link_between_regions() {
+    for seed in 0..3 {
+        let mut emulator = six_zones(seed);
+        emulator.link.bytes = 0;
+        let all: Vec<usize> = (0..2 * VMS_PER_REGION).collect();
+        let late = late_in_series(&mut emulator, &all, 3..=8, SMALL_CALM_LIMIT);
+        assert_eq!(late, [], "seed {seed}");
+        assert!(emulator.link.bytes < LARGEST_BYTES, "seed {seed}: {} bytes", emulator.link.bytes);
+    }
+}
+
+/// Guards against a relay on a VM with little processor time while a strong VM of the zone could take over.
+#[test]
+fn a_weak_entry_vm_stays_the_relay() {
+    let mut emulator = Emulator::with_cpu_millicores(0, &[120, 120, 500], 2);
+    emulator.kill(2);
+    emulator.run_for(SECOND);
+    emulator.store.set_config(large_config(2));
+    emulator.run_for(LIMIT);
+    emulator.start(2);
+    emulator.run_for(SECOND);
+    for version in 3..5 {
+        emulator.store.set_config(large_config(version));
+        emulator.run_for(SECOND);
+    }
+    assert_eq!(emulator.store.relay().as_deref(), Some("vm-2"));
+}
--- a/tests/emulator/link.rs
+++ b/tests/emulator/link.rs
@@ -19,6 +19,10 @@
 pub struct Link {
     /// Entry VMs behind the link; the store and all others are on its other side.
     pub vms: Set<usize>,
+    /// One-way delay of the link, in addition to that of any message.
+    pub delay: Duration,
+    /// Bytes of the transfers so far.
+    pub bytes: usize,
     /// Capacity in bytes per second.
     pub bytes_per_s: f64,
     transfers: Vec<Transfer>,
@@ -29,6 +33,7 @@
     /// Starts the transfer of an answer.
     pub fn start(&mut self, vm: usize, call: Call, bytes: usize, now: Instant) {
         self.advance(now);
+        self.bytes += bytes;
         self.transfers.push(Transfer { vm, call, remaining_bytes: bytes as f64 });
     }
 
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -675,8 +675,9 @@
                     _ => {}
                 }
                 let deadline = self.departs_at + CALL_TIMEOUT;
+                let delay = ONE_WAY_DELAY + self.link_delay(vm);
                 self.schedule(
-                    self.departs_at + ONE_WAY_DELAY,
+                    self.departs_at + delay,
                     Action::Store { vm, incarnation, call, request, deadline },
                 );
             }
@@ -714,6 +715,11 @@
         }
     }
 
+    /// Delay of the link between the store and an entry VM.
+    fn link_delay(&self, vm: usize) -> Duration {
+        if self.link.vms.contains(&vm) { self.link.delay } else { Duration::ZERO }
+    }
+
     /// Whether the address of an entry VM accepts the connections of the others.
     fn accepts_connections(&self, vm: usize) -> bool {
         self.vms[vm].is_up && !self.refusing_vms.contains(&vm)
@@ -780,7 +786,8 @@
                         let timeout = deadline.since(self.now);
                         let reply = if delay > timeout { Reply::Lost } else { reply };
                         let event = Event::Work(WorkEvent::Store { call, reply });
-                        self.schedule_event(vm, ONE_WAY_DELAY + delay.min(timeout), event);
+                        let delay = ONE_WAY_DELAY + self.link_delay(vm) + delay.min(timeout);
+                        self.schedule_event(vm, delay, event);
                     }
                     store::Outcome::Wait => {
                         self.schedule(
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -8,6 +8,7 @@
 use nutmegfold::core::work::store::{
     Change, Item, Key, Member, Range, Removed, Reply, Request, Revision, Transaction, Value,
 };
+use nutmegfold::declare::zone;
 use nutmegfold::hash::{Map, Set};
 
 use super::worker::Worker;
@@ -109,6 +110,12 @@
         Some(leader.vm)
     }
 
+    /// Name of the VM that is the relay of the first availability zone, if one is.
+    pub fn relay(&self) -> Option<String> {
+        let Some((Value::Relay(relay), _)) = self.read(Key::Relay(zone::Id::of("z-0"))) else { return None };
+        Some(relay.vm)
+    }
+
     /// Workers in the stored roster.
     pub fn roster(&self) -> Vec<Member> {
         let Some((Value::Roster(members), _)) = self.read(Key::Roster) else { return Vec::new() };
