--- a/src/core/work/relay/claim.rs
+++ b/src/core/work/relay/claim.rs
@@ -25,6 +25,9 @@
 /// Additional delay of a claim by a VM with little CPU capacity, so that VMs with more can claim first.
 const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(300);
 
+/// Multiple of its own lag by which a VM claims later, so that one that is slow does not become the relay.
+const LAG_FACTOR: u32 = 4;
+
 /// Largest random delay of a claim, which keeps the VMs of a zone from claiming at the same time.
 const CLAIM_JITTER_MAX: Duration = Duration::from_millis(100);
 
@@ -135,12 +138,10 @@
         return search.since.max(earliest);
     }
     let due = match serving {
-        // A relay that took over during the search reads beside others that did so.
-        Some(holder) if holder.seen_at > search.since => holder.seen_at + PATIENCE * 2,
-        Some(_) => search.since + PATIENCE,
+        Some(holder) => search.since.max(holder.seen_at) + PATIENCE,
         None => search.since,
     };
-    (due + search.claim_delay).max(earliest)
+    (due + search.claim_delay + state.lag.longest() * LAG_FACTOR).max(earliest)
 }
 
 /// Claims to be the relay of this zone, unless a claim is in flight.
