--- a/src/core/work/relay/search.rs
+++ b/src/core/work/relay/search.rs
@@ -31,7 +31,7 @@
 /// meanwhile: in a series of changes each watch would transfer the first part of an answer that is given up.
 const WATCH_PAUSE: Duration = Duration::from_millis(300);
 
-/// Time after which a VM reads the whole configuration although it is neither leader nor relay, with a random part.
+/// Time after which a VM reads the whole configuration although it is not the relay, and the random part of that time.
 const LAST_RESORT_DELAY: Duration = Duration::from_millis(3_000);
 const LAST_RESORT_JITTER_MAX: Duration = Duration::from_millis(1_000);
 
@@ -91,22 +91,23 @@
     if reads_whole(state) {
         return advance_reader(state, search, out);
     }
-    let asked = 1 + (state.now.since(search.since).as_millis() / HEDGE_DELAY.as_millis()) as u32;
-    for to in claim::relays(state).into_iter().take(asked.min(RELAYS_MAX) as usize) {
-        ask(state, to, UPDATE_WAIT, out);
-    }
-    let hedge_at = search.since + HEDGE_DELAY * asked;
+    let hedge_at = ask_relays(state, &search, out);
     let claim_at = claim::due(state, &search);
     if state.now >= claim_at {
         claim::send(state, &format!("no update for {} ms", state.now.since(search.since).as_millis()), out);
     }
-    let last_resort_at = search.since + search.last_resort_delay;
     let retry_at = state.now + RETRY_INTERVAL;
-    let next =
-        [hedge_at, claim_at.max(retry_at), last_resort_at].into_iter().filter(|at| *at > state.now).min();
-    if let Some(at) = next {
-        schedule_step(state, at);
+    schedule_step(state, hedge_at.min(claim_at.max(retry_at)).min(search.since + search.last_resort_delay));
+}
+
+/// Asks the relay, and further ones the longer the search lasts. Returns when the next one is due.
+fn ask_relays(state: &mut State, search: &Search, out: &mut Vec<Effect>) -> Instant {
+    let elapsed = state.now.since(search.since);
+    let count = 1 + (elapsed.as_millis() / HEDGE_DELAY.as_millis()) as u32;
+    for to in claim::relays(state).into_iter().take(count.min(RELAYS_MAX) as usize) {
+        ask(state, to, UPDATE_WAIT, out);
     }
+    search.since + HEDGE_DELAY * count
 }
 
 /// Takes the steps of a VM that reads whole configurations: it does so unless a relay that is nearer to the store has the
