Handle a forwarded request by no older configuration than that of its forwarder

All calm VMs had the newer versions within 1.41 s, but the leader, which runs 20 times slower, had not, and handled what they forwarded. The request for a queue that was removed got there as well, since a VM that knows of a newer version forwards requests for queues that it does not know. Class: a decision is checked by one process's state and executed by another one's older state.

A forwarded request now names the oldest version by which it may be handled. A leader that has an older one waits for it for up to 0.5 s, then refuses the request, which has had no effect.

--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -11,6 +11,7 @@
 use super::spec::{Id, Spec};
 use super::state;
 use super::store::Record;
+use super::timer::Timer;
 use super::{journal, leadership, lifecycle, relay};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
@@ -23,6 +24,17 @@
 /// Most timeline entries about unknown jobs in that time, since callers may ask for many jobs.
 const UNKNOWN_JOB_ENTRIES_MAX: usize = 64;
 
+/// Longest wait of a forwarded request for a configuration that is at least as new as that of the entry VM that forwarded it.
+const CONFIG_WAIT: Duration = Duration::from_millis(500);
+
+/// A forwarded request that waits for a newer configuration.
+#[derive(Debug, Clone)]
+struct Outdated {
+    ticket: Ticket,
+    request: Request,
+    until: Instant,
+}
+
 /// A request that was forwarded to another entry VM.
 #[derive(Debug, Clone)]
 struct Forward {
@@ -39,6 +51,8 @@
     /// Requests that wait until the leader has loaded the records.
     deferred: Vec<(Ticket, Request)>,
     forwards: Map<Ticket, Forward>,
+    /// Forwarded requests that wait for a newer configuration.
+    outdated: Vec<Outdated>,
     /// Jobs that the timeline named as unknown, with the times of their entries, oldest first.
     unknown_jobs: VecDeque<(Id, Instant)>,
 }
@@ -55,12 +69,12 @@
         is_noted
     }
 
-    /// Number of deferred and forwarded requests.
+    /// Number of requests that are deferred, forwarded or wait for a newer configuration.
     pub fn len(&self) -> usize {
-        self.deferred.len() + self.forwards.len()
+        self.deferred.len() + self.forwards.len() + self.outdated.len()
     }
 
-    /// Whether no request is deferred or forwarded.
+    /// Whether there is no such request.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
@@ -78,6 +92,12 @@
     if state.config.version == 0 {
         return refuse(state, ticket, job, "no configuration", out);
     }
+    let leads = matches!(state.leadership.role, Role::Leader { .. });
+    if leads && state.config.version < request.min_config {
+        let until = state.now + CONFIG_WAIT.min(request.timeout);
+        state.requests.outdated.push(Outdated { ticket, request, until });
+        return state.timers.set(until, Timer::RefuseOutdated);
+    }
     let Some(target) = resolve_target(state, &request) else {
         return handle_unknown_queue(state, ticket, request, forwarded, out);
     };
@@ -88,7 +108,10 @@
         }
         Role::Leader { .. } => serve(state, ticket, target, request.verb, out),
         _ if forwarded => refuse(state, ticket, job, "this process is not the leader", out),
-        _ => forward(state, ticket, request, out),
+        _ => {
+            let min_config = state.config.version;
+            forward(state, ticket, Request { min_config, ..request }, out);
+        }
     }
 }
 
@@ -110,7 +133,23 @@
         let reason = "the queue is not in this process's configuration";
         return refuse(state, ticket, request.job(), reason, out);
     }
-    forward(state, ticket, request, out);
+    // An older configuration may have a queue that was removed since.
+    let min_config = state.config.version + 1;
+    forward(state, ticket, Request { min_config, ..request }, out);
+}
+
+/// Handles the requests for which the configuration is new enough now, and refuses those whose wait for it is over.
+pub(super) fn review_outdated(state: &mut super::State, out: &mut Vec<Effect>) {
+    let (now, version) = (state.now, state.config.version);
+    let is_due = |waiting: &mut Outdated| waiting.request.min_config <= version || waiting.until <= now;
+    let due: Vec<Outdated> = state.requests.outdated.extract_if(.., is_due).collect();
+    for Outdated { ticket, request, .. } in due {
+        if request.min_config <= version {
+            handle_request(state, ticket, request, true, out);
+        } else {
+            refuse(state, ticket, request.job(), "the configuration is older than the forwarder's", out);
+        }
+    }
 }
 
 /// Queue and subject of a request; `None` if no configured queue matches or the path is malformed.
@@ -183,7 +222,8 @@
 /// Serves the requests that were deferred until the records were loaded.
 pub(super) fn serve_deferred(state: &mut super::State, out: &mut Vec<Effect>) {
     for (ticket, request) in std::mem::take(&mut state.requests.deferred) {
-        handle_request(state, ticket, request, false, out);
+        let is_forwarded = request.min_config > 0;
+        handle_request(state, ticket, request, is_forwarded, out);
     }
 }
 
@@ -207,6 +247,9 @@
     for (ticket, request) in std::mem::take(&mut state.requests.deferred) {
         refuse(state, ticket, request.job(), "this process is no longer the leader", out);
     }
+    for Outdated { ticket, request, .. } in std::mem::take(&mut state.requests.outdated) {
+        refuse(state, ticket, request.job(), "this process is no longer the leader", out);
+    }
 }
 
 fn serve(
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -104,6 +104,7 @@
             Timer::Watch(range) => watch::list_or_watch(state, range, out),
             Timer::AskConfig => relay::advance(state, out),
             Timer::AnswerConfig => relay::answer(state, out),
+            Timer::RefuseOutdated => handler::review_outdated(state, out),
             Timer::Campaign => leadership::campaign(state, out),
             Timer::Renew(term) => leadership::renew(state, term, out),
             Timer::Load => load::retry(state, out),
--- a/src/core/work/request.rs
+++ b/src/core/work/request.rs
@@ -30,6 +30,8 @@
     pub verb: Verb,
     /// Time that the caller waits for the answer.
     pub timeout: Duration,
+    /// Oldest version of the configuration by which the request may be handled; 0 for any.
+    pub min_config: u64,
 }
 
 impl Request {
--- a/src/core/work/timer.rs
+++ b/src/core/work/timer.rs
@@ -12,6 +12,8 @@
     AskConfig,
     /// Answer the requests of other entry VMs for a newer configuration whose wait is over.
     AnswerConfig,
+    /// Refuse the requests whose wait for a newer configuration is over.
+    RefuseOutdated,
     /// Try to become the leader.
     Campaign,
     /// Renew the leadership of a term.
--- a/src/core/work/watch.rs
+++ b/src/core/work/watch.rs
@@ -238,6 +238,7 @@
     state::record(out, Subject::Config(version), "in-force", reason);
     super::lifecycle::apply_config(state);
     relay::answer(state, out);
+    super::handler::review_outdated(state, out);
     if state.is_ready() {
         out.push(Effect::Ready(true));
     }
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -136,7 +136,8 @@
         };
         let host = request.connection_info().host().to_owned();
         let host = host.split(':').next().unwrap_or_default().to_owned();
-        Ok(Request { host, path: request.path().to_owned(), verb, timeout: caller_timeout(request) })
+        let (path, timeout) = (request.path().to_owned(), caller_timeout(request));
+        Ok(Request { host, path, verb, timeout, min_config: 0 })
     }
 
     async fn read_job(
--- a/src/wire/job.rs
+++ b/src/wire/job.rs
@@ -396,6 +396,7 @@
             path: request.path.clone(),
             timeout_ms: request.timeout.as_millis() as u64,
             verb: Some(verb),
+            min_config: request.min_config,
         }
     }
 }
@@ -411,7 +412,7 @@
             Wire::Cancel(_) => Verb::Cancel,
         };
         let timeout = Duration::from_millis(query.timeout_ms);
-        Ok(Self { host: query.host, path: query.path, verb, timeout })
+        Ok(Self { host: query.host, path: query.path, verb, timeout, min_config: query.min_config })
     }
 }
 
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -443,6 +443,7 @@
             path: path.into(),
             verb: verb.clone(),
             timeout: Duration::from_secs(3),
+            min_config: 0,
         };
         self.requests.insert(ticket, (self.now, request.job(), verb));
         self.deliver(vm, Event::Work(WorkEvent::Request { ticket, request, is_forwarded: false }).into());
