Search for a newer configuration without claims when only the history was dropped

While the store drops its history, every VM lists the configuration again, and the answer is too large to be read whether or not there is a newer version. The search that began took this for a certain sign: its requests had no newer answer, so the VMs took the relay over from each other, and in the end each read the whole configuration.

A list is an uncertain sign now: the first answer without a newer version ends the search, and the watch that follows shows whether there is one. With a certain sign the VM asks on, without a watch in between.

--- a/src/core/work/relay/search.rs
+++ b/src/core/work/relay/search.rs
@@ -53,6 +53,8 @@
     last_resort_delay: Duration,
     /// Whether the whole configuration is being read from the store.
     pub is_reading: bool,
+    /// Whether a newer version exists. A list that is too large to be read does not show that.
+    is_certain: bool,
 }
 
 /// Time since the first sign of a newer configuration that is not in force; `None` without such a sign.
@@ -65,15 +67,20 @@
     state.relay.search.is_some_and(|search| state.now >= search.since + search.last_resort_delay)
 }
 
-/// Handles an answer of the store that is too large to be read: the sign of a newer configuration.
-pub fn begin(state: &mut State, out: &mut Vec<Effect>) {
+/// Handles an answer of the store that is too large to be read: the sign of a newer configuration, which is certain after a
+/// watch.
+pub fn begin(state: &mut State, is_certain: bool, out: &mut Vec<Effect>) {
     match &mut state.relay.search {
-        Some(search) => search.is_reading = false,
+        Some(search) => {
+            search.is_reading = false;
+            search.is_certain |= is_certain;
+        }
         None => {
             let claim_delay = claim::draw_delay(state);
             let last_resort_delay = LAST_RESORT_DELAY + state.jitter(LAST_RESORT_JITTER_MAX);
             let since = state.now;
-            state.relay.search = Some(Search { since, claim_delay, last_resort_delay, is_reading: false });
+            let search = Search { since, claim_delay, last_resort_delay, is_reading: false, is_certain };
+            state.relay.search = Some(search);
             let reason = format!("the answer of the store exceeds {} bytes", super::DIRECT_BYTES_MAX);
             state::record(out, Subject::Config(state.config.version), "config-newer", reason);
             out.push(Effect::Work(WorkEffect::ConfigPending(Some(since))));
@@ -188,7 +195,8 @@
     }
 }
 
-/// Handles an answer without a newer configuration. The sign of one may be false after a list, so the store is watched again.
+/// Handles an answer without a newer configuration. If the sign of one was a list, a watch shows whether there is one: all VMs
+/// list the configuration again after the store has dropped its history.
 fn handle_known(state: &mut State, ask: Ask, update: Option<Update>, out: &mut Vec<Effect>) {
     let known = state.config.version;
     let found = update.as_ref().map_or(0, |update| update.version);
@@ -202,7 +210,10 @@
     }
     if let Some(update) = update.filter(|_| found == known) {
         state.config.confirm(update.newest_until);
-        watch_on(state, RETRY_INTERVAL);
+        if state.relay.search.is_none_or(|search| !search.is_certain && !search.is_reading) {
+            end(state, out);
+            watch_on(state, RETRY_INTERVAL);
+        }
     }
 }
 
--- a/src/core/work/watch.rs
+++ b/src/core/work/watch.rs
@@ -72,7 +72,7 @@
     let watch = state.watches.entry(range).or_default();
     watch.call = None;
     if reply == Reply::TooLarge {
-        return relay::begin(state, out);
+        return relay::begin(state, false, out);
     }
     let Reply::Page { items, next, as_of, bytes } = reply else {
         record_failed_read(state, range, sent, &reply, out);
@@ -115,7 +115,7 @@
             apply_changes(state, range, changes, (after, as_of), &source, out);
             list_or_watch(state, range, out);
         }
-        Reply::TooLarge => relay::begin(state, out),
+        Reply::TooLarge => relay::begin(state, true, out),
         Reply::Gone => relist(state, range, Duration::ZERO),
         _ => {
             record_failed_read(state, range, sent, &reply, out);
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -543,3 +543,19 @@
     }
     assert!(count > 0, "the leader is always the relay");
 }
+
+/// Guards against whole configurations on the link between two regions, and relays that are replaced, after the store has
+/// dropped its history while the configuration did not change.
+#[test]
+fn a_dropped_history_fills_the_link_between_regions() {
+    for seed in 0..3 {
+        let mut emulator = six_zones(seed);
+        emulator.link.bytes = 0;
+        emulator.decisions.clear();
+        emulator.store.drop_history();
+        emulator.run_for(2 * LIMIT);
+        let copies = emulator.link.bytes as f64 / LARGEST_BYTES as f64;
+        assert!(copies <= 3.0, "seed {seed}: {copies} copies for 3 zones");
+        assert_eq!(emulator.decisions.get("claim-relay"), None, "seed {seed}");
+    }
+}
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -54,6 +54,8 @@
     pub repeated_keys: Vec<Key>,
     /// Maximum number of items of a page.
     pub page_size: usize,
+    /// Revision up to which the history has been dropped; a watch from an earlier one is refused.
+    pub dropped_until: Revision,
     /// Number of further replies that are lost to requests for a page after the first one.
     pub lost_page_replies: u32,
     revision: Revision,
@@ -88,6 +90,7 @@
             rejects_repeated_keys: false,
             repeated_keys: Vec::new(),
             page_size: 500,
+            dropped_until: 0,
             lost_page_replies: 0,
             revision: 0,
             entries: BTreeMap::new(),
@@ -208,7 +211,17 @@
         Outcome::Reply(reply)
     }
 
+    /// Drops the history of all changes so far.
+    pub fn drop_history(&mut self) {
+        // Watches that wait already are cut as well.
+        self.revision += 1;
+        self.dropped_until = self.revision;
+    }
+
     fn watch(&self, range: Range, after: Revision, now: Instant, deadline: Instant) -> Outcome {
+        if after < self.dropped_until {
+            return Outcome::Reply(Reply::Gone);
+        }
         let seen = self.history.partition_point(|(revision, ..)| *revision <= after);
         let matching = self.history[seen..].iter().filter(|(_, of, _)| *of == range);
         let changes: Vec<Change> = matching.map(|(.., change)| change.clone()).collect();
