--- a/src/core/work/discovery.rs
+++ b/src/core/work/discovery.rs
@@ -57,6 +57,7 @@
     worker.is_listed = true;
     worker.is_retired &= report.readiness == Readiness::Draining;
     if worker.report.as_ref() != Some(&report) {
+        worker.set_evacuated(state.evacuations.contains(&report.zone));
         worker.set_report(report);
         state.placement.forget(key);
     }
--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -349,12 +349,14 @@
     // The journal tells which requests wait and which of them are in flight, so they are answered before it is discarded.
     handler::fail_pending(state, out);
     state.drop_term_calls();
+    state.evacuations = Default::default();
     state.workers = Default::default();
     state.runs.clear();
     state.jobs.clear();
     state.placement = Default::default();
     state.journal = Default::default();
     super::watch::stop_watching(state, super::store::Range::Workers);
+    super::watch::stop_watching(state, super::store::Range::Evacuations);
     super::watch::relist(state, super::store::Range::Leadership, Duration::ZERO);
 }
 
--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -30,6 +30,9 @@
     Progress,
 }
 
+/// Ranges that the leader watches. It places nothing before it has listed them.
+const RANGES: [Range; 2] = [Range::Workers, Range::Evacuations];
+
 const PARTS: [Part; 5] = [Part::Tip, Part::Roster, Part::Images, Part::Jobs, Part::Progress];
 
 /// Records that have been read so far.
@@ -40,20 +43,28 @@
     missing_parts: Vec<Part>,
     /// Failed reads: the part, and the key after which to continue.
     retry: Vec<(Part, Option<String>)>,
-    are_workers_listed: bool,
+    /// Ranges that have not been listed in this term.
+    missing_ranges: Vec<Range>,
     tip_revision: u64,
     roster: Vec<Member>,
     jobs: Map<Id, Record>,
     progress: Map<Id, Progress>,
 }
 
-/// Starts to read all parts, and lists the workers again.
+/// Starts to read all parts, and lists the watched ranges again.
 pub(super) fn load_records(state: &mut super::State, out: &mut Vec<Effect>) {
-    state.load = Some(State { started_at: state.now, missing_parts: PARTS.to_vec(), ..State::default() });
+    state.load = Some(State {
+        started_at: state.now,
+        missing_parts: PARTS.to_vec(),
+        missing_ranges: RANGES.to_vec(),
+        ..State::default()
+    });
     for part in PARTS {
         send_read(state, part, None, out);
     }
-    watch::relist(state, Range::Workers, std::time::Duration::ZERO);
+    for range in RANGES {
+        watch::relist(state, range, std::time::Duration::ZERO);
+    }
 }
 
 fn send_read(state: &mut super::State, part: Part, after: Option<String>, out: &mut Vec<Effect>) {
@@ -119,19 +130,18 @@
     }
 }
 
-/// Records that the workers have been listed in this term.
-pub(super) fn workers_listed(state: &mut super::State, out: &mut Vec<Effect>) {
+/// Records that a watched range has been listed in this term.
+pub(super) fn range_listed(state: &mut super::State, range: Range, out: &mut Vec<Effect>) {
     if let Some(load) = &mut state.load {
-        load.are_workers_listed = true;
+        load.missing_ranges.retain(|missing| *missing != range);
         finish_if_read(state, out);
     }
 }
 
-/// Restores the state and starts to schedule once all parts are read and the workers are listed.
+/// Restores the state and starts to schedule once all parts are read and the watched ranges are listed.
 fn finish_if_read(state: &mut super::State, out: &mut Vec<Effect>) {
-    let is_read =
-        state.load.as_ref().is_some_and(|load| load.missing_parts.is_empty() && load.are_workers_listed);
-    if !is_read {
+    let is_read = |load: &State| load.missing_parts.is_empty() && load.missing_ranges.is_empty();
+    if !state.load.as_ref().is_some_and(is_read) {
         return;
     }
     let Some(load) = state.load.take() else { return };
--- a/src/core/work/meter.rs
+++ b/src/core/work/meter.rs
@@ -9,7 +9,7 @@
 use super::effect::Effect as WorkEffect;
 use super::order::Order;
 use super::place::Tally;
-use super::state;
+use super::{evacuation, state};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -105,6 +105,10 @@
     pub ready_groups: u64,
     /// Ready tasks.
     pub ready_tasks: u64,
+    /// Evacuated availability zones.
+    pub evacuated_zones: u64,
+    /// Runs on their workers.
+    pub evacuated_runs: u64,
 }
 
 /// Counts since the last report.
@@ -173,6 +177,8 @@
         report.queued_changes = state.journal.queued_changes();
         report.ready_groups = state.jobs.ready.len() as u64;
         report.ready_tasks = state.jobs.ready.values().map(|tasks| tasks.len() as u64).sum();
+        report.evacuated_zones = state.evacuations.len() as u64;
+        report.evacuated_runs = evacuation::count_runs(state);
         if report.longest_lag >= BEHIND_MIN {
             state::record(out, Subject::Process, "leader-behind", describe(&report));
         }
@@ -192,6 +198,7 @@
         queued_changes,
         ready_groups,
         ready_tasks,
+        ..
     } = report;
     let [period, longest_lag, last_lag, longest_commit, placement_delay] =
         [period, longest_lag, last_lag, longest_commit, placement_delay].map(Duration::as_millis);
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -9,6 +9,7 @@
 pub mod crash;
 mod discovery;
 pub mod effect;
+pub mod evacuation;
 pub mod event;
 pub mod handler;
 pub mod headroom;
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -12,7 +12,7 @@
 use super::store::{Call, Item, Leader, Range, Reply, Request, Revision};
 use super::timer::Timer;
 use super::tuning::Tuning;
-use super::{handler, image, job, journal, leadership, load, place, relay, run, worker};
+use super::{evacuation, handler, image, job, journal, leadership, load, place, relay, run, worker};
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
 use crate::core::timer::Queue;
@@ -127,6 +127,8 @@
     pub leadership: leadership::State,
     /// Progress of loading the records at the start of a term; `None` outside of it.
     pub load: Option<load::State>,
+    /// Evacuated availability zones; empty unless this process leads.
+    pub evacuations: evacuation::Table,
     /// Workers; empty unless this process leads.
     pub workers: worker::Table,
     /// Runs; empty unless this process leads.
@@ -190,6 +192,7 @@
             relay: relay::State::default(),
             leadership: leadership::State::default(),
             load: None,
+            evacuations: evacuation::Table::default(),
             workers: worker::Table::default(),
             runs: run::Table::default(),
             images: image::Table::default(),
--- a/src/core/work/store.rs
+++ b/src/core/work/store.rs
@@ -150,6 +150,8 @@
     Workers,
     /// Configuration of the operator.
     Config,
+    /// Requests of the operator to evacuate availability zones.
+    Evacuations,
 }
 
 /// Decoded key and value in a list or a watch event.
@@ -161,6 +163,8 @@
     Worker(String, Option<Report>),
     /// Configuration of the operator.
     Config(Config),
+    /// Request to evacuate the availability zone with this name.
+    Evacuation(String),
     /// A value that cannot be decoded or a key of an unknown kind, with the reason.
     Unreadable(String),
 }
@@ -172,6 +176,8 @@
     Own(Key),
     /// Report of the worker with this identity.
     Worker(String),
+    /// Request to evacuate the availability zone with this name.
+    Evacuation(String),
     /// A key of another kind.
     Other,
 }
--- a/src/core/work/wait.rs
+++ b/src/core/work/wait.rs
@@ -49,6 +49,8 @@
 /// Why a worker that is listed and ready takes no new runs; [`Worker::accepts`] decides that it does not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Exclusion {
+    /// Its availability zone is evacuated.
+    Evacuated,
     /// The stored roster does not contain it at its current address.
     NotEnrolled,
     /// It does not answer.
@@ -70,7 +72,8 @@
 }
 
 /// Names of the exclusions, in the order of the variants.
-const EXCLUSION_NAMES: [&str; 9] = [
+const EXCLUSION_NAMES: [&str; 10] = [
+    "zone evacuated",
     "not enrolled",
     "silent",
     "no answer yet",
@@ -163,7 +166,9 @@
         return (is_store_silent && !worker.has_proof(tenure)).then_some(Exclusion::Unproven);
     }
     let has_answered = worker.last_answer_at.is_some() && worker.clock_reading.is_some();
-    Some(if !worker.is_enrolled {
+    Some(if worker.is_evacuated {
+        Exclusion::Evacuated
+    } else if !worker.is_enrolled {
         Exclusion::NotEnrolled
     } else if worker.silent_since.is_some() {
         Exclusion::Silent
--- a/src/core/work/watch.rs
+++ b/src/core/work/watch.rs
@@ -6,14 +6,14 @@
 use super::state::{self, Purpose};
 use super::store::{Change, Item, Range, Reply, Request, Revision};
 use super::timer::Timer;
-use super::{discovery, leadership, load, relay};
+use super::{discovery, evacuation, leadership, load, relay};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
 
 /// Sends the next list or watch call for a range, unless a call is in flight.
 pub(super) fn list_or_watch(state: &mut super::State, range: Range, out: &mut Vec<Effect>) {
-    if range == Range::Workers && state.leadership.term() == 0 {
+    if is_for_leader(range) && state.leadership.term() == 0 {
         return;
     }
     if range == Range::Config && relay::holds_reads_back(state) {
@@ -32,6 +32,11 @@
     state.watches.entry(range).or_default().call = Some(call);
 }
 
+/// Whether only the leader reads a range.
+fn is_for_leader(range: Range) -> bool {
+    matches!(range, Range::Workers | Range::Evacuations)
+}
+
 /// Reads the page of a range that begins after the key `after`; `None` reads the first page.
 fn list_page(state: &mut super::State, range: Range, after: Option<String>, out: &mut Vec<Effect>) {
     let limit = relay::list_limit(state, range);
@@ -162,7 +167,11 @@
         }
         Range::Workers => {
             discovery::handle_list(state, items, out);
-            load::workers_listed(state, out);
+            load::range_listed(state, range, out);
+        }
+        Range::Evacuations => {
+            evacuation::handle_list(state, items, out);
+            load::range_listed(state, range, out);
         }
         Range::Jobs | Range::Progress => {}
     }
@@ -192,6 +201,7 @@
             }
         }
         Range::Workers => discovery::handle_changes(state, changes, out),
+        Range::Evacuations => evacuation::handle_changes(state, changes, out),
         Range::Jobs | Range::Progress => {}
     }
 }
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -114,6 +114,8 @@
     pub version: u64,
     /// Whether the store lists it.
     pub is_listed: bool,
+    /// Whether its availability zone is evacuated, so that it takes no new runs.
+    pub is_evacuated: bool,
     /// Start of the worker process that answered last, in milliseconds since the Unix epoch.
     pub started_unix_ms: Option<u64>,
     /// Number of restarts of its process that this leader has noticed.
@@ -207,6 +209,7 @@
             labels: Vec::new(),
             version: 0,
             is_listed: false,
+            is_evacuated: false,
             started_unix_ms: None,
             restart_count: 0,
             process_known_at: None,
@@ -257,6 +260,12 @@
         self.version += 1;
     }
 
+    /// Records whether its availability zone is evacuated.
+    pub fn set_evacuated(&mut self, is_evacuated: bool) {
+        self.is_evacuated = is_evacuated;
+        self.version += 1;
+    }
+
     /// Rack in the report, if there is one.
     pub fn rack(&self) -> Option<symbol::Key> {
         self.labels.get(1).copied()
@@ -362,6 +371,7 @@
         let is_ready = self.report.as_ref().is_some_and(|report| report.readiness == Readiness::Ready);
         is_ready
             && self.is_listed
+            && !self.is_evacuated
             && self.is_enrolled
             && self.last_answer_at.is_some()
             && self.clock_reading.is_some()
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -22,12 +22,12 @@
 use crate::port::http::{self, Answer, Fault};
 use crate::wire::job as wire;
 
-/// Prefix of the operator's keys.
-const OPERATOR_PREFIX: &str = "op/";
-
 /// Key of the operator's configuration.
 const CONFIG_KEY: &str = "op/config";
 
+/// Prefix of the keys by which the operator evacuates zones; the rest of a key is the name of the zone.
+const EVACUATIONS_PREFIX: &str = "op/evacuate/";
+
 /// Prefix of the keys of workers' entries.
 const WORKERS_PREFIX: &str = "servers/";
 
@@ -265,7 +265,8 @@
         Range::Jobs => wire::JOBS,
         Range::Progress => wire::PROGRESS,
         Range::Workers => WORKERS_PREFIX,
-        Range::Config => OPERATOR_PREFIX,
+        Range::Config => CONFIG_KEY,
+        Range::Evacuations => EVACUATIONS_PREFIX,
     }
 }
 
@@ -315,6 +316,9 @@
         let config = decode_base64(&row).and_then(|bytes| config::decode(&bytes));
         return config.map_or_else(Item::Unreadable, Item::Config);
     }
+    if let Some(zone) = row.key.strip_prefix(EVACUATIONS_PREFIX) {
+        return Item::Evacuation(zone.to_owned());
+    }
     let key_text = row.key.clone();
     match decode_entry(row) {
         Some((key, value, _)) => Item::Own(key, value),
@@ -327,10 +331,12 @@
         let revision = row.revision;
         return Change::Set(decode_item(row), revision);
     }
-    let removed = match (row.key.strip_prefix(WORKERS_PREFIX), wire::parse_key(&row.key)) {
-        (Some(id), _) => Removed::Worker(id.to_owned()),
-        (_, Some(key)) => Removed::Own(key),
-        _ => Removed::Other,
+    let removed = if let Some(id) = row.key.strip_prefix(WORKERS_PREFIX) {
+        Removed::Worker(id.to_owned())
+    } else if let Some(zone) = row.key.strip_prefix(EVACUATIONS_PREFIX) {
+        Removed::Evacuation(zone.to_owned())
+    } else {
+        wire::parse_key(&row.key).map_or(Removed::Other, Removed::Own)
     };
     Change::Removed(removed)
 }
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -51,6 +51,8 @@
     queued_changes: Gauge<u64>,
     ready_tasks: Gauge<u64>,
     ready_groups: Gauge<u64>,
+    evacuated_zones: Gauge<u64>,
+    evacuated_runs: Gauge<u64>,
 }
 
 /// Direction of traffic between entry VMs.
@@ -116,6 +118,11 @@
                 queued_changes: gauge("leader_queued_changes", "Changes that wait for a commit"),
                 ready_tasks: gauge("leader_ready_tasks", "Ready tasks of submitted jobs"),
                 ready_groups: gauge("leader_ready_groups", "Groups of ready tasks of submitted jobs"),
+                evacuated_zones: gauge("leader_evacuated_zones", "Evacuated availability zones"),
+                evacuated_runs: gauge(
+                    "leader_evacuated_runs",
+                    "Runs on the workers of evacuated availability zones",
+                ),
             },
             config_pending_since_us: Arc::default(),
             registry,
@@ -175,6 +182,8 @@
         self.leader.queued_changes.record(report.queued_changes, &[]);
         self.leader.ready_tasks.record(report.ready_tasks, &[]);
         self.leader.ready_groups.record(report.ready_groups, &[]);
+        self.leader.evacuated_zones.record(report.evacuated_zones, &[]);
+        self.leader.evacuated_runs.record(report.evacuated_runs, &[]);
     }
 
     /// Adds a counter of the timeline entries that are missing in the file; `total` returns their number.
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -107,6 +107,18 @@
         self.set("op/config".into(), Range::Config, Item::Config(config), None);
     }
 
+    /// Evacuates an availability zone, as the operator does.
+    pub fn evacuate(&mut self, zone: &str) {
+        let key = format!("op/evacuate/{zone}");
+        self.set(key, Range::Evacuations, Item::Evacuation(zone.into()), None);
+    }
+
+    /// Ends the evacuation of an availability zone, as the operator does.
+    pub fn end_evacuation(&mut self, zone: &str) {
+        self.entries.remove(&format!("op/evacuate/{zone}"));
+        self.record_change(Range::Evacuations, Change::Removed(Removed::Evacuation(zone.into())));
+    }
+
     /// Name of the VM that holds the leader's key, if one does.
     pub fn leader(&self) -> Option<String> {
         let (Value::Leader(leader), _) = self.read(Key::Leader)? else { return None };
@@ -262,7 +274,8 @@
             Range::Jobs => "jobs/",
             Range::Progress => "progress/",
             Range::Workers => "servers/",
-            Range::Config => "op/",
+            Range::Config => "op/config",
+            Range::Evacuations => "op/evacuate/",
         };
         let is_listed = |key: &str| key.starts_with(prefix) && after.is_none_or(|after| key > after);
         let found: Vec<_> = self.entries.iter().filter(|(key, _)| is_listed(key)).collect();
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -31,6 +31,9 @@
 /// Longest time from the answer to a cancellation to the last start of a task of the job.
 const CANCELLATION_LIMIT: Duration = Duration::from_secs(4);
 
+/// Longest time from the operator's request to evacuate a zone to the last start there.
+const EVACUATION_LIMIT: Duration = Duration::from_secs(5);
+
 /// Crashed workers after which starts of the task that crashed them are limited, and the number of starts allowed then.
 const MAX_CRASHES: u32 = 3;
 const MAX_STARTS_AFTER_CRASHES: u32 = 2;
@@ -148,6 +151,8 @@
     broken_gangs: Set<(Name, u32)>,
     /// Number of further runs of each task that fail.
     pub injected_failures: Map<Name, u32>,
+    /// Evacuated availability zones, with the time of the operator's request.
+    pub evacuated: Map<String, Instant>,
     /// Tasks that crash each worker that starts them.
     pub deadly: Set<Name>,
     /// Number of crashed workers, by the task that crashed them.
@@ -182,6 +187,7 @@
             start_count: 0,
             broken_gangs: Set::default(),
             injected_failures: Map::default(),
+            evacuated: Map::default(),
             deadly: Set::default(),
             crash_counts: Map::default(),
             time_over_target: Duration::ZERO,
@@ -293,6 +299,15 @@
         }
     }
 
+    /// Records a violation if a run starts in a zone that was evacuated longer ago than [`EVACUATION_LIMIT`].
+    fn check_zone(&mut self, zone: &str, name: Name, now: Instant) {
+        let Some(at) = self.evacuated.get(zone) else { return };
+        let elapsed = now.since(*at);
+        if elapsed > EVACUATION_LIMIT {
+            self.violations.push(format!("{name}: started in zone {zone} {elapsed:?} after its evacuation"));
+        }
+    }
+
     fn record_end(&mut self, worker: &str, name: Name, number: u32, how: How) {
         if let Some(others) = self.running.get_mut(&name) {
             others.remove(&(worker.to_owned(), number));
@@ -399,6 +414,8 @@
     pub is_faulty: bool,
     /// Number of runs that have been started on the worker.
     pub start_count: u32,
+    /// Availability zone that it reports.
+    pub zone: String,
     /// CPU capacity in millicores.
     cpu_millicores: u32,
     /// When the capacity last changed.
@@ -452,6 +469,7 @@
             is_draining: false,
             is_faulty: false,
             start_count: 0,
+            zone: "z".into(),
             cpu_millicores: CPU_MILLICORES,
             resized_at: Instant::default(),
             answers_at_once: false,
@@ -484,7 +502,7 @@
             address: format!("10.1.{}.{}:{}", self.number / 250, self.number % 250 + 1, self.port)
                 .parse()
                 .expect("address"),
-            zone: "z".into(),
+            zone: self.zone.clone(),
             readiness: if self.is_draining { Readiness::Draining } else { Readiness::Ready },
             capacity: Some(Resources { cpu_millicores: self.cpu_millicores, memory_mb: 32_000, gpu: 0 }),
             labels: vec!["a".into(), format!("r-{}", self.number / 3)],
@@ -740,6 +758,7 @@
         }
         self.extend_lease(until_ms, now);
         self.start_count += 1;
+        observer.check_zone(&self.zone, name, now);
         observer.record_start(&self.id, name, number, now);
         if observer.deadly.contains(&name) {
             *observer.crash_counts.entry(name).or_default() += 1;
