Learn run times of tasks from completed runs

Cause: estimates of callers are off by up to 0.9, and nothing kept the actual run times. Nothing uses it yet.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -10,7 +10,7 @@
 use super::request;
 use super::run::{self, Exit, Loss, Phase, Run};
 use super::spec::{Id, Name, Resources};
-use super::{crash, health, journal, leadership, lifecycle, pace, state, task, worker};
+use super::{crash, health, journal, leadership, lifecycle, pace, state, symbol, task, worker};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -55,6 +55,7 @@
         phase: Phase::Starting,
         is_confirmed: false,
         has_survived: false,
+        is_from_start: task.checkpoint.is_empty(),
         started_at: now,
         progress_percent: 0,
         progressed_at: now,
@@ -344,6 +345,7 @@
         phase: Phase::Active { since: now },
         is_confirmed: true,
         has_survived: true,
+        is_from_start: false,
         started_at: now,
         progress_percent: row.progress_percent,
         progressed_at: now,
@@ -446,6 +448,9 @@
         }
     }
     health::record_end(state, worker_key, end, out);
+    if let Some(key) = key {
+        record_run_time(state, key, end.how);
+    }
     let retry_delay = if end.how == How::Failed { state.tuning.task_retry } else { Duration::ZERO };
     // The end is recorded before the run is dropped, since dropping a run queues its task again unless the task is
     // done.
@@ -467,6 +472,19 @@
     }
 }
 
+/// Records the run time of a run that is done, unless its pace was changed or a part of it is not known.
+fn record_run_time(state: &mut super::State, key: run::Key, how: How) {
+    let Some(run) = state.runs.get(key) else { return };
+    let is_whole = run.is_from_start && run.pace_changed_at == run.started_at;
+    if how != How::Done || !is_whole {
+        return;
+    }
+    let Some(job) = state.jobs.find(run.name.job).and_then(|job| state.jobs.all.get(job)) else { return };
+    let Some(step) = job.spec.steps.get(run.name.step as usize) else { return };
+    let actual = state.now.since(run.started_at);
+    state.runtimes.record(symbol::Key::of(&job.queue), step.estimate, actual);
+}
+
 /// Reconciles the runs of a worker with the answer to the renewal sent at `sent`: drops runs that it does not list,
 /// stops unconfirmed ones, and checks the progress of the others. While the worker has ends that it does not list, a
 /// missing run may have ended, so it is kept.
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -29,6 +29,7 @@
 mod renewal;
 pub mod request;
 pub mod run;
+pub mod runtime;
 pub mod spec;
 pub mod state;
 mod stop;
--- a/src/core/work/run.rs
+++ b/src/core/work/run.rs
@@ -137,6 +137,8 @@
     pub is_confirmed: bool,
     /// Whether the worker has listed it so long after its start that it cannot have crashed the worker with it.
     pub has_survived: bool,
+    /// Whether its whole run time is known: it was started by this leader, and not from a checkpoint.
+    pub is_from_start: bool,
     /// When the order to start was sent, or when the run was first listed.
     pub started_at: Instant,
     /// Progress in percent.
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -12,7 +12,7 @@
 use super::store::{Call, Item, Leader, Range, Reply, Request, Revision};
 use super::timer::Timer;
 use super::tuning::Tuning;
-use super::{evacuation, handler, image, job, journal, leadership, load, place, relay, run, worker};
+use super::{evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime, worker};
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
 use crate::core::timer::Queue;
@@ -133,6 +133,8 @@
     pub workers: worker::Table,
     /// Runs; empty unless this process leads.
     pub runs: run::Table,
+    /// Run times of the tasks of each queue; empty unless this process leads.
+    pub runtimes: runtime::Table,
     /// Images of tasks and the interference between them.
     pub images: image::Table,
     /// Jobs; empty unless this process leads.
@@ -195,6 +197,7 @@
             evacuations: evacuation::Table::default(),
             workers: worker::Table::default(),
             runs: run::Table::default(),
+            runtimes: runtime::Table::default(),
             images: image::Table::default(),
             jobs: job::Table::default(),
             journal: journal::State::default(),
