Test connections to the store and to workers that go silent

Cause: connections may go silent without an error while new ones work. The emulated store knew only VMs whose watches stay silent for good, and nothing tested the transport.

--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -84,6 +84,7 @@
         incarnation: u64,
         call: Call,
         request: Request,
+        began: Instant,
         deadline: Instant,
     },
     /// The transfer of a large answer of the store over the link.
@@ -118,6 +119,7 @@
     pub paces: u64,
     pub key_reads: u64,
     pub commits: u64,
+    pub watches: u64,
     pub events: u64,
 }
 
@@ -673,13 +675,15 @@
                 match &request {
                     Request::Read(_) => self.counts.key_reads += 1,
                     Request::Commit(_) => self.counts.commits += 1,
+                    Request::Watch { .. } => self.counts.watches += 1,
                     _ => {}
                 }
-                let deadline = self.departs_at + CALL_TIMEOUT;
+                let began = self.departs_at;
+                let deadline = began + self.store_timeout(&request);
                 let delay = ONE_WAY_DELAY + self.link_delay(vm);
                 self.schedule(
                     self.departs_at + delay,
-                    Action::Store { vm, incarnation, call, request, deadline },
+                    Action::Store { vm, incarnation, call, request, began, deadline },
                 );
             }
             Effect::Work(WorkEffect::Worker { id, address, fence, order, sent, not_after }) => {
@@ -716,6 +720,16 @@
         }
     }
 
+    /// Time after which a call to the store without a reply counts as lost.
+    fn store_timeout(&self, request: &Request) -> Duration {
+        match request {
+            Request::Watch { wait, .. } if self.store.keeps_watch_waits => {
+                *wait + Tuning::default().store_timeout
+            }
+            _ => CALL_TIMEOUT,
+        }
+    }
+
     /// Delay of the link between the store and an entry VM.
     fn link_delay(&self, vm: usize) -> Duration {
         if self.link.vms.contains(&vm) { self.link.delay } else { Duration::ZERO }
@@ -757,12 +771,13 @@
                 self.vms[vm].wake = None;
                 self.deliver(vm, Event::Wake.into());
             }
-            Action::Store { vm, incarnation, call, request, deadline } => {
+            Action::Store { vm, incarnation, call, request, began, deadline } => {
                 let limit = match &request {
                     Request::List { limit, .. } | Request::Watch { limit, .. } => limit.unwrap_or(usize::MAX),
                     _ => usize::MAX,
                 };
-                let outcome = match self.store.execute(vm, &request, self.now, deadline) {
+                let pending = store::Pending { vm, call, request: &request, began, deadline };
+                let outcome = match self.store.execute(pending, self.now) {
                     store::Outcome::Reply(reply) if answer_bytes(&reply) > limit => {
                         store::Outcome::Reply(Reply::TooLarge)
                     }
@@ -793,7 +808,7 @@
                     store::Outcome::Wait => {
                         self.schedule(
                             self.now + POLL_INTERVAL,
-                            Action::Store { vm, incarnation, call, request, deadline },
+                            Action::Store { vm, incarnation, call, request, began, deadline },
                         );
                     }
                     store::Outcome::Reply(_) => {}
--- a/tests/emulator/site.rs
+++ b/tests/emulator/site.rs
@@ -291,6 +291,7 @@
                 paces: counts.paces - earlier.paces,
                 key_reads: counts.key_reads - earlier.key_reads,
                 commits: counts.commits - earlier.commits,
+                watches: counts.watches - earlier.watches,
                 events: counts.events - earlier.events,
             },
             tally: total.tally.since(&before.tally),
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -6,10 +6,10 @@
 use nutmegfold::core::time::Instant;
 use nutmegfold::core::work::config::Config;
 use nutmegfold::core::work::store::{
-    Change, Item, Key, Member, Range, Removed, Reply, Request, Revision, Transaction, Value,
+    Call, Change, Item, Key, Member, Range, Removed, Reply, Request, Revision, Transaction, Value,
 };
 use nutmegfold::declare::zone;
-use nutmegfold::hash::{Map, Set};
+use nutmegfold::hash::{self, Map, Set};
 
 use super::worker::Worker;
 
@@ -28,6 +28,43 @@
     lease: Option<u64>,
 }
 
+/// Connections of one entry VM to the store that go silent without an error, while new ones work.
+#[derive(Debug, Clone, Copy)]
+pub struct Silence {
+    /// When the connections that are open go silent.
+    pub at: Instant,
+    /// Share of them in percent.
+    pub percent: u64,
+    /// When the VM dropped its pooled connections: the first time that a call got no answer.
+    renewed_at: Option<Instant>,
+}
+
+impl Silence {
+    /// Silence of `percent` of the connections that are open at `at`.
+    pub fn new(at: Instant, percent: u64) -> Self {
+        Self { at, percent, renewed_at: None }
+    }
+
+    /// Whether a call without an answer yet uses a silent connection. A call that begins later takes one from the pool,
+    /// until the pool is renewed.
+    fn affects(&self, call: Call, began: Instant, now: Instant) -> bool {
+        let is_old = began < self.at || self.renewed_at.is_none_or(|at| began < at);
+        now >= self.at && is_old && hash::numbers([call.0, self.at.0]) % 100 < self.percent
+    }
+}
+
+/// A call of an entry VM that has no answer yet.
+#[derive(Debug, Clone, Copy)]
+pub struct Pending<'a> {
+    pub vm: usize,
+    pub call: Call,
+    pub request: &'a Request,
+    /// When it was sent.
+    pub began: Instant,
+    /// When it times out.
+    pub deadline: Instant,
+}
+
 /// Contents of the store, and the faults that it emulates.
 pub struct Store {
     /// Whether every call times out.
@@ -40,6 +77,11 @@
     pub silent_vms: Set<usize>,
     /// Entry VMs whose watches see no change while their other calls are served, as on a connection that went silent.
     pub silent_watch_vms: Set<usize>,
+    /// Entry VMs with connections that went silent.
+    pub silences: Map<usize, Silence>,
+    /// Whether watches wait as long as they ask for. Otherwise they are answered after the timeout of other calls, which
+    /// the days of the other tests rely on.
+    pub keeps_watch_waits: bool,
     /// Entry VMs whose reads of the configuration time out while their other calls are served.
     pub silent_config_vms: Set<usize>,
     /// Entry VMs whose calls are refused without effect while the store serves the others.
@@ -83,6 +125,8 @@
             lost_commit_replies: 0,
             silent_vms: Set::default(),
             silent_watch_vms: Set::default(),
+            silences: Map::default(),
+            keeps_watch_waits: false,
             silent_config_vms: Set::default(),
             refused_vms: Set::default(),
             refuses_commits: false,
@@ -198,7 +242,16 @@
 
     /// Executes a call of an entry VM. A watch waits for a change, and any call to a store that is down or silent for the
     /// VM waits for the timeout, at most until `deadline`.
-    pub fn execute(&mut self, vm: usize, request: &Request, now: Instant, deadline: Instant) -> Outcome {
+    pub fn execute(&mut self, pending: Pending<'_>, now: Instant) -> Outcome {
+        let Pending { vm, call, request, began, deadline } = pending;
+        if let Some(silence) = self.silences.get_mut(&vm).filter(|silence| silence.affects(call, began, now))
+        {
+            if now < deadline {
+                return Outcome::Wait;
+            }
+            silence.renewed_at.get_or_insert(now);
+            return Outcome::Reply(Reply::Lost);
+        }
         let is_silent_watch = matches!(request, Request::Watch { .. }) && self.silent_watch_vms.contains(&vm);
         let reads_config = matches!(
             request,
@@ -212,8 +265,8 @@
         if self.refused_vms.contains(&vm) || is_refused_commit {
             return Outcome::Reply(Reply::Refused);
         }
-        if let Request::Watch { range, after, .. } = request {
-            return self.watch(*range, *after, now, deadline);
+        if let Request::Watch { range, after, wait, .. } = request {
+            return self.watch(*range, *after, now, deadline.min(began + *wait));
         }
         let reply = self.reply(request, now);
         if matches!(request, Request::Commit(_)) && self.lost_commit_replies > 0 {
@@ -230,14 +283,14 @@
         self.dropped_until = self.revision;
     }
 
-    fn watch(&self, range: Range, after: Revision, now: Instant, deadline: Instant) -> Outcome {
+    fn watch(&self, range: Range, after: Revision, now: Instant, until: Instant) -> Outcome {
         if after < self.dropped_until {
             return Outcome::Reply(Reply::Gone);
         }
         let seen = self.history.partition_point(|(revision, ..)| *revision <= after);
         let matching = self.history[seen..].iter().filter(|(_, of, _)| *of == range);
         let changes: Vec<Change> = matching.map(|(.., change)| change.clone()).collect();
-        if changes.is_empty() && now < deadline {
+        if changes.is_empty() && now < until {
             return Outcome::Wait;
         }
         Outcome::Reply(Reply::Changes { changes, as_of: self.revision, bytes: 0 })
