Close the connection to another entry VM that a call has used in vain

Cause: after a call without an answer the current channel to that VM was closed, also if it had replaced the one that the call had used. With several calls on a silent connection, each timeout closed the connection that worked by then.

Change: a channel is closed only by calls that used it.

--- a/src/port/job.rs
+++ b/src/port/job.rs
@@ -7,6 +7,7 @@
 
 use prost::Message;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tonic::codec::CompressionEncoding;
 use tonic::transport::server::TcpIncoming;
 use tonic::transport::{Channel, Endpoint, Server};
@@ -40,11 +41,18 @@
 #[derive(Clone)]
 pub struct Port {
     inbox: Inbox,
-    channels: Rc<RefCell<Map<SocketAddr, Channel>>>,
+    links: Rc<RefCell<Map<SocketAddr, Link>>>,
     stop_sender: watch::Sender<bool>,
     ended: watch::Receiver<bool>,
 }
 
+/// Connection to another entry VM.
+#[derive(Clone)]
+struct Link {
+    channel: Channel,
+    opened: Instant,
+}
+
 /// Requests of other entry VMs for a newer configuration.
 pub type Updates = Table<Option<Update>>;
 
@@ -82,7 +90,7 @@
             }
             ended_sender.send_replace(true);
         });
-        Ok(Self { inbox, channels: Rc::default(), stop_sender, ended })
+        Ok(Self { inbox, links: Rc::default(), stop_sender, ended })
     }
 
     /// Stops listening, and waits until all calls have ended.
@@ -97,32 +105,23 @@
     pub fn forward(&self, ticket: Ticket, to: SocketAddr, request: request::Request) {
         let port = self.clone();
         actix_web::rt::spawn(async move {
-            let result = port.call(to, &request).await;
+            let link = port.link(to);
+            let result = call(to, &link, &request).await;
             if result.is_err() {
-                port.channels.borrow_mut().remove(&to);
+                port.close(to, &link);
             }
             port.inbox.send(Event::Work(WorkEvent::Forwarded { ticket, result }));
         });
     }
 
-    async fn call(&self, to: SocketAddr, request: &request::Request) -> std::result::Result<Answer, Fault> {
-        let mut client = JobsClient::new(self.channel(to));
-        let timeout = request.timeout.min(ANSWER_TIMEOUT);
-        let answer = tokio::time::timeout(timeout, client.ask(proto::Query::from(request))).await;
-        let response = answer.map_err(|_| Fault::Lost)?.map_err(|status| classify_status(&status))?;
-        Answer::try_from(response.into_inner()).map_err(|error| {
-            log::warn!("entry VM {to} sent a malformed answer: {error}");
-            Fault::Lost
-        })
-    }
-
     /// Asks another entry VM for the changes of the configuration since the version `known`; the answer, or the reason why
     /// there is none, arrives as an event.
     pub fn ask_config(&self, to: SocketAddr, known: u64, wait: Duration) {
         let port = self.clone();
         actix_web::rt::spawn(async move {
+            let link = port.link(to);
             let mut client =
-                ConfigsClient::new(port.channel(to)).accept_compressed(CompressionEncoding::Gzip);
+                ConfigsClient::new(link.channel.clone()).accept_compressed(CompressionEncoding::Gzip);
             let query = proto::Known { version: known, wait_ms: wait.as_millis() as u64 };
             let answer = match tokio::time::timeout(wait + ANSWER_TIMEOUT, client.since(query)).await {
                 Ok(Ok(response)) => Ok(response.into_inner()),
@@ -132,27 +131,47 @@
             let bytes = answer.as_ref().map_or(0, |update| update.encoded_len());
             let result = answer.map(Option::from);
             if result.is_err() {
-                port.channels.borrow_mut().remove(&to);
+                port.close(to, &link);
             }
             port.inbox.send(Event::Work(WorkEvent::ConfigUpdated { from: to, result, bytes }));
         });
     }
 
-    fn channel(&self, to: SocketAddr) -> Channel {
-        let mut channels = self.channels.borrow_mut();
-        let channel = channels.entry(to).or_insert_with(|| {
-            Endpoint::from_shared(format!("http://{to}"))
+    /// Closes a connection on which a call got no answer, since it may have gone silent. A newer one is kept.
+    fn close(&self, to: SocketAddr, used: &Link) {
+        let mut links = self.links.borrow_mut();
+        if links.get(&to).is_some_and(|link| link.opened == used.opened) {
+            links.remove(&to);
+        }
+    }
+
+    fn link(&self, to: SocketAddr) -> Link {
+        let mut links = self.links.borrow_mut();
+        let link = links.entry(to).or_insert_with(|| {
+            let channel = Endpoint::from_shared(format!("http://{to}"))
                 .expect("an address is a valid URI authority")
                 .connect_timeout(CONNECT_TIMEOUT)
                 .http2_keep_alive_interval(PING_INTERVAL)
                 .keep_alive_timeout(PING_INTERVAL)
                 .tcp_nodelay(true)
-                .connect_lazy()
+                .connect_lazy();
+            Link { channel, opened: Instant::now() }
         });
-        channel.clone()
+        link.clone()
     }
 }
 
+async fn call(to: SocketAddr, link: &Link, request: &request::Request) -> std::result::Result<Answer, Fault> {
+    let mut client = JobsClient::new(link.channel.clone());
+    let timeout = request.timeout.min(ANSWER_TIMEOUT);
+    let answer = tokio::time::timeout(timeout, client.ask(proto::Query::from(request))).await;
+    let response = answer.map_err(|_| Fault::Lost)?.map_err(|status| classify_status(&status))?;
+    Answer::try_from(response.into_inner()).map_err(|error| {
+        log::warn!("entry VM {to} sent a malformed answer: {error}");
+        Fault::Lost
+    })
+}
+
 fn classify_status(status: &Status) -> Fault {
     if is_refused(status) {
         Fault::Refused
