Detect silent connections to the store, and confirm before a queue is answered as unknown

Cause: a watch on a silent connection was given up after 3.5 s, the next call took another silent connection from the pool, and meanwhile callers got 404 for queues of a newer configuration.

Change: the ports to the store and to workers drop their pooled connections after a call without an answer. A watch is lost 0.25 s after the end of its wait; the allowance doubles with each timeout up to 1.5 s and is halved by an answer. Its first retry is immediate. A store call that times out restarts the watches of its age. The ends of the watches of the leadership and the configuration are spread. A queue is answered as unknown only by a configuration confirmed after the request arrived or at most 1 s before; otherwise one call confirms it for all waiting requests, or the request is forwarded or refused.

The call in tests/odd_entries.rs names the new field of a watch; nothing else is changed there.

--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::confirm::{Decision, Waiting};
 use super::effect::Effect as WorkEffect;
 use super::event::Fault;
 use super::leadership::Role;
@@ -12,7 +13,7 @@
 use super::state;
 use super::store::Record;
 use super::timer::Timer;
-use super::{journal, leadership, lifecycle, relay};
+use super::{journal, leadership, lifecycle, relay, watch};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace;
@@ -115,8 +116,9 @@
     }
 }
 
-/// Answers a request whose queue this process does not know. The answer would be wrong if a newer configuration has the
-/// queue, so one is forwarded while a newer version is known, and refused if it cannot be forwarded.
+/// Handles a request whose queue this process does not know. The answer that it does not exist would be wrong if a newer
+/// configuration has it, so the configuration is confirmed first. While a newer version is known, the request is forwarded,
+/// or refused if that is not possible.
 fn handle_unknown_queue(
     state: &mut super::State,
     ticket: Ticket,
@@ -126,18 +128,83 @@
 ) {
     let leads = matches!(state.leadership.role, Role::Leader { .. });
     let is_outdated = relay::pending_time(state).is_some();
-    if !forwarded && !is_outdated {
-        return answer(ticket, Answer::UnknownQueue, out);
-    }
-    if forwarded || leads {
+    if (forwarded && !leads) || (leads && is_outdated) {
         let reason = "the queue is not in this process's configuration";
         return refuse(state, ticket, request.job(), reason, out);
     }
-    // An older configuration may have a queue that was removed since.
-    let min_config = state.config.version + 1;
+    if is_outdated {
+        // An older configuration may have a queue that was removed since.
+        let min_config = state.config.version + 1;
+        return forward(state, ticket, Request { min_config, ..request }, out);
+    }
+    let waiting = Waiting { ticket, request, is_forwarded: forwarded, arrived: state.now };
+    match state.confirm.decide(state.now) {
+        Decision::Answer => answer(ticket, Answer::UnknownQueue, out),
+        Decision::Fail => forward_unconfirmed(state, waiting, out),
+        Decision::Wait => hold_unconfirmed(state, waiting),
+        Decision::Begin => {
+            hold_unconfirmed(state, waiting);
+            watch::begin_confirmation(state, out);
+        }
+    }
+}
+
+fn hold_unconfirmed(state: &mut super::State, waiting: Waiting) {
+    state.timers.set(waiting.until(), Timer::EndConfirmWait);
+    state.confirm.hold(waiting);
+}
+
+/// Forwards a request to the leader, which may have a newer configuration than this process can confirm. The leader itself
+/// refuses it, as does a process that was the leader when another one forwarded the request.
+fn forward_unconfirmed(state: &mut super::State, waiting: Waiting, out: &mut Vec<Effect>) {
+    let ticket = waiting.ticket;
+    let is_forwarded = waiting.is_forwarded;
+    let request = waiting.into_request(state.now);
+    if is_forwarded || matches!(state.leadership.role, Role::Leader { .. }) {
+        return refuse(state, ticket, request.job(), "the configuration is not confirmed", out);
+    }
+    let min_config = state.config.version;
     forward(state, ticket, Request { min_config, ..request }, out);
 }
 
+/// Handles the requests that wait for a confirmation of the configuration and can be answered now.
+pub(super) fn review_unconfirmed(state: &mut super::State, out: &mut Vec<Effect>) {
+    for waiting in state.confirm.take(|_| true) {
+        if let Some(waiting) = settle_unconfirmed(state, waiting, out) {
+            state.confirm.hold(waiting);
+        }
+    }
+}
+
+/// Forwards or refuses the waiting requests for which `is_due` holds, unless they can be answered now.
+pub(super) fn fail_unconfirmed(
+    state: &mut super::State,
+    is_due: impl Fn(&Waiting) -> bool,
+    out: &mut Vec<Effect>,
+) {
+    for waiting in state.confirm.take(is_due) {
+        if let Some(waiting) = settle_unconfirmed(state, waiting, out) {
+            forward_unconfirmed(state, waiting, out);
+        }
+    }
+}
+
+/// Handles a waiting request if its queue is known now, a newer version is, or the configuration is confirmed; returns it
+/// otherwise.
+fn settle_unconfirmed(state: &mut super::State, waiting: Waiting, out: &mut Vec<Effect>) -> Option<Waiting> {
+    let is_outdated = relay::pending_time(state).is_some();
+    if is_outdated || resolve_target(state, &waiting.request).is_some() {
+        let (ticket, is_forwarded) = (waiting.ticket, waiting.is_forwarded);
+        handle_request(state, ticket, waiting.into_request(state.now), is_forwarded, out);
+        return None;
+    }
+    if !state.confirm.covers(waiting.arrived) {
+        return Some(waiting);
+    }
+    answer(waiting.ticket, Answer::UnknownQueue, out);
+    None
+}
+
 /// Handles the requests for which the configuration is new enough now, and refuses those whose wait for it is over.
 pub(super) fn review_outdated(state: &mut super::State, out: &mut Vec<Effect>) {
     let (now, version) = (state.now, state.config.version);
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -5,6 +5,7 @@
 //! decisions are made in this module; the monotonic time, the time of day and the random seed are part of the input.
 
 pub mod config;
+pub mod confirm;
 mod control;
 pub mod crash;
 mod discovery;
@@ -30,6 +31,7 @@
 pub mod request;
 pub mod run;
 pub mod runtime;
+pub mod silence;
 pub mod spec;
 pub mod state;
 mod stop;
@@ -107,6 +109,10 @@
             Timer::AskConfig => relay::advance(state, out),
             Timer::AnswerConfig => relay::answer(state, out),
             Timer::RefuseOutdated => handler::review_outdated(state, out),
+            Timer::EndConfirmWait => {
+                let now = state.now;
+                handler::fail_unconfirmed(state, |waiting| waiting.until() <= now, out);
+            }
             Timer::Campaign => leadership::campaign(state, out),
             Timer::Renew(term) => leadership::renew(state, term, out),
             Timer::Load => load::retry(state, out),
@@ -126,6 +132,9 @@
 fn handle_store_reply(state: &mut State, call: Call, reply: Reply, out: &mut Vec<Effect>) {
     let Some(Pending { purpose, sent }) = state.remove_call(call) else { return };
     state.track_store_health(&reply, out);
+    if reply == Reply::Lost && silence::is_timeout(state.now.since(sent), &state.tuning) {
+        watch::handle_silence(state, &purpose, sent, out);
+    }
     match purpose {
         Purpose::List(range) => {
             if range == Range::Leadership {
@@ -134,6 +143,7 @@
             watch::handle_page(state, range, sent, reply, out);
         }
         Purpose::Watch(range) => watch::handle_changes(state, range, sent, reply, out),
+        Purpose::ConfirmConfig { after } => watch::handle_confirmation(state, (sent, after), reply, out),
         Purpose::GrantLease => leadership::handle_lease(state, reply, out),
         Purpose::Campaign => leadership::handle_campaign(state, sent, reply, out),
         Purpose::Renew => leadership::handle_renewal(state, &reply, out),
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -12,7 +12,10 @@
 use super::store::{Call, Item, Leader, Range, Reply, Request, Revision};
 use super::timer::Timer;
 use super::tuning::Tuning;
-use super::{evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime, worker};
+use super::{
+    confirm, evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime, silence,
+    worker,
+};
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
 use crate::core::timer::Queue;
@@ -58,6 +61,11 @@
     List(Range),
     /// Waits for changes of a watched range.
     Watch(Range),
+    /// Confirms that the active configuration is the newest one, with the changes after this revision.
+    ConfirmConfig {
+        /// Revision up to which it was known to be the newest one.
+        after: Revision,
+    },
     /// Creates the lease for a campaign.
     GrantLease,
     /// Writes the leader's key in a campaign.
@@ -96,6 +104,12 @@
     pub list_revision: Revision,
     /// List or watch call in flight.
     pub call: Option<Call>,
+    /// Wait of the last watch call.
+    pub wait: Duration,
+    /// Number of timeouts that count for the allowance of the next watch.
+    pub timeouts: u32,
+    /// Whether the last call failed.
+    pub has_failed: bool,
     /// Whether the range was listed completely at least once.
     pub was_listed: bool,
 }
@@ -145,6 +159,10 @@
     pub requests: handler::State,
     /// When the first of the latest consecutive store failures was reported; `None` while the store answers.
     pub store_unavailable_since: Option<Instant>,
+    /// Age of the connections to the store.
+    pub silence: silence::State,
+    /// Confirmations of the configuration.
+    pub confirm: confirm::State,
     /// Lists and watches by range of the store.
     pub watches: Map<Range, Watch>,
     /// When the next placement pass runs; `None` if none is scheduled.
@@ -203,6 +221,8 @@
             journal: journal::State::default(),
             requests: handler::State::default(),
             store_unavailable_since: None,
+            silence: silence::State::default(),
+            confirm: confirm::State::default(),
             watches: Map::default(),
             next_placement: None,
             placement_not_before: Instant::default(),
@@ -268,6 +288,12 @@
         self.calls.values().any(|pending| pending.purpose == *purpose)
     }
 
+    /// When the watch of a range was sent that is in flight; `None` if there is none.
+    pub(super) fn watch_sent_at(&self, range: Range) -> Option<Instant> {
+        let pending = self.calls.get(&self.watches.get(&range)?.call?)?;
+        (pending.purpose == Purpose::Watch(range)).then_some(pending.sent)
+    }
+
     /// Whether the store is asked in vain whether this process still leads.
     pub(super) fn is_proof_late(&self) -> bool {
         let is_late = |pending: &Pending| {
@@ -277,9 +303,12 @@
         self.store_unavailable_since.is_some() || self.calls.values().any(is_late)
     }
 
-    /// Drops the calls of the ended term, so that their replies are ignored. List and watch calls stay.
+    /// Drops the calls of the ended term, so that their replies are ignored. Calls that any entry VM makes stay.
     pub(super) fn drop_term_calls(&mut self) {
-        self.calls.retain(|_, pending| matches!(pending.purpose, Purpose::List(_) | Purpose::Watch(_)));
+        let is_kept = |purpose: &Purpose| {
+            matches!(purpose, Purpose::List(_) | Purpose::Watch(_) | Purpose::ConfirmConfig { .. })
+        };
+        self.calls.retain(|_, pending| is_kept(&pending.purpose));
     }
 
     /// Tracks whether the store is available, and records when that changes.
--- a/src/core/work/stop.rs
+++ b/src/core/work/stop.rs
@@ -25,7 +25,8 @@
 
 /// Ends the process when no request or commit is in progress and the leadership is resigned, or when the wait is over.
 pub(super) fn advance(state: &mut super::State, out: &mut Vec<Effect>) {
-    let is_idle = state.requests.is_empty() && state.journal.is_idle() && state.leadership.term() == 0;
+    let has_requests = !state.requests.is_empty() || !state.confirm.is_empty();
+    let is_idle = !has_requests && state.journal.is_idle() && state.leadership.term() == 0;
     if state.now < state.stop_deadline && !is_idle {
         state.timers.set(state.now + IDLE_CHECK_INTERVAL, Timer::Stop);
         return;
--- a/src/core/work/store.rs
+++ b/src/core/work/store.rs
@@ -236,6 +236,8 @@
         after: Revision,
         /// Longest wait for a change.
         wait: Duration,
+        /// Time beyond the wait after which the call is lost.
+        allowance: Duration,
         /// Largest answer that is read, in bytes; `None` for any size.
         limit: Option<usize>,
     },
--- a/src/core/work/timer.rs
+++ b/src/core/work/timer.rs
@@ -14,6 +14,8 @@
     AnswerConfig,
     /// Refuse the requests whose wait for a newer configuration is over.
     RefuseOutdated,
+    /// End the wait of requests for a confirmation of the configuration.
+    EndConfirmWait,
     /// Try to become the leader.
     Campaign,
     /// Renew the leadership of a term.
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -40,6 +40,8 @@
     pub store_timeout: Duration,
     /// Time that a watch call waits for a change; short, since a dead connection goes unnoticed until then.
     pub watch_wait: Duration,
+    /// Time beyond its wait after which a watch without an answer counts as lost; it grows while the store is slow.
+    pub watch_allowance: Duration,
     /// Minimum time between two placement passes.
     pub place_interval: Duration,
     /// Pause after a placement pass for each worker visit in it. It is several times the duration of a visit on a small
@@ -98,6 +100,7 @@
             store_retry: Duration::from_millis(100),
             store_timeout: Duration::from_millis(1_500),
             watch_wait: Duration::from_millis(2_000),
+            watch_allowance: Duration::from_millis(250),
             place_interval: Duration::from_millis(4),
             place_rest_per_visit: Duration::from_nanos(500),
             retry_after_s: 1,
--- a/src/core/work/watch.rs
+++ b/src/core/work/watch.rs
@@ -6,7 +6,7 @@
 use super::state::{self, Purpose};
 use super::store::{Change, Item, Range, Reply, Request, Revision};
 use super::timer::Timer;
-use super::{discovery, evacuation, leadership, load, relay};
+use super::{discovery, evacuation, handler, leadership, load, relay, silence};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -26,10 +26,16 @@
     if watch.watch_from == 0 {
         return list_page(state, range, None, out);
     }
-    let (after, wait) = (watch.watch_from, state.tuning.watch_wait);
-    let request = Request::Watch { range, after, wait, limit: relay::watch_limit(range) };
+    let (after, timeouts) = (watch.watch_from, watch.timeouts);
+    // The watch of the leadership is the other one that every entry VM has.
+    let other_sent = (range == Range::Config).then(|| state.watch_sent_at(Range::Leadership)).flatten();
+    let wait = silence::wait(state.tuning.watch_wait, other_sent, state.now);
+    let allowance = silence::allowance(timeouts, &state.tuning);
+    let request = Request::Watch { range, after, wait, allowance, limit: relay::watch_limit(range) };
     let call = state.call_store(Purpose::Watch(range), request, out);
-    state.watches.entry(range).or_default().call = Some(call);
+    let watch = state.watches.entry(range).or_default();
+    watch.call = Some(call);
+    watch.wait = wait;
 }
 
 /// Whether only the leader reads a range.
@@ -112,18 +118,28 @@
 ) {
     let watch = state.watches.entry(range).or_default();
     watch.call = None;
+    let is_lost = reply == Reply::Lost;
+    let has_timed_out = is_lost && silence::is_timeout(state.now.since(sent), &state.tuning);
+    watch.timeouts = silence::count_timeouts(watch.timeouts, has_timed_out);
+    let is_first_failure =
+        !std::mem::replace(&mut watch.has_failed, matches!(reply, Reply::Lost | Reply::Refused));
     match reply {
         Reply::Changes { changes, as_of, bytes } => {
             let after = watch.watch_from;
             watch.watch_from = as_of.max(after);
             let source = format!("from the store, {bytes} bytes in {} ms", state.now.since(sent).as_millis());
-            apply_changes(state, range, changes, (after, as_of), &source, out);
+            // The store has no change to report until the end of the wait.
+            let known_at = if changes.is_empty() { (sent + watch.wait).min(state.now) } else { sent };
+            apply_changes(state, range, changes, (after, as_of), (known_at, &source), out);
             list_or_watch(state, range, out);
         }
         Reply::TooLarge => relay::begin(state, true, out),
         Reply::Gone => relist(state, range, Duration::ZERO),
         _ => {
             record_failed_read(state, range, sent, &reply, out);
+            if is_lost && is_first_failure {
+                return list_or_watch(state, range, out);
+            }
             let wait = state.tuning.store_retry + state.jitter(state.tuning.store_retry);
             state.timers.set(state.now + wait, Timer::Watch(range));
         }
@@ -162,7 +178,7 @@
             relay::end(state, out);
             relay::rest_after_read(state, sent);
             if is_read {
-                state.config.confirm(as_of);
+                confirm(state, as_of, sent, out);
             }
         }
         Range::Workers => {
@@ -183,7 +199,7 @@
     range: Range,
     changes: Vec<Change>,
     (after, as_of): (Revision, Revision),
-    source: &str,
+    (known_at, source): (Instant, &str),
     out: &mut Vec<Effect>,
 ) {
     match range {
@@ -197,7 +213,7 @@
             let is_read = accept_items(state, items, source, out);
             relay::end(state, out);
             if was_newest && is_read {
-                state.config.confirm(as_of);
+                confirm(state, as_of, known_at, out);
             }
         }
         Range::Workers => discovery::handle_changes(state, changes, out),
@@ -206,6 +222,83 @@
     }
 }
 
+/// Takes note that the active configuration is the newest one up to a revision of the store, which was the current one at
+/// `known_at` or later.
+fn confirm(state: &mut super::State, revision: Revision, known_at: Instant, out: &mut Vec<Effect>) {
+    state.config.confirm(revision);
+    state.confirm.confirm(known_at);
+    handler::review_unconfirmed(state, out);
+}
+
+/// Begins a confirmation that the active configuration is the newest one.
+pub(super) fn begin_confirmation(state: &mut super::State, out: &mut Vec<Effect>) {
+    state.confirm.begin(state.now);
+    send_confirmation(state, out);
+}
+
+fn send_confirmation(state: &mut super::State, out: &mut Vec<Effect>) {
+    let after = state.config.newest_until;
+    let allowance = silence::allowance(state.confirm.attempts() - 1, &state.tuning);
+    let (range, wait) = (Range::Config, Duration::ZERO);
+    let request = Request::Watch { range, after, wait, allowance, limit: relay::watch_limit(range) };
+    state.call_store(Purpose::ConfirmConfig { after }, request, out);
+}
+
+/// Handles the reply to a confirmation, which has the changes after a revision.
+pub(super) fn handle_confirmation(
+    state: &mut super::State,
+    (sent, after): (Instant, Revision),
+    reply: Reply,
+    out: &mut Vec<Effect>,
+) {
+    if reply == Reply::Lost && state.confirm.retry() {
+        return send_confirmation(state, out);
+    }
+    let elapsed_ms = state.confirm.end(state.now).as_millis();
+    let count = state.confirm.len();
+    let decision =
+        if matches!(reply, Reply::Changes { .. }) { "config-confirmed" } else { "config-unconfirmed" };
+    let mut reason = format!("{count} requests, after {elapsed_ms} ms");
+    if !matches!(reply, Reply::Changes { .. }) {
+        reason += &format!(", {reply:?}");
+    }
+    state::record(out, Subject::Config(state.config.version), decision, reason);
+    match reply {
+        // Without a change the reply does not end a search that has begun since the call was sent.
+        Reply::Changes { changes, as_of, .. } if changes.is_empty() => confirm(state, as_of, sent, out),
+        Reply::Changes { changes, as_of, bytes } => {
+            let source = format!("from the store, {bytes} bytes in {elapsed_ms} ms");
+            apply_changes(state, Range::Config, changes, (after, as_of), (sent, &source), out);
+        }
+        Reply::TooLarge => relay::begin(state, true, out),
+        _ => {}
+    }
+    handler::fail_unconfirmed(state, |_| true, out);
+}
+
+/// Sends the watches again that were sent before a call that timed out, or on connections of that age.
+pub(super) fn handle_silence(
+    state: &mut super::State,
+    purpose: &Purpose,
+    sent: Instant,
+    out: &mut Vec<Effect>,
+) {
+    if !state.silence.note_timeout(sent, state.now) {
+        return;
+    }
+    let is_old = |range: &Range| state.watch_sent_at(*range).is_some_and(|at| at < state.now);
+    let mut ranges: Vec<Range> = state.watches.keys().copied().filter(is_old).collect();
+    ranges.retain(|range| *range != Range::Config || !relay::holds_reads_back(state));
+    ranges.sort_unstable();
+    let elapsed_ms = state.now.since(sent).as_millis();
+    let reason = format!("{purpose:?} has no answer after {elapsed_ms} ms, watches sent again: {ranges:?}");
+    state::record(out, Subject::Process, "store-silent", reason);
+    for range in ranges {
+        drop_call(state, range);
+        list_or_watch(state, range, out);
+    }
+}
+
 /// Activates the last configuration among items that were read from the store, each with its revision; every version is
 /// whole, so the earlier ones are not needed. Returns whether all items could be read.
 fn accept_items(
@@ -248,7 +341,8 @@
     state::record(out, Subject::Config(version), "in-force", reason);
     super::lifecycle::apply_config(state);
     relay::answer(state, out);
-    super::handler::review_outdated(state, out);
+    handler::review_outdated(state, out);
+    handler::review_unconfirmed(state, out);
     if state.is_ready() {
         out.push(Effect::Ready(true));
     }
--- a/src/platform/link.rs
+++ b/src/platform/link.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::hash::Map;
-use crate::port::http;
+use crate::port::http::{Fault, Pool};
 
 /// Orders that are sent to a worker at the same time, each on a connection of its own. With that of the long poll, the
 /// connections of 21 leaders that were lost one after the other fit into the 64 of a worker.
@@ -43,7 +43,7 @@
 
 /// Connections to one worker.
 struct Link {
-    client: RefCell<Client>,
+    pool: Pool,
     orders: Semaphore,
     extra_orders: Semaphore,
     used_at: Cell<Instant>,
@@ -54,7 +54,7 @@
 impl Link {
     fn new(timeout: Duration) -> Self {
         Self {
-            client: RefCell::new(http::unlimited_client(timeout)),
+            pool: Pool::unlimited(timeout),
             orders: Semaphore::new(ORDERS),
             extra_orders: Semaphore::new(EXTRA_ORDERS),
             used_at: Cell::new(Instant::now()),
@@ -106,13 +106,16 @@
 
     /// Waits until the turn of an order to the worker at `address` has come, and makes the call with the client of that
     /// worker. `None` if its turn has not come until `deadline`; then no call is made.
-    pub(super) async fn call<Output>(
+    ///
+    /// After a call that got no answer, the connections to that worker that are not in use are closed, since they may be
+    /// silent too.
+    pub(super) async fn call<Answer>(
         &self,
         address: SocketAddr,
         turn: Turn,
         deadline: Instant,
-        call: impl AsyncFnOnce(Client) -> Output,
-    ) -> Option<Output> {
+        call: impl AsyncFnOnce(Client) -> Result<Answer, Fault>,
+    ) -> Option<Result<Answer, Fault>> {
         let link = self.link(address);
         let permits = timeout_at(deadline, async {
             let turn = match turn {
@@ -122,15 +125,19 @@
             (turn, self.total.acquire().await)
         });
         let _permits = permits.await.ok()?;
-        link.used_at.set(Instant::now());
-        let client = link.client.borrow().clone();
-        Some(call(client).await)
+        let began = Instant::now();
+        link.used_at.set(began);
+        let result = call(link.pool.client()).await;
+        if matches!(result, Err(Fault::Lost)) {
+            link.pool.renew_after_loss(began);
+        }
+        Some(result)
     }
 
     fn link(&self, address: SocketAddr) -> Rc<Link> {
         let mut links = self.links.borrow_mut();
         if links.is_empty() {
-            rt::spawn(sweep(Rc::downgrade(&self.links), self.timeout));
+            rt::spawn(sweep(Rc::downgrade(&self.links)));
         }
         let link = links.entry(address).or_insert_with(|| Rc::new(Link::new(self.timeout)));
         link.used_at.set(Instant::now());
@@ -139,7 +146,7 @@
 }
 
 /// Closes connections that are not needed, until there are none. Calls in flight keep their connections until they end.
-async fn sweep(links: Weak<RefCell<Map<SocketAddr, Rc<Link>>>>, timeout: Duration) {
+async fn sweep(links: Weak<RefCell<Map<SocketAddr, Rc<Link>>>>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
         let Some(links) = links.upgrade() else { return };
@@ -148,8 +155,7 @@
         for link in links.values() {
             if link.extra_used_at.get().is_some_and(|at| at.elapsed() >= EXTRA_IDLE_TIME) {
                 link.extra_used_at.set(None);
-                // Connections in the pool of a client are closed with the client.
-                link.client.replace(http::unlimited_client(timeout));
+                link.pool.renew();
             }
         }
         if links.is_empty() {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,16 +1,17 @@
 //! HTTP client of the platform's key-value store.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_web::rt;
-use awc::Client;
 use awc::http::StatusCode;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant as Deadline;
 
 use super::{config, entry};
 use crate::core::event::Event;
@@ -19,7 +20,7 @@
     Call, Change, Item, Key, Range, Removed, Reply, Request, Revision, Transaction, Value,
 };
 use crate::port::Inbox;
-use crate::port::http::{self, Answer, Fault};
+use crate::port::http::{self, Answer, Fault, Pool};
 use crate::wire::job as wire;
 
 /// Key of the operator's configuration.
@@ -37,7 +38,7 @@
 /// Client of the store; sends its calls on the arbiter on which it was created.
 #[derive(Clone)]
 pub struct Port {
-    client: Client,
+    pool: Rc<Pool>,
     base_url: String,
     timeout: Duration,
     inbox: Inbox,
@@ -111,17 +112,21 @@
 }
 
 impl Port {
-    /// Returns a client of the store at `address`. `timeout` is the longest wait for an answer; a watch adds its own
-    /// wait.
+    /// Returns a client of the store at `address`. `timeout` is the longest wait for an answer; a watch states its
+    /// own.
     pub fn new(address: SocketAddr, timeout: Duration, inbox: Inbox) -> Self {
-        Self { client: http::client(timeout), base_url: format!("http://{address}"), timeout, inbox }
+        Self { pool: Rc::new(Pool::new(timeout)), base_url: format!("http://{address}"), timeout, inbox }
     }
 
     /// Starts a call; its reply arrives as an event.
     pub fn call(&self, call: Call, request: Request) {
         let port = self.clone();
         rt::spawn(async move {
+            let began = Deadline::now();
             let (Ok(reply) | Err(reply)) = port.execute(request).await;
+            if reply == Reply::Lost {
+                port.pool.renew_after_loss(began);
+            }
             port.inbox.send(Event::Work(WorkEvent::Store { call, reply }));
         });
     }
@@ -137,7 +142,7 @@
             }
             Request::Renew { lease } => {
                 let url = format!("{}/kv-keep/{lease}", self.base_url);
-                let answer = self.receive(self.client.post(url).send(), Duration::ZERO).await?;
+                let answer = self.receive(self.pool.client().post(url).send(), self.timeout).await?;
                 match answer.status {
                     StatusCode::OK => Ok(Reply::Renewed),
                     StatusCode::NOT_FOUND => Err(Reply::Gone),
@@ -147,7 +152,9 @@
             Request::Commit(transaction) => self.commit(transaction).await,
             Request::Read(key) => self.read(key).await,
             Request::List { range, after, limit } => self.list(range, after, limit).await,
-            Request::Watch { range, after, wait, limit } => self.watch(range, after, wait, limit).await,
+            Request::Watch { range, after, wait, allowance, limit } => {
+                self.watch((range, after), wait, allowance, limit).await
+            }
         }
     }
 
@@ -177,7 +184,7 @@
 
     async fn read(&self, key: Key) -> Result<Reply, Reply> {
         let url = format!("{}/kv-key?key={}", self.base_url, wire::key_text(key));
-        let answer = self.receive(self.client.get(url).send(), Duration::ZERO).await?;
+        let answer = self.receive(self.pool.client().get(url).send(), self.timeout).await?;
         match answer.status {
             StatusCode::OK => {
                 let found = decode_entry(parse(&answer)?).map(|(_, value, revision)| (value, revision));
@@ -193,7 +200,7 @@
         if let Some(after) = after {
             url = format!("{url}&after={}", utf8_percent_encode(&after, ESCAPED));
         }
-        let answer = self.receive_limited(self.client.get(url).send(), Duration::ZERO, limit).await?;
+        let answer = self.receive_limited(self.pool.client().get(url).send(), self.timeout, limit).await?;
         if answer.status != StatusCode::OK {
             return Err(refusal(answer.status));
         }
@@ -206,14 +213,15 @@
 
     async fn watch(
         &self,
-        range: Range,
-        after: Revision,
+        (range, after): (Range, Revision),
         wait: Duration,
+        allowance: Duration,
         limit: Option<usize>,
     ) -> Result<Reply, Reply> {
         let (base, prefix, wait_ms) = (&self.base_url, range_prefix(range), wait.as_millis());
         let url = format!("{base}/kv-watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
-        let answer = self.receive_limited(self.client.get(url).send(), wait, limit).await?;
+        let answer =
+            self.receive_limited(self.pool.client().get(url).send(), wait + allowance, limit).await?;
         match answer.status {
             StatusCode::OK => {
                 let Events { events, as_of } = parse(&answer)?;
@@ -231,23 +239,28 @@
     }
 
     async fn post_with_any_status(&self, path: &str, body: &impl Serialize) -> Result<Answer, Reply> {
-        let request = self.client.post(format!("{}{path}", self.base_url)).send_json(body);
-        self.receive(request, Duration::ZERO).await
+        let request = self.pool.client().post(format!("{}{path}", self.base_url)).send_json(body);
+        self.receive(request, self.timeout).await
     }
 
-    async fn receive(&self, request: awc::SendClientRequest, wait: Duration) -> Result<Answer, Reply> {
-        http::receive(request, wait, self.timeout).await.map_err(fault_reply)
+    async fn receive(
+        &self,
+        request: awc::SendClientRequest,
+        head_timeout: Duration,
+    ) -> Result<Answer, Reply> {
+        http::receive(request, head_timeout, self.timeout).await.map_err(fault_reply)
     }
 
     /// Receives an answer of at most `limit` bytes, or of any size if there is no limit.
     async fn receive_limited(
         &self,
         request: awc::SendClientRequest,
-        wait: Duration,
+        head_timeout: Duration,
         limit: Option<usize>,
     ) -> Result<Answer, Reply> {
-        let Some(limit) = limit else { return self.receive(request, wait).await };
-        let answer = http::receive_limited(request, wait, self.timeout, limit).await.map_err(fault_reply)?;
+        let Some(limit) = limit else { return self.receive(request, head_timeout).await };
+        let answer =
+            http::receive_limited(request, head_timeout, self.timeout, limit).await.map_err(fault_reply)?;
         answer.ok_or(Reply::TooLarge)
     }
 }
--- a/src/port/http.rs
+++ b/src/port/http.rs
@@ -2,7 +2,7 @@
 //!
 //! Its errors distinguish calls that were not executed from calls that may have been executed.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -52,10 +52,52 @@
     client_with_limit(timeout, MAX_CONNECTIONS)
 }
 
-/// The same without a limit on open connections, for a caller that limits its calls.
-pub(crate) fn unlimited_client(timeout: Duration) -> Client {
-    // The connector takes zero as no limit.
-    client_with_limit(timeout, 0)
+/// Client whose pooled connections are dropped after a call got no answer.
+///
+/// Connections may go silent without an error. The call that meets one is lost, and the next call would take another one
+/// from the pool, which may be silent too.
+pub(crate) struct Pool {
+    client: RefCell<Client>,
+    renewed_at: Cell<Deadline>,
+    timeout: Duration,
+    max_connections: usize,
+}
+
+impl Pool {
+    /// Pool of a client that connects within half of `timeout`.
+    pub(crate) fn new(timeout: Duration) -> Self {
+        Self::with_limit(timeout, MAX_CONNECTIONS)
+    }
+
+    /// The same without a limit on open connections, for a caller that limits its calls.
+    pub(crate) fn unlimited(timeout: Duration) -> Self {
+        // The connector takes zero as no limit.
+        Self::with_limit(timeout, 0)
+    }
+
+    fn with_limit(timeout: Duration, max_connections: usize) -> Self {
+        let client = RefCell::new(client_with_limit(timeout, max_connections));
+        Self { client, renewed_at: Cell::new(Deadline::now()), timeout, max_connections }
+    }
+
+    /// Client for the next call.
+    pub(crate) fn client(&self) -> Client {
+        self.client.borrow().clone()
+    }
+
+    /// Closes the connections that are not in use; those in use are closed at the end of their calls.
+    pub(crate) fn renew(&self) {
+        // Connections in the pool of a client are closed with the client.
+        self.client.replace(client_with_limit(self.timeout, self.max_connections));
+        self.renewed_at.set(Deadline::now());
+    }
+
+    /// Does so after a call that began at `began` got no answer, unless it has been done since.
+    pub(crate) fn renew_after_loss(&self, began: Deadline) {
+        if self.renewed_at.get() <= began {
+            self.renew();
+        }
+    }
 }
 
 fn client_with_limit(timeout: Duration, connections: usize) -> Client {
@@ -65,18 +107,17 @@
 
 /// Sends a request and waits for the complete answer.
 ///
-/// The head of the answer must arrive within `wait`, for which the other side may delay it, and `timeout`; each further
-/// part of the answer must arrive within `timeout`. A transfer that makes progress is not given up before
+/// The head of the answer must arrive within `head_timeout`, and each further part of the answer within `timeout`. A transfer that makes progress is not given up before
 /// [`MAX_TRANSFER_TIME`], since a repetition would begin with its first byte again, and delay all transfers on the same
 /// link.
 ///
 /// On a timeout the connection is dropped with the future, so it is not reused.
 pub(crate) async fn receive(
     request: SendClientRequest,
-    wait: Duration,
+    head_timeout: Duration,
     timeout: Duration,
 ) -> Result<Answer, Fault> {
-    match receive_limited(request, wait, timeout, MAX_ANSWER_BYTES).await? {
+    match receive_limited(request, head_timeout, timeout, MAX_ANSWER_BYTES).await? {
         Some(answer) => Ok(answer),
         None => Err(Fault::Lost),
     }
@@ -86,11 +127,11 @@
 /// that states the length, otherwise after `limit` bytes.
 pub(crate) async fn receive_limited(
     request: SendClientRequest,
-    wait: Duration,
+    head_timeout: Duration,
     timeout: Duration,
     limit: usize,
 ) -> Result<Option<Answer>, Fault> {
-    let Ok(response) = tokio::time::timeout(wait + timeout, request).await else { return Err(Fault::Lost) };
+    let Ok(response) = tokio::time::timeout(head_timeout, request).await else { return Err(Fault::Lost) };
     read_answer(response.map_err(|error| classify_error(&error))?, timeout, limit).await
 }
 
--- a/src/port/listing.rs
+++ b/src/port/listing.rs
@@ -49,7 +49,7 @@
 }
 
 async fn read_list(client: &Client, url: &str, timeout: Duration) -> Result<Vec<Vm>, String> {
-    let answer = http::receive(client.get(url).send(), Duration::ZERO, timeout)
+    let answer = http::receive(client.get(url).send(), timeout, timeout)
         .await
         .map_err(|fault| format!("{fault:?}"))?;
     if answer.status != StatusCode::OK {
--- a/src/port/store.rs
+++ b/src/port/store.rs
@@ -172,7 +172,7 @@
     }
 
     async fn receive(&self, request: awc::SendClientRequest) -> Result<Answer, Reply> {
-        http::receive(request, Duration::ZERO, self.timeout).await.map_err(|fault| match fault {
+        http::receive(request, self.timeout, self.timeout).await.map_err(|fault| match fault {
             Fault::Refused | Fault::NotWritten => Reply::Refused,
             Fault::Lost => Reply::Unknown,
         })
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -723,9 +723,7 @@
     /// Time after which a call to the store without a reply counts as lost.
     fn store_timeout(&self, request: &Request) -> Duration {
         match request {
-            Request::Watch { wait, .. } if self.store.keeps_watch_waits => {
-                *wait + Tuning::default().store_timeout
-            }
+            Request::Watch { wait, allowance, .. } if self.store.keeps_watch_waits => *wait + *allowance,
             _ => CALL_TIMEOUT,
         }
     }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -116,7 +116,13 @@
 #[actix_web::test]
 async fn an_odd_entry_ends_the_watch_of_the_workers() {
     let (address, _store) = serve(vec![format!(r#"{{"events":[{}],"as_of":9}}"#, rows())]);
-    let request = Request::Watch { range: Range::Workers, after: 2, wait: Duration::ZERO, limit: None };
+    let request = Request::Watch {
+        range: Range::Workers,
+        after: 2,
+        wait: Duration::ZERO,
+        allowance: TIMEOUT,
+        limit: None,
+    };
     let Reply::Changes { changes, as_of, .. } = call(address, request).await else { panic!("no changes") };
     assert_eq!(as_of, 9);
     let items = changes.into_iter().filter_map(|change| match change {
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -133,6 +133,23 @@
     }
 }
 
+/// Guards against a watch on a silent connection that is given up late: an answer is due at the end of its wait.
+#[actix_web::test]
+async fn a_watch_is_lost_later_than_its_allowance() {
+    let server = Server::start();
+    let (inbox, mut events) = Inbox::new();
+    // The timeout of other calls would last longer than the test may.
+    let port = store::Port::new(server.address, Duration::from_secs(3_600), inbox);
+    port.call(Call(1), list());
+    assert!(store_answered(&mut events).await);
+    server.silence();
+    let (range, wait, allowance) = (Range::Config, ANSWER_TIME, ANSWER_TIME);
+    port.call(Call(2), Request::Watch { range, after: 1, wait, allowance, limit: None });
+    assert!(!store_answered(&mut events).await, "the connection is not silent");
+    port.call(Call(3), list());
+    assert!(store_answered(&mut events).await);
+}
+
 /// Whether a worker answered the next order that ends.
 async fn worker_answered(events: &mut UnboundedReceiver<Event>) -> bool {
     let WorkEvent::PaceChanged { result, .. } = next(events).await else { panic!("no answer of the worker") };
