Draw silent connections for each entry VM in the emulated store

Cause: whether a connection is silent was drawn from the number of the call alone, so VMs with equal numbers of calls lost the same calls, and the measured share of late VMs was coarse.

Change: the draw includes the VM.

Result: the 6 tests of tests/connections.rs pass.

--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -47,9 +47,10 @@
 
     /// Whether a call without an answer yet uses a silent connection. A call that begins later takes one from the pool,
     /// until the pool is renewed.
-    fn affects(&self, call: Call, began: Instant, now: Instant) -> bool {
+    fn affects(&self, pending: &Pending<'_>, now: Instant) -> bool {
+        let Pending { vm, call, began, .. } = *pending;
         let is_old = began < self.at || self.renewed_at.is_none_or(|at| began < at);
-        now >= self.at && is_old && hash::numbers([call.0, self.at.0]) % 100 < self.percent
+        now >= self.at && is_old && hash::numbers([vm as u64, call.0, self.at.0]) % 100 < self.percent
     }
 }
 
@@ -243,9 +244,8 @@
     /// Executes a call of an entry VM. A watch waits for a change, and any call to a store that is down or silent for the
     /// VM waits for the timeout, at most until `deadline`.
     pub fn execute(&mut self, pending: Pending<'_>, now: Instant) -> Outcome {
-        let Pending { vm, call, request, began, deadline } = pending;
-        if let Some(silence) = self.silences.get_mut(&vm).filter(|silence| silence.affects(call, began, now))
-        {
+        let Pending { vm, request, began, deadline, .. } = pending;
+        if let Some(silence) = self.silences.get_mut(&vm).filter(|silence| silence.affects(&pending, now)) {
             if now < deadline {
                 return Outcome::Wait;
             }
