Start speculative copies of slow runs

Cause: a step's `speculative` was stored and never read, so a task waited for a run that takes several times as long as the others, or for the lease of a worker that does not answer.

Change: `speculate::decide` chooses runs by plain values: slow by the learned run times, the estimate and the progress, or on a suspected or silent worker. The leader looks at them at most each 200 ms after a placement pass has placed what waits, within a budget of core-seconds over 10 s, and starts a copy under the conditions of any run. The first run that is done finishes the task, and the other is stopped. A new leader adopts both runs. `control::start` refuses a second run of a task whose step allows none. The end of the winning run is acknowledged once the other run is gone, since an order to start a copy that is under way would otherwise be carried out after that.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -10,7 +10,7 @@
 use super::request;
 use super::run::{self, Exit, Loss, Phase, Run};
 use super::spec::{Id, Name, Resources};
-use super::{crash, health, journal, leadership, lifecycle, pace, state, symbol, task, worker};
+use super::{crash, health, journal, leadership, lifecycle, pace, speculate, state, symbol, task, worker};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -28,7 +28,7 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Starts a run of a task on a worker, and returns whether the order was sent. It is not sent while the worker's clock
-/// is unknown, since no lease can be computed then.
+/// is unknown, since no lease can be computed then, and not for a second run of a task whose step allows none.
 pub(super) fn start(
     state: &mut super::State,
     task_key: task::Key,
@@ -37,6 +37,10 @@
     out: &mut Vec<Effect>,
 ) -> bool {
     let now = state.now;
+    let (is_copy, is_speculative) = copy_rules(state, task_key);
+    if is_copy && !is_speculative {
+        return false;
+    }
     let Some(worker) = state.workers.all.get_mut(worker_key) else { return false };
     let Some(until_ms) = worker.grant_lease(now, &state.tuning) else { return false };
     let task = &mut state.jobs.tasks[task_key];
@@ -56,6 +60,7 @@
         is_confirmed: false,
         has_survived: false,
         is_from_start: task.checkpoint.is_empty(),
+        is_copy,
         started_at: now,
         progress_percent: 0,
         progressed_at: now,
@@ -97,11 +102,20 @@
     let reason = format!("run {number} of {}{after} on {}{origin}", task.name, worker.id);
     state::record(out, Subject::Job(job.id), "start", reason);
     state.send_order(worker_key, order, out);
+    if is_speculative {
+        speculate::watch(state, run);
+    }
     // A worker without runs is contacted at a long interval; from now on a long poll waits for the end of this run.
     super::renewal::schedule_now(state, worker_key);
     true
 }
 
+/// Whether another run of a task would be a copy, and whether its step allows copies.
+fn copy_rules(state: &super::State, key: task::Key) -> (bool, bool) {
+    let Some(task) = state.jobs.tasks.get(key) else { return (false, false) };
+    (!task.runs.is_empty(), step_of(state, task.name).is_some_and(speculate::allows))
+}
+
 /// Orders a worker to stop a run. The resources of the run stay reserved until the worker no longer has it.
 pub(super) fn stop(state: &mut super::State, key: run::Key, reason: &str, out: &mut Vec<Effect>) {
     let now = state.now;
@@ -312,25 +326,38 @@
         run.progressed_at = now;
     }
     run.reading = row.reading;
-    if let Some(task) = run.task.and_then(|task| state.jobs.tasks.get_mut(task))
-        && !row.checkpoint.is_empty()
+    let task = run.task;
+    if !row.checkpoint.is_empty()
+        && is_furthest(state, key)
+        && let Some(task) = task.and_then(|task| state.jobs.tasks.get_mut(task))
     {
         task.checkpoint.clone_from(&row.checkpoint);
     }
 }
 
-/// Adopts a run that this process did not start. The run is attached to its task if that task has no other run and is
-/// not done; otherwise it is stopped.
+/// Whether no other run of its task has more progress than this one, so that its checkpoint is the best.
+fn is_furthest(state: &super::State, key: run::Key) -> bool {
+    let Some(run) = state.runs.get(key) else { return true };
+    let Some(task) = run.task.and_then(|task| state.jobs.tasks.get(task)) else { return true };
+    let others = task.runs.iter().filter_map(|other| state.runs.get(*other));
+    others.map(|other| other.progress_percent).all(|progress| progress <= run.progress_percent)
+}
+
+/// Adopts a run that this process did not start. The run is attached to its task if that task is not done, and has no other
+/// run or may have one as a copy; otherwise it is stopped.
 fn adopt(state: &mut super::State, worker_key: worker::Key, row: &Running, out: &mut Vec<Effect>) {
     let now = state.now;
     lifecycle::release_listed(state, row.name);
     let task_key = state.jobs.find_task(row.name);
     let task = task_key.and_then(|key| state.jobs.tasks.get(key));
     // A task with a run can be blocked here: the ends of the steps before it may not have been read yet.
-    let is_wanted = task.is_some_and(|task| {
-        matches!(task.phase, task::Phase::Ready | task::Phase::Blocked) && task.runs.is_empty()
-    });
     let step = step_of(state, row.name);
+    let is_speculative = step.is_some_and(speculate::allows);
+    let is_wanted = task.is_some_and(|task| match task.phase {
+        task::Phase::Ready | task::Phase::Blocked => task.runs.is_empty(),
+        task::Phase::Active => is_speculative && can_have_copy(state, task),
+        task::Phase::Done => false,
+    });
     let charged = step.map_or(UNKNOWN_JOB_RESOURCES, super::spec::Step::charged);
     let step = step.cloned();
     let profile = step.map(|step| step.share(&mut state.images)).unwrap_or_default();
@@ -346,6 +373,7 @@
         is_confirmed: true,
         has_survived: true,
         is_from_start: false,
+        is_copy: false,
         started_at: now,
         progress_percent: row.progress_percent,
         progressed_at: now,
@@ -364,12 +392,20 @@
         return stop(state, key, "no task waits for it", out);
     };
     state::record(out, Subject::Job(row.name.job), "adopt", reason);
+    if is_speculative {
+        mark_copy(state, task_key, key);
+        speculate::watch(state, key);
+    }
+    let is_furthest = is_furthest(state, key);
     let task = &mut state.jobs.tasks[task_key];
     task.phase = task::Phase::Active;
     task.runs.push(key);
     task.next_run = task.next_run.max(row.number + 1);
-    task.checkpoint.clone_from(&row.checkpoint);
-    task.may_have_unseen_run = false;
+    if is_furthest {
+        task.checkpoint.clone_from(&row.checkpoint);
+    }
+    // An earlier leader may have started a copy that this one has not seen.
+    task.may_have_unseen_run &= is_speculative && task.runs.len() == 1;
     let job_key = task.job;
     state.jobs.dequeue(task_key);
     let job = &mut state.jobs.all[job_key];
@@ -378,6 +414,22 @@
     }
 }
 
+/// Whether a task can have another run beside the one that it has.
+fn can_have_copy(state: &super::State, task: &task::Task) -> bool {
+    let Some(job) = state.jobs.all.get(task.job) else { return false };
+    speculate::can_add_run(task.runs.len(), task.failed_runs.len(), job.max_attempts as usize)
+}
+
+/// Takes the later of two runs of a task as the copy: the adopted one, or the one that was known before.
+fn mark_copy(state: &mut super::State, task: task::Key, adopted: run::Key) {
+    let Some(other) = state.jobs.tasks.get(task).and_then(|task| task.runs.first()).copied() else { return };
+    if state.runs[adopted].number > state.runs[other].number {
+        state.runs[adopted].is_copy = true;
+    } else if !std::mem::replace(&mut state.runs[other].is_copy, true) {
+        speculate::add_copy(state, other);
+    }
+}
+
 /// Returns the step of a task, if its job is known.
 pub(super) fn step_of(state: &super::State, name: Name) -> Option<&super::spec::Step> {
     let job = state.jobs.all.get(state.jobs.find(name.job)?)?;
@@ -438,9 +490,11 @@
     };
     let task_key = run.and_then(|run| run.task).or_else(|| state.jobs.find_task(end.name).filter(is_counted));
     let step = step_of(state, end.name).cloned();
+    let is_furthest = key.is_none_or(|key| is_furthest(state, key));
     if let Some(task) = task_key.and_then(|task| state.jobs.tasks.get_mut(task)) {
         task.next_run = task.next_run.max(end.run + 1);
-        if step.as_ref().is_some_and(|step| step.is_checkpointable) && !end.checkpoint.is_empty() {
+        let is_checkpointable = step.as_ref().is_some_and(|step| step.is_checkpointable);
+        if is_checkpointable && is_furthest && !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
         if end.how == How::Failed {
@@ -455,6 +509,9 @@
     // The end is recorded before the run is dropped, since dropping a run queues its task again unless the task is
     // done.
     if let Some(task) = task_key.filter(|task| state.jobs.tasks.contains_key(*task)) {
+        if end.how == How::Done && step.as_ref().is_some_and(speculate::allows) {
+            settle_copy(state, worker_key, end, task, key);
+        }
         let is_long_running = step.is_some_and(|step| step.is_long_running);
         if let Some(key) = key {
             state.runs[key].task = Some(task);
@@ -472,6 +529,24 @@
     }
 }
 
+/// Counts a copy that finishes its task, and holds back the acknowledgement of an end as done until the other run of the
+/// task is gone. The order to start that run may be under way, and would be carried out after the acknowledgement.
+fn settle_copy(
+    state: &mut super::State,
+    worker: worker::Key,
+    end: &Ended,
+    task: task::Key,
+    run: Option<run::Key>,
+) {
+    let task = &state.jobs.tasks[task];
+    let is_copy = run.and_then(|run| state.runs.get(run)).is_some_and(|run| run.is_copy);
+    if is_copy && task.phase != task::Phase::Done {
+        state.meter.counts.copies_first += 1;
+    }
+    let others = task.runs.iter().copied().filter(|other| Some(*other) != run);
+    state.workers.all[worker].held_ends.extend(others.map(|other| (end.number, other)));
+}
+
 /// Records the run time of a run that is done, unless its pace was changed or a part of it is not known.
 fn record_run_time(state: &mut super::State, key: run::Key, how: How) {
     let Some(run) = state.runs.get(key) else { return };
--- a/src/core/work/meter.rs
+++ b/src/core/work/meter.rs
@@ -61,6 +61,12 @@
     pub unsent_starts: u64,
     /// Workers that became silent.
     pub silent_workers: u64,
+    /// Speculative copies that were started.
+    pub copies: u64,
+    /// Those that finished their tasks before the first run did.
+    pub copies_first: u64,
+    /// Processor time that copies reserved, in core-milliseconds.
+    pub copy_core_ms: u64,
 }
 
 impl Counts {
@@ -222,6 +228,9 @@
         doubtful_starts,
         unsent_starts,
         silent_workers,
+        copies,
+        copies_first,
+        copy_core_ms,
     } = counts;
     let pass_time = pass_time.as_millis();
     format!(
@@ -230,7 +239,7 @@
          workers: {unproven_workers}, key reads: {key_reads}; commits: {commits}, changes: {commit_changes}, longest in flight \
          {longest_commit} ms, changes queued: {queued_changes}; listings: {listings}, ends in them: {listed_ends}; orders: \
          renew {renew_orders}, start {start_orders}, stop {stop_orders}, pace {pace_orders}; starts without an answer: \
-         {doubtful_starts}, starts not sent: {unsent_starts}, workers that became silent: {silent_workers}; longest wait \
-         with room {placement_delay} ms; ready tasks: {ready_tasks}, groups: {ready_groups}"
+         {doubtful_starts}, starts not sent: {unsent_starts}, workers that became silent: {silent_workers}; copies: {copies}, \
+         finished first {copies_first}, core-ms {copy_core_ms}; longest wait with room {placement_delay} ms; ready tasks: {ready_tasks}, groups: {ready_groups}"
     )
 }
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -31,6 +31,7 @@
 pub mod run;
 pub mod runtime;
 pub mod spec;
+pub mod speculate;
 pub mod state;
 mod stop;
 pub mod store;
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -7,6 +7,7 @@
 //! examined many workers stops, and the next one goes on where it was, so that answers of the store and the workers do not
 //! wait behind it.
 
+mod copy;
 mod gang;
 mod memory;
 mod need;
@@ -334,6 +335,7 @@
     pass.limit = PASS_LIMIT;
     let unfinished = place_groups(state, others, &mut pass, out);
     pass.memory.resume_at = unfinished.and_then(|index| others.get(index)).copied();
+    copy::place(state, &mut pass, out);
     let is_whole = unfinished_urgent.is_none() && pass.memory.resume_at.is_none();
     state.placement_visits += pass.visits;
     state.meter.counts.unproven_workers += pass.unproven.len() as u64;
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -285,7 +285,7 @@
         state.tuning.poll_wait
     } else if worker.runs.is_empty() && worker.confirmed_end >= worker.last_end_read {
         state.tuning.idle_interval
-    } else if is_urgent {
+    } else if is_urgent || !worker.held_ends.is_empty() {
         state.tuning.worker_retry / 4
     } else {
         Duration::ZERO
@@ -402,7 +402,9 @@
 
 fn mark_durable_ends(state: &mut super::State, key: Key) {
     let durable = state.journal.durable_sequence;
+    let runs = &state.runs;
     let Some(worker) = state.workers.all.get_mut(key) else { return };
+    worker.held_ends.retain(|(_, run)| runs.contains_key(*run));
     while let Some((sequence, number)) = worker.pending_acknowledgements.front().copied() {
         if sequence > durable {
             break;
--- a/src/core/work/run.rs
+++ b/src/core/work/run.rs
@@ -139,6 +139,8 @@
     pub has_survived: bool,
     /// Whether its whole run time is known: it was started by this leader, and not from a checkpoint.
     pub is_from_start: bool,
+    /// Whether it began as a speculative copy, beside another run of its task.
+    pub is_copy: bool,
     /// When the order to start was sent, or when the run was first listed.
     pub started_at: Instant,
     /// Progress in percent.
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -12,7 +12,9 @@
 use super::store::{Call, Item, Leader, Range, Reply, Request, Revision};
 use super::timer::Timer;
 use super::tuning::Tuning;
-use super::{evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime, worker};
+use super::{
+    evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime, speculate, worker,
+};
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
 use crate::core::timer::Queue;
@@ -135,6 +137,8 @@
     pub runs: run::Table,
     /// Run times of the tasks of each queue; empty unless this process leads.
     pub runtimes: runtime::Table,
+    /// Runs that may get speculative copies, and the copies; empty unless this process leads.
+    pub speculation: speculate::State,
     /// Images of tasks and the interference between them.
     pub images: image::Table,
     /// Jobs; empty unless this process leads.
@@ -198,6 +202,7 @@
             workers: worker::Table::default(),
             runs: run::Table::default(),
             runtimes: runtime::Table::default(),
+            speculation: speculate::State::default(),
             images: image::Table::default(),
             jobs: job::Table::default(),
             journal: journal::State::default(),
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -74,6 +74,8 @@
     pub move_after: Duration,
     /// Interval at which the image estimates are stored.
     pub images_interval: Duration,
+    /// Share of the processor time of all runs that speculative copies may cost, in percent; 0 starts none.
+    pub copy_share_percent: u32,
     /// Longest time that a graceful shutdown waits for requests in progress.
     pub stop_wait: Duration,
 }
@@ -112,6 +114,7 @@
             max_deferral: Duration::from_millis(500),
             move_after: Duration::from_millis(800),
             images_interval: Duration::from_millis(2_000),
+            copy_share_percent: 5,
             stop_wait: Duration::from_millis(2_000),
         }
     }
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -167,6 +167,8 @@
     pub acknowledging_end: u64,
     /// Ends whose records are not durable yet: sequence number of the change, number of the end.
     pub pending_acknowledgements: VecDeque<(u64, u64)>,
+    /// Ends as done that are not acknowledged before another run of their task is gone: number of the end, and that run.
+    pub held_ends: Vec<(u64, run::Key)>,
     /// Runs that reserve resources on it.
     pub runs: Vec<run::Key>,
     /// When an order to start was last sent to it.
@@ -235,6 +237,7 @@
             confirmed_end: 0,
             acknowledging_end: 0,
             pending_acknowledgements: VecDeque::new(),
+            held_ends: Vec::new(),
             runs: Vec::new(),
             last_start_at: Instant::default(),
             trial_run: None,
@@ -511,6 +514,7 @@
         self.durable_end = 0;
         self.confirmed_end = 0;
         self.pending_acknowledgements.clear();
+        self.held_ends.clear();
         self.failed_jobs.clear();
         self.filling_usage.clear();
         self.paused_until = Instant::default();
@@ -523,12 +527,18 @@
     /// discard ends that have not been read. The number is therefore sent only shortly after an answer, until the worker
     /// confirms it, and never after a call without an answer.
     pub fn next_acknowledgement(&self, now: Instant) -> u64 {
-        if self.may_acknowledge(now) && self.has_unconfirmed_end() { self.durable_end } else { 0 }
+        if self.may_acknowledge(now) && self.has_unconfirmed_end() { self.acknowledgeable_end() } else { 0 }
     }
 
     /// Returns whether an end may be acknowledged whose acknowledgement the worker has not confirmed.
     pub fn has_unconfirmed_end(&self) -> bool {
-        self.durable_end > self.confirmed_end
+        self.acknowledgeable_end() > self.confirmed_end
+    }
+
+    /// Number of the last end that may be acknowledged: its record is durable, and no end up to it is held.
+    fn acknowledgeable_end(&self) -> u64 {
+        let held = self.held_ends.iter().map(|(end, _)| end.saturating_sub(1));
+        held.fold(self.durable_end, u64::min)
     }
 
     /// Returns whether the process that answered last is taken as the one that receives the next order.
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -44,6 +44,7 @@
 struct LeaderInstruments {
     work: Counter<u64>,
     pass_time: Counter<f64>,
+    copy_time: Counter<f64>,
     orders: Counter<u64>,
     lag: Gauge<f64>,
     commit_time: Gauge<f64>,
@@ -105,6 +106,11 @@
                     .with_description("Time of the events with a placement pass of this leader")
                     .with_unit("s")
                     .build(),
+                copy_time: meter
+                    .f64_counter("leader_copy_core_time")
+                    .with_description("Processor time that speculative copies reserved")
+                    .with_unit("s")
+                    .build(),
                 orders: counter("leader_orders", "Orders to workers, by kind"),
                 lag: seconds("leader_lag", "Longest delay of a timer in the last report of this leader"),
                 commit_time: seconds(
@@ -176,6 +182,7 @@
             self.leader.orders.add(count, &[KeyValue::new("kind", kind)]);
         }
         self.leader.pass_time.add(report.counts.pass_time.as_secs_f64(), &[]);
+        self.leader.copy_time.add(report.counts.copy_core_ms as f64 / 1_000.0, &[]);
         self.leader.lag.record(report.longest_lag.as_secs_f64(), &[]);
         self.leader.commit_time.record(report.longest_commit.as_secs_f64(), &[]);
         self.leader.placement_delay.record(report.placement_delay.as_secs_f64(), &[]);
@@ -251,7 +258,7 @@
 
 /// Work of a leader by the label `kind`. The timeline entries count the starts without an answer, those that were not sent,
 /// and the workers that became silent.
-fn work_kinds(counts: &Counts) -> [(&'static str, u64); 11] {
+fn work_kinds(counts: &Counts) -> [(&'static str, u64); 13] {
     [
         ("pass", counts.passes),
         ("worker-visit", counts.worker_visits),
@@ -264,6 +271,8 @@
         ("commit-change", counts.commit_changes),
         ("listing", counts.listings),
         ("listed-end", counts.listed_ends),
+        ("copy", counts.copies),
+        ("copy-first", counts.copies_first),
     ]
 }
 
@@ -315,6 +324,9 @@
             worker_visits: 40,
             key_reads: 5,
             stop_orders: 6,
+            copies: 4,
+            copies_first: 3,
+            copy_core_ms: 1_500,
             ..Counts::default()
         };
         let report = Report {
@@ -352,6 +364,9 @@
             "nutmegfold_leader_work_total{kind=\"commit-change\"} 0",
             "nutmegfold_leader_work_total{kind=\"listing\"} 0",
             "nutmegfold_leader_work_total{kind=\"listed-end\"} 0",
+            "nutmegfold_leader_work_total{kind=\"copy\"} 8",
+            "nutmegfold_leader_work_total{kind=\"copy-first\"} 6",
+            "nutmegfold_leader_copy_core_time_seconds_total 3",
             "nutmegfold_leader_pass_time_seconds_total 0.25",
             "nutmegfold_leader_orders_total{kind=\"renew\"} 0",
             "nutmegfold_leader_orders_total{kind=\"start\"} 0",
