Add a setting for the share of the processor time that copies may cost

Cause: operators need a limit on what speculative copies cost, and a way to switch them off.

Change: `[jobs] copies` is a share in percent, 0 to 50, 5 by default; 0 starts none.

--- a/src/settings/jobs.rs
+++ b/src/settings/jobs.rs
@@ -8,6 +8,10 @@
 use crate::declare::table::Table;
 use crate::declare::value;
 
+/// Largest share of the processor time of all runs that speculative copies may cost, in percent: a copy of every run takes
+/// half of the processor time.
+const COPY_SHARE_MAX: u32 = 50;
+
 /// Settings of a process that schedules jobs submitted by callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Jobs {
@@ -17,6 +21,8 @@
     pub lease_max: Duration,
     /// Minimum time for which the state of an ended job is kept.
     pub retention: Duration,
+    /// Share of the processor time of all runs that speculative copies may cost, in percent; 0 starts none.
+    pub copy_share_percent: u32,
     /// CPU capacity of the VM in thousandths of a core; 0 if it is not specified.
     pub cpu_millicores: u32,
 }
@@ -29,6 +35,7 @@
             worker_lease: default.worker_lease.min(self.lease_max),
             lease_max: self.lease_max,
             retention: default.retention.max(self.retention),
+            copy_share_percent: self.copy_share_percent,
             ..default
         }
     }
@@ -37,10 +44,13 @@
 pub(super) fn read(root: &Table<'_>, report: &mut Report) -> Option<Jobs> {
     let default = Tuning::default();
     let table = root.table(report, "jobs")?;
-    table.reject_unknown(report, &["ready", "lease_max", "retention", "cores"]);
+    table.reject_unknown(report, &["ready", "lease_max", "retention", "cores", "copies"]);
     let lease_max = table.with_default(report, "lease_max", default.lease_max, value::duration).value;
     let retention = table.with_default(report, "retention", default.retention, value::duration).value;
     let cpu_millicores = table.with_default(report, "cores", 0, value::rounded_millicores).value;
+    let copy_share_percent = table
+        .with_default(report, "copies", default.copy_share_percent, value::integer(0..=COPY_SHARE_MAX))
+        .value;
     let readiness_address = table.required(report, "ready", value::address)?.value;
-    Some(Jobs { readiness_address, lease_max, retention, cpu_millicores })
+    Some(Jobs { readiness_address, lease_max, retention, copy_share_percent, cpu_millicores })
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -61,3 +61,22 @@
     assert_eq!(stated.lease_max.as_millis(), 6_000);
     assert_eq!(stated.worker_lease, unstated.worker_lease);
 }
+
+/// Guards against a share of the processor time that is out of range and in force, and against a message that does not say
+/// which shares are allowed.
+#[test]
+fn the_share_of_speculative_copies_is_checked() {
+    let text = "name = \"a\"\nzone = \"z\"\n[listen]\ncaller = \"127.0.0.1:8080\"\npeer = \"127.0.0.1:8082\"\n\
+                admin = \"127.0.0.1:8081\"\n[platform]\nstore = \"127.0.0.1:7070\"\n[jobs]\nready = \"127.0.0.1:8083\"\n";
+    let share = |line: &str| {
+        let settings = settings::parse("settings.toml", &format!("{text}{line}")).expect("valid settings");
+        settings.jobs.expect("a section on jobs").tuning().copy_share_percent
+    };
+    assert_eq!((share(""), share("copies = 0\n"), share("copies = 50\n")), (5, 0, 50));
+    for value in ["51", "-1", "\"5\"", "2.5"] {
+        let found = findings(&format!("{text}copies = {value}\n"));
+        assert!(found.contains("settings.toml:") && found.contains("jobs.copies"), "{value}: {found}");
+    }
+    let found = findings(&format!("{text}copies = 51\n"));
+    assert!(found.contains("51 is not allowed; expected 0 to 50"), "{found}");
+}
