Fix findings of clippy and rustdoc in the module on copies

Cause: clippy rejects `x + 1 <= y` in a unit test, and rustdoc links from public to private items.

Change: the test names the number of runs; the comments name the constants without links.

--- a/src/core/work/speculate.rs
+++ b/src/core/work/speculate.rs
@@ -2,7 +2,7 @@
 //!
 //! A copy is a second run of a task on another worker. The first run that is done finishes the task, and the other one is
 //! stopped. [`decide`] is a function of plain values. The leader looks at the active runs of speculative steps at most
-//! once per [`LOOK_INTERVAL`], after it has placed the waiting tasks, and `place::copy` starts the copies.
+//! once per `LOOK_INTERVAL`, after it has placed the waiting tasks, and `place::copy` starts the copies.
 //!
 //! Copies may cost a share of the processor time of all runs, counted over a sliding window. A new leader has an empty
 //! window and starts none until it has seen other runs use processor time.
@@ -108,7 +108,7 @@
     step.is_speculative && !step.is_gang && !step.is_long_running && !step.is_filling
 }
 
-/// Whether a task can have another run beside those that it has: it never has more than [`RUNS_MAX`], and all of them can
+/// Whether a task can have another run beside those that it has: it never has more than `RUNS_MAX`, and all of them can
 /// fail without exceeding its attempts.
 pub fn can_add_run(run_count: usize, failed_runs: usize, max_attempts: usize) -> bool {
     run_count < RUNS_MAX && failed_runs + run_count < max_attempts
@@ -456,8 +456,8 @@
             for failed_runs in 0..max_attempts {
                 for run_count in 0..3 {
                     if can_add_run(run_count, failed_runs, max_attempts) {
-                        assert!(failed_runs + run_count + 1 <= max_attempts);
-                        assert!(run_count + 1 <= RUNS_MAX);
+                        let runs = run_count + 1;
+                        assert!(failed_runs + runs <= max_attempts && runs <= RUNS_MAX);
                     }
                 }
             }
