--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -33,6 +33,7 @@
 pub mod runtime;
 pub mod silence;
 pub mod spec;
+pub mod speculate;
 pub mod state;
 mod stop;
 pub mod store;
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -13,8 +13,7 @@
 use super::timer::Timer;
 use super::tuning::Tuning;
 use super::{
-    confirm, evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime, silence,
-    worker,
+    confirm, evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime, silence, speculate, worker,
 };
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
@@ -149,6 +148,8 @@
     pub runs: run::Table,
     /// Run times of the tasks of each queue; empty unless this process leads.
     pub runtimes: runtime::Table,
+    /// Runs that may get speculative copies, and the copies; empty unless this process leads.
+    pub speculation: speculate::State,
     /// Images of tasks and the interference between them.
     pub images: image::Table,
     /// Jobs; empty unless this process leads.
@@ -216,6 +217,7 @@
             workers: worker::Table::default(),
             runs: run::Table::default(),
             runtimes: runtime::Table::default(),
+            speculation: speculate::State::default(),
             images: image::Table::default(),
             jobs: job::Table::default(),
             journal: journal::State::default(),
