Order waiting groups by what their jobs can still reach

Cause: groups were sorted by deadline, with late ones last. With more work than room this starts jobs whose remaining steps no longer fit before their deadline, so they take capacity and are late all the same.

Change: `core::work::backlog` ranks a group by priority, class and time, as a pure function. Groups that meet their deadline come first, least slack first, by the longest chain of remaining steps and the learned run times; then those within the error of these times, those within three times their time, and the rest. Late groups that have waited for 30 s come first for 1 s in each 8 s. Long-running groups keep their deadline as their key. Deadlines of occurrences of a schedule count from their release. `State::order` holds the function, so that tests compare orders.

The unit tests of the module were not run yet, and a trial of a test on starving jobs has failed: a job of several steps waits for 30 s at each of them.

--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -1,6 +1,7 @@
 //! Arena of jobs: accepted, running, and ended ones whose phase callers can still read.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use slotmap::SlotMap;
 
@@ -48,6 +49,10 @@
     pub accepted_unix_ms: u64,
     /// Time by which the job should be completed.
     pub deadline: Instant,
+    /// Time from its acceptance, or from the release of an occurrence, within which it should be completed.
+    pub allowance: Duration,
+    /// Estimated run time of the longest chain of dependent steps that begins with each step.
+    pub chains: Vec<Duration>,
     /// Priority of the queue; 0 is the highest.
     pub priority: u32,
     /// Number of failed runs of one task after which the job fails.
@@ -86,6 +91,13 @@
         }
     }
 
+    /// Time by which an occurrence should be completed, at `now` with the time of day `unix_ms`.
+    pub fn occurrence_deadline(&self, number: u32, now: Instant, unix_ms: u64) -> Instant {
+        let Some(schedule) = self.spec.schedule else { return self.deadline };
+        let due = schedule.start_unix_ms + schedule.interval_ms * u64::from(number);
+        now - Duration::from_millis(unix_ms.saturating_sub(due)) + self.allowance
+    }
+
     /// Changes the service whose workers run the tasks.
     pub fn set_service(&mut self, service: &str) {
         self.service = service.to_owned();
--- a/src/core/work/lifecycle.rs
+++ b/src/core/work/lifecycle.rs
@@ -22,6 +22,7 @@
 pub(super) fn new_job(state: &mut super::State, id: Id, record: Record) -> Job {
     let queue = state.config.queue(&record.queue);
     let critical_path = record.spec.critical_path();
+    let allowance = queue.map_or(critical_path, |queue| queue.deadline(critical_path));
     let service = queue.map_or(record.service, |queue| queue.service.clone());
     let needs = record.spec.steps.iter().map(|step| Need::of(step, &service, &mut state.images)).collect();
     Job {
@@ -29,7 +30,9 @@
         queue: record.queue,
         service,
         needs,
-        deadline: state.now + queue.map_or(critical_path, |queue| queue.deadline(critical_path)),
+        deadline: state.now + allowance,
+        allowance,
+        chains: record.spec.remaining_chains(),
         priority: queue.map_or(u32::MAX, |queue| queue.priority),
         max_attempts: queue.map_or(DEFAULT_MAX_ATTEMPTS, |queue| queue.max_attempts).max(1),
         spec: record.spec,
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -29,7 +29,7 @@
 use super::job::Group;
 use super::spec::Resources;
 use super::worker::{Gate, Key};
-use super::{control, leadership, renewal, state, task, wait};
+use super::{backlog, control, leadership, renewal, state, symbol, task, wait};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -66,8 +66,8 @@
 /// Most workers that the timeline entry about the opening of the gate names.
 const UNREACHED_NAMES_MAX: usize = 20;
 
-/// Place of a group in the order of a pass: priority, whether its deadline has passed, deadline, and the group.
-type Order = (u32, bool, Instant, Group);
+/// Place of a group in the order of a pass.
+type Order = (backlog::Rank, Group);
 
 /// Limit on the work of a pass.
 #[derive(Debug, Clone, Copy)]
@@ -381,23 +381,42 @@
     state::record(out, Subject::Process, "gate-open", format!("{cause}, after {elapsed_ms} ms"));
 }
 
-/// Returns the waiting groups, most urgent first. Within a priority, groups past their deadline come after those that
-/// can still meet it.
+/// Returns the waiting groups, most urgent first.
 fn sort_waiting(state: &super::State) -> Vec<Order> {
-    let mut waiting: Vec<Order> = state
-        .jobs
-        .ready
-        .keys()
-        .filter_map(|group| {
-            let job = state.jobs.all.get(group.job)?;
-            let is_late = job.deadline < state.now && !job.spec.is_long_running();
-            Some((job.priority, is_late, job.deadline, *group))
-        })
-        .collect();
+    let mut ratios = Map::default();
+    let rank = |(group, tasks): (&Group, &VecDeque<task::Key>)| {
+        let waiting = describe_waiting(state, *group, tasks, &mut ratios)?;
+        Some(((state.order)(&waiting, state.now), *group))
+    };
+    let mut waiting: Vec<Order> = state.jobs.ready.iter().filter_map(rank).collect();
     waiting.sort_unstable();
     waiting
 }
 
+/// What the order of a group depends on. All steps of a queue have the same ratio of run times to estimates, so one look at
+/// the learned run times for each queue gives the times of all chains; `ratios` holds those that are known.
+fn describe_waiting<'a>(
+    state: &'a super::State,
+    group: Group,
+    tasks: &VecDeque<task::Key>,
+    ratios: &mut Map<&'a str, Option<f64>>,
+) -> Option<backlog::Waiting> {
+    let job = state.jobs.all.get(group.job)?;
+    let ratio = *ratios
+        .entry(job.queue.as_str())
+        .or_insert_with(|| backlog::median_ratio(&state.runtimes, symbol::Key::of(&job.queue)));
+    let chain = *job.chains.get(group.step as usize)?;
+    Some(backlog::Waiting {
+        priority: job.priority,
+        is_long_running: job.spec.is_long_running(),
+        deadline: job.occurrence_deadline(group.occurrence, state.now, state.unix_ms),
+        allowance: job.allowance,
+        remaining: ratio.map_or(chain, |ratio| chain.mul_f64(ratio)),
+        is_learned: ratio.is_some(),
+        since: state.jobs.tasks.get(*tasks.front()?)?.ready_at,
+    })
+}
+
 /// Starts the tasks of these groups that find room, one group after the other. Returns the index of the group at which the
 /// next pass goes on; `None` after the last one.
 fn place_groups(
@@ -407,7 +426,7 @@
     out: &mut Vec<Effect>,
 ) -> Option<usize> {
     for (index, order) in groups.iter().enumerate() {
-        let is_done = place_group(state, order.3, pass, out).is_continue();
+        let is_done = place_group(state, order.1, pass, out).is_continue();
         if pass.is_exhausted() {
             return Some(if is_done { index + 1 } else { index });
         }
--- a/src/core/work/spec.rs
+++ b/src/core/work/spec.rs
@@ -209,6 +209,19 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Estimated run time of the longest chain of dependent steps that begins with each step.
+    pub fn remaining_chains(&self) -> Vec<Duration> {
+        let mut chains: Vec<Duration> = self.steps.iter().map(|step| step.estimate).collect();
+        // Later steps depend on earlier ones only, so the chain of a step is complete when it is reached.
+        for (number, step) in self.steps.iter().enumerate().rev() {
+            for before in step.depends_on.iter().map(|before| *before as usize) {
+                let Some(estimate) = self.steps.get(before).map(|step| step.estimate) else { continue };
+                chains[before] = chains[before].max(estimate + chains[number]);
+            }
+        }
+        chains
+    }
+
     /// Whether any step runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.is_long_running)
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -12,7 +12,9 @@
 use super::store::{Call, Item, Leader, Range, Reply, Request, Revision};
 use super::timer::Timer;
 use super::tuning::Tuning;
-use super::{evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime, worker};
+use super::{
+    backlog, evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime, worker,
+};
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
 use crate::core::timer::Queue;
@@ -165,6 +167,8 @@
     pub placement: place::Memory,
     /// Policy that selects the worker of a task.
     pub policy: place::Policy,
+    /// Order of the groups of waiting tasks.
+    pub order: backlog::Order,
     /// Whether a graceful shutdown is in progress.
     pub is_stopping: bool,
     /// Deadline of the graceful shutdown.
@@ -213,6 +217,7 @@
             tasks_with_room: Map::default(),
             placement: place::Memory::default(),
             policy: place::PACKED,
+            order: backlog::rank,
             is_stopping: false,
             stop_deadline: Instant::default(),
             calls: Map::default(),
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -429,6 +429,13 @@
         }
     }
 
+    /// Sets the order of waiting groups on all entry VMs.
+    pub fn set_backlog_order(&mut self, order: work::backlog::Order) {
+        for vm in &mut self.vms {
+            vm.state.work.as_mut().expect("entry VMs of the emulator schedule jobs").order = order;
+        }
+    }
+
     /// Restarts a worker after a crash and updates its report in the store.
     pub fn restart_worker(&mut self, worker: usize) {
         self.workers[worker].restart(self.now, &mut self.observer);
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -151,6 +151,8 @@
     broken_gangs: Set<(Name, u32)>,
     /// Number of further runs of each task that fail.
     pub injected_failures: Map<Name, u32>,
+    /// Ratios of the run times of tasks to their estimates, by job; 1 for the others.
+    pub slowdowns: Map<Id, f64>,
     /// Evacuated availability zones, with the time of the operator's request.
     pub evacuated: Map<String, Instant>,
     /// Tasks that crash each worker that starts them.
@@ -187,6 +189,7 @@
             start_count: 0,
             broken_gangs: Set::default(),
             injected_failures: Map::default(),
+            slowdowns: Map::default(),
             evacuated: Map::default(),
             deadly: Set::default(),
             crash_counts: Map::default(),
@@ -776,7 +779,7 @@
         self.runs.push(Run {
             name,
             number,
-            duration: step.estimate,
+            duration: step.estimate.mul_f64(observer.slowdowns.get(&name.job).copied().unwrap_or(1.0)),
             is_long_running: step.is_long_running,
             is_gang: step.is_gang,
             is_failing,
