Count the starvation of late groups from the deadline of their job

Cause: the wait after which a late group gets its turn counted from when the group became ready.

Change: a group starves when its job is past its deadline for 30 s. So it starves at once at later steps, after a retry, and under a new leader. Groups in their turn are sorted by deadline, and `Waiting` needs no wait.

--- a/src/core/work/backlog.rs
+++ b/src/core/work/backlog.rs
@@ -16,8 +16,9 @@
 /// Multiple of its time within which a late job still has a part of its value.
 const VALUE_MULTIPLE: u32 = 3;
 
-/// Wait from which on a late group gets a share of the capacity. It is longer than three times the time of jobs of a few
-/// seconds, which would otherwise take that share as soon as they are late.
+/// Time after the deadline from which on a late group gets a share of the capacity. It is longer than the rest of the value of
+/// jobs of a few seconds, which would otherwise take that share as soon as they are late. It counts for the job, so that one
+/// of several steps does not wait for it at each step.
 pub const STARVING_AFTER: Duration = Duration::from_secs(30);
 
 /// Time in each [`TURN_PERIOD`] in which starving groups come first. With more work than capacity most groups starve in the
@@ -42,8 +43,6 @@
     pub remaining: Duration,
     /// Whether that rests on completed runs, and not on the caller's estimates alone.
     pub is_learned: bool,
-    /// Since when the first task of the group waits.
-    pub since: Instant,
 }
 
 /// Classes of groups, most urgent first.
@@ -51,7 +50,7 @@
 pub enum Class {
     /// Long-running, and past its deadline.
     Overdue,
-    /// Waits for longer than [`STARVING_AFTER`] and has its turn.
+    /// Past its deadline for longer than [`STARVING_AFTER`], in a turn.
     Starving,
     /// Meets its deadline if it starts now, also if the expected time is too short by its error.
     InTime,
@@ -81,10 +80,9 @@
 pub fn rank(waiting: &Waiting, now: Instant) -> Rank {
     let class = classify(waiting, now);
     let at = match class {
-        Class::Starving => waiting.since,
         Class::InTime if !waiting.is_long_running => latest_start(waiting),
         Class::Late => end_of_value(waiting),
-        Class::Overdue | Class::InTime | Class::Uncertain | Class::Worthless => waiting.deadline,
+        _ => waiting.deadline,
     };
     Rank { priority: waiting.priority, class, at }
 }
@@ -97,7 +95,7 @@
     if now + waiting.remaining + error <= waiting.deadline {
         return Class::InTime;
     }
-    if is_turn(now) && now.since(waiting.since) >= STARVING_AFTER {
+    if is_turn(now) && now >= waiting.deadline + STARVING_AFTER {
         return Class::Starving;
     }
     // A caller's estimate may be wrong by nearly all of it.
@@ -159,7 +157,6 @@
             allowance: 20 * SECOND,
             remaining: 4 * SECOND,
             is_learned: true,
-            since: NOW,
         }
     }
 
@@ -226,9 +223,9 @@
     /// waited for long.
     #[test]
     fn starving_groups_come_first_in_their_turns_only() {
-        let starving = Waiting { since: IN_TURN - STARVING_AFTER, ..due_before(100) };
-        let oldest = Waiting { since: IN_TURN - 2 * STARVING_AFTER, ..due_before(90) };
-        let recent = Waiting { since: IN_TURN - STARVING_AFTER / 2, ..due_before(100) };
+        let starving = Waiting { deadline: IN_TURN - STARVING_AFTER, ..waiting() };
+        let oldest = Waiting { deadline: IN_TURN - 2 * STARVING_AFTER, ..waiting() };
+        let recent = Waiting { deadline: IN_TURN - STARVING_AFTER + SECOND, ..waiting() };
         let urgent = due_in(20);
         let lasting = Waiting { is_long_running: true, ..due_before(10) };
         let sorted = [lasting, oldest, starving, urgent, recent];
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -384,11 +384,11 @@
 /// Returns the waiting groups, most urgent first.
 fn sort_waiting(state: &super::State) -> Vec<Order> {
     let mut ratios = Map::default();
-    let rank = |(group, tasks): (&Group, &VecDeque<task::Key>)| {
-        let waiting = describe_waiting(state, *group, tasks, &mut ratios)?;
+    let rank = |group: &Group| {
+        let waiting = describe_waiting(state, *group, &mut ratios)?;
         Some(((state.order)(&waiting, state.now), *group))
     };
-    let mut waiting: Vec<Order> = state.jobs.ready.iter().filter_map(rank).collect();
+    let mut waiting: Vec<Order> = state.jobs.ready.keys().filter_map(rank).collect();
     waiting.sort_unstable();
     waiting
 }
@@ -398,7 +398,6 @@
 fn describe_waiting<'a>(
     state: &'a super::State,
     group: Group,
-    tasks: &VecDeque<task::Key>,
     ratios: &mut Map<&'a str, Option<f64>>,
 ) -> Option<backlog::Waiting> {
     let job = state.jobs.all.get(group.job)?;
@@ -413,7 +412,6 @@
         allowance: job.allowance,
         remaining: ratio.map_or(chain, |ratio| chain.mul_f64(ratio)),
         is_learned: ratio.is_some(),
-        since: state.jobs.tasks.get(*tasks.front()?)?.ready_at,
     })
 }
 
--- a/tests/backlog_order.rs
+++ b/tests/backlog_order.rs
@@ -165,6 +165,21 @@
     }
 }
 
+/// Guards against a late job that waits as long as jobs in time keep coming.
+#[test]
+fn a_late_job_waits_until_no_more_jobs_come() {
+    /// Jobs that are submitted in 120 s, and those of them that are submitted in the first 5 s. There is about twice as much work
+    /// as room, so the turns of starving groups do not suffice for all late jobs.
+    const STEADY_JOBS: u64 = 600;
+    const FIRST_JOBS: usize = 25;
+    let jobs = play(1, backlog::rank, STEADY_JOBS, false);
+    let last = jobs.iter().map(|job| job.at).max().expect("jobs");
+    let late = jobs[..FIRST_JOBS].iter().filter(|job| !job.is_in_time());
+    let (ended, waiting): (Vec<_>, Vec<_>) = late.partition(|job| job.at + job.duration() < last);
+    assert!(!ended.is_empty());
+    assert!(waiting.is_empty(), "{} late jobs of the first 5 s have not ended: {waiting:#?}", waiting.len());
+}
+
 /// Guards against a chain that leaves out a step, so that a job is taken as one in time until its last step is reached.
 #[test]
 fn a_chain_is_shorter_than_the_steps_that_depend_on_it() {
