--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -13,7 +13,8 @@
 use super::timer::Timer;
 use super::tuning::Tuning;
 use super::{
-    confirm, evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime, silence, speculate, worker,
+    backlog, confirm, evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime,
+    silence, speculate, worker,
 };
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
@@ -184,6 +185,8 @@
     pub placement: place::Memory,
     /// Policy that selects the worker of a task.
     pub policy: place::Policy,
+    /// Order of the groups of waiting tasks.
+    pub order: backlog::Order,
     /// Whether a graceful shutdown is in progress.
     pub is_stopping: bool,
     /// Deadline of the graceful shutdown.
@@ -235,6 +238,7 @@
             tasks_with_room: Map::default(),
             placement: place::Memory::default(),
             policy: place::PACKED,
+            order: backlog::rank,
             is_stopping: false,
             stop_deadline: Instant::default(),
             calls: Map::default(),
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -158,6 +158,8 @@
     pub slow_runs: Map<Name, u32>,
     /// Processor time of all ended runs in core-milliseconds.
     pub core_ms: u64,
+    /// Ratios of the run times of tasks to their estimates, by job; 1 for the others.
+    pub slowdowns: Map<Id, f64>,
     /// Evacuated availability zones, with the time of the operator's request.
     pub evacuated: Map<String, Instant>,
     /// Tasks that crash each worker that starts them.
@@ -196,6 +198,7 @@
             injected_failures: Map::default(),
             slow_runs: Map::default(),
             core_ms: 0,
+            slowdowns: Map::default(),
             evacuated: Map::default(),
             deadly: Set::default(),
             crash_counts: Map::default(),
@@ -825,7 +828,8 @@
         self.runs.push(Run {
             name,
             number,
-            duration: step.estimate * observer.slow_runs.remove(&name).unwrap_or(1),
+            duration: step.estimate.mul_f64(observer.slowdowns.get(&name.job).copied().unwrap_or(1.0))
+                * observer.slow_runs.remove(&name).unwrap_or(1),
             is_long_running: step.is_long_running,
             is_gang: step.is_gang,
             is_failing,
