Let the settings state by how much remote data slows down a task

Cause: tasks take longer outside the rack that holds their data, by a factor that differs between deployments and that the scheduler does not know. Change: [jobs] far_factor, from 1 (the default) to 100; the template takes it from bounds.far_factor if the platform states it. The renderer of the soak test gets the new field of the template, without a value.

--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -72,6 +72,9 @@
     pub max_deferral: Duration,
     /// Time at a slow pace after which a filling run that saves checkpoints is moved to another worker.
     pub move_after: Duration,
+    /// Factor by which a task takes longer outside the rack that holds its data, and a gang on several racks; at least 1. With 1
+    /// no task waits for a rack.
+    pub far_factor: f64,
     /// Interval at which the image estimates are stored.
     pub images_interval: Duration,
     /// Longest time that a graceful shutdown waits for requests in progress.
@@ -111,6 +114,7 @@
             pause_after: Duration::from_millis(2_500),
             max_deferral: Duration::from_millis(500),
             move_after: Duration::from_millis(800),
+            far_factor: 1.0,
             images_interval: Duration::from_millis(2_000),
             stop_wait: Duration::from_millis(2_000),
         }
--- a/src/declare/value.rs
+++ b/src/declare/value.rs
@@ -17,6 +17,9 @@
 /// Bytes in a MiB.
 const BYTES_PER_MIB: u64 = 1 << 20;
 
+/// Largest factor; a larger one is taken for a mistake.
+const FACTOR_MAX: f64 = 100.0;
+
 /// Tolerance for the rounding error of binary fractions, in thousandths of a core.
 const MAX_ERROR_MILLICORES: f64 = 1e-3;
 
@@ -92,12 +95,28 @@
 }
 
 fn read_cores(value: &DeValue<'_>) -> Result<f64, String> {
+    read_number(value).ok_or_else(|| mismatch("a number of cores such as 16 or 0.5", value))
+}
+
+/// Reads a number; `None` if the value is of another type.
+fn read_number(value: &DeValue<'_>) -> Option<f64> {
     match value {
-        DeValue::Integer(integer) => Ok(i64::from_str_radix(integer.as_str(), integer.radix())
-            .map_or(f64::INFINITY, |number| number as f64)),
-        DeValue::Float(float) => Ok(float.as_str().parse().unwrap_or(f64::NAN)),
-        _ => Err(mismatch("a number of cores such as 16 or 0.5", value)),
+        DeValue::Integer(integer) => Some(
+            i64::from_str_radix(integer.as_str(), integer.radix())
+                .map_or(f64::INFINITY, |number| number as f64),
+        ),
+        DeValue::Float(float) => Some(float.as_str().parse().unwrap_or(f64::NAN)),
+        _ => None,
+    }
+}
+
+/// Reads a factor of at least 1 in thousandths; a finer fraction is rounded.
+pub(crate) fn factor_per_mille(value: &DeValue<'_>) -> Result<u32, String> {
+    let number = read_number(value).ok_or_else(|| mismatch("a number such as 2 or 1.5", value))?;
+    if !(1.0..=FACTOR_MAX).contains(&number) {
+        return Err(format!("{number} is not allowed; expected 1 to {FACTOR_MAX}"));
     }
+    Ok((number * 1000.0).round() as u32)
 }
 
 /// Reads an amount of memory in MiB, rounded down.
--- a/src/settings/jobs.rs
+++ b/src/settings/jobs.rs
@@ -19,6 +19,8 @@
     pub retention: Duration,
     /// CPU capacity of the VM in thousandths of a core; 0 if it is not specified.
     pub cpu_millicores: u32,
+    /// Factor by which a task takes longer outside the rack of its data, in thousandths.
+    pub far_factor_per_mille: u32,
 }
 
 impl Jobs {
@@ -29,6 +31,7 @@
             worker_lease: default.worker_lease.min(self.lease_max),
             lease_max: self.lease_max,
             retention: default.retention.max(self.retention),
+            far_factor: f64::from(self.far_factor_per_mille) / 1_000.0,
             ..default
         }
     }
@@ -37,10 +40,11 @@
 pub(super) fn read(root: &Table<'_>, report: &mut Report) -> Option<Jobs> {
     let default = Tuning::default();
     let table = root.table(report, "jobs")?;
-    table.reject_unknown(report, &["ready", "lease_max", "retention", "cores"]);
+    table.reject_unknown(report, &["ready", "lease_max", "retention", "cores", "far_factor"]);
     let lease_max = table.with_default(report, "lease_max", default.lease_max, value::duration).value;
     let retention = table.with_default(report, "retention", default.retention, value::duration).value;
     let cpu_millicores = table.with_default(report, "cores", 0, value::rounded_millicores).value;
+    let far_factor_per_mille = table.with_default(report, "far_factor", 1_000, value::factor_per_mille).value;
     let readiness_address = table.required(report, "ready", value::address)?.value;
-    Some(Jobs { readiness_address, lease_max, retention, cpu_millicores })
+    Some(Jobs { readiness_address, lease_max, retention, cpu_millicores, far_factor_per_mille })
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -61,3 +61,23 @@
     assert_eq!(stated.lease_max.as_millis(), 6_000);
     assert_eq!(stated.worker_lease, unstated.worker_lease);
 }
+
+/// Guards against a factor that is ignored, or one that would make tasks wait for a slower placement.
+#[test]
+fn a_far_factor_below_one_is_accepted() {
+    let text = |jobs: &str| {
+        format!(
+            "name = \"a\"\nzone = \"z\"\n[listen]\ncaller = \"127.0.0.1:8080\"\npeer = \"127.0.0.1:8082\"\n\
+             admin = \"127.0.0.1:8081\"\n[platform]\nstore = \"127.0.0.1:7070\"\n[jobs]\nready = \"127.0.0.1:8083\"\n{jobs}\n"
+        )
+    };
+    let far_factor = |jobs: &str| {
+        let settings = settings::parse("settings.toml", &text(jobs)).expect("valid settings");
+        settings.jobs.expect("a section on jobs").tuning().far_factor
+    };
+    let found = ["", "far_factor = 1", "far_factor = 2.25", "far_factor = 3"].map(far_factor);
+    assert_eq!(found, [1.0, 1.0, 2.25, 3.0]);
+    let faults =
+        ["0.9", "-2", "1e9", "nan", "\"2\""].map(|value| findings(&text(&format!("far_factor = {value}"))));
+    assert_snapshot!(faults.join("\n"));
+}
--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -70,6 +70,7 @@
         let &[front, ready, peer, admin] = ports.as_slice() else { unreachable!("four listeners are bound") };
         let fields = [
             ("{{#limits.cpu_share}}cores = {{.}}{{/limits.cpu_share}}", "cores = 0.25".to_owned()),
+            ("{{#bounds.far_factor}}far_factor = {{.}}{{/bounds.far_factor}}", String::new()),
             ("{{node_name}}", name.to_owned()),
             ("{{zone}}", zone.to_owned()),
             ("{{ip}}", ip.to_string()),
