Let tasks wait for their rack where that ends them earlier

Cause: a task or a same_rack gang with room only elsewhere started there at once, although it takes far_factor times as long. Change: place::locality compares the expected wait for room on the rack with the time saved there. A wait is bounded by that time, by 2 s since the task became ready, and by the slack of the job. The rule is part of place::Policy. Waiting tasks are skipped until their rack changes or the expected time has passed. Run times elsewhere are divided by the factor before they are learned. Timeline entry waits-for-rack, hold in the reports on waiting tasks, and three kinds of leader_work. The benchmark benches/placement was not run.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -10,7 +10,7 @@
 use super::request;
 use super::run::{self, Exit, Loss, Phase, Run};
 use super::spec::{Id, Name, Resources};
-use super::{crash, health, journal, leadership, lifecycle, pace, state, symbol, task, worker};
+use super::{crash, health, journal, leadership, lifecycle, pace, place, state, symbol, task, worker};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -481,7 +481,9 @@
     }
     let Some(job) = state.jobs.find(run.name.job).and_then(|job| state.jobs.all.get(job)) else { return };
     let Some(step) = job.spec.steps.get(run.name.step as usize) else { return };
-    let actual = state.now.since(run.started_at);
+    // Run times outside the rack of the data would count for the rack, too.
+    let Some(slowdown) = place::locality::slowdown(state, run, step) else { return };
+    let actual = state.now.since(run.started_at).div_f64(slowdown);
     state.runtimes.record(symbol::Key::of(&job.queue), step.estimate, actual);
 }
 
--- a/src/core/work/meter.rs
+++ b/src/core/work/meter.rs
@@ -61,6 +61,12 @@
     pub unsent_starts: u64,
     /// Workers that became silent.
     pub silent_workers: u64,
+    /// Waits for a rack that began.
+    pub rack_waits: u64,
+    /// Those that ended with a start on the rack.
+    pub rack_waits_paid: u64,
+    /// Those that ended with a start elsewhere.
+    pub rack_waits_abandoned: u64,
 }
 
 impl Counts {
@@ -222,6 +228,9 @@
         doubtful_starts,
         unsent_starts,
         silent_workers,
+        rack_waits,
+        rack_waits_paid,
+        rack_waits_abandoned,
     } = counts;
     let pass_time = pass_time.as_millis();
     format!(
@@ -230,7 +239,8 @@
          workers: {unproven_workers}, key reads: {key_reads}; commits: {commits}, changes: {commit_changes}, longest in flight \
          {longest_commit} ms, changes queued: {queued_changes}; listings: {listings}, ends in them: {listed_ends}; orders: \
          renew {renew_orders}, start {start_orders}, stop {stop_orders}, pace {pace_orders}; starts without an answer: \
-         {doubtful_starts}, starts not sent: {unsent_starts}, workers that became silent: {silent_workers}; longest wait \
+         {doubtful_starts}, starts not sent: {unsent_starts}, workers that became silent: {silent_workers}; waits for a rack: \
+         {rack_waits}, started there {rack_waits_paid}, elsewhere {rack_waits_abandoned}; longest wait \
          with room {placement_delay} ms; ready tasks: {ready_tasks}, groups: {ready_groups}"
     )
 }
--- a/src/core/work/place/gang.rs
+++ b/src/core/work/place/gang.rs
@@ -2,7 +2,7 @@
 
 use super::need::Need;
 use super::search::{self, Plan, Scope, Siblings};
-use super::{Pass, control};
+use super::{Pass, control, locality};
 use crate::core::effect::Effect;
 use crate::core::work::job::Group;
 use crate::core::work::state::State;
@@ -25,9 +25,13 @@
         pass.found.stuck.insert((group, need.urgency));
         return;
     }
+    let Some(first) = tasks.first().copied() else { return };
+    if locality::is_waiting(state, first, pass) {
+        return;
+    }
     let step = &state.jobs.all[group.job].spec.steps[group.step as usize];
     let racks = if step.prefers_same_rack { racks(state) } else { Vec::new() };
-    let plan = racks.into_iter().map(Some).chain([None]).find_map(|rack| {
+    let plan = racks.iter().copied().map(Some).chain([None]).find_map(|rack| {
         let need = Need { affinity: rack, ..need };
         plan_gang(state, group, &need, tasks.len(), pass)
     });
@@ -37,6 +41,10 @@
         }
         return;
     };
+    let is_near = racks.is_empty() || is_on_one_rack(state, &plan);
+    if !is_near && locality::gang_waits(state, tasks, &need, &racks, pass, out) {
+        return;
+    }
     let tenure = state.tenure();
     let unproven = plan.iter().copied().filter(|key| !state.workers.all[*key].has_proof(tenure));
     pass.unproven.extend(unproven);
@@ -50,8 +58,17 @@
         state.jobs.tasks[*key].checkpoint.clone_from(&checkpoint);
         if control::start(state, *key, worker, number, out) {
             pass.memory.note(state, worker);
+            pass.racks.forget(&state.workers.all[worker]);
         }
     }
+    locality::record_start(state, first, is_near, pass);
+}
+
+/// Whether all workers of a plan belong to one rack.
+fn is_on_one_rack(state: &State, plan: &[Key]) -> bool {
+    let mut racks = plan.iter().map(|key| state.workers.all[*key].rack());
+    let first = racks.next().flatten();
+    first.is_some() && racks.all(|rack| rack == first)
 }
 
 /// Returns the racks of the workers that take new runs.
--- a/src/core/work/place/memory.rs
+++ b/src/core/work/place/memory.rs
@@ -9,6 +9,7 @@
 
 use slotmap::SecondaryMap;
 
+use super::locality::Waits;
 use super::need::Need;
 use super::{Order, Tally, preempt, search};
 use crate::core::time::Instant;
@@ -16,8 +17,8 @@
 use crate::core::work::job::Group;
 use crate::core::work::spec::Resources;
 use crate::core::work::state::State;
-use crate::core::work::symbol;
 use crate::core::work::worker::{Key, Worker};
+use crate::core::work::{symbol, task};
 use crate::hash::Set;
 
 /// Most needs of a kind that are remembered, since each waiting group is compared with them. Groups with other needs are
@@ -75,6 +76,8 @@
     pub roomier: Vec<Key>,
     /// Workers that have changed in any way: they may suit other filling tasks, or have other runs to preempt.
     pub changed: Vec<Key>,
+    /// Workers that took new runs at the last pass, and take none now.
+    pub closed: Vec<Key>,
     bounds: Vec<Bound>,
 }
 
@@ -155,6 +158,8 @@
     without_victims: Set<Group>,
     /// Times at which the waiting of a task gets another meaning.
     wakes: BinaryHeap<Reverse<Instant>>,
+    /// Tasks that wait for a rack although they have room elsewhere.
+    pub(super) waits: Waits,
     /// Place in the order of the groups at which the next pass goes on; `None` to begin with the first.
     pub(super) resume_at: Option<Order>,
 }
@@ -171,6 +176,9 @@
             if before.is_none_or(|before| before.version != sight.version) {
                 tally.runs += worker.runs.len() as u64;
             }
+            if before.is_some_and(|before| before.accepts && !sight.accepts) {
+                survey.closed.push(key);
+            }
             if before.is_none_or(|before| sight.has_more_room(&before)) {
                 survey.roomier.push(key);
                 survey.changed.push(key);
@@ -198,7 +206,8 @@
 
     /// Forgets all that was found out.
     pub fn forget_all(&mut self) {
-        *self = Self { wakes: std::mem::take(&mut self.wakes), ..Self::default() };
+        let (wakes, waits) = (std::mem::take(&mut self.wakes), std::mem::take(&mut self.waits));
+        *self = Self { wakes, waits, ..Self::default() };
     }
 
     /// Number of remembered needs that a need is compared with.
@@ -261,6 +270,11 @@
         }
     }
 
+    /// Whether a task waits for a rack although it has room elsewhere.
+    pub fn is_waiting_for_rack(&self, key: task::Key, now: Instant) -> bool {
+        self.waits.is_waiting(key, now)
+    }
+
     /// Adds times at which a waiting task may become placeable without another event.
     pub(super) fn wake_at(&mut self, times: impl IntoIterator<Item = Instant>) {
         self.wakes.extend(times.into_iter().map(Reverse));
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -8,6 +8,7 @@
 //! wait behind it.
 
 mod gang;
+pub mod locality;
 mod memory;
 mod need;
 mod policy;
@@ -109,6 +110,8 @@
     unplaceable_suspects: Vec<Need>,
     /// Workers that were chosen for tasks, but may have forgotten a later leader.
     unproven: Set<Key>,
+    /// Racks for which tasks wait.
+    racks: locality::Racks,
     /// What the pass has examined.
     tally: Tally,
 }
@@ -131,6 +134,7 @@
             held: None,
             unplaceable_suspects: Vec::new(),
             unproven: Set::default(),
+            racks: locality::Racks::default(),
             tally,
         }
     }
@@ -141,6 +145,7 @@
         if let Some(held) = self.held {
             self.memory.forget(held);
         }
+        self.memory.waits.retain_ready(&state.jobs.tasks);
         let is_whole = self.memory.resume_at.is_none();
         self.memory.keep(state, self.found, is_whole, &mut self.tally);
         self.tally.runs += std::mem::take(&mut self.memory.headrooms.runs);
@@ -485,6 +490,10 @@
         if (urgency == Urgency::Urgent && has_no_urgent_start) || !is_startable(state, key) {
             continue;
         }
+        if locality::is_waiting(state, key, pass) {
+            pass.other_visits += 1;
+            continue;
+        }
         pass.other_visits += VISITS_PER_TASK;
         state.meter.counts.candidates += 1;
         let need = Need { avoid: task.avoid_worker, is_suspect: task.is_suspect(), urgency, ..*need };
@@ -534,6 +543,10 @@
         }
         return preempt_for(state, key, need, priority, pass, out);
     };
+    let is_near = !need.is_remote(&state.workers.all[worker]);
+    if !is_near && locality::waits(state, key, need, pass, out) {
+        return ControlFlow::Continue(());
+    }
     if !state.workers.all[worker].has_proof(state.tenure()) {
         pass.unproven.insert(worker);
         // Nothing is reserved, so the same worker would be found for each later task that accepts it.
@@ -542,6 +555,8 @@
     }
     if control::start(state, key, worker, number, out) {
         pass.memory.note(state, worker);
+        pass.racks.forget(&state.workers.all[worker]);
+        locality::record_start(state, key, is_near, pass);
         pass.starts += 1;
     }
     ControlFlow::Continue(())
--- a/src/core/work/place/need.rs
+++ b/src/core/work/place/need.rs
@@ -2,7 +2,7 @@
 
 use crate::core::work::headroom::Urgency;
 use crate::core::work::spec::{Resources, Step};
-use crate::core::work::worker::Key;
+use crate::core::work::worker::{Key, Worker};
 use crate::core::work::{image, symbol};
 
 /// Requirements of a task.
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Whether a worker is outside the rack that holds the data of the task.
+    pub(super) fn is_remote(&self, worker: &Worker) -> bool {
+        self.affinity.is_some_and(|rack| !worker.labels.contains(&rack))
+    }
+
     /// Whether a worker without room for it has no room for larger needs either, since nothing but the worker decides.
     pub(super) fn stands_for_larger(&self) -> bool {
         self.max_per_worker.is_none() && !self.is_gang && !self.is_suspect
--- a/src/core/work/place/policy.rs
+++ b/src/core/work/place/policy.rs
@@ -1,5 +1,6 @@
 //! Policies that select the worker of a task among those with room for it.
 
+use super::locality::{self, Decision, Outlook};
 use super::need::Need;
 use crate::core::work::worker::Worker;
 
@@ -31,6 +32,8 @@
 pub struct Policy {
     /// Returns the score of a worker with room for the task; the worker with the highest score is chosen.
     pub score: fn(&Need, &Offer<'_>) -> i64,
+    /// Decides whether a task that has room only outside its rack waits.
+    pub wait: fn(&Outlook) -> Decision,
 }
 
 /// A worker with room for a task, as input of its score.
@@ -59,16 +62,17 @@
 
 /// Packs batch tasks onto few workers, keeps serving tasks of an image together, and puts filling tasks where most
 /// processor time is unused.
-pub const PACKED: Policy = Policy { score: packed };
+pub const PACKED: Policy = Policy { score: packed, wait: locality::decide };
 
 /// Puts each task on the worker with most free cores; the baseline that [`PACKED`] is compared with.
-pub const SPREAD: Policy =
-    Policy { score: |_, offer| i64::from(offer.worker.free_resources().cpu_millicores) };
+pub const SPREAD: Policy = Policy {
+    score: |_, offer| i64::from(offer.worker.free_resources().cpu_millicores),
+    wait: |_| Decision::Start,
+};
 
 fn packed(need: &Need, offer: &Offer<'_>) -> i64 {
     let worker = offer.worker;
     let free = i64::from(worker.free_resources().cpu_millicores);
-    let is_remote = need.affinity.is_some_and(|rack| !worker.labels.contains(&rack));
     let base = if need.is_filling {
         let Filling { spare_cpu_millicores, interference, compatible_share } = offer.filling;
         spare_cpu_millicores
@@ -84,5 +88,5 @@
     } else {
         -free
     };
-    base + if is_remote { REMOTE_DATA_SCORE } else { 0 }
+    base + if need.is_remote(worker) { REMOTE_DATA_SCORE } else { 0 }
 }
--- a/src/core/work/place/search.rs
+++ b/src/core/work/place/search.rs
@@ -287,7 +287,7 @@
 }
 
 /// Returns the number of runs on a worker that belong to the same step and occurrence.
-fn count_group_runs(state: &State, worker: &Worker, group: Group) -> u32 {
+pub(super) fn count_group_runs(state: &State, worker: &Worker, group: Group) -> u32 {
     let Some(job) = state.jobs.all.get(group.job) else { return 0 };
     let is_same_group = |run: &&run::Key| {
         state.runs.get(**run).is_some_and(|run| {
--- a/src/core/work/wait.rs
+++ b/src/core/work/wait.rs
@@ -40,11 +40,13 @@
     Change,
     /// Other tasks of its gang are no candidates.
     Gang,
+    /// It has room, and waits for a worker of the rack that holds its data.
+    Rack,
 }
 
 /// Names of the holds, in the order of the variants.
-const HOLD_NAMES: [&str; 5] =
-    ["not due", "gate", "lost run not confirmed", "change not durable", "incomplete gang"];
+const HOLD_NAMES: [&str; 6] =
+    ["not due", "gate", "lost run not confirmed", "change not durable", "incomplete gang", "rack"];
 
 /// Why a worker that is listed and ready takes no new runs; [`Worker::accepts`] decides that it does not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -156,6 +158,12 @@
     }
 }
 
+/// The same with the waits for a rack, in which the task stays a candidate of each pass.
+fn hold_or_wait(state: &super::State, key: task::Key, task: &task::Task) -> Option<Hold> {
+    let is_waiting = state.placement.is_waiting_for_rack(key, state.now);
+    hold(state, task).or(is_waiting.then_some(Hold::Rack))
+}
+
 /// Returns why a listed and ready worker takes no new runs of long-running or of other tasks, the first reason that
 /// applies; `None` if it takes them.
 fn exclusion(worker: &Worker, is_long_running: bool, tenure: Tenure) -> Option<Exclusion> {
@@ -271,12 +279,12 @@
     tasks: impl IntoIterator<Item = &'a task::Key>,
 ) -> Option<Waiting> {
     let (job, step) = find_step(state, group)?;
-    let tasks = tasks.into_iter().filter_map(|key| state.jobs.tasks.get(*key));
-    let tasks: Vec<_> = tasks.filter(|task| task.phase == task::Phase::Ready).collect();
+    let tasks = tasks.into_iter().filter_map(|key| Some((*key, state.jobs.tasks.get(*key)?)));
+    let tasks: Vec<_> = tasks.filter(|(_, task)| task.phase == task::Phase::Ready).collect();
     let due_at = |task: &task::Task| task.ready_at.max(task.not_before);
-    let first = tasks.iter().min_by_key(|task| (due_at(task), task.name))?;
+    let (_, first) = tasks.iter().min_by_key(|(_, task)| (due_at(task), task.name))?;
     let mut holds = Holds::default();
-    for hold in tasks.iter().filter_map(|task| hold(state, task)) {
+    for hold in tasks.iter().filter_map(|(key, task)| hold_or_wait(state, *key, task)) {
         holds[hold as usize] += 1;
     }
     let candidates = tasks.len() - holds.iter().sum::<usize>();
@@ -290,7 +298,7 @@
         first: first.name,
         task_count: tasks.len(),
         holds,
-        suspect_count: tasks.iter().filter(|task| task.is_suspect()).count(),
+        suspect_count: tasks.iter().filter(|(_, task)| task.is_suspect()).count(),
     })
 }
 
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -251,7 +251,7 @@
 
 /// Work of a leader by the label `kind`. The timeline entries count the starts without an answer, those that were not sent,
 /// and the workers that became silent.
-fn work_kinds(counts: &Counts) -> [(&'static str, u64); 11] {
+fn work_kinds(counts: &Counts) -> [(&'static str, u64); 14] {
     [
         ("pass", counts.passes),
         ("worker-visit", counts.worker_visits),
@@ -264,6 +264,9 @@
         ("commit-change", counts.commit_changes),
         ("listing", counts.listings),
         ("listed-end", counts.listed_ends),
+        ("rack-wait", counts.rack_waits),
+        ("rack-wait-paid", counts.rack_waits_paid),
+        ("rack-wait-abandoned", counts.rack_waits_abandoned),
     ]
 }
 
@@ -352,6 +355,9 @@
             "nutmegfold_leader_work_total{kind=\"commit-change\"} 0",
             "nutmegfold_leader_work_total{kind=\"listing\"} 0",
             "nutmegfold_leader_work_total{kind=\"listed-end\"} 0",
+            "nutmegfold_leader_work_total{kind=\"rack-wait\"} 0",
+            "nutmegfold_leader_work_total{kind=\"rack-wait-paid\"} 0",
+            "nutmegfold_leader_work_total{kind=\"rack-wait-abandoned\"} 0",
             "nutmegfold_leader_pass_time_seconds_total 0.25",
             "nutmegfold_leader_orders_total{kind=\"renew\"} 0",
             "nutmegfold_leader_orders_total{kind=\"start\"} 0",
