Test waits for a rack, and compare job times in the emulator

Cause: the emulator knew no remote data. Change: emulated tasks take longer outside the rack of their affinity, and may differ from their estimates. tests/locality checks the decision (table, properties, a queue with a known optimum), its effect, bounds and failures, and compares job times of four rules.

--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -192,6 +192,8 @@
     seed: u64,
     cpu_millicores: Vec<u32>,
     zone_count: usize,
+    /// Factor by which tasks take longer outside the rack that holds their data, as the entry VMs know it.
+    far_factor: f64,
 }
 
 /// Size of one queue of the configuration in an answer of the store, in bytes.
@@ -260,6 +262,7 @@
             seed,
             cpu_millicores: cpu_millicores.to_vec(),
             zone_count,
+            far_factor: 1.0,
         };
         for worker in &emulator.workers {
             emulator.store.list_worker(worker);
@@ -291,7 +294,8 @@
         let identity = Identity { vm: format!("vm-{vm}"), zone, address, nonce, cpu_millicores };
         let me =
             member::Identity { id: member::Id(nonce), name: format!("vm-{vm}"), zone, address, counter: 0 };
-        State::with_work(me, work::State::new(identity, Tuning::default(), self.now), self.now)
+        let tuning = Tuning { far_factor: self.far_factor, ..Tuning::default() };
+        State::with_work(me, work::State::new(identity, tuning, self.now), self.now)
     }
 
     /// Returns the next pseudo-random number.
@@ -429,6 +433,16 @@
         }
     }
 
+    /// Sets the factor by which tasks take longer outside the rack that holds their data.
+    pub fn set_far_factor(&mut self, far_factor: f64) {
+        self.far_factor = far_factor;
+        self.workers.iter_mut().for_each(|worker| worker.far_factor = far_factor);
+        for vm in &mut self.vms {
+            let work = vm.state.work.as_mut().expect("entry VMs of the emulator schedule jobs");
+            work.tuning.far_factor = far_factor;
+        }
+    }
+
     /// Restarts a worker after a crash and updates its report in the store.
     pub fn restart_worker(&mut self, worker: usize) {
         self.workers[worker].restart(self.now, &mut self.observer);
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -12,7 +12,7 @@
 use nutmegfold::core::work::spec::{Id, Name, Resources, Spec, Step};
 use nutmegfold::core::work::tuning::Tuning;
 use nutmegfold::core::work::worker::{Readiness, Report};
-use nutmegfold::hash::{Map, Set};
+use nutmegfold::hash::{self, Map, Set};
 
 use super::Envelope;
 
@@ -412,6 +412,10 @@
     pub(super) is_draining: bool,
     /// Whether every run that starts on the worker fails soon, long-running ones included.
     pub is_faulty: bool,
+    /// Factor by which tasks take longer outside the rack that holds their data.
+    pub far_factor: f64,
+    /// Largest error of the estimated run times, as a share of them.
+    pub estimate_error: f64,
     /// Number of runs that have been started on the worker.
     pub start_count: u32,
     /// Availability zone that it reports.
@@ -468,6 +472,8 @@
             due_acknowledgement: None,
             is_draining: false,
             is_faulty: false,
+            far_factor: 1.0,
+            estimate_error: 0.0,
             start_count: 0,
             zone: "z".into(),
             cpu_millicores: CPU_MILLICORES,
@@ -776,7 +782,7 @@
         self.runs.push(Run {
             name,
             number,
-            duration: step.estimate,
+            duration: self.run_time(&step, name),
             is_long_running: step.is_long_running,
             is_gang: step.is_gang,
             is_failing,
@@ -810,6 +816,14 @@
         Ok(())
     }
 
+    /// Run time of a task, which differs from the estimate in the same way on all workers.
+    fn run_time(&self, step: &Step, name: Name) -> Duration {
+        let is_far = step.affinity.as_ref().is_some_and(|rack| !self.report().labels.contains(rack));
+        let random = hash::numbers([name.job.0, u64::from(name.step), u64::from(name.index)]) % 1_000;
+        let error = (random as f64 / 500.0 - 1.0) * self.estimate_error;
+        step.estimate.mul_f64((1.0 + error) * if is_far { self.far_factor } else { 1.0 })
+    }
+
     fn list(&self, now: Instant) -> Listing {
         let running = self.runs.iter().map(|run| Running {
             name: run.name,
