--- a/src/core/work/meter.rs
+++ b/src/core/work/meter.rs
@@ -67,6 +67,12 @@
     pub copies_first: u64,
     /// Processor time that copies reserved, in core-milliseconds.
     pub copy_core_ms: u64,
+    /// Waits for a rack that began.
+    pub rack_waits: u64,
+    /// Those that ended with a start on the rack.
+    pub rack_waits_paid: u64,
+    /// Those that ended with a start elsewhere.
+    pub rack_waits_abandoned: u64,
 }
 
 impl Counts {
@@ -231,6 +237,9 @@
         copies,
         copies_first,
         copy_core_ms,
+        rack_waits,
+        rack_waits_paid,
+        rack_waits_abandoned,
     } = counts;
     let pass_time = pass_time.as_millis();
     format!(
@@ -240,6 +249,8 @@
          {longest_commit} ms, changes queued: {queued_changes}; listings: {listings}, ends in them: {listed_ends}; orders: \
          renew {renew_orders}, start {start_orders}, stop {stop_orders}, pace {pace_orders}; starts without an answer: \
          {doubtful_starts}, starts not sent: {unsent_starts}, workers that became silent: {silent_workers}; copies: {copies}, \
-         finished first {copies_first}, core-ms {copy_core_ms}; longest wait with room {placement_delay} ms; ready tasks: {ready_tasks}, groups: {ready_groups}"
+         finished first {copies_first}, core-ms {copy_core_ms}; waits for a rack: {rack_waits}, started there {rack_waits_paid}, \
+         elsewhere {rack_waits_abandoned}; longest wait with room {placement_delay} ms; ready tasks: {ready_tasks}, groups: \
+         {ready_groups}"
     )
 }
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -258,7 +258,7 @@
 
 /// Work of a leader by the label `kind`. The timeline entries count the starts without an answer, those that were not sent,
 /// and the workers that became silent.
-fn work_kinds(counts: &Counts) -> [(&'static str, u64); 13] {
+fn work_kinds(counts: &Counts) -> [(&'static str, u64); 16] {
     [
         ("pass", counts.passes),
         ("worker-visit", counts.worker_visits),
@@ -273,6 +273,9 @@
         ("listed-end", counts.listed_ends),
         ("copy", counts.copies),
         ("copy-first", counts.copies_first),
+        ("rack-wait", counts.rack_waits),
+        ("rack-wait-paid", counts.rack_waits_paid),
+        ("rack-wait-abandoned", counts.rack_waits_abandoned),
     ]
 }
 
@@ -367,6 +370,9 @@
             "nutmegfold_leader_work_total{kind=\"copy\"} 8",
             "nutmegfold_leader_work_total{kind=\"copy-first\"} 6",
             "nutmegfold_leader_copy_core_time_seconds_total 3",
+            "nutmegfold_leader_work_total{kind=\"rack-wait\"} 0",
+            "nutmegfold_leader_work_total{kind=\"rack-wait-paid\"} 0",
+            "nutmegfold_leader_work_total{kind=\"rack-wait-abandoned\"} 0",
             "nutmegfold_leader_pass_time_seconds_total 0.25",
             "nutmegfold_leader_orders_total{kind=\"renew\"} 0",
             "nutmegfold_leader_orders_total{kind=\"start\"} 0",
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -195,6 +195,8 @@
     cpu_millicores: Vec<u32>,
     zone_count: usize,
     copy_share_percent: u32,
+    /// Factor by which tasks take longer outside the rack that holds their data, as the entry VMs know it.
+    far_factor: f64,
 }
 
 /// Size of one queue of the configuration in an answer of the store, in bytes.
@@ -264,6 +266,7 @@
             cpu_millicores: cpu_millicores.to_vec(),
             zone_count,
             copy_share_percent: Tuning::default().copy_share_percent,
+            far_factor: 1.0,
         };
         for worker in &emulator.workers {
             emulator.store.list_worker(worker);
@@ -295,7 +298,8 @@
         let identity = Identity { vm: format!("vm-{vm}"), zone, address, nonce, cpu_millicores };
         let me =
             member::Identity { id: member::Id(nonce), name: format!("vm-{vm}"), zone, address, counter: 0 };
-        let tuning = Tuning { copy_share_percent: self.copy_share_percent, ..Tuning::default() };
+        let Self { copy_share_percent, far_factor, .. } = *self;
+        let tuning = Tuning { copy_share_percent, far_factor, ..Tuning::default() };
         State::with_work(me, work::State::new(identity, tuning, self.now), self.now)
     }
 
@@ -450,6 +454,16 @@
         }
     }
 
+    /// Sets the factor by which tasks take longer outside the rack that holds their data.
+    pub fn set_far_factor(&mut self, far_factor: f64) {
+        self.far_factor = far_factor;
+        self.workers.iter_mut().for_each(|worker| worker.far_factor = far_factor);
+        for vm in &mut self.vms {
+            let work = vm.state.work.as_mut().expect("entry VMs of the emulator schedule jobs");
+            work.tuning.far_factor = far_factor;
+        }
+    }
+
     /// Restarts a worker after a crash and updates its report in the store.
     pub fn restart_worker(&mut self, worker: usize) {
         self.workers[worker].restart(self.now, &mut self.observer);
