Refuse jobs that are forecast to start without value

Cause: with more work than room all jobs are accepted, and half of those of a crowd end when they have no value for their callers.

Change: `core::work::admission` forecasts the start of a submitted job from the queued work of its service with the same or a more urgent priority, the cores that ending runs occupy, and the share of their work that is completed. A job whose forecast start is later than three times its time less its critical path is refused before anything is stored, unless a worker has room for it. Retry times follow each other in the order of the refusals. A leader accepts all jobs for its first 5 s. `[jobs] admission = "forecast"` turns it on; the default is "all". Metrics: refusals by queue, forecast wait, age of the oldest group by priority, and of small and large jobs.

--- a/src/core/work/backlog.rs
+++ b/src/core/work/backlog.rs
@@ -6,8 +6,9 @@
 
 use std::time::Duration;
 
-use super::{runtime, symbol};
+use super::{job, runtime, symbol};
 use crate::core::time::Instant;
+use crate::hash::Map;
 
 /// Share of the expected remaining time by which it may be wrong. Half of all runs take longer than the median, and the
 /// histograms of run times have one significant digit.
@@ -124,6 +125,38 @@
     allowance * VALUE_MULTIPLE
 }
 
+/// Number of tasks from which a job counts as large: it does not fit on one worker of about 32 cores.
+const LARGE_JOB_TASKS: u32 = 32;
+
+/// Ages of the groups that wait longest.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Ages {
+    /// By priority.
+    pub by_priority: Map<u32, Duration>,
+    /// Among jobs of few tasks.
+    pub small: Duration,
+    /// Among jobs of many tasks.
+    pub large: Duration,
+}
+
+impl Ages {
+    /// Ages of the waiting groups at `now`.
+    pub fn of(jobs: &job::Table, now: Instant) -> Self {
+        let mut ages = Self::default();
+        for (group, tasks) in &jobs.ready {
+            let Some(job) = jobs.all.get(group.job) else { continue };
+            let Some(task) = tasks.front().and_then(|task| jobs.tasks.get(*task)) else { continue };
+            let age = now.since(task.ready_at.max(task.not_before));
+            let task_count: u32 = job.spec.steps.iter().map(|step| step.count).sum();
+            let of_size = if task_count < LARGE_JOB_TASKS { &mut ages.small } else { &mut ages.large };
+            *of_size = age.max(*of_size);
+            let of_priority = ages.by_priority.entry(job.priority).or_default();
+            *of_priority = age.max(*of_priority);
+        }
+        ages
+    }
+}
+
 /// Median ratio of the run times of a queue to their estimates; `None` if it is not known. It is the same for all estimates,
 /// so one look at it gives the expected times of all chains.
 pub fn median_ratio(runtimes: &runtime::Table, queue: symbol::Key) -> Option<f64> {
--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -450,6 +450,7 @@
     health::record_end(state, worker_key, end, out);
     if let Some(key) = key {
         record_run_time(state, key, end.how);
+        record_work(state, key, end.how);
     }
     let retry_delay = if end.how == How::Failed { state.tuning.task_retry } else { Duration::ZERO };
     // The end is recorded before the run is dropped, since dropping a run queues its task again unless the task is
@@ -485,6 +486,17 @@
     state.runtimes.record(symbol::Key::of(&job.queue), step.estimate, actual);
 }
 
+/// Counts the work of a run that has ended, unless it was to run until its job is cancelled.
+fn record_work(state: &mut super::State, key: run::Key, how: How) {
+    let Some(run) = state.runs.get(key) else { return };
+    let Some(service) = state.workers.all.get(run.worker).and_then(|worker| worker.service) else { return };
+    if step_of(state, run.name).is_none_or(|step| step.is_long_running) {
+        return;
+    }
+    let run_time = state.now.since(run.started_at);
+    state.admission.record_end(service, run.charged, run_time, how == How::Done, state.now);
+}
+
 /// Reconciles the runs of a worker with the answer to the renewal sent at `sent`: drops runs that it does not list,
 /// stops unconfirmed ones, and checks the progress of the others. While the worker has ends that it does not list, a
 /// missing run may have ended, so it is kept.
--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -12,7 +12,7 @@
 use super::state;
 use super::store::Record;
 use super::timer::Timer;
-use super::{journal, leadership, lifecycle, relay};
+use super::{admission, journal, leadership, lifecycle, relay};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace;
@@ -325,6 +325,10 @@
     if journal::is_failing(state) {
         return refuse(state, ticket, Some(id), "commits to the store fail", out);
     }
+    if let Some(refusal) = forecast_refusal(state, &queue, &spec) {
+        state::record(out, trace::Subject::Job(id), "refuse", refusal.describe(&queue));
+        return answer(ticket, Answer::Refused(refusal.retry_after_s), out);
+    }
     let service = state.config.queue(&queue).map(|queue| queue.service.clone()).unwrap_or_default();
     let record = Record { queue, service, spec, accepted_unix_ms: state.unix_ms };
     let job = lifecycle::new_job(state, id, record);
@@ -337,6 +341,22 @@
     journal::answer_when_durable(state, acceptance, ticket, id, Answer::Accepted);
 }
 
+/// Why a submission to a queue is refused by the forecast of its start; `None` if it is not.
+fn forecast_refusal(state: &mut super::State, queue: &str, spec: &Spec) -> Option<admission::Refusal> {
+    if state.tuning.admission == admission::Mode::All {
+        return None;
+    }
+    let applicant = admission::Applicant::new(state.config.queue(queue)?, spec, &state.runtimes);
+    let tables = admission::Tables {
+        jobs: &state.jobs,
+        runs: &state.runs,
+        workers: &state.workers,
+        runtimes: &state.runtimes,
+        tenure: state.tenure(),
+    };
+    state.admission.decide(&tables, queue, &applicant)
+}
+
 /// Ends a job unless it has ended, and answers when its end is durable.
 fn cancel(state: &mut super::State, ticket: Ticket, id: Id, out: &mut Vec<Effect>) {
     let Some(key) = state.jobs.find(id) else {
--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -353,6 +353,7 @@
     state.workers = Default::default();
     state.runs.clear();
     state.runtimes = Default::default();
+    state.admission = Default::default();
     state.jobs.clear();
     state.placement = Default::default();
     state.journal = Default::default();
--- a/src/core/work/meter.rs
+++ b/src/core/work/meter.rs
@@ -9,7 +9,7 @@
 use super::effect::Effect as WorkEffect;
 use super::order::Order;
 use super::place::Tally;
-use super::{evacuation, state};
+use super::{backlog, evacuation, state};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -85,7 +85,7 @@
 }
 
 /// Work and backlog of a leader, as a report hands them to the metrics.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Report {
     /// Time since the last report.
     pub period: Duration,
@@ -105,6 +105,16 @@
     pub ready_groups: u64,
     /// Ready tasks.
     pub ready_tasks: u64,
+    /// Age of the oldest waiting group, by priority, with 0 for configured priorities without one.
+    pub group_ages: Vec<(u32, Duration)>,
+    /// Age of the oldest waiting group of a small job.
+    pub small_job_age: Duration,
+    /// The same of a large job.
+    pub large_job_age: Duration,
+    /// Submissions that were refused by their forecast, by queue.
+    pub refusals: Vec<(String, u64)>,
+    /// Longest forecast time until a submitted job would start.
+    pub forecast_wait: Duration,
     /// Evacuated availability zones.
     pub evacuated_zones: u64,
     /// Runs on their workers.
@@ -167,7 +177,9 @@
         has_led: leads,
         ..Meter::default()
     };
-    let mut report = Report { period, counts: meter.counts, ..Report::default() };
+    let (refusals, forecast_wait) = state.admission.take_report();
+    let mut report = Report { period, counts: meter.counts, refusals, forecast_wait, ..Report::default() };
+    add_ages(state, &mut report);
     if leads {
         let in_flight = state.journal.time_in_flight(state.now);
         report.longest_lag = meter.longest_lag;
@@ -186,6 +198,19 @@
     out.push(Effect::Work(WorkEffect::Report(Box::new(report))));
 }
 
+/// Adds the ages of the waiting groups. A priority that has none any more is set to zero.
+fn add_ages(state: &super::State, report: &mut Report) {
+    let ages = backlog::Ages::of(&state.jobs, state.now);
+    let mut by_priority = ages.by_priority;
+    for queue in &state.config.queues {
+        by_priority.entry(queue.priority).or_default();
+    }
+    report.group_ages = by_priority.into_iter().collect();
+    report.group_ages.sort_unstable();
+    report.small_job_age = ages.small;
+    report.large_job_age = ages.large;
+}
+
 /// Text of the entry of a leader that is behind.
 fn describe(report: &Report) -> String {
     let Report {
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -4,6 +4,7 @@
 //! forward requests to the leader, and one of them is elected when the leader fails. `reduce` handles one event. All
 //! decisions are made in this module; the monotonic time, the time of day and the random seed are part of the input.
 
+pub mod admission;
 pub mod backlog;
 pub mod config;
 mod control;
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -13,7 +13,8 @@
 use super::timer::Timer;
 use super::tuning::Tuning;
 use super::{
-    backlog, evacuation, handler, image, job, journal, leadership, load, place, relay, run, runtime, worker,
+    admission, backlog, evacuation, handler, image, job, journal, leadership, load, place, relay, run,
+    runtime, worker,
 };
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
@@ -167,6 +168,8 @@
     pub placement: place::Memory,
     /// Policy that selects the worker of a task.
     pub policy: place::Policy,
+    /// Forecast of the start of submitted jobs; empty unless this process leads.
+    pub admission: admission::State,
     /// Order of the groups of waiting tasks.
     pub order: backlog::Order,
     /// Whether a graceful shutdown is in progress.
@@ -217,6 +220,7 @@
             tasks_with_room: Map::default(),
             placement: place::Memory::default(),
             policy: place::PACKED,
+            admission: admission::State::default(),
             order: backlog::rank,
             is_stopping: false,
             stop_deadline: Instant::default(),
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::admission;
+
 /// Intervals, timeouts and limits.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Tuning {
@@ -45,6 +47,8 @@
     /// Pause after a placement pass for each worker visit in it. It is several times the duration of a visit on a small
     /// VM, so that a long queue leaves processor time for everything else.
     pub place_rest_per_visit: Duration,
+    /// Which submissions are accepted.
+    pub admission: admission::Mode,
     /// Time after which a caller may retry a refused request, in seconds.
     pub retry_after_s: u32,
     /// Time for which the state of an ended job is kept.
@@ -100,6 +104,7 @@
             watch_wait: Duration::from_millis(2_000),
             place_interval: Duration::from_millis(4),
             place_rest_per_visit: Duration::from_nanos(500),
+            admission: admission::Mode::All,
             retry_after_s: 1,
             retention: Duration::from_secs(150),
             suspect_failures: 2,
--- a/src/settings/jobs.rs
+++ b/src/settings/jobs.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use toml::de::DeValue;
+
+use crate::core::work::admission::Mode;
 use crate::core::work::tuning::Tuning;
 use crate::declare::report::Report;
 use crate::declare::table::Table;
@@ -17,6 +20,8 @@
     pub lease_max: Duration,
     /// Minimum time for which the state of an ended job is kept.
     pub retention: Duration,
+    /// Which submissions the process accepts while it leads.
+    pub admission: Mode,
     /// CPU capacity of the VM in thousandths of a core; 0 if it is not specified.
     pub cpu_millicores: u32,
 }
@@ -29,6 +34,7 @@
             worker_lease: default.worker_lease.min(self.lease_max),
             lease_max: self.lease_max,
             retention: default.retention.max(self.retention),
+            admission: self.admission,
             ..default
         }
     }
@@ -37,10 +43,23 @@
 pub(super) fn read(root: &Table<'_>, report: &mut Report) -> Option<Jobs> {
     let default = Tuning::default();
     let table = root.table(report, "jobs")?;
-    table.reject_unknown(report, &["ready", "lease_max", "retention", "cores"]);
+    table.reject_unknown(report, &["ready", "lease_max", "retention", "admission", "cores"]);
     let lease_max = table.with_default(report, "lease_max", default.lease_max, value::duration).value;
     let retention = table.with_default(report, "retention", default.retention, value::duration).value;
+    let admission = table.with_default(report, "admission", Mode::default(), read_mode).value;
     let cpu_millicores = table.with_default(report, "cores", 0, value::rounded_millicores).value;
     let readiness_address = table.required(report, "ready", value::address)?.value;
-    Some(Jobs { readiness_address, lease_max, retention, cpu_millicores })
+    Some(Jobs { readiness_address, lease_max, retention, admission, cpu_millicores })
+}
+
+/// Modes of admission control and their names in the settings.
+const MODES: [(&str, Mode); 2] = [("all", Mode::All), ("forecast", Mode::Forecast)];
+
+fn read_mode(value: &DeValue<'_>) -> Result<Mode, String> {
+    let text = value::string(value)?;
+    let found = MODES.iter().find(|(name, _)| *name == text).map(|(_, mode)| *mode);
+    found.ok_or_else(|| {
+        let names = MODES.map(|(name, _)| name).join(", ");
+        format!("unknown admission \"{text}\"; allowed: {names}")
+    })
 }
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -51,6 +51,10 @@
     queued_changes: Gauge<u64>,
     ready_tasks: Gauge<u64>,
     ready_groups: Gauge<u64>,
+    group_age: Gauge<f64>,
+    job_size_age: Gauge<f64>,
+    refusals: Counter<u64>,
+    forecast_wait: Gauge<f64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs: Gauge<u64>,
 }
@@ -118,6 +122,16 @@
                 queued_changes: gauge("leader_queued_changes", "Changes that wait for a commit"),
                 ready_tasks: gauge("leader_ready_tasks", "Ready tasks of submitted jobs"),
                 ready_groups: gauge("leader_ready_groups", "Groups of ready tasks of submitted jobs"),
+                group_age: seconds("leader_group_age", "Age of the oldest waiting group, by priority"),
+                job_size_age: seconds(
+                    "leader_job_size_age",
+                    "Age of the oldest waiting group of small and of large jobs",
+                ),
+                refusals: counter("leader_refusals", "Submissions refused by their forecast, by queue"),
+                forecast_wait: seconds(
+                    "leader_forecast_wait",
+                    "Longest forecast time until a submitted job would start, in the last report of this leader",
+                ),
                 evacuated_zones: gauge("leader_evacuated_zones", "Evacuated availability zones"),
                 evacuated_runs: gauge(
                     "leader_evacuated_runs",
@@ -182,6 +196,17 @@
         self.leader.queued_changes.record(report.queued_changes, &[]);
         self.leader.ready_tasks.record(report.ready_tasks, &[]);
         self.leader.ready_groups.record(report.ready_groups, &[]);
+        for (priority, age) in &report.group_ages {
+            let label = KeyValue::new("priority", i64::from(*priority));
+            self.leader.group_age.record(age.as_secs_f64(), &[label]);
+        }
+        for (size, age) in [("small", report.small_job_age), ("large", report.large_job_age)] {
+            self.leader.job_size_age.record(age.as_secs_f64(), &[KeyValue::new("size", size)]);
+        }
+        for (queue, count) in &report.refusals {
+            self.leader.refusals.add(*count, &[KeyValue::new("queue", queue.clone())]);
+        }
+        self.leader.forecast_wait.record(report.forecast_wait.as_secs_f64(), &[]);
         self.leader.evacuated_zones.record(report.evacuated_zones, &[]);
         self.leader.evacuated_runs.record(report.evacuated_runs, &[]);
     }
@@ -325,6 +350,11 @@
             queued_changes: 7,
             ready_tasks: 9,
             ready_groups: 8,
+            group_ages: vec![(0, Duration::from_millis(500)), (2, Duration::ZERO)],
+            small_job_age: Duration::from_millis(250),
+            large_job_age: Duration::from_millis(500),
+            refusals: vec![("reports".into(), 4)],
+            forecast_wait: Duration::from_millis(1_250),
             ..Report::default()
         };
         metrics.record_leader(&report);
@@ -363,6 +393,12 @@
             "nutmegfold_leader_queued_changes 7",
             "nutmegfold_leader_ready_tasks 9",
             "nutmegfold_leader_ready_groups 8",
+            "nutmegfold_leader_group_age_seconds{priority=\"0\"} 0.5",
+            "nutmegfold_leader_group_age_seconds{priority=\"2\"} 0",
+            "nutmegfold_leader_job_size_age_seconds{size=\"small\"} 0.25",
+            "nutmegfold_leader_job_size_age_seconds{size=\"large\"} 0.5",
+            "nutmegfold_leader_refusals_total{queue=\"reports\"} 8",
+            "nutmegfold_leader_forecast_wait_seconds 1.25",
         ] {
             assert!(text.lines().any(|found| found == line), "{line} is missing in:\n{text}");
         }
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -436,6 +436,13 @@
         }
     }
 
+    /// Sets which submissions all entry VMs accept.
+    pub fn set_admission(&mut self, mode: work::admission::Mode) {
+        for vm in &mut self.vms {
+            vm.state.work.as_mut().expect("entry VMs of the emulator schedule jobs").tuning.admission = mode;
+        }
+    }
+
     /// Restarts a worker after a crash and updates its report in the store.
     pub fn restart_worker(&mut self, worker: usize) {
         self.workers[worker].restart(self.now, &mut self.observer);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Parsing and validation of the settings of an entry VM.
 
 use insta::assert_snapshot;
+use nutmegfold::core::work::admission::Mode;
 use nutmegfold::core::work::tuning::Tuning;
 use nutmegfold::finding::Finding;
 use nutmegfold::settings::{self, limit::Limits, log::Log};
@@ -61,3 +62,21 @@
     assert_eq!(stated.lease_max.as_millis(), 6_000);
     assert_eq!(stated.worker_lease, unstated.worker_lease);
 }
+
+/// Guards against admission control that is on by default, and against a misspelt mode that accepts all jobs.
+#[test]
+fn jobs_are_refused_by_forecast_only_if_the_settings_say_so() {
+    let text = "name = \"a\"\nzone = \"z\"\n[listen]\ncaller = \"127.0.0.1:8080\"\npeer = \"127.0.0.1:8082\"\n\
+                admin = \"127.0.0.1:8081\"\n[platform]\nstore = \"127.0.0.1:7070\"\n[jobs]\nready = \"127.0.0.1:8083\"\n";
+    let mode = |line: &str| {
+        let settings = settings::parse("settings.toml", &format!("{text}{line}")).expect("valid settings");
+        settings.jobs.expect("a section on jobs").tuning().admission
+    };
+    assert_eq!(mode(""), Mode::All);
+    assert_eq!(mode("admission = \"all\"\n"), Mode::All);
+    assert_eq!(mode("admission = \"forecast\"\n"), Mode::Forecast);
+    let fault = findings(&format!("{text}admission = \"forcast\"\n"));
+    for part in ["settings.toml", "admission", "\"forcast\"", "all, forecast"] {
+        assert!(fault.contains(part), "{part} is missing in {fault}");
+    }
+}
