--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -354,6 +354,7 @@
     state.runs.clear();
     state.runtimes = Default::default();
     state.speculation = Default::default();
+    state.admission = Default::default();
     state.jobs.clear();
     state.placement = Default::default();
     state.journal = Default::default();
--- a/src/settings/jobs.rs
+++ b/src/settings/jobs.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use toml::de::DeValue;
+
+use crate::core::work::admission::Mode;
 use crate::core::work::tuning::Tuning;
 use crate::declare::report::Report;
 use crate::declare::table::Table;
@@ -23,6 +26,8 @@
     pub retention: Duration,
     /// Share of the processor time of all runs that speculative copies may cost, in percent; 0 starts none.
     pub copy_share_percent: u32,
+    /// Which submissions the process accepts while it leads.
+    pub admission: Mode,
     /// CPU capacity of the VM in thousandths of a core; 0 if it is not specified.
     pub cpu_millicores: u32,
     /// Factor by which a task takes longer outside the rack of its data, in thousandths.
@@ -39,6 +44,7 @@
             retention: default.retention.max(self.retention),
             copy_share_percent: self.copy_share_percent,
             far_factor: f64::from(self.far_factor_per_mille) / 1_000.0,
+            admission: self.admission,
             ..default
         }
     }
@@ -47,9 +53,13 @@
 pub(super) fn read(root: &Table<'_>, report: &mut Report) -> Option<Jobs> {
     let default = Tuning::default();
     let table = root.table(report, "jobs")?;
-    table.reject_unknown(report, &["ready", "lease_max", "retention", "cores", "copies", "far_factor"]);
+    table.reject_unknown(
+        report,
+        &["ready", "lease_max", "retention", "admission", "cores", "copies", "far_factor"],
+    );
     let lease_max = table.with_default(report, "lease_max", default.lease_max, value::duration).value;
     let retention = table.with_default(report, "retention", default.retention, value::duration).value;
+    let admission = table.with_default(report, "admission", Mode::default(), read_mode).value;
     let cpu_millicores = table.with_default(report, "cores", 0, value::rounded_millicores).value;
     let copy_share_percent = table
         .with_default(report, "copies", default.copy_share_percent, value::integer(0..=COPY_SHARE_MAX))
@@ -60,8 +70,21 @@
         readiness_address,
         lease_max,
         retention,
+        admission,
         copy_share_percent,
         cpu_millicores,
         far_factor_per_mille,
     })
 }
+
+/// Modes of admission control and their names in the settings.
+const MODES: [(&str, Mode); 2] = [("all", Mode::All), ("forecast", Mode::Forecast)];
+
+fn read_mode(value: &DeValue<'_>) -> Result<Mode, String> {
+    let text = value::string(value)?;
+    let found = MODES.iter().find(|(name, _)| *name == text).map(|(_, mode)| *mode);
+    found.ok_or_else(|| {
+        let names = MODES.map(|(name, _)| name).join(", ");
+        format!("unknown admission \"{text}\"; allowed: {names}")
+    })
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Parsing and validation of the settings of an entry VM.
 
 use insta::assert_snapshot;
+use nutmegfold::core::work::admission::Mode;
 use nutmegfold::core::work::tuning::Tuning;
 use nutmegfold::finding::Finding;
 use nutmegfold::settings::{self, limit::Limits, log::Log};
@@ -100,3 +101,21 @@
         ["0.9", "-2", "1e9", "nan", "\"2\""].map(|value| findings(&text(&format!("far_factor = {value}"))));
     assert_snapshot!(faults.join("\n"));
 }
+
+/// Guards against admission control that is on by default, and against a misspelt mode that accepts all jobs.
+#[test]
+fn jobs_are_refused_by_forecast_only_if_the_settings_say_so() {
+    let text = "name = \"a\"\nzone = \"z\"\n[listen]\ncaller = \"127.0.0.1:8080\"\npeer = \"127.0.0.1:8082\"\n\
+                admin = \"127.0.0.1:8081\"\n[platform]\nstore = \"127.0.0.1:7070\"\n[jobs]\nready = \"127.0.0.1:8083\"\n";
+    let mode = |line: &str| {
+        let settings = settings::parse("settings.toml", &format!("{text}{line}")).expect("valid settings");
+        settings.jobs.expect("a section on jobs").tuning().admission
+    };
+    assert_eq!(mode(""), Mode::All);
+    assert_eq!(mode("admission = \"all\"\n"), Mode::All);
+    assert_eq!(mode("admission = \"forecast\"\n"), Mode::Forecast);
+    let fault = findings(&format!("{text}admission = \"forcast\"\n"));
+    for part in ["settings.toml", "admission", "\"forcast\"", "all, forecast"] {
+        assert!(fault.contains(part), "{part} is missing in {fault}");
+    }
+}
