Reserve memory for request bodies before they are read

Cause: each body was read into memory of its own, up to 8 MB, whatever the other clients sent.

Settings [limits] memory, bodies, body_timeout, body_rate and per_address have defaults and checks. With a stated memory the default of in_flight is 3 connections for each MB.

--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -4,6 +4,7 @@
 //! [`Inbox`]. It makes no decisions.
 
 pub mod admin;
+pub mod admission;
 pub mod body;
 pub mod caller;
 pub(crate) mod http;
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -13,6 +13,7 @@
 use crate::core::time::Instant;
 use crate::core::work::meter::{Counts, Report};
 use crate::error::{Error, Result};
+use crate::port::admission::{Gate, Refusal};
 
 /// Name of the meter of all instruments.
 const METER: &str = "nutmegfold";
@@ -223,6 +224,36 @@
             .build();
     }
 
+    /// Adds the memory that is reserved for request bodies, the connections of callers, and the refusals by reason.
+    pub fn observe_admission(&self, gate: &Gate) {
+        let meter = self.provider.meter(METER);
+        // The provider keeps the callbacks, so the instruments themselves are not needed any more.
+        let observed = gate.clone();
+        let _ = meter
+            .u64_observable_gauge("request_memory_reserved")
+            .with_description("Memory that is reserved for request bodies")
+            .with_unit("By")
+            .with_callback(move |observer| observer.observe(observed.reserved_bytes(), &[]))
+            .build();
+        let observed = gate.clone();
+        let _ = meter
+            .u64_observable_gauge("caller_connections")
+            .with_description("Open connections of callers")
+            .with_callback(move |observer| observer.observe(observed.connections(), &[]))
+            .build();
+        let observed = gate.clone();
+        let _ = meter
+            .u64_observable_counter("requests_refused")
+            .with_description("Requests that were refused before they were read, by reason")
+            .with_callback(move |observer| {
+                for reason in Refusal::ALL {
+                    let labels = [KeyValue::new("reason", reason.label())];
+                    observer.observe(observed.refused(reason), &labels);
+                }
+            })
+            .build();
+    }
+
     /// Renders all metrics for a scrape by Prometheus.
     ///
     /// # Errors
@@ -293,6 +324,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::port::admission::Limits;
 
     /// Guards against a renamed or missing metric, for which dashboards and alerts get no data and no error.
     #[test]
@@ -309,6 +341,9 @@
         metrics.observe_lost_entries(|| 3);
         metrics.observe_config_pending(|| Instant(3_500_000));
         metrics.record_config_pending(Some(Instant(1_000_000)));
+        let gate = Gate::new(Limits::default());
+        metrics.observe_admission(&gate);
+        let _connection = gate.connect([127, 0, 0, 1].into());
         let counts = Counts {
             passes: 3,
             pass_time: Duration::from_millis(125),
@@ -341,6 +376,10 @@
             "nutmegfold_cells_owned 2",
             "nutmegfold_timeline_entries_lost_total 3",
             "nutmegfold_config_pending_seconds 2.5",
+            "nutmegfold_request_memory_reserved_bytes 0",
+            "nutmegfold_caller_connections 1",
+            "nutmegfold_requests_refused_total{reason=\"memory\"} 0",
+            "nutmegfold_requests_refused_total{reason=\"connections\"} 0",
             "nutmegfold_leader_work_total{kind=\"pass\"} 6",
             "nutmegfold_leader_work_total{kind=\"worker-visit\"} 80",
             "nutmegfold_leader_work_total{kind=\"group-visit\"} 0",
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -61,3 +61,28 @@
     assert_eq!(stated.lease_max.as_millis(), 6_000);
     assert_eq!(stated.worker_lease, unstated.worker_lease);
 }
+
+/// Guards against a budget for bodies that never has room for the largest one, or that takes the memory of the process.
+#[test]
+fn the_budget_for_bodies_follows_from_memory_and_body() {
+    let with = |limits: &str| {
+        format!("{}[limits]\n{limits}", &EXAMPLE[..EXAMPLE.find("[limits]").expect("a section")])
+    };
+    let limits = |text: &str| settings::parse("settings.toml", &with(text)).expect("valid settings").limits;
+    assert_eq!(limits("memory = \"160 MB\"").budget_bytes, 20_000_000);
+    assert_eq!(limits("memory = \"160 MB\"").in_flight, 480);
+    assert_eq!(limits("memory = \"512 MB\"").budget_bytes, 64_000_000);
+    assert_eq!(limits("body = \"24 MB\"").budget_bytes, 30_000_000);
+    assert_eq!(limits("in_flight = 50").per_address, 50);
+    for (budget, found) in [("9 MB", 9_000_000), ("90 MB", 90_000_000)] {
+        assert_eq!(
+            findings(&with(&format!("bodies = \"{budget}\""))),
+            format!(
+                "settings.toml:25:10: limits.bodies: {found} bytes are not allowed; expected 10000000 (for one body of \
+                 8000000 bytes) to 80000000 (half of the memory of 160000000 bytes)"
+            )
+        );
+    }
+    assert!(findings(&with("per_address = 0")).contains("limits.per_address: 0 is not allowed"));
+    assert!(findings(&with("body_rate = 7")).contains("limits.body_rate: no unit"));
+}
