Admit bodies and connections of callers by memory

Change: the job interface and the port for services read bodies through the gate. A refusal is 503 with Retry-After, 413, 408 or 400, and closes the connection. The readiness check has a server of its own. GET and DELETE read no body. Lists of a job fail to decode above 256 items. The template states the memory.

--- a/src/node/jobs.rs
+++ b/src/node/jobs.rs
@@ -26,6 +26,7 @@
 use crate::error::{Error, Result};
 use crate::hash::Map;
 use crate::platform::{front, store, worker};
+use crate::port::admission::Gate;
 use crate::port::{self, Clock, Inbox, pending};
 use crate::settings::Settings;
 use crate::telemetry::metric::Metrics;
@@ -211,11 +212,10 @@
     let timeline = open_timeline(settings, id)?;
     metrics.observe_lost_entries(timeline.lost_counter());
     metrics.observe_config_pending(move || clock.now());
-    let setup = front::Setup {
-        caller_address: settings.listen.caller,
-        readiness_address: jobs.readiness_address,
-        max_body_bytes: settings.limits.body_bytes as usize,
-    };
+    let setup =
+        front::Setup { caller_address: settings.listen.caller, readiness_address: jobs.readiness_address };
+    let gate = Gate::new(settings.limits.admission());
+    metrics.observe_admission(&gate);
     let admin = port::admin::Port::new(port::admin::Context {
         inbox: inbox.clone(),
         timeline: timeline.clone(),
@@ -225,7 +225,7 @@
     });
     serve_admin(&admin, settings.listen.admin)?;
     let ports = Ports {
-        front: front::serve(setup, requests.clone(), Arc::clone(&ready))?,
+        front: front::serve(setup, gate, requests.clone(), Arc::clone(&ready))?,
         store: store::Port::new(settings.platform.store, tuning.store_timeout, inbox.clone()),
         worker: worker::Port::new(tuning.worker_timeout, clock, inbox.clone()),
         peer: port::job::Port::start(settings.listen.peer, inbox.clone(), requests.clone(), updates.clone())?,
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -18,6 +18,7 @@
 use crate::declare::zone;
 use crate::error::{Error, Result};
 use crate::hash::Map;
+use crate::port::admission::Gate;
 use crate::port::{self, Clock, Inbox};
 use crate::settings::Settings;
 use crate::telemetry::metric::Metrics;
@@ -126,8 +127,15 @@
         inbox.clone(),
         bodies.clone(),
     )?;
-    let caller =
-        port::caller::serve(settings.listen.caller, caller_limits(settings), inbox.clone(), bodies.clone())?;
+    let gate = Gate::new(settings.limits.admission());
+    metrics.observe_admission(&gate);
+    let caller = port::caller::serve(
+        settings.listen.caller,
+        caller_limits(settings),
+        gate,
+        inbox.clone(),
+        bodies.clone(),
+    )?;
     let admin = port::admin::Port::new(port::admin::Context {
         inbox: inbox.clone(),
         timeline: timeline.clone(),
@@ -192,12 +200,7 @@
 }
 
 fn caller_limits(settings: &Settings) -> port::caller::Limits {
-    port::caller::Limits {
-        max_body_bytes: settings.limits.body_bytes as usize,
-        header_timeout: settings.limits.header_timeout,
-        max_connections: settings.limits.in_flight as usize,
-        ..port::caller::Limits::default()
-    }
+    port::caller::Limits { header_timeout: settings.limits.header_timeout, ..port::caller::Limits::default() }
 }
 
 /// Starts the administration API and returns the address that it listens on.
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -1,4 +1,7 @@
-//! HTTP server of the job interface, and of the readiness check for the load balancer.
+//! HTTP servers of the job interface, and of the readiness check for the load balancer.
+//!
+//! Bodies are read through the [`Gate`], which reserves their memory. A request that it refuses never reaches the reducer,
+//! and its connection is closed, since the rest of the request is not read.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,7 +9,7 @@
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
-use actix_web::http::{KeepAlive, Method, StatusCode, header};
+use actix_web::http::{ConnectionType, KeepAlive, Method, StatusCode, header};
 use actix_web::web::{self, Data, Payload};
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer};
 use serde::Serialize;
@@ -14,14 +17,21 @@
 use super::job;
 use crate::core::work::request::{Answer, Phase, Request, Verb};
 use crate::error::{Error, Result};
+use crate::port::admission::{self, Gate, Refusal, Reservation};
 use crate::port::message::TIMEOUT;
 use crate::port::pending::Table;
 
 /// Timeout of a request whose caller does not state one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Longest time to read the head of a request, and again to read its body.
-const READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time to read the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Longest wait for a caller to close a connection that the server has ended.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Limit on connections of the readiness check.
+const MAX_READINESS_CONNECTIONS: usize = 64;
 
 /// Idle time after which a connection is closed.
 const KEEP_ALIVE: Duration = Duration::from_secs(60);
@@ -32,21 +42,20 @@
 /// Longest wait for open connections in a graceful shutdown, in seconds.
 const DRAIN_TIMEOUT_S: u64 = 3;
 
-/// Addresses and limits of the server.
+/// Addresses of the servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Setup {
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// Address of the readiness check.
     pub readiness_address: SocketAddr,
-    /// Size limit of a request body in bytes.
-    pub max_body_bytes: usize,
 }
 
-/// Handle to a running server.
+/// Handle to the running servers.
 #[derive(Debug, Clone)]
 pub struct Handle {
-    server: ServerHandle,
+    callers: ServerHandle,
+    readiness: ServerHandle,
     is_stopping: Arc<AtomicBool>,
 }
 
@@ -59,103 +68,123 @@
     /// Stops listening, and waits until all connections are closed or the shutdown times out.
     pub async fn stop(&self) {
         self.close_connections();
-        self.server.stop(true).await;
+        tokio::join!(self.callers.stop(true), self.readiness.stop(true));
     }
 }
 
 #[derive(Clone)]
 struct Port {
-    setup: Setup,
+    gate: Gate,
     pending: Table,
-    ready: Arc<AtomicBool>,
     is_stopping: Arc<AtomicBool>,
 }
 
-/// Starts the server; must be called inside an actix system.
+/// Starts the servers; must be called inside an actix system.
+///
+/// The readiness check has a server of its own, so that a crowd of callers does not keep it from its answer.
 ///
 /// # Errors
 ///
 /// An address cannot be bound.
-pub fn serve(setup: Setup, pending: Table, ready: Arc<AtomicBool>) -> Result<Handle> {
+pub fn serve(setup: Setup, gate: Gate, pending: Table, ready: Arc<AtomicBool>) -> Result<Handle> {
     let is_stopping = Arc::new(AtomicBool::new(false));
-    let port = Port { setup, pending, ready, is_stopping: Arc::clone(&is_stopping) };
+    let port = Port { gate: gate.clone(), pending, is_stopping: Arc::clone(&is_stopping) };
     let bind_error = |address| move |source| Error::io(format!("listening for callers on {address}"), source);
-    let server = HttpServer::new(move || {
+    let callers = HttpServer::new(move || {
         App::new().app_data(Data::new(port.clone())).default_service(web::to(handle))
     })
     .workers(1)
-    .client_request_timeout(READ_TIMEOUT)
+    .max_connections(gate.limits().max_connections)
+    .on_connect(move |stream, data| gate.count_connection(stream, data))
+    .client_request_timeout(HEAD_TIMEOUT)
+    .client_disconnect_timeout(DISCONNECT_TIMEOUT)
     .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
     .shutdown_timeout(DRAIN_TIMEOUT_S)
     .h1_allow_half_closed(false)
     .disable_signals()
     .bind(setup.caller_address)
     .map_err(bind_error(setup.caller_address))?
+    .run();
+    let readiness = HttpServer::new(move || {
+        App::new().app_data(Data::from(Arc::clone(&ready))).default_service(web::to(check_readiness))
+    })
+    .workers(1)
+    .max_connections(MAX_READINESS_CONNECTIONS)
+    .client_request_timeout(HEAD_TIMEOUT)
+    .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+    .shutdown_timeout(DRAIN_TIMEOUT_S)
+    .disable_signals()
     .bind(setup.readiness_address)
     .map_err(bind_error(setup.readiness_address))?
     .run();
-    let handle = Handle { server: server.handle(), is_stopping };
-    actix_web::rt::spawn(async move {
-        if let Err(error) = server.await {
-            log::error!("the server for callers failed: {error}");
-        }
-    });
+    let handle = Handle { callers: callers.handle(), readiness: readiness.handle(), is_stopping };
+    for server in [callers, readiness] {
+        actix_web::rt::spawn(async move {
+            if let Err(error) = server.await {
+                log::error!("the server for callers failed: {error}");
+            }
+        });
+    }
     Ok(handle)
 }
 
+async fn check_readiness(ready: Data<AtomicBool>) -> HttpResponse {
+    let is_ready = ready.load(Ordering::Relaxed);
+    HttpResponse::new(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
+
 async fn handle(request: HttpRequest, payload: Payload, port: Data<Port>) -> HttpResponse {
-    if request.app_config().local_addr() == port.setup.readiness_address {
-        let is_ready = port.ready.load(Ordering::Relaxed);
-        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        return HttpResponse::new(status);
-    }
     let mut response = match port.read_request(&request, payload).await {
-        Ok(request) => {
-            let timeout = request.timeout.saturating_sub(ANSWER_MARGIN);
-            answer_response(port.pending.request(request, false, timeout).await)
+        Ok((accepted, _reservation)) => {
+            let timeout = accepted.timeout.saturating_sub(ANSWER_MARGIN);
+            answer_response(port.pending.request(accepted, false, timeout).await)
         }
         Err(response) => response,
     };
-    if port.is_stopping.load(Ordering::Relaxed) {
-        response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
+    let has_unread_body = *request.method() != Method::POST && admission::has_body(request.headers());
+    if has_unread_body || port.is_stopping.load(Ordering::Relaxed) || port.gate.must_close(&request) {
+        response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
 }
 
 impl Port {
+    /// Reads a request, and its body if its method has one. The reservation is kept until the answer, since the reducer
+    /// holds the request until then.
     async fn read_request(
         &self,
         request: &HttpRequest,
         payload: Payload,
-    ) -> std::result::Result<Request, HttpResponse> {
-        let verb = match *request.method() {
-            Method::POST => Verb::Submit(self.read_job(payload).await?),
-            Method::GET => Verb::Read,
-            Method::DELETE => Verb::Cancel,
+    ) -> std::result::Result<(Request, Option<Reservation>), HttpResponse> {
+        self.gate.admit(request).map_err(refusal_response)?;
+        let (verb, reservation) = match *request.method() {
+            Method::POST => {
+                let body = self.gate.read(request.headers(), payload).await.map_err(refusal_response)?;
+                let spec = job::decode(&body.bytes)
+                    .map_err(|reason| problem_response(StatusCode::BAD_REQUEST, reason))?;
+                (Verb::Submit(spec), Some(body.reservation))
+            }
+            Method::GET => (Verb::Read, None),
+            Method::DELETE => (Verb::Cancel, None),
             _ => return Err(HttpResponse::new(StatusCode::METHOD_NOT_ALLOWED)),
         };
         let host = request.connection_info().host().to_owned();
         let host = host.split(':').next().unwrap_or_default().to_owned();
         let (path, timeout) = (request.path().to_owned(), caller_timeout(request));
-        Ok(Request { host, path, verb, timeout, min_config: 0 })
+        Ok((Request { host, path, verb, timeout, min_config: 0 }, reservation))
     }
+}
 
-    async fn read_job(
-        &self,
-        payload: Payload,
-    ) -> std::result::Result<crate::core::work::spec::Spec, HttpResponse> {
-        let limit = self.setup.max_body_bytes;
-        let reading = tokio::time::timeout(READ_TIMEOUT, payload.to_bytes_limited(limit));
-        let bytes = match reading.await {
-            Err(_) => return Err(HttpResponse::new(StatusCode::REQUEST_TIMEOUT)),
-            Ok(Err(_)) => {
-                return Err(problem_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
-            }
-            Ok(Ok(Err(_))) => return Err(problem_response(StatusCode::BAD_REQUEST, "the body is cut off")),
-            Ok(Ok(Ok(bytes))) => bytes,
-        };
-        job::decode(&bytes).map_err(|reason| problem_response(StatusCode::BAD_REQUEST, reason))
+/// Answer to a request that was refused before it reached the reducer. It closes the connection, since the rest of the
+/// request is not read.
+fn refusal_response(refusal: Refusal) -> HttpResponse {
+    let status = refusal.status();
+    let mut response = problem_response(status, refusal.detail());
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        response.headers_mut().insert(header::RETRY_AFTER, admission::RETRY_AFTER_S.into());
     }
+    response.head_mut().set_connection_type(ConnectionType::Close);
+    response
 }
 
 fn caller_timeout(request: &HttpRequest) -> Duration {
--- a/src/platform/job.rs
+++ b/src/platform/job.rs
@@ -1,15 +1,19 @@
 //! Decoding of jobs that callers submit.
 
+use std::fmt;
+use std::marker::PhantomData;
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer};
 
-use crate::core::work::spec::{Resources, Schedule, Spec, Step};
+use crate::core::work::spec::{Resources, STEPS_MAX, Schedule, Spec, Step};
 
 #[derive(Deserialize)]
 struct Body {
     #[serde(default)]
     spec: String,
+    #[serde(deserialize_with = "read_list")]
     steps: Vec<StepBody>,
     /// Time of the first occurrence in milliseconds since the Unix epoch.
     #[serde(default)]
@@ -31,6 +35,7 @@
     mem_mb: u32,
     gpu: u32,
     estimate_ms: f64,
+    #[serde(deserialize_with = "read_list")]
     after: Vec<u32>,
     checkpoint: bool,
     gang: bool,
@@ -47,6 +52,33 @@
     may_miss: u32,
 }
 
+/// Reads a list of steps, or of numbers of steps. A longer list than a job can have fails while it is read, since its
+/// items take many times the memory of their text.
+fn read_list<'de, D: Deserializer<'de>, T: Deserialize<'de>>(deserializer: D) -> Result<Vec<T>, D::Error> {
+    deserializer.deserialize_seq(List(PhantomData))
+}
+
+struct List<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for List<T> {
+    type Value = Vec<T>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a list of at most {STEPS_MAX} items")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut items: A) -> Result<Vec<T>, A::Error> {
+        let mut list = Vec::new();
+        while let Some(item) = items.next_element()? {
+            if list.len() == STEPS_MAX {
+                return Err(A::Error::custom(format!("a list has over {STEPS_MAX} items")));
+            }
+            list.push(item);
+        }
+        Ok(list)
+    }
+}
+
 /// Decodes a job from the body of a request.
 ///
 /// # Errors
--- a/src/port/admin.rs
+++ b/src/port/admin.rs
@@ -25,6 +25,9 @@
 /// Size limit of a document in bytes, equal to the size limit of a value in the store.
 const MAX_DOCUMENT_BYTES: usize = 1_000_000;
 
+/// Limit on open connections of operators; with a document on each, they take 32 MB.
+const MAX_CONNECTIONS: usize = 32;
+
 /// Parts of the process that the port uses.
 #[derive(Debug, Clone)]
 pub struct Context {
@@ -82,6 +85,7 @@
         let port = self.clone();
         let server = HttpServer::new(move || App::new().configure(|config| routes(config, port.clone())))
             .workers(1)
+            .max_connections(MAX_CONNECTIONS)
             .disable_signals()
             // A connection that is closed by the operator ends its call immediately, which removes the ticket.
             .h1_allow_half_closed(false)
--- a/src/port/caller.rs
+++ b/src/port/caller.rs
@@ -1,7 +1,8 @@
 //! HTTP server for callers.
 //!
 //! The server reads a request completely, sends its ticket and size to the reducer, waits for the completion, and
-//! answers. A request that is malformed or too large never reaches the reducer, so it is known not to have run.
+//! answers. A request that is malformed, or that the [`Gate`] refuses, never reaches the reducer, so it is known not to
+//! have run.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,29 +12,24 @@
 use actix_web::dev::ServerHandle;
 use actix_web::http::header::{self, HeaderMap, HeaderValue};
 use actix_web::http::{KeepAlive, Method, StatusCode};
-use actix_web::web::{self, Bytes, Data, Payload};
+use actix_web::web::{self, Data, Payload};
 use actix_web::{App, HttpRequest, HttpResponse, HttpResponseBuilder, HttpServer};
 
 use super::Inbox;
+use super::admission::{self, Gate, Refusal, Reservation};
 use super::body::{Guard, Table};
 use super::message::{self, Answer, Header, OUTCOME, REQUEST_ID, Request, TIMEOUT};
 use crate::core::event::Event;
-use crate::core::exchange::{self, Completion, Refusal};
+use crate::core::exchange::{self, Completion, Refusal as NotRun};
 use crate::error::{Error, Result};
 
 /// Limits of the server for callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
-    /// Size limit of a request body in bytes.
-    pub max_body_bytes: usize,
     /// Longest time to read the head of a request.
     pub header_timeout: Duration,
-    /// Longest time to read the body of a request.
-    pub body_timeout: Duration,
     /// Idle time after which a connection is closed.
     pub keep_alive: Duration,
-    /// Limit on open connections; further ones wait to be accepted.
-    pub max_connections: usize,
     /// Longest wait for requests in flight in a graceful shutdown, in whole seconds.
     pub drain_timeout: Duration,
     /// Number of threads that serve connections.
@@ -43,11 +39,8 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            max_body_bytes: 1 << 20,
             header_timeout: Duration::from_secs(5),
-            body_timeout: Duration::from_secs(10),
             keep_alive: Duration::from_secs(15),
-            max_connections: 4096,
             drain_timeout: Duration::from_secs(600),
             threads: 2,
         }
@@ -79,25 +72,27 @@
 
 #[derive(Debug, Clone)]
 struct Port {
-    limits: Limits,
+    gate: Gate,
     inbox: Inbox,
     bodies: Table,
     is_stopping: Arc<AtomicBool>,
 }
 
-/// Starts the server; must be called inside an actix system.
+/// Starts the server; must be called inside an actix system. Connections over the limit of the gate wait to be accepted.
 ///
 /// # Errors
 ///
 /// The address cannot be bound.
-pub fn serve(address: SocketAddr, limits: Limits, inbox: Inbox, bodies: Table) -> Result<Handle> {
+pub fn serve(address: SocketAddr, limits: Limits, gate: Gate, inbox: Inbox, bodies: Table) -> Result<Handle> {
     let is_stopping = Arc::new(AtomicBool::new(false));
-    let port = Port { limits, inbox, bodies, is_stopping: Arc::clone(&is_stopping) };
+    let max_connections = gate.limits().max_connections.div_ceil(limits.threads.max(1));
+    let port = Port { gate: gate.clone(), inbox, bodies, is_stopping: Arc::clone(&is_stopping) };
     let server = HttpServer::new(move || {
         App::new().app_data(Data::new(port.clone())).default_service(web::to(handle))
     })
     .workers(limits.threads)
-    .max_connections(limits.max_connections.div_ceil(limits.threads.max(1)))
+    .max_connections(max_connections)
+    .on_connect(move |stream, data| gate.count_connection(stream, data))
     .client_request_timeout(limits.header_timeout)
     .client_disconnect_timeout(Duration::from_secs(1))
     .keep_alive(KeepAlive::Timeout(limits.keep_alive))
@@ -120,18 +115,23 @@
 
 async fn handle(request: HttpRequest, payload: Payload, port: Data<Port>) -> HttpResponse {
     let mut response = match port.submit(&request, payload).await {
-        Ok(guard) => port.wait_for_response(request.method(), guard).await,
+        Ok((guard, _reservation)) => port.wait_for_response(request.method(), guard).await,
         Err(error) => error.response(),
     };
-    if port.is_stopping.load(Ordering::Relaxed) {
+    if port.is_stopping.load(Ordering::Relaxed) || port.gate.must_close(&request) {
         response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
     }
     response
 }
 
 impl Port {
-    /// Reads a request and sends it to the reducer.
-    async fn submit(&self, head: &HttpRequest, payload: Payload) -> std::result::Result<Guard, RequestError> {
+    /// Reads a request and sends it to the reducer. The memory of its body is reserved until it has been answered.
+    async fn submit(
+        &self,
+        head: &HttpRequest,
+        payload: Payload,
+    ) -> std::result::Result<(Guard, Reservation), RequestError> {
+        self.gate.admit(head).map_err(RequestError::Refused)?;
         let headers = head.headers();
         if headers.contains_key(header::TRANSFER_ENCODING) && headers.contains_key(header::CONTENT_LENGTH) {
             return Err(RequestError::Malformed("both Content-Length and Transfer-Encoding are set"));
@@ -140,13 +140,14 @@
             return Err(RequestError::Malformed("the target is not /<service>/<path>"));
         };
         let timeout = parse_timeout(headers)?;
+        let body = self.gate.read(headers, payload).await.map_err(RequestError::Refused)?;
         let request = Request {
             method: head.method().clone(),
             service: service.to_owned(),
             path: path.to_owned(),
             query: head.uri().query().map(str::to_owned),
             headers: with_request_id(message::end_to_end_headers(headers)),
-            body: self.read_body(headers, payload).await?,
+            body: body.bytes,
         };
         let event = exchange::Request {
             ticket: exchange::Ticket(0),
@@ -159,26 +160,7 @@
         };
         let guard = self.bodies.insert(request, &self.inbox);
         self.inbox.send(Event::Request(exchange::Request { ticket: guard.ticket(), ..event }));
-        Ok(guard)
-    }
-
-    async fn read_body(
-        &self,
-        headers: &HeaderMap,
-        payload: Payload,
-    ) -> std::result::Result<Bytes, RequestError> {
-        let declared =
-            headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
-        if declared.is_some_and(|length: usize| length > self.limits.max_body_bytes) {
-            return Err(RequestError::TooLarge(self.limits.max_body_bytes));
-        }
-        let reading = payload.to_bytes_limited(self.limits.max_body_bytes);
-        match actix_web::rt::time::timeout(self.limits.body_timeout, reading).await {
-            Err(_) => Err(RequestError::TimedOut),
-            Ok(Err(_)) => Err(RequestError::TooLarge(self.limits.max_body_bytes)),
-            Ok(Ok(Err(_))) => Err(RequestError::Malformed("the body is malformed or cut off")),
-            Ok(Ok(Ok(body))) => Ok(body),
-        }
+        Ok((guard, body.reservation))
     }
 
     async fn wait_for_response(&self, method: &Method, mut guard: Guard) -> HttpResponse {
@@ -200,23 +182,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RequestError {
     Malformed(&'static str),
-    TooLarge(usize),
-    TimedOut,
+    Refused(Refusal),
 }
 
 impl RequestError {
     /// Response to the caller. It closes the connection, since the rest of the request is not read.
     fn response(self) -> HttpResponse {
         let (status, detail) = match self {
-            Self::Malformed(detail) => (StatusCode::BAD_REQUEST, detail.to_owned()),
-            Self::TooLarge(limit) => {
-                (StatusCode::PAYLOAD_TOO_LARGE, format!("the body is larger than {limit} bytes"))
-            }
-            Self::TimedOut => (StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time".to_owned()),
+            Self::Malformed(detail) => (StatusCode::BAD_REQUEST, detail),
+            Self::Refused(refusal) => (refusal.status(), refusal.detail()),
         };
         let mut response = HttpResponse::build(status);
         response.insert_header((OUTCOME, "not-run")).force_close();
-        problem_response(response, status, &detail)
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            response.insert_header((header::RETRY_AFTER, admission::RETRY_AFTER_S));
+        }
+        problem_response(response, status, detail)
     }
 }
 
@@ -250,16 +231,16 @@
     response.body(answer.body)
 }
 
-fn not_run_response(refusal: Refusal, retry_after: Duration) -> HttpResponse {
+fn not_run_response(refusal: NotRun, retry_after: Duration) -> HttpResponse {
     let (status, detail) = match refusal {
-        Refusal::NoService => (StatusCode::NOT_FOUND, "there is no such service"),
-        Refusal::NotReady => {
+        NotRun::NoService => (StatusCode::NOT_FOUND, "there is no such service"),
+        NotRun::NotReady => {
             (StatusCode::SERVICE_UNAVAILABLE, "this entry VM has no configuration or is shutting down")
         }
-        Refusal::Overloaded => {
+        NotRun::Overloaded => {
             (StatusCode::SERVICE_UNAVAILABLE, "no connection to a replica was free in time")
         }
-        Refusal::NoReplica => (StatusCode::SERVICE_UNAVAILABLE, "no replica can be reached"),
+        NotRun::NoReplica => (StatusCode::SERVICE_UNAVAILABLE, "no replica can be reached"),
     };
     let seconds = retry_after.as_millis().div_ceil(1000).max(1);
     let mut response = HttpResponse::build(status);
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -1,6 +1,7 @@
 //! Tests of the HTTP server of the job interface over loopback: readiness, answers, and malformed requests.
 
-use std::net::{SocketAddr, TcpListener};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -12,11 +13,15 @@
 use nutmegfold::core::work::request::{Answer, Phase, Verb};
 use nutmegfold::platform::front::{self, Setup};
 use nutmegfold::port::Inbox;
+use nutmegfold::port::admission::{Gate, Limits};
 use nutmegfold::port::pending::Table;
 
 /// Size limit of a request body on the server under test, in bytes.
 const MAX_BODY_BYTES: usize = 10_000;
 
+/// Budget for the bodies of all requests on the server under test, in bytes.
+const BUDGET_BYTES: usize = 15_000;
+
 struct Server {
     setup: Setup,
     ready: Arc<AtomicBool>,
@@ -28,17 +33,18 @@
     listener.local_addr().expect("bound address")
 }
 
+fn gate() -> Gate {
+    Gate::new(Limits { max_body_bytes: MAX_BODY_BYTES, budget_bytes: BUDGET_BYTES, ..Limits::default() })
+}
+
 /// Starts a server whose requests are answered by `reply`.
 fn serve(reply: impl Fn(&Verb) -> Answer + 'static) -> Server {
     let (inbox, mut events) = Inbox::new();
     let pending = Table::new(inbox);
-    let setup = Setup {
-        caller_address: free_address(),
-        readiness_address: free_address(),
-        max_body_bytes: MAX_BODY_BYTES,
-    };
+    let setup = Setup { caller_address: free_address(), readiness_address: free_address() };
     let ready = Arc::new(AtomicBool::new(false));
-    let handle = front::serve(setup, pending.clone(), Arc::clone(&ready)).expect("addresses are free");
+    let handle =
+        front::serve(setup, gate(), pending.clone(), Arc::clone(&ready)).expect("addresses are free");
     rt::spawn(async move {
         while let Some(event) = events.recv().await {
             if let Event::Work(WorkEvent::Request { ticket, request, .. }) = event {
@@ -121,15 +127,60 @@
 #[actix_web::test]
 async fn a_request_without_an_answer_times_out() {
     let (inbox, _events) = Inbox::new();
-    let setup = Setup {
-        caller_address: free_address(),
-        readiness_address: free_address(),
-        max_body_bytes: MAX_BODY_BYTES,
-    };
-    let handle = front::serve(setup, Table::new(inbox), Arc::default()).expect("addresses are free");
+    let setup = Setup { caller_address: free_address(), readiness_address: free_address() };
+    let handle = front::serve(setup, gate(), Table::new(inbox), Arc::default()).expect("addresses are free");
     let request = Client::builder().timeout(Duration::from_secs(5)).finish();
     let request =
         request.get(format!("http://{}/q/", setup.caller_address)).insert_header(("x-timeout-ms", "200"));
     assert_eq!(request.send().await.expect("an answer").status(), 504);
     handle.stop().await;
 }
+
+/// Sends a request and returns all that is received until the server closes the connection.
+fn exchange_until_closed(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.write_all(request.as_bytes()).expect("the request is sent");
+    let mut answer = Vec::new();
+    // A reset after the answer also ends the connection.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+async fn refused(address: SocketAddr, request: String) -> String {
+    rt::task::spawn_blocking(move || exchange_until_closed(address, &request)).await.expect("no panic")
+}
+
+/// Guards against a refused client that keeps its connection, a refusal that does not say when to try again, and a body over
+/// the limit that is read.
+#[actix_web::test]
+async fn refused_requests_are_answered_at_once_and_closed() {
+    let server = serve(|_| Answer::Phase(Phase::Queued));
+    let address = server.setup.caller_address;
+    let head =
+        |method: &str, framing: &str| format!("{method} /q/1 HTTP/1.1\r\nHost: a\r\n{framing}\r\n\r\n");
+    let over = refused(address, head("POST", "Content-Length: 9000000000")).await;
+    assert!(over.starts_with("HTTP/1.1 413"), "{over}");
+    // The first body reserves its announced length and stays unfinished, so the second one has no room.
+    let mut waiting = TcpStream::connect(address).expect("a connection");
+    write!(waiting, "{}x", head("POST", &format!("Content-Length: {MAX_BODY_BYTES}"))).expect("sent");
+    rt::time::sleep(Duration::from_millis(300)).await;
+    let exhausted = refused(address, head("POST", &format!("Content-Length: {}", MAX_BODY_BYTES - 1))).await;
+    assert!(exhausted.starts_with("HTTP/1.1 503"), "{exhausted}");
+    assert!(exhausted.contains("retry-after: 2\r\n"), "{exhausted}");
+    assert_eq!(post(&server, r#"{"steps":[{"count":1}]}"#).await.0, 200, "a small body has room");
+    let unneeded = refused(address, head("GET", "Content-Length: 5000000")).await;
+    assert!(unneeded.starts_with("HTTP/1.1 200"), "{unneeded}");
+    server.handle.stop().await;
+}
+
+/// Guards against the memory of lists that are far longer than those of a job.
+#[actix_web::test]
+async fn lists_longer_than_those_of_a_job_are_refused_while_they_are_read() {
+    let server = serve(|_| Answer::Accepted);
+    let steps = |count| format!("{{\"steps\":[{}]}}", vec!["{}"; count].join(","));
+    assert_eq!(post(&server, steps(256)).await.0, 200);
+    let (status, text) = post(&server, steps(257)).await;
+    assert_eq!(status, 400);
+    assert!(text.contains("a list has over 256 items"), "{text}");
+    server.handle.stop().await;
+}
--- a/tests/ports.rs
+++ b/tests/ports.rs
@@ -13,6 +13,7 @@
 use nutmegfold::core::exchange::{self, Completion, Forward, Outcome, Refusal, Request, Send, Ticket};
 use nutmegfold::core::time::Instant;
 use nutmegfold::core::{member, peer as message, run};
+use nutmegfold::port::admission::{self, Gate};
 use nutmegfold::port::body::Table;
 use nutmegfold::port::{Clock, Inbox, caller, peer, upstream};
 use slotmap::SlotMap;
@@ -40,10 +41,12 @@
     fn start_with(name: u64, tls: Option<&peer::Tls>, header_timeout: Duration) -> Self {
         let (inbox, events) = Inbox::new();
         let bodies = Table::default();
-        let limits = caller::Limits { max_body_bytes: 64 << 10, header_timeout, ..caller::Limits::default() };
+        let limits = caller::Limits { header_timeout, ..caller::Limits::default() };
+        let gate = Gate::new(admission::Limits { max_body_bytes: 64 << 10, ..admission::Limits::default() });
         let identity = peer::Identity { member: member::Id(name), address: LOOPBACK };
         Self {
-            caller: caller::serve(LOOPBACK, limits, inbox.clone(), bodies.clone()).expect("caller port"),
+            caller: caller::serve(LOOPBACK, limits, gate, inbox.clone(), bodies.clone())
+                .expect("caller port"),
             upstream: upstream::Port::new(
                 upstream::Limits { max_body_bytes: 64 << 10, ..upstream::Limits::default() },
                 Clock::start(),
--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -69,6 +69,10 @@
         drop(listeners);
         let &[front, ready, peer, admin] = ports.as_slice() else { unreachable!("four listeners are bound") };
         let fields = [
+            (
+                "{{#limits.memory_mb}}limits.memory = \"{{.}} MB\"{{/limits.memory_mb}}",
+                "limits.memory = \"160 MB\"".to_owned(),
+            ),
             ("{{#limits.cpu_share}}cores = {{.}}{{/limits.cpu_share}}", "cores = 0.25".to_owned()),
             ("{{node_name}}", name.to_owned()),
             ("{{zone}}", zone.to_owned()),
