--- a/src/core/work/confirm.rs
+++ b/src/core/work/confirm.rs
@@ -1,7 +1,7 @@
 //! Confirmation that the configuration in force is the newest one, before a caller is told that a queue does not exist.
 //!
 //! A watch that went silent shows no new version until it times out. So the answer rests on a confirmation that is younger
-//! than [`AGE_MAX`] when the request arrives. Without one the request waits for a read of the store, which is one call for
+//! than `AGE_MAX` when the request arrives. Without one the request waits for a read of the store, which is one call for
 //! all waiting requests.
 
 use std::time::Duration;
