--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -58,6 +58,7 @@
             "{{#limits.memory_mb}}limits.memory = \"{{.}} MB\"{{/limits.memory_mb}}",
             "limits.memory = \"160 MB\"",
         );
+        text = text.replace("{{#bounds.far_factor}}far_factor = {{.}}{{/bounds.far_factor}}", "");
         for (field, value) in fields {
             text = text.replace(&format!("{{{{{field}}}}}"), &value);
         }
