Reject jobs with times out of range, and mend what the review of the whole change found

An estimate near the range of Duration, or a schedule beyond that of the milliseconds, was stored and could end each leader that computed with it. Also: no list of runs grows while copies are switched off; copies that end between two looks are charged; the confirmed stop of a run without a task does not wait for unread ends, since two full workers could wait for each other; retry times by forecast stay bounded; the slack of a scheduled job counts from its occurrence; the counts of refusals are read under the lock of the log, and logged without it. Tests: the clock that jumps is that of the leader; random evacuations last longer than the bound, and a count shows that.

--- a/src/core/work/admission.rs
+++ b/src/core/work/admission.rs
@@ -308,7 +308,7 @@
     ) -> u32 {
         let next = self.next_retries.entry((applicant.service, applicant.priority)).or_default();
         let at = (*next).max(now + excess.max(RETRY_MIN)).min(now + RETRY_MAX);
-        *next = at + work_time;
+        *next = (at + work_time).min(now + RETRY_MAX);
         at.since(now).as_secs_f64().ceil() as u32
     }
 
--- a/src/core/work/backlog.rs
+++ b/src/core/work/backlog.rs
@@ -1,6 +1,6 @@
 //! Order of the groups of waiting tasks.
 //!
-//! A job has its full value until its deadline, a small part of it until three times its time, and none after that. Within a
+//! A job has its full value until its deadline, a small part of it until three times its allowance (the time from release to deadline), and none after that. Within a
 //! priority, groups whose job can meet its deadline come first, least slack first, so that a job that is late anyway does
 //! not take the capacity of one that is not. The size of a job does not count.
 
@@ -26,7 +26,7 @@
 /// end, so without this limit all jobs would start late.
 pub const TURN: Duration = Duration::from_secs(1);
 
-/// Time from the begin of one turn of the starving groups to the next.
+/// Time from the start of one turn of the starving groups to the next.
 pub const TURN_PERIOD: Duration = Duration::from_secs(8);
 
 /// What the order of a group of waiting tasks depends on.
@@ -60,7 +60,7 @@
     /// Misses its deadline, but still has a part of its value.
     Late,
     /// Has no value left.
-    Worthless,
+    Expired,
 }
 
 /// Place of a group in the order; the least comes first.
@@ -106,7 +106,7 @@
     } else if now <= end_of_value(waiting) {
         Class::Late
     } else {
-        Class::Worthless
+        Class::Expired
     }
 }
 
@@ -122,7 +122,7 @@
 
 /// Time in which a job has a value, if its time to the deadline is `allowance`.
 pub fn value_time(allowance: Duration) -> Duration {
-    allowance * VALUE_MULTIPLE
+    allowance.saturating_mul(VALUE_MULTIPLE)
 }
 
 /// Number of tasks from which a job counts as large: it does not fit on one worker of about 32 cores.
@@ -216,7 +216,7 @@
             (due_in(3), Class::Uncertain),
             (due_in(2), Class::Late),
             (due_before(39), Class::Late),
-            (due_before(41), Class::Worthless),
+            (due_before(41), Class::Expired),
             (unknown(due_in(5)), Class::InTime),
             (unknown(due_in(1)), Class::Uncertain),
             (unknown(due_before(1)), Class::Late),
--- a/src/core/work/confirm.rs
+++ b/src/core/work/confirm.rs
@@ -12,7 +12,7 @@
 /// Longest time from a confirmation to the arrival of a request that is answered by it.
 const AGE_MAX: Duration = Duration::from_secs(1);
 
-/// Shortest time from the begin of a confirmation to that of the next one, since calls to the store are priced.
+/// Shortest time from the start of a confirmation to that of the next one, since calls to the store are priced.
 const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Calls of a confirmation. The first one may take a connection that has gone silent; the port opens a new one after that.
--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -596,7 +596,10 @@
             Phase::Active { since } if since < sent && !listing.has_more_ends => {
                 drop_lost(state, key, Loss::NotListed, out)
             }
-            Phase::Stopping { confirmed: Some(at), .. } if at < sent && !listing.has_more_ends => {
+            // The end of a run without a task changes nothing, so unread ends are not awaited.
+            Phase::Stopping { confirmed: Some(at), .. }
+                if at < sent && (!listing.has_more_ends || run.task.is_none()) =>
+            {
                 drop_lost(state, key, Loss::StopConfirmed, out)
             }
             Phase::Unconfirmed { since } if since < sent => stop(state, key, "its start got no answer", out),
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -94,7 +94,8 @@
     /// Time by which an occurrence should be completed, at `now` with the time of day `unix_ms`.
     pub fn occurrence_deadline(&self, number: u32, now: Instant, unix_ms: u64) -> Instant {
         let Some(schedule) = self.spec.schedule else { return self.deadline };
-        let due = schedule.start_unix_ms + schedule.interval_ms * u64::from(number);
+        let elapsed = schedule.interval_ms.saturating_mul(u64::from(number));
+        let due = schedule.start_unix_ms.saturating_add(elapsed);
         now - Duration::from_millis(unix_ms.saturating_sub(due)) + self.allowance
     }
 
--- a/src/core/work/place/locality.rs
+++ b/src/core/work/place/locality.rs
@@ -17,7 +17,7 @@
 use crate::core::trace::Subject;
 use crate::core::work::job::{Group, Job};
 use crate::core::work::run::{self, Phase, Run};
-use crate::core::work::spec::{Resources, Spec, Step};
+use crate::core::work::spec::{Name, Resources, Step};
 use crate::core::work::state::State;
 use crate::core::work::worker::{Key, Worker};
 use crate::core::work::{state, symbol, task};
@@ -442,7 +442,7 @@
             far: self.near.mul_f64(state.tuning.far_factor),
             ready_for: now.since(task.ready_at),
             waited: known.map_or(Duration::ZERO, |wait| now.since(wait.since)),
-            slack: slack(state, job, name.step),
+            slack: slack(state, job, name),
         };
         let Decision::Wait(limit) = (state.policy.wait)(&outlook) else {
             // The count of the outcome waits for the start, which a worker without a proof may delay.
@@ -497,22 +497,11 @@
         .map(String::as_str)
 }
 
-/// Time by which a job may still be delayed without missing its deadline, if a step starts now and takes its expected time.
-fn slack(state: &State, job: &Job, step: u32) -> Duration {
-    let path = remaining_path(&job.spec, step);
-    let expected = state.runtimes.expected(symbol::Key::of(&job.queue), path, USUAL_SHARE);
-    job.deadline.since(state.now).saturating_sub(expected)
-}
-
-/// Estimated run time of the longest chain of dependent steps that begins with a step.
-pub fn remaining_path(spec: &Spec, step: u32) -> Duration {
-    let first = step as usize;
-    let mut ends: Vec<Option<Duration>> = vec![None; spec.steps.len()];
-    for (number, other) in spec.steps.iter().enumerate().skip(first) {
-        let before =
-            other.depends_on.iter().filter_map(|before| ends.get(*before as usize).copied().flatten()).max();
-        ends[number] =
-            if number == first { Some(other.estimate) } else { before.map(|end| end + other.estimate) };
-    }
-    ends.into_iter().flatten().max().unwrap_or_default()
+/// Time by which a job may still be delayed without missing its deadline, if the step of a task starts now and takes its
+/// expected time.
+fn slack(state: &State, job: &Job, task: Name) -> Duration {
+    let chain = job.chains.get(task.step as usize).copied().unwrap_or_default();
+    let expected = state.runtimes.expected(symbol::Key::of(&job.queue), chain, USUAL_SHARE);
+    let deadline = job.occurrence_deadline(task.occurrence, state.now, state.unix_ms);
+    deadline.since(state.now).saturating_sub(expected)
 }
--- a/src/core/work/runtime.rs
+++ b/src/core/work/runtime.rs
@@ -13,7 +13,7 @@
 /// Samples of a queue below which its estimates are taken as they are.
 const SAMPLES_MIN: u64 = 30;
 
-/// Samples after which a new histogram begins; the one before it counts until that one is full as well.
+/// Samples after which a new histogram begins; the one before it is read until the new one has [`SAMPLES_MIN`] samples.
 const SAMPLES_PER_HISTOGRAM: u64 = 1_000;
 
 /// Most queues with histograms, which bounds the memory to about 4 MB.
--- a/src/core/work/silence.rs
+++ b/src/core/work/silence.rs
@@ -1,7 +1,7 @@
 //! Connections to the store that go silent: when a watch counts as lost, and which calls are sent again.
 //!
 //! A silent connection shows only in calls without an answer. The port drops its pooled connections after such a call, and
-//! the calls that still wait for an answer on an older connection are sent again here.
+//! `watch::handle_silence` sends the pending watches on older connections again; other calls end by their own timeout.
 
 use std::time::Duration;
 
--- a/src/core/work/spec.rs
+++ b/src/core/work/spec.rs
@@ -9,6 +9,9 @@
 /// rejected as malformed.
 pub const TASKS_MAX: u64 = 20_000;
 
+/// Longest estimate of a run time. Times that are computed from estimates stay far below the range of `Duration`.
+pub const ESTIMATE_MAX: Duration = Duration::from_secs(366 * 24 * 3_600);
+
 /// Largest number of steps in a job.
 pub const STEPS_MAX: usize = 256;
 
@@ -183,7 +186,18 @@
         if tasks > TASKS_MAX {
             return Some(format!("steps: {tasks} tasks are over the limit of {TASKS_MAX}"));
         }
+        let last_due = |schedule: Schedule| {
+            let span = schedule.interval_ms.checked_mul(u64::from(schedule.times))?;
+            span.checked_add(schedule.start_unix_ms)
+        };
+        if self.schedule.is_some_and(|schedule| last_due(schedule).is_none()) {
+            return Some("interval_ms: the last occurrence is out of range".into());
+        }
         for (number, step) in self.steps.iter().enumerate() {
+            if step.estimate > ESTIMATE_MAX {
+                let most = ESTIMATE_MAX.as_millis();
+                return Some(format!("steps[{number}].estimate_ms: must be at most {most}"));
+            }
             if step.count == 0 {
                 return Some(format!("steps[{number}].count: must be above 0"));
             }
@@ -204,7 +218,7 @@
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let start = step.depends_on.iter().filter_map(|before| ends.get(*before as usize)).max();
-            ends.push(start.copied().unwrap_or_default() + step.estimate);
+            ends.push(start.copied().unwrap_or_default().saturating_add(step.estimate));
         }
         ends.into_iter().max().unwrap_or_default()
     }
@@ -216,7 +230,7 @@
         for (number, step) in self.steps.iter().enumerate().rev() {
             for before in step.depends_on.iter().map(|before| *before as usize) {
                 let Some(estimate) = self.steps.get(before).map(|step| step.estimate) else { continue };
-                chains[before] = chains[before].max(estimate + chains[number]);
+                chains[before] = chains[before].max(estimate.saturating_add(chains[number]));
             }
         }
         chains
--- a/src/core/work/speculate.rs
+++ b/src/core/work/speculate.rs
@@ -250,6 +250,10 @@
 
 /// Adds a run of a step that allows copies.
 pub(super) fn watch(state: &mut super::State, key: run::Key) {
+    // Without copies there are no looks, which forget the runs that have ended.
+    if state.tuning.copy_share_percent == 0 {
+        return;
+    }
     state.speculation.watched.push(key);
     if state.runs.get(key).is_some_and(|run| run.is_copy) {
         add_copy(state, key);
@@ -258,6 +262,9 @@
 
 /// Adds a run that began as a copy, and is expected to take the usual time from now on.
 pub(super) fn add_copy(state: &mut super::State, key: run::Key) {
+    if state.tuning.copy_share_percent == 0 {
+        return;
+    }
     let expected = || {
         let run = state.runs.get(key)?;
         let (_, task) = task_of(state, run)?;
@@ -301,7 +308,7 @@
             Some((case.priority, Reverse(remaining(&case)), *run))
         })
         .collect();
-    // The most urgent first, and the run with the longest rest first, since its task gains most.
+    // The most urgent first, and the run with the most remaining time first, since its task gains most.
     proposed.sort_unstable();
     proposed.truncate(COPIES_PER_LOOK);
     state.speculation.cursor = if watched.is_empty() { 0 } else { (first + count) % watched.len() };
@@ -312,8 +319,9 @@
 /// Counts the processor time that copies and all runs have reserved since the last look.
 fn count_work(state: &mut super::State) {
     let runs = &state.runs;
-    state.speculation.copies.retain(|copy| runs.contains_key(copy.run));
+    // Copies that have ended since the last look are charged up to now.
     let copies = state.speculation.copies.iter().map(|copy| copy.millicores).sum();
+    state.speculation.copies.retain(|copy| runs.contains_key(copy.run));
     let workers = state.workers.all.values();
     let all = workers.map(|worker| u64::from(worker.used_resources.cpu_millicores)).sum();
     let work = state.speculation.ledger.count(state.now, copies, all);
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -81,7 +81,7 @@
 
 /// Starts the servers; must be called inside an actix system.
 ///
-/// The readiness check has a server of its own, so that a crowd of callers does not keep it from its answer.
+/// The readiness check has a server of its own, so that the limit on caller connections does not delay it.
 ///
 /// # Errors
 ///
@@ -118,10 +118,10 @@
     .map_err(bind_error(setup.readiness_address))?
     .run();
     let handle = Handle { callers: callers.handle(), readiness: readiness.handle(), is_stopping };
-    for server in [callers, readiness] {
+    for (name, server) in [("callers", callers), ("the readiness check", readiness)] {
         actix_web::rt::spawn(async move {
             if let Err(error) = server.await {
-                log::error!("the server for callers failed: {error}");
+                log::error!("the server for {name} failed: {error}");
             }
         });
     }
--- a/src/port/admission.rs
+++ b/src/port/admission.rs
@@ -305,24 +305,31 @@
         Ok(Body { bytes: Bytes::from(bytes), reservation })
     }
 
-    /// Counts a refusal; a crowd of clients causes at most one log line a second.
+    /// Counts a refusal; logs at most one line a second.
     fn refuse(&self, reason: Refusal) -> Refusal {
         self.shared.refused[reason as usize].fetch_add(1, Ordering::Relaxed);
-        let counts = Refusal::ALL.map(|reason| self.refused(reason));
-        let mut log = lock(&self.shared.log);
-        if log.last_at.is_some_and(|at| at.elapsed() < LOG_INTERVAL) {
+        let Some([memory, too_large, too_slow, cut_off, connections]) = self.counts_to_log() else {
             return reason;
-        }
-        let [memory, too_large, too_slow, cut_off, connections] =
-            std::array::from_fn(|index| counts[index] - log.last_counts[index]);
-        *log = Log { last_at: Some(Instant::now()), last_counts: counts };
+        };
         log::warn!(
             memory, too_large, too_slow, cut_off, connections;
-            "requests refused before they were read: {} bytes reserved of {}, {} connections open",
+            "requests refused before they were executed: {} bytes reserved of {}, {} connections open",
             self.reserved_bytes(), self.shared.limits.budget_bytes, self.connections()
         );
         reason
     }
+
+    /// Refusals by reason since the last log line; `None` if that is less than [`LOG_INTERVAL`] ago.
+    fn counts_to_log(&self) -> Option<[u64; Refusal::ALL.len()]> {
+        let mut log = lock(&self.shared.log);
+        if log.last_at.is_some_and(|at| at.elapsed() < LOG_INTERVAL) {
+            return None;
+        }
+        let counts = Refusal::ALL.map(|reason| self.refused(reason));
+        let since = std::array::from_fn(|index| counts[index].saturating_sub(log.last_counts[index]));
+        *log = Log { last_at: Some(Instant::now()), last_counts: counts };
+        Some(since)
+    }
 }
 
 /// Whether a request has a body, which may be empty if it is chunked.
--- a/tests/clock.rs
+++ b/tests/clock.rs
@@ -19,8 +19,9 @@
     ["node/jobs.rs", "node/start.rs", "port/admin.rs", "port/mod.rs", "timeline/writer.rs"];
 
 /// Files of the scheduler for submitted jobs that use the time of day of an input: to date records, to release occurrences
-/// at the times that callers gave, and to tell the age of records and of worker processes.
-const USERS: [&str; 4] = ["handler.rs", "lifecycle.rs", "load.rs", "renewal.rs"];
+/// at the times that callers gave and to rank them by these, and to tell the age of records and of worker processes.
+const USERS: [&str; 6] =
+    ["handler.rs", "lifecycle.rs", "load.rs", "place/locality.rs", "place/mod.rs", "renewal.rs"];
 
 fn rust_files(folder: &Path) -> Vec<PathBuf> {
     let entries = std::fs::read_dir(folder).expect("a folder of the sources");
@@ -39,7 +40,7 @@
     names
 }
 
-/// Guards against a new decision by the time of day: a reader or user of that clock that is not known to tolerate a jump.
+/// Guards against a new decision by the time of day: a file that reads or uses that clock and is not known to tolerate a jump.
 #[test]
 fn other_code_uses_the_time_of_day() {
     let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
@@ -47,7 +48,8 @@
     assert_eq!(files_with(&source.join("core/work"), "state.unix_ms"), USERS);
 }
 
-/// Lets the time of day jump ahead or back on some entry VMs, and back again, while jobs run and the leader changes.
+/// Lets the time of day jump ahead or back on some entry VMs, and back again, while jobs run and the leader changes. The
+/// leader at that time is among them, since its clock is the one that decisions could use.
 fn run_with_jumps(seed: u64, jumps: impl Fn(&mut Emulator, bool)) {
     let mut emulator = Emulator::new(seed, 3, 4);
     emulator.clock_leads = vec![JUMP; 3];
@@ -79,7 +81,8 @@
 fn a_jump_ahead_ends_a_lease_or_a_retention() {
     for seed in 0..10 {
         run_with_jumps(seed, |emulator, has_jumped| {
-            emulator.clock_leads[0] = if has_jumped { JUMP * 2 } else { JUMP };
+            let vm = emulator.leader().unwrap_or(0);
+            emulator.clock_leads[vm] = if has_jumped { JUMP * 2 } else { JUMP };
         });
     }
 }
@@ -89,7 +92,8 @@
 fn a_jump_back_keeps_tasks_waiting() {
     for seed in 0..10 {
         run_with_jumps(seed, |emulator, has_jumped| {
-            emulator.clock_leads[1] = if has_jumped { Duration::ZERO } else { JUMP };
+            let vm = emulator.leader().unwrap_or(1);
+            emulator.clock_leads[vm] = if has_jumped { Duration::ZERO } else { JUMP };
         });
     }
 }
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -162,6 +162,8 @@
     pub slowdowns: Map<Id, f64>,
     /// Evacuated availability zones, with the time of the operator's request.
     pub evacuated: Map<String, Instant>,
+    /// Number of starts in other zones while a zone was evacuated for longer than [`EVACUATION_LIMIT`].
+    pub starts_beside_evacuation: u64,
     /// Tasks that crash each worker that starts them.
     pub deadly: Set<Name>,
     /// Number of crashed workers, by the task that crashed them.
@@ -200,6 +202,7 @@
             core_ms: 0,
             slowdowns: Map::default(),
             evacuated: Map::default(),
+            starts_beside_evacuation: 0,
             deadly: Set::default(),
             crash_counts: Map::default(),
             time_over_target: Duration::ZERO,
@@ -316,6 +319,8 @@
 
     /// Records a violation if a run starts in a zone that was evacuated longer ago than [`EVACUATION_LIMIT`].
     fn check_zone(&mut self, zone: &str, name: Name, now: Instant) {
+        let is_past_limit = self.evacuated.values().any(|at| now.since(*at) > EVACUATION_LIMIT);
+        self.starts_beside_evacuation += u64::from(is_past_limit);
         let Some(at) = self.evacuated.get(zone) else { return };
         let elapsed = now.since(*at);
         if elapsed > EVACUATION_LIMIT {
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -14,6 +14,9 @@
 
 const WORKERS: usize = 9;
 
+/// Jobs of a schedule with random faults, one each half second: a zone stays evacuated for longer than the bound in some.
+const ROUNDS: u64 = 60;
+
 /// Seeds of the random faults, unless the environment variable sets another number.
 const SCHEDULES: u64 = 40;
 
@@ -117,7 +120,9 @@
         assert_eq!(starts_in(&emulator, "b"), starts, "seed {seed}");
         let leader = emulator.leader().expect("a leader");
         emulator.kill(leader);
-        emulator.start((leader + 1) % 3);
+        if let Some(vm) = (0..3).find(|vm| *vm != leader && !emulator.is_up(*vm)) {
+            emulator.start(vm);
+        }
         end_evacuation(&mut emulator, "b");
         emulator.run_for(12 * SECOND);
         let vm = emulator.leader().expect("a leader");
@@ -156,9 +161,10 @@
 #[test]
 fn random_faults_cause_starts_in_an_evacuated_zone() {
     let seeds = std::env::var("NUTMEGFOLD_SCHEDULES").ok().and_then(|text| text.parse().ok());
+    let mut checked = 0;
     for seed in 0..seeds.unwrap_or(SCHEDULES) {
         let mut emulator = ready(seed);
-        for round in 0..14 {
+        for round in 0..ROUNDS {
             let vm = (0..3).find(|vm| emulator.is_up(*vm)).expect("a VM is up");
             emulator.submit(vm, round + 1, job([step(6), Step { depends_on: vec![0], ..step(2) }]));
             inject_random_fault(&mut emulator);
@@ -167,14 +173,16 @@
         clear_faults(&mut emulator);
         emulator.run_for(40 * SECOND);
         assert_no_violation(&emulator, seed);
+        checked += emulator.observer.starts_beside_evacuation;
         let vm = emulator.leader().expect("a leader");
-        for id in 1..=14 {
+        for id in 1..=ROUNDS {
             let answer = emulator.read_job(vm, id);
             let is_settled =
                 matches!(answer, Some(Answer::Phase(Phase::Completed | Phase::Failed) | Answer::UnknownJob));
             assert!(is_settled, "seed {seed}, job {id}: {answer:?}");
         }
     }
+    assert!(checked > 0, "no task started while a zone was evacuated for longer than the bound");
 }
 
 fn inject_random_fault(emulator: &mut Emulator) {
--- a/tests/locality.rs
+++ b/tests/locality.rs
@@ -6,9 +6,7 @@
 
 use emulator::{Emulator, job, step};
 use nutmegfold::core::time::Instant;
-use nutmegfold::core::work::place::locality::{
-    Decision, Outlook, Room, WAIT_MAX, decide, remaining_path, remaining_time,
-};
+use nutmegfold::core::work::place::locality::{Decision, Outlook, Room, WAIT_MAX, decide, remaining_time};
 use nutmegfold::core::work::place::{PACKED, Policy};
 use nutmegfold::core::work::request::{Answer, Phase};
 use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
@@ -88,14 +86,14 @@
 
 /// Guards against slack that leaves out the steps after that of the task, or counts steps that do not depend on it.
 #[test]
-fn remaining_path_covers_the_dependent_steps() {
+fn remaining_chains_cover_the_dependent_steps() {
     let after = |before: &[u32], seconds: u32| Step {
         depends_on: before.to_vec(),
         estimate: SECOND * seconds,
         ..step(1)
     };
     let spec = job([after(&[], 1), after(&[], 10), after(&[0], 2), after(&[1, 2], 3), after(&[0], 4)]);
-    let paths = [0, 1, 2, 3, 4].map(|step| remaining_path(&spec, step));
+    let paths = spec.remaining_chains();
     assert_eq!(paths, [6, 13, 5, 3, 4].map(|seconds| SECOND * seconds));
 }
 
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -8,7 +8,7 @@
 use emulator::{Emulator, job, step};
 use nutmegfold::core::work::place::{PACKED, Policy, SPREAD};
 use nutmegfold::core::work::request::{Answer, Phase, Verb};
-use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
+use nutmegfold::core::work::spec::{ESTIMATE_MAX, Id, Name, Resources, Schedule, Spec, Step};
 use nutmegfold::core::work::tuning::Tuning;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -729,3 +729,21 @@
         }
     }
 }
+
+/// Guards against a job whose times overflow: it would be stored, and end each leader that loads it.
+#[test]
+fn a_job_with_times_out_of_range_is_rejected() {
+    let with_estimate =
+        |estimate| job([Step { estimate, ..step(1) }, Step { depends_on: vec![0], ..step(1) }]);
+    assert_eq!(with_estimate(ESTIMATE_MAX).validation_error(), None);
+    let fault = with_estimate(Duration::MAX).validation_error().expect("a fault");
+    assert!(fault.starts_with("steps[0].estimate_ms: must be at most"), "{fault}");
+    assert_eq!(with_estimate(Duration::MAX).critical_path(), Duration::MAX);
+    let schedule = Schedule { start_unix_ms: u64::MAX - 1, interval_ms: 1, times: 3 };
+    let scheduled = Spec { schedule: Some(schedule), ..job([step(1)]) };
+    assert!(scheduled.validation_error().is_some());
+    let mut emulator = ready(1, 2, 2);
+    let ticket = emulator.submit(0, 1, with_estimate(Duration::MAX));
+    emulator.run_for(SECOND);
+    assert!(matches!(emulator.answers.get(&ticket), Some(Answer::Malformed(_))));
+}
