--- a/src/port/admin.rs
+++ b/src/port/admin.rs
@@ -25,8 +25,8 @@
 /// Size limit of a document in bytes, equal to the size limit of a value in the store.
 const MAX_DOCUMENT_BYTES: usize = 1_000_000;
 
-/// Limit on open connections of operators; with a document on each, they take 32 MB.
-const MAX_CONNECTIONS: usize = 32;
+/// Limit on open connections of operators; with a document on each, they take 72 MB, which fits a VM of 160 MB.
+const MAX_CONNECTIONS: usize = 72;
 
 /// Parts of the process that the port uses.
 #[derive(Debug, Clone)]
