Report which kind of run occupies the workers

The logs of the incident with too little room for ending work cannot tell its hypotheses apart: nothing shows how much room long-running, ending and filling runs reserve and use, nor in which pieces the rest is free.

The leader surveys its workers with each report, sets gauges by service and kind, and adds an entry 'occupancy' beside 'waits-total'.

--- a/src/core/work/meter.rs
+++ b/src/core/work/meter.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::effect::Effect as WorkEffect;
+use super::occupancy::{self, Occupancy};
 use super::order::Order;
 use super::place::Tally;
 use super::{backlog, evacuation, state};
@@ -127,6 +128,8 @@
     pub refusals: Vec<(String, u64)>,
     /// Longest forecast time until a submitted job would start.
     pub forecast_wait: Duration,
+    /// Occupancy of the workers, by service.
+    pub occupancies: Vec<Occupancy>,
     /// Evacuated availability zones.
     pub evacuated_zones: u64,
     /// Runs on their workers.
@@ -201,6 +204,7 @@
         report.queued_changes = state.journal.queued_changes();
         report.ready_groups = state.jobs.ready.len() as u64;
         report.ready_tasks = state.jobs.ready.values().map(|tasks| tasks.len() as u64).sum();
+        report.occupancies = occupancy::survey(&state.workers, &state.runs, state.tenure());
         report.evacuated_zones = state.evacuations.len() as u64;
         report.evacuated_runs = evacuation::count_runs(state);
         if report.longest_lag >= BEHIND_MIN {
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -25,6 +25,7 @@
 mod lifecycle;
 pub mod load;
 pub mod meter;
+pub mod occupancy;
 pub mod order;
 mod pace;
 pub mod place;
--- a/src/core/work/run.rs
+++ b/src/core/work/run.rs
@@ -102,13 +102,15 @@
     }
 }
 
-/// Interference profile of a run: whether it fills or serves, and its image.
+/// Profile of a run: what it shares its worker with depends on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Profile {
     /// Processor time that a filling run can use of what others leave, in thousandths of a core; 0 if it does not fill.
     pub filling_cpu_millicores: u32,
     /// Whether it is a serving run, whose response times have a target.
     pub is_serving: bool,
+    /// Whether it runs until its job is cancelled.
+    pub is_long_running: bool,
     /// Image of the run; `None` if the step names none.
     pub image: Option<image::Key>,
 }
@@ -128,7 +130,7 @@
     pub address: SocketAddr,
     /// Resources that it reserves on the worker.
     pub charged: Resources,
-    /// Interference profile.
+    /// What kind of run it is.
     pub profile: Profile,
     /// Current state.
     pub phase: Phase,
--- a/src/core/work/wait.rs
+++ b/src/core/work/wait.rs
@@ -1,7 +1,7 @@
 //! Reports why ready tasks are not placed.
 //!
 //! While tasks are ready, a report is made once a second. It adds an entry `waits` for each group that has waited longer
-//! than [`WAIT_MIN`], up to [`ENTRIES_MAX`] of them, and one entry `waits-total` for all such groups. If workers had room for
+//! than [`WAIT_MIN`], up to [`ENTRIES_MAX`] of them, one entry `waits-total` for all such groups, and one entry `occupancy` for each service. If workers had room for
 //! a task in the report before and have it now, the leader does not keep up; the task that has had room for longest gets an
 //! entry `leader-saturated`. So the number of entries does not grow with the queue. A report goes once over the ready tasks,
 //! and compares each worker with the groups that get an entry and with those that have waited longest. It changes nothing
@@ -13,7 +13,7 @@
 use super::spec::{Name, Resources, Step};
 use super::timer::Timer;
 use super::worker::{Readiness, Tenure, Worker};
-use super::{state, task};
+use super::{occupancy, state, task};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -166,7 +166,7 @@
 
 /// Returns why a listed and ready worker takes no new runs of long-running or of other tasks, the first reason that
 /// applies; `None` if it takes them.
-fn exclusion(worker: &Worker, is_long_running: bool, tenure: Tenure) -> Option<Exclusion> {
+pub(super) fn exclusion(worker: &Worker, is_long_running: bool, tenure: Tenure) -> Option<Exclusion> {
     let Tenure { now, committed_at, led_at, .. } = tenure;
     if worker.accepts(is_long_running, tenure) {
         // A proof is had at once where a task needs it, unless the store does not answer.
@@ -250,7 +250,7 @@
 }
 
 /// Adds the groups that have waited longer than [`WAIT_MIN`] to the timeline: those of the highest priority and the
-/// longest wait, and the totals over all.
+/// longest wait, the totals over all, and the occupancy of each service.
 fn report(state: &super::State, waiting: &[Waiting], out: &mut Vec<Effect>) {
     if waiting.is_empty() {
         return;
@@ -258,6 +258,9 @@
     let mut waiting = waiting.to_vec();
     waiting.sort_unstable_by_key(|group| (group.priority, group.since, group.group));
     state::record(out, Subject::Process, "waits-total", describe_total(state, &waiting));
+    for occupancy in occupancy::survey(&state.workers, &state.runs, state.tenure()) {
+        state::record(out, Subject::Process, "occupancy", occupancy.describe());
+    }
     waiting.truncate(ENTRIES_MAX);
     for (group, offer) in waiting.iter().zip(offers(state, &waiting)) {
         let Some((job, step)) = find_step(state, group.group) else { continue };
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -186,6 +186,8 @@
     pub filling_runs: u32,
     /// Number of serving runs.
     pub serving_runs: u32,
+    /// Number of long-running runs.
+    pub long_running_runs: u32,
     /// Jobs with a failed run on it since the last successful one.
     pub failed_jobs: Vec<super::spec::Id>,
     /// Time until which it gets no new runs, after a start that was refused or not sent.
@@ -246,6 +248,7 @@
             serving_cpu_millicores: 0,
             filling_runs: 0,
             serving_runs: 0,
+            long_running_runs: 0,
             failed_jobs: Vec::new(),
             paused_until: Instant::default(),
             suspicion: None,
@@ -492,6 +495,7 @@
         self.used_resources = self.used_resources.saturating_add(charged);
         self.filling_runs += u32::from(profile.filling_cpu_millicores > 0);
         self.serving_runs += u32::from(profile.is_serving);
+        self.long_running_runs += u32::from(profile.is_long_running);
         self.serving_cpu_millicores += if profile.is_serving { charged.cpu_millicores } else { 0 };
     }
 
@@ -503,6 +507,7 @@
         self.used_resources = self.used_resources.saturating_sub(charged);
         self.filling_runs -= u32::from(profile.filling_cpu_millicores > 0);
         self.serving_runs -= u32::from(profile.is_serving);
+        self.long_running_runs -= u32::from(profile.is_long_running);
         self.serving_cpu_millicores -= if profile.is_serving { charged.cpu_millicores } else { 0 };
     }
 
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -12,6 +12,7 @@
 use crate::core::store::{Reply, Request};
 use crate::core::time::Instant;
 use crate::core::work::meter::{Counts, Report};
+use crate::core::work::occupancy::{KINDS, Occupancy};
 use crate::error::{Error, Result};
 use crate::port::admission::{Gate, Refusal};
 
@@ -57,6 +58,10 @@
     job_size_age: Gauge<f64>,
     refusals: Counter<u64>,
     forecast_wait: Gauge<f64>,
+    cores: Gauge<f64>,
+    free_cores: Gauge<f64>,
+    largest_free_cores: Gauge<f64>,
+    workers_without_long_running: Gauge<u64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs: Gauge<u64>,
 }
@@ -89,6 +94,7 @@
         let meter = provider.meter(METER);
         let counter = |name, description| meter.u64_counter(name).with_description(description).build();
         let gauge = |name, description| meter.u64_gauge(name).with_description(description).build();
+        let cores = |name, description| meter.f64_gauge(name).with_description(description).build();
         let seconds =
             |name, description| meter.f64_gauge(name).with_description(description).with_unit("s").build();
         Ok(Self {
@@ -139,6 +145,19 @@
                     "leader_forecast_wait",
                     "Longest forecast time until a submitted job would start, in the last report of this leader",
                 ),
+                cores: cores("leader_cores", "Cores that runs reserve and use, by service and kind of run"),
+                free_cores: cores(
+                    "leader_free_cores",
+                    "Free cores of the workers that take new runs, by service",
+                ),
+                largest_free_cores: cores(
+                    "leader_largest_free_cores",
+                    "Most free cores of one worker that takes new runs, by service",
+                ),
+                workers_without_long_running: gauge(
+                    "leader_workers_without_long_running",
+                    "Workers that take new runs and have no long-running run, by service",
+                ),
                 evacuated_zones: gauge("leader_evacuated_zones", "Evacuated availability zones"),
                 evacuated_runs: gauge(
                     "leader_evacuated_runs",
@@ -215,10 +234,29 @@
             self.leader.refusals.add(*count, &[KeyValue::new("queue", queue.clone())]);
         }
         self.leader.forecast_wait.record(report.forecast_wait.as_secs_f64(), &[]);
+        report.occupancies.iter().for_each(|occupancy| self.record_occupancy(occupancy));
         self.leader.evacuated_zones.record(report.evacuated_zones, &[]);
         self.leader.evacuated_runs.record(report.evacuated_runs, &[]);
     }
 
+    /// Sets the gauges on the workers of a service.
+    fn record_occupancy(&self, occupancy: &Occupancy) {
+        let service = KeyValue::new("service", occupancy.service.clone());
+        let cores = |millicores: u64| millicores as f64 / 1_000.0;
+        for ((_, kind), share) in KINDS.iter().zip(&occupancy.shares) {
+            for (state, millicores) in
+                [("reserved", share.reserved_millicores), ("used", share.used_millicores)]
+            {
+                let labels = [service.clone(), KeyValue::new("kind", *kind), KeyValue::new("state", state)];
+                self.leader.cores.record(cores(millicores), &labels);
+            }
+        }
+        let service = [service];
+        self.leader.free_cores.record(cores(occupancy.free_millicores), &service);
+        self.leader.largest_free_cores.record(cores(occupancy.largest_free_millicores), &service);
+        self.leader.workers_without_long_running.record(occupancy.workers_without_long_running, &service);
+    }
+
     /// Adds a counter of the timeline entries that are missing in the file; `total` returns their number.
     pub fn observe_lost_entries(&self, total: impl Fn() -> u64 + Send + Sync + 'static) {
         // The provider keeps the callback, so the instrument itself is not needed any more.
--- a/tests/jobs_metrics.rs
+++ b/tests/jobs_metrics.rs
@@ -8,6 +8,7 @@
 use actix_web::rt;
 use awc::Client;
 use emulator::{Emulator, job, step};
+use nutmegfold::core::work::spec::{Resources, Step};
 use nutmegfold::node::jobs;
 use nutmegfold::settings;
 use nutmegfold::telemetry::metric::Metrics;
@@ -117,3 +118,35 @@
         assert_eq!(metric(&emulator, &format!("nutmegfold_leader_{name}")), 0.0, "{name}");
     }
 }
+
+/// Guards against a backlog that nothing explains: the metrics and the log show which kind of run occupies the workers, and
+/// the room that is left.
+#[test]
+fn the_occupancy_of_workers_is_in_the_metrics_and_the_log() {
+    let mut emulator = Emulator::new(3, 1, 2);
+    emulator.run_for(Duration::from_secs(2));
+    let need = |cpu_millicores| Resources { cpu_millicores, memory_mb: 100, gpu: 0 };
+    let long_running = Step { resources: need(5_000), is_long_running: true, ..step(2) };
+    let ending = Step { resources: need(1_000), estimate: Duration::from_secs(60), ..step(1) };
+    let waiting = Step { resources: need(4_000), ..step(1) };
+    for (id, step) in (1..).zip([long_running, ending, waiting]) {
+        emulator.submit(0, id, job([step]));
+    }
+    emulator.run_for(Duration::from_secs(4));
+    let cores = |kind: &str, state: &str| {
+        let labels = format!("kind=\"{kind}\",service=\"desk\",state=\"{state}\"");
+        metric(&emulator, &format!("nutmegfold_leader_cores{{{labels}}}"))
+    };
+    assert_eq!(cores("long-running", "reserved"), 10.0);
+    assert_eq!(cores("ending", "reserved"), 1.0);
+    assert_eq!(cores("filling", "reserved"), 0.0);
+    assert_eq!(metric(&emulator, "nutmegfold_leader_free_cores{service=\"desk\"}"), 5.0);
+    assert_eq!(metric(&emulator, "nutmegfold_leader_largest_free_cores{service=\"desk\"}"), 3.0);
+    assert_eq!(metric(&emulator, "nutmegfold_leader_workers_without_long_running{service=\"desk\"}"), 0.0);
+    let text = "long-running 2 runs, 10 cores reserved";
+    assert!(
+        emulator.log.iter().any(|line| line.contains("\"occupancy\"") && line.contains(text)),
+        "{:#?}",
+        emulator.log
+    );
+}
