Keep a share of the workers free of long-running tasks

Cause: a long-running task holds its room until its job is cancelled, and nothing limits what such tasks take. They reserved 15,928 of 16,608 cores; the other 663 were in pieces of at most 2.3 cores, and no worker was without a long-running run (entries 'occupancy'). Class: work without an end that competes with work that ends under the same limit.

Change: a long-running task that has never run starts on a worker without a long-running run only while more of these are left than a share of the workers ('[jobs] reserve', 8 percent). While less than half of the processor time is reserved, the rule is only a preference.

The test each_pass_searches_all_workers_for_each_need_that_waits fills all workers with long-running tasks, so it sets the reserve to 0; what it checks is unchanged. The comparison of passes with and without memory of earlier ones is played with a reserve as well.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -11,7 +11,8 @@
 use super::run::{self, Exit, Loss, Phase, Run};
 use super::spec::{Id, Name, Resources};
 use super::{
-    crash, health, journal, leadership, lifecycle, pace, place, speculate, state, symbol, task, worker,
+    crash, health, journal, leadership, lifecycle, pace, place, reserve, speculate, state, symbol, task,
+    worker,
 };
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
@@ -73,6 +74,9 @@
         pace_percent: 100,
         pace_changed_at: now,
     });
+    if profile.is_long_running && worker.long_running_runs == 0 {
+        state.reserves.note_taken(worker.service);
+    }
     worker.add_run(run, charged, profile);
     worker.last_start_at = now;
     let is_trial =
@@ -80,6 +84,7 @@
     if task.is_suspect() || is_trial {
         worker.trial_run = Some(run);
     }
+    let has_kept_room = task.kept_on.is_some();
     task.phase = task::Phase::Active;
     task.next_run = number + 1;
     task.runs.push(run);
@@ -104,6 +109,9 @@
     let reason = format!("run {number} of {}{after} on {}{origin}", task.name, worker.id);
     state::record(out, Subject::Job(job.id), "start", reason);
     state.send_order(worker_key, order, out);
+    if has_kept_room {
+        reserve::release_room(state, task_key);
+    }
     if is_speculative {
         speculate::watch(state, run);
     }
@@ -280,6 +288,9 @@
         task.last_exit = Some((run.number, exit));
     }
     lifecycle::requeue(state, task_key, not_before);
+    if matches!(exit, Exit::Ended(_)) {
+        reserve::keep_room(state, task_key, &run);
+    }
     state.schedule_placement();
 }
 
--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -194,6 +194,7 @@
                     awaited_change: 0,
                     checkpoint: String::new(),
                     avoid_worker: None,
+                    kept_on: None,
                     ready_at: now,
                     not_before,
                     lost_at: None,
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -32,6 +32,7 @@
 pub mod relay;
 mod renewal;
 pub mod request;
+pub mod reserve;
 pub mod run;
 pub mod runtime;
 pub mod silence;
--- a/src/core/work/place/gang.rs
+++ b/src/core/work/place/gang.rs
@@ -21,8 +21,8 @@
 ) {
     // Only a worker that has changed helps a gang that found too little room, but a suspect among its members waits for time.
     let has_changes = !pass.found.survey.workers_for(&need).is_empty();
-    if !need.is_suspect && pass.memory.is_stuck(group, need.urgency) && !has_changes {
-        pass.found.stuck.insert((group, need.urgency));
+    if !need.is_suspect && pass.memory.is_stuck(need.variant(group)) && !has_changes {
+        pass.found.stuck.insert(need.variant(group));
         return;
     }
     let Some(first) = tasks.first().copied() else { return };
@@ -37,7 +37,7 @@
     });
     let Some(plan) = plan else {
         if !need.is_suspect {
-            pass.found.stuck.insert((group, need.urgency));
+            pass.found.stuck.insert(need.variant(group));
         }
         return;
     };
--- a/src/core/work/place/memory.rs
+++ b/src/core/work/place/memory.rs
@@ -10,10 +10,10 @@
 use slotmap::SecondaryMap;
 
 use super::locality::Waits;
-use super::need::Need;
+use super::need::{Need, Variant};
 use super::{Order, Tally, preempt, search};
 use crate::core::time::Instant;
-use crate::core::work::headroom::{self, Headroom, Urgency};
+use crate::core::work::headroom::{self, Headroom};
 use crate::core::work::job::Group;
 use crate::core::work::spec::Resources;
 use crate::core::work::state::State;
@@ -45,7 +45,7 @@
             version: worker.version,
             accepts: worker.accepts(false, tenure),
             accepts_long_running: worker.accepts(true, tenure),
-            free: worker.free_resources(),
+            free: worker.offered_resources(None, state.now),
             preemptable: unchanged
                 .map_or_else(|| preempt::preemptable(state, worker), |before| before.preemptable),
         }
@@ -152,8 +152,8 @@
     unplaceable: Vec<Need>,
     /// Needs for which no worker has enough runs to preempt, apart from the same.
     unpreemptable: Vec<Need>,
-    /// Groups that no worker suits, apart from the same.
-    stuck: Set<(Group, Urgency)>,
+    /// Tasks of groups that no worker suits, apart from the same.
+    stuck: Set<Variant>,
     /// Groups for which no worker has enough runs to preempt, apart from the same.
     without_victims: Set<Group>,
     /// Times at which the waiting of a task gets another meaning.
@@ -204,6 +204,12 @@
         self.sights.remove(key);
     }
 
+    /// Forgets what was found out on tasks that must leave the reserve of their service to others.
+    pub(super) fn forget_kept(&mut self) {
+        self.unplaceable.retain(|need| !need.must_leave_reserve);
+        self.stuck.retain(|variant| !variant.must_leave_reserve);
+    }
+
     /// Forgets all that was found out.
     pub fn forget_all(&mut self) {
         let (wakes, waits) = (std::mem::take(&mut self.wakes), std::mem::take(&mut self.waits));
@@ -220,9 +226,9 @@
         self.unplaceable.iter().any(|failed| need.is_at_least(failed))
     }
 
-    /// Whether only a worker that has changed can suit a group.
-    pub(super) fn is_stuck(&self, group: Group, urgency: Urgency) -> bool {
-        self.stuck.contains(&(group, urgency))
+    /// Whether only a worker that has changed can suit these tasks.
+    pub(super) fn is_stuck(&self, variant: Variant) -> bool {
+        self.stuck.contains(&variant)
     }
 
     /// Whether only a worker that has changed can have enough runs to preempt for a task of a group.
@@ -276,7 +282,7 @@
     }
 
     /// Adds times at which a waiting task may become placeable without another event.
-    pub(super) fn wake_at(&mut self, times: impl IntoIterator<Item = Instant>) {
+    pub fn wake_at(&mut self, times: impl IntoIterator<Item = Instant>) {
         self.wakes.extend(times.into_iter().map(Reverse));
     }
 
@@ -298,8 +304,8 @@
     pub unplaceable: Vec<Need>,
     /// Needs for which no worker has enough runs to preempt.
     pub unpreemptable: Vec<Need>,
-    /// Groups that no worker suits.
-    pub stuck: Set<(Group, Urgency)>,
+    /// Tasks of groups that no worker suits.
+    pub stuck: Set<Variant>,
     /// Groups for which no worker has enough runs to preempt.
     pub without_victims: Set<Group>,
 }
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -29,9 +29,10 @@
 
 use super::headroom::Urgency;
 use super::job::Group;
+use super::reserve::Outline;
 use super::spec::Resources;
 use super::worker::{Gate, Key};
-use super::{backlog, control, leadership, renewal, state, symbol, task, wait};
+use super::{backlog, control, leadership, renewal, reserve, state, symbol, task, wait};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -122,6 +123,11 @@
     fn begin(state: &mut super::State) -> Self {
         let mut memory = std::mem::take(&mut state.placement);
         let mut tally = Tally { passes: 1, ..Tally::default() };
+        let reserves = reserve::Table::survey(&state.workers, state.tuning.reserve_percent);
+        if reserves.has_opened_since(&state.reserves) {
+            memory.forget_kept();
+        }
+        state.reserves = reserves;
         let survey = memory.look(state, &mut tally);
         Self {
             limit: PASS_LIMIT,
@@ -167,15 +173,22 @@
 
     /// Whether only a worker that has changed can have room for a task of a group.
     fn is_known_unplaceable(&mut self, group: Group, need: &Need) -> bool {
+        // What is known of other needs does not hold where room is kept for the task.
+        if need.kept_for.is_some() {
+            return false;
+        }
         self.tally.needs += self.memory.needs_count();
-        self.memory.is_stuck(group, need.urgency) || self.memory.is_unplaceable(need)
+        self.memory.is_stuck(need.variant(group)) || self.memory.is_unplaceable(need)
     }
 
     /// Whether no worker has room for a task of a group.
     fn is_unplaceable(&mut self, state: &super::State, group: Group, need: &Need) -> bool {
+        if need.kept_for.is_some() {
+            return false;
+        }
         self.tally.needs += self.found.unplaceable.len() as u64;
         if !self.found.survey.may_have_room(need)
-            || self.found.stuck.contains(&(group, need.urgency))
+            || self.found.stuck.contains(&need.variant(group))
             || self.found.unplaceable.iter().any(|other| need.is_at_least(other))
         {
             return true;
@@ -195,7 +208,7 @@
 
     /// Records that no worker suits a group.
     fn add_stuck(&mut self, group: Group, need: &Need) {
-        self.found.stuck.insert((group, need.urgency));
+        self.found.stuck.insert(need.variant(group));
         if need.stands_for_larger() {
             add_need(&mut self.found.unplaceable, *need);
         }
@@ -451,8 +464,10 @@
     pass.shortlist.clear();
     let Some(job) = state.jobs.all.get(group.job) else { return ControlFlow::Continue(()) };
     let (mut need, priority) = (job.needs[group.step as usize], job.priority);
+    let outline = reserve::outline(state, group, &need);
+    need.must_leave_reserve = outline.all_must_leave;
 
-    if pass.is_hopeless(state, group, &need, priority) {
+    if !outline.has_kept_room && pass.is_hopeless(state, group, &need, priority) {
         return ControlFlow::Continue(());
     }
     let mut flow = ControlFlow::Continue(());
@@ -467,7 +482,7 @@
             gang::place(state, group, need, &candidates, pass, out);
         }
     } else {
-        flow = place_tasks(state, group, &need, priority, pass, out);
+        flow = place_tasks(state, group, &need, (priority, outline), pass, out);
     }
     state.jobs.remove_started(group);
     flow
@@ -491,11 +506,11 @@
     state: &mut super::State,
     group: Group,
     need: &Need,
-    priority: u32,
+    (priority, outline): (u32, Outline),
     pass: &mut Pass,
     out: &mut Vec<Effect>,
 ) -> ControlFlow<()> {
-    let mut has_no_urgent_start = false;
+    let mut unplaceable = Vec::new();
     for index in 0.. {
         let Some(key) = state.jobs.ready.get(&group).and_then(|tasks| tasks.get(index)).copied() else {
             break;
@@ -506,7 +521,17 @@
         pass.tally.tasks += 1;
         let Some(task) = state.jobs.tasks.get(key) else { continue };
         let urgency = urgency(state, need, task);
-        if (urgency == Urgency::Urgent && has_no_urgent_start) || !is_startable(state, key) {
+        let must_leave_reserve = reserve::must_leave(need, task);
+        let task_need = Need {
+            avoid: task.avoid_worker,
+            is_suspect: task.is_suspect(),
+            urgency,
+            must_leave_reserve,
+            kept_for: reserve::has_kept_room(state, key).then_some(key),
+            ..*need
+        };
+        let variant = task_need.variant(group);
+        if (task_need.kept_for.is_none() && unplaceable.contains(&variant)) || !is_startable(state, key) {
             continue;
         }
         if locality::is_waiting(state, key, pass) {
@@ -515,13 +540,15 @@
         }
         pass.other_visits += VISITS_PER_TASK;
         state.meter.counts.candidates += 1;
-        let need = Need { avoid: task.avoid_worker, is_suspect: task.is_suspect(), urgency, ..*need };
-        if place_task(state, key, &need, priority, pass, out).is_break() {
-            // Only the first tasks of a group have waited for so long that they are urgent.
-            if urgency == Urgency::Deferrable {
+        if place_task(state, key, &task_need, priority, pass, out).is_break() {
+            // Only the first tasks of a group have waited for so long that they are urgent, and only later ones have run before.
+            if urgency == Urgency::Deferrable
+                && must_leave_reserve == outline.all_must_leave
+                && !outline.has_kept_room
+            {
                 break;
             }
-            has_no_urgent_start = true;
+            unplaceable.push(variant);
         }
     }
     ControlFlow::Continue(())
--- a/src/core/work/place/need.rs
+++ b/src/core/work/place/need.rs
@@ -1,9 +1,18 @@
 //! Requirements of tasks, as far as they decide which workers have room.
 
 use crate::core::work::headroom::Urgency;
+use crate::core::work::job::Group;
 use crate::core::work::spec::{Resources, Step};
 use crate::core::work::worker::{Key, Worker};
-use crate::core::work::{image, symbol};
+use crate::core::work::{image, symbol, task};
+
+/// Tasks of a group for which the same workers have room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct Variant {
+    pub group: Group,
+    pub urgency: Urgency,
+    pub must_leave_reserve: bool,
+}
 
 /// Requirements of a task.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -24,6 +33,8 @@
     pub is_gang: bool,
     /// Whether it runs until its job is cancelled.
     pub is_long_running: bool,
+    /// Whether it is long-running and has never run, so that it leaves the reserve of its service to others.
+    pub must_leave_reserve: bool,
     /// Whether it serves users, so that its response time is limited.
     pub is_serving: bool,
     /// Whether it is a filling task, which uses only processor time that others leave.
@@ -36,6 +47,8 @@
     pub is_suspect: bool,
     /// Worker to avoid, if any.
     pub avoid: Option<Key>,
+    /// Task for which a worker may keep room, if any.
+    pub kept_for: Option<task::Key>,
 }
 
 impl Need {
@@ -50,15 +63,22 @@
             max_per_worker: step.max_per_worker,
             is_gang: step.is_gang,
             is_long_running: step.is_long_running,
+            must_leave_reserve: false,
             is_serving: step.serves(),
             is_filling: step.is_filling,
             image: (!step.image.is_empty()).then(|| images.intern(&step.image)),
             urgency: Urgency::Deferrable,
             is_suspect: false,
             avoid: None,
+            kept_for: None,
         }
     }
 
+    /// What the outcome of a search for a worker depends on, for the tasks of one group.
+    pub(super) fn variant(&self, group: Group) -> Variant {
+        Variant { group, urgency: self.urgency, must_leave_reserve: self.must_leave_reserve }
+    }
+
     /// Whether a worker is outside the rack that holds the data of the task.
     pub(super) fn is_remote(&self, worker: &Worker) -> bool {
         self.affinity.is_some_and(|rack| !worker.labels.contains(&rack))
@@ -66,7 +86,7 @@
 
     /// Whether a worker without room for it has no room for larger needs either, since nothing but the worker decides.
     pub(super) fn stands_for_larger(&self) -> bool {
-        self.max_per_worker.is_none() && !self.is_gang && !self.is_suspect
+        self.max_per_worker.is_none() && !self.is_gang && !self.is_suspect && self.kept_for.is_none()
     }
 
     /// Returns whether a worker with room for this need also has room for `other`, so that this need finds no worker where
@@ -75,8 +95,9 @@
         let is_same_kind = self.is_filling == other.is_filling
             && (!self.is_filling || (self.image == other.image && self.urgency == other.urgency));
         let needs_more = self.charged.covers(other.charged) && self.cpu_millicores >= other.cpu_millicores;
-        // The search for a long-running task covers more workers.
-        let is_covered = other.is_long_running || !self.is_long_running;
+        // The search for a long-running task covers more workers, but for a new one not the reserve.
+        let is_covered = (other.is_long_running || !self.is_long_running)
+            && (!other.must_leave_reserve || self.must_leave_reserve);
         let is_labelled = other.required_label.is_none() || self.required_label == other.required_label;
         self.service == other.service && is_same_kind && needs_more && is_covered && is_labelled
     }
--- a/src/core/work/place/preempt.rs
+++ b/src/core/work/place/preempt.rs
@@ -45,7 +45,7 @@
     let promised = freed.iter().find(|(worker, resources)| {
         let Some(worker) = state.workers.all.get(**worker) else { return false };
         is_schedulable(state, worker, need)
-            && worker.free_resources().saturating_add(**resources).covers(need.charged)
+            && worker.offered_resources(None, state.now).saturating_add(**resources).covers(need.charged)
     });
     if let Some((worker, resources)) = promised.map(|(worker, resources)| (*worker, *resources)) {
         freed.insert(worker, resources.saturating_sub(need.charged));
@@ -100,7 +100,7 @@
 pub(super) fn preemptable(state: &State, worker: &Worker) -> Resources {
     let victims = worker.runs.iter().filter_map(|run| find_victim(state, *run));
     let sum = |sum: Resources, (run, _): (&Run, &Step)| sum.saturating_add(run.charged);
-    victims.fold(worker.free_resources(), sum)
+    victims.fold(worker.offered_resources(None, state.now), sum)
 }
 
 fn is_schedulable(state: &State, worker: &Worker, need: &Need) -> bool {
@@ -141,7 +141,7 @@
         })
         .collect();
     candidates.sort_unstable_by_key(|(cost, ..)| *cost);
-    let mut resources = worker.free_resources();
+    let mut resources = worker.offered_resources(None, state.now);
     let mut total_cost = 0;
     let mut runs = Vec::new();
     for (cost, key, charged) in candidates {
--- a/src/core/work/place/search.rs
+++ b/src/core/work/place/search.rs
@@ -25,6 +25,9 @@
 /// Further score penalty of such a worker if it is being called, since its answer may take as long as a poll.
 const CALLED_WORKER_SCORE: i64 = -250_000_000;
 
+/// Score penalty of a worker of the reserve for a long-running task.
+const RESERVED_WORKER_SCORE: i64 = -50_000_000;
+
 /// Score penalty for each run beside a task that may crash its worker.
 const SUSPECT_COMPANY_SCORE: i64 = -10_000;
 
@@ -94,12 +97,37 @@
         });
         list.by_score.extend(score.map(|score| (score, key)));
     }
-    list.returned = list.by_score.pop().map(|(_, key)| key);
+    list.returned = pop_best(state, need, siblings, &mut list.by_score, pass);
     let chosen = list.returned;
     pass.shortlist = list;
     chosen
 }
 
+/// Takes the worker with the highest score from a list. A start of a long-running task on one worker can make others part of
+/// the reserve of their service, so their scores are computed again.
+fn pop_best(
+    state: &State,
+    need: &Need,
+    siblings: Siblings<'_>,
+    by_score: &mut BinaryHeap<(i64, Key)>,
+    pass: &mut Pass,
+) -> Option<Key> {
+    while let Some((score, key)) = by_score.pop() {
+        if !need.is_long_running {
+            return Some(key);
+        }
+        pass.visits += 1;
+        pass.tally.workers += 1;
+        let worker = state.workers.all.get(key)?;
+        let newest = score_worker(state, &mut pass.memory.headrooms, (key, worker), need, siblings);
+        if newest.is_some_and(|newest| newest >= score) {
+            return Some(key);
+        }
+        by_score.extend(newest.map(|newest| (newest, key)));
+    }
+    None
+}
+
 /// Returns the worker with the highest score among those with room for a task.
 pub(super) fn choose_worker(
     state: &State,
@@ -148,6 +176,7 @@
 ) -> Option<i64> {
     let (planned, planned_runs) = plan.get(&key).copied().unwrap_or_default();
     let fits = has_room(state, worker, need, planned)
+        && (planned_runs > 0 || !state.reserves.keeps(worker, need, count_vacant(state, need, plan)))
         && need
             .max_per_worker
             .is_none_or(|most| count_group_runs(state, worker, group) + planned_runs < most)
@@ -158,14 +187,29 @@
     }
     // A filling task is not placed where the serving tasks do not tolerate it; it waits for another worker.
     let filling = filling(state, headrooms, key, need)?;
-    let avoided = if need.avoid == Some(key) { AVOIDED_WORKER_SCORE } else { 0 };
+    // A long-running task whose run has failed goes back to its room, unless the worker is suspected.
+    let is_avoided =
+        need.avoid == Some(key) && !need.kept_for.is_some_and(|task| worker.keeps_room(task, state.now));
+    let avoided = if is_avoided { AVOIDED_WORKER_SCORE } else { 0 };
     let suspected = if worker.is_suspected(state.now) { SUSPECTED_WORKER_SCORE } else { 0 };
     let company = if need.is_suspect { worker.runs.len() as i64 * SUSPECT_COMPANY_SCORE } else { 0 };
     let unproven = unproven_score(state, worker);
+    let reserved =
+        if need.is_long_running && state.reserves.contains(worker) { RESERVED_WORKER_SCORE } else { 0 };
     let other_serving = if need.is_long_running { count_other_serving(state, worker, need.image) } else { 0 };
     let siblings = if need.is_serving { count_group_runs(state, worker, group) } else { 0 };
     let score = (state.policy.score)(need, &Offer { worker, other_serving, siblings, filling });
-    Some(score + avoided + suspected + company + unproven)
+    Some(score + avoided + suspected + company + unproven + reserved)
+}
+
+/// Returns the number of planned workers without a long-running run; zero for a need that does not depend on it.
+fn count_vacant(state: &State, need: &Need, plan: &Plan) -> u64 {
+    if !need.must_leave_reserve {
+        return 0;
+    }
+    let is_vacant =
+        |key: &Key| state.workers.all.get(*key).is_some_and(|worker| worker.long_running_runs == 0);
+    plan.keys().filter(|key| is_vacant(key)).count() as u64
 }
 
 /// Score penalty of a worker without a recent proof, which matters only while the store does not give one.
@@ -182,7 +226,7 @@
 /// Returns whether a worker takes runs and has the resources for one more, besides those that are `planned`.
 fn has_room(state: &State, worker: &Worker, need: &Need, planned: Resources) -> bool {
     worker.suits(need.service, need.required_label)
-        && worker.free_resources().saturating_sub(planned).covers(need.charged)
+        && worker.offered_resources(need.kept_for, state.now).saturating_sub(planned).covers(need.charged)
         && worker.accepts(need.is_long_running, state.tenure())
 }
 
@@ -190,7 +234,9 @@
 pub(super) fn has_room_among(state: &State, headrooms: &mut Headrooms, keys: &[Key], need: &Need) -> bool {
     keys.iter().any(|key| {
         let Some(worker) = state.workers.all.get(*key) else { return false };
-        has_room(state, worker, need, Resources::default()) && filling(state, headrooms, *key, need).is_some()
+        has_room(state, worker, need, Resources::default())
+            && !state.reserves.keeps(worker, need, 0)
+            && filling(state, headrooms, *key, need).is_some()
     })
 }
 
--- a/src/core/work/run.rs
+++ b/src/core/work/run.rs
@@ -109,7 +109,7 @@
     pub filling_cpu_millicores: u32,
     /// Whether it is a serving run, whose response times have a target.
     pub is_serving: bool,
-    /// Whether it runs until its job is cancelled.
+    /// Whether it reserves processor time until its job is cancelled.
     pub is_long_running: bool,
     /// Image of the run; `None` if the step names none.
     pub image: Option<image::Key>,
--- a/src/core/work/spec.rs
+++ b/src/core/work/spec.rs
@@ -141,7 +141,7 @@
         run::Profile {
             filling_cpu_millicores: if self.is_filling { self.resources.cpu_millicores } else { 0 },
             is_serving: self.serves(),
-            is_long_running: self.is_long_running,
+            is_long_running: self.is_long_running && !self.is_filling,
             image,
         }
     }
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -14,7 +14,7 @@
 use super::tuning::Tuning;
 use super::{
     admission, backlog, confirm, evacuation, handler, image, job, journal, leadership, load, place, relay,
-    run, runtime, silence, speculate, worker,
+    reserve, run, runtime, silence, speculate, worker,
 };
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
@@ -185,6 +185,8 @@
     pub placement: place::Memory,
     /// Policy that selects the worker of a task.
     pub policy: place::Policy,
+    /// Workers that are kept free of long-running runs, as of the newest placement pass.
+    pub reserves: reserve::Table,
     /// Forecast of the start of submitted jobs; empty unless this process leads.
     pub admission: admission::State,
     /// Order of the groups of waiting tasks.
@@ -240,6 +242,7 @@
             tasks_with_room: Map::default(),
             placement: place::Memory::default(),
             policy: place::PACKED,
+            reserves: reserve::Table::default(),
             admission: admission::State::default(),
             order: backlog::rank,
             is_stopping: false,
--- a/src/core/work/task.rs
+++ b/src/core/work/task.rs
@@ -49,6 +49,8 @@
     pub checkpoint: String,
     /// Worker on which the last run failed or stalled.
     pub avoid_worker: Option<worker::Key>,
+    /// Worker on which the room of its last run may be kept for the next one.
+    pub kept_on: Option<worker::Key>,
     /// When the task last became ready.
     pub ready_at: Instant,
     /// Earliest start of the next run.
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -85,6 +85,8 @@
     pub images_interval: Duration,
     /// Share of the processor time of all runs that speculative copies may cost, in percent; 0 starts none.
     pub copy_share_percent: u32,
+    /// Share of the workers of each service that is kept free of long-running runs, in percent, rounded down to whole workers.
+    pub reserve_percent: u32,
     /// Longest time that a graceful shutdown waits for requests in progress.
     pub stop_wait: Duration,
 }
@@ -127,6 +129,7 @@
             far_factor: 1.0,
             images_interval: Duration::from_millis(2_000),
             copy_share_percent: 5,
+            reserve_percent: 8,
             stop_wait: Duration::from_millis(2_000),
         }
     }
--- a/src/core/work/wait.rs
+++ b/src/core/work/wait.rs
@@ -10,10 +10,11 @@
 use std::time::Duration;
 
 use super::job::Group;
+use super::place::Need;
 use super::spec::{Name, Resources, Step};
 use super::timer::Timer;
 use super::worker::{Readiness, Tenure, Worker};
-use super::{occupancy, state, task};
+use super::{occupancy, reserve, state, task};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -69,12 +70,14 @@
     Trial,
     /// The store does not answer, and the worker has not answered recently, so that it may have forgotten a later leader.
     Unproven,
+    /// It is kept free of long-running tasks that have never run.
+    Reserved,
     /// None of the other reasons applies.
     Other,
 }
 
 /// Names of the exclusions, in the order of the variants.
-const EXCLUSION_NAMES: [&str; 10] = [
+const EXCLUSION_NAMES: [&str; 11] = [
     "zone evacuated",
     "not enrolled",
     "silent",
@@ -84,6 +87,7 @@
     "suspected",
     "trial",
     "no recent proof",
+    "kept free of long-running tasks",
     "other",
 ];
 
@@ -274,6 +278,14 @@
     Some((job, job.spec.steps.get(group.step as usize)?))
 }
 
+/// The job, the step and the need of the waiting tasks of a group.
+fn find_need(state: &super::State, group: Group) -> Option<(&super::job::Job, &Step, Need)> {
+    let (job, step) = find_step(state, group)?;
+    let need = *job.needs.get(group.step as usize)?;
+    let must_leave_reserve = reserve::outline(state, group, &need).all_must_leave;
+    Some((job, step, Need { must_leave_reserve, ..need }))
+}
+
 /// Counts the ready tasks of a group; `None` if it has none. The wait of a task begins when it is ready and due, so a
 /// group whose tasks are all due later has waited for no time.
 fn summarize<'a>(
@@ -307,7 +319,7 @@
 
 /// Returns the room for a task of each group, from one pass over the workers.
 fn offers(state: &super::State, groups: &[Waiting]) -> Vec<Offer> {
-    let steps: Vec<_> = groups.iter().map(|waiting| find_step(state, waiting.group)).collect();
+    let steps: Vec<_> = groups.iter().map(|waiting| find_need(state, waiting.group)).collect();
     let mut offers = vec![Offer::default(); groups.len()];
     for worker in state.workers.all.values().filter(|worker| worker.is_listed) {
         let Some(report) = &worker.report else { continue };
@@ -317,12 +329,13 @@
         let exclusions =
             [false, true].map(|is_long_running| exclusion(worker, is_long_running, state.tenure()));
         let free = worker.free_resources();
-        for (offer, (job, step)) in
+        for (offer, (job, step, need)) in
             offers.iter_mut().zip(&steps).filter_map(|(offer, step)| Some((offer, step.as_ref()?)))
         {
             let has_label = step.required_label.as_ref().is_none_or(|label| report.labels.contains(label));
             if report.service == job.service && has_label {
-                let room = match exclusions[usize::from(step.is_long_running)] {
+                let reserved = state.reserves.keeps(worker, need, 0).then_some(Exclusion::Reserved);
+                let room = match exclusions[usize::from(step.is_long_running)].or(reserved) {
                     None => &mut offer.open,
                     Some(exclusion) => &mut offer.excluded[exclusion as usize],
                 };
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -11,7 +11,7 @@
 use super::spec::Resources;
 use super::store::Member;
 use super::tuning::Tuning;
-use super::{crash, image, run, symbol};
+use super::{crash, image, run, symbol, task};
 use crate::core::time::Instant;
 use crate::hash::Map;
 
@@ -96,6 +96,17 @@
     pub at: Instant,
 }
 
+/// Room that a long-running run has left, kept for the next run of its task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeptRoom {
+    /// The task.
+    pub task: task::Key,
+    /// Resources that the run had reserved.
+    pub resources: Resources,
+    /// Time until which they are kept.
+    pub until: Instant,
+}
+
 /// A worker and the leader's view of it.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -180,13 +191,15 @@
     pub lost_starts: Vec<crash::Start>,
     /// Resources that the runs reserve.
     pub used_resources: Resources,
+    /// Room that is kept for tasks whose long-running runs have ended here; some of it may have expired.
+    pub kept_rooms: Vec<KeptRoom>,
     /// Processor time that serving runs reserve, in thousandths of a core.
     pub serving_cpu_millicores: u32,
     /// Number of filling runs.
     pub filling_runs: u32,
     /// Number of serving runs.
     pub serving_runs: u32,
-    /// Number of long-running runs.
+    /// Number of long-running runs that reserve processor time.
     pub long_running_runs: u32,
     /// Jobs with a failed run on it since the last successful one.
     pub failed_jobs: Vec<super::spec::Id>,
@@ -245,6 +258,7 @@
             trial_run: None,
             lost_starts: Vec::new(),
             used_resources: Resources::default(),
+            kept_rooms: Vec::new(),
             serving_cpu_millicores: 0,
             filling_runs: 0,
             serving_runs: 0,
@@ -291,6 +305,18 @@
             .saturating_sub(self.used_resources)
     }
 
+    /// Returns the free resources that are not kept for tasks, with those that are kept for `task`.
+    pub fn offered_resources(&self, task: Option<task::Key>, now: Instant) -> Resources {
+        let is_kept = |room: &&KeptRoom| room.until > now && Some(room.task) != task;
+        let kept = self.kept_rooms.iter().filter(is_kept);
+        kept.fold(self.free_resources(), |free, room| free.saturating_sub(room.resources))
+    }
+
+    /// Whether it keeps room for a task.
+    pub fn keeps_room(&self, task: task::Key, now: Instant) -> bool {
+        self.kept_rooms.iter().any(|room| room.task == task && room.until > now)
+    }
+
     /// Returns the processor time that is expected to be left for filling runs, without those on it, in thousandths of
     /// a core.
     pub fn fillable_cpu_millicores(&self) -> i64 {
--- a/src/settings/jobs.rs
+++ b/src/settings/jobs.rs
@@ -15,6 +15,9 @@
 /// half of the processor time.
 const COPY_SHARE_MAX: u32 = 50;
 
+/// Largest share of the workers that may be kept free of long-running runs, in percent.
+const RESERVE_MAX: u32 = 50;
+
 /// Settings of a process that schedules jobs submitted by callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Jobs {
@@ -26,6 +29,8 @@
     pub retention: Duration,
     /// Share of the processor time of all runs that speculative copies may cost, in percent; 0 starts none.
     pub copy_share_percent: u32,
+    /// Share of the workers of each service that is kept free of long-running runs, in percent.
+    pub reserve_percent: u32,
     /// Which submissions the process accepts while it leads.
     pub admission: Mode,
     /// CPU capacity of the VM in thousandths of a core; 0 if it is not specified.
@@ -43,6 +48,7 @@
             lease_max: self.lease_max,
             retention: default.retention.max(self.retention),
             copy_share_percent: self.copy_share_percent,
+            reserve_percent: self.reserve_percent,
             far_factor: f64::from(self.far_factor_per_mille) / 1_000.0,
             admission: self.admission,
             ..default
@@ -55,7 +61,7 @@
     let table = root.table(report, "jobs")?;
     table.reject_unknown(
         report,
-        &["ready", "lease_max", "retention", "admission", "cores", "copies", "far_factor"],
+        &["ready", "lease_max", "retention", "admission", "cores", "copies", "reserve", "far_factor"],
     );
     let lease_max = table.with_default(report, "lease_max", default.lease_max, value::duration).value;
     let retention = table.with_default(report, "retention", default.retention, value::duration).value;
@@ -64,6 +70,8 @@
     let copy_share_percent = table
         .with_default(report, "copies", default.copy_share_percent, value::integer(0..=COPY_SHARE_MAX))
         .value;
+    let reserve_percent =
+        table.with_default(report, "reserve", default.reserve_percent, value::integer(0..=RESERVE_MAX)).value;
     let far_factor_per_mille = table.with_default(report, "far_factor", 1_000, value::factor_per_mille).value;
     let readiness_address = table.required(report, "ready", value::address)?.value;
     Some(Jobs {
@@ -72,6 +80,7 @@
         retention,
         admission,
         copy_share_percent,
+        reserve_percent,
         cpu_millicores,
         far_factor_per_mille,
     })
--- a/tests/backlog.rs
+++ b/tests/backlog.rs
@@ -63,6 +63,7 @@
 #[test]
 fn each_pass_searches_all_workers_for_each_need_that_waits() {
     let mut emulator = ready(1, WORKERS);
+    emulator.set_reserve(0);
     // Half of the workers have processor time left, and the others have memory left.
     for (id, resources) in [(OCCUPYING_JOB, MOST_MEMORY), (OCCUPYING_JOB + 1, MOST_OF_WORKER)] {
         let occupying =
@@ -286,10 +287,23 @@
 /// any more.
 #[test]
 fn a_task_waits_for_room_that_an_earlier_pass_did_not_find() {
+    compare_passes(Tuning::default().reserve_percent);
+}
+
+/// Guards against the same for a long-running task, which depends on workers that have not changed while some are kept free.
+#[test]
+fn a_long_running_task_waits_for_room_that_is_not_kept_any_more() {
+    compare_passes(30);
+}
+
+/// Compares what passes start with what they start without any knowledge of earlier ones, on few workers of which a share is
+/// kept free of long-running runs.
+fn compare_passes(reserve_percent: u32) {
     const FEW_WORKERS: usize = 8;
     let mut compared = 0;
     for seed in 0..10 {
         let mut emulator = ready(seed, FEW_WORKERS);
+        emulator.set_reserve(reserve_percent);
         for id in 0..60 {
             let step = random_step(&mut emulator);
             emulator.submit(0, id, job([step]));
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -447,6 +447,14 @@
         }
     }
 
+    /// Sets the share of the workers that is kept free of long-running runs on all entry VMs, in percent.
+    pub fn set_reserve(&mut self, percent: u32) {
+        for vm in &mut self.vms {
+            let work = vm.state.work.as_mut().expect("entry VMs of the emulator schedule jobs");
+            work.tuning.reserve_percent = percent;
+        }
+    }
+
     /// Sets the order of waiting groups on all entry VMs.
     pub fn set_backlog_order(&mut self, order: work::backlog::Order) {
         for vm in &mut self.vms {
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -599,6 +599,11 @@
         }
     }
 
+    /// Lets the runs of a task fail now.
+    pub fn fail_runs(&mut self, name: Name, now: Instant) {
+        self.runs.iter_mut().filter(|run| run.name == name).for_each(|run| run.fails_at = Some(now));
+    }
+
     /// Ends the worker process. It refuses connections for some seconds and then starts again under the same identity.
     pub fn crash(&mut self, now: Instant, observer: &mut Observer) {
         for run in self.runs.drain(..) {
--- a/tests/reserve.rs
+++ b/tests/reserve.rs
@@ -7,6 +7,7 @@
 use emulator::{Emulator, job, step};
 use nutmegfold::core::time::Instant;
 use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
+use nutmegfold::hash::{Map, Set};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -67,6 +68,13 @@
     emulator
 }
 
+/// Number of workers on which no long-running task is at work.
+fn count_vacant(emulator: &Emulator) -> usize {
+    let occupied: Set<&str> =
+        long_running_tasks().filter_map(|task| emulator.observer.worker_of(task)).collect();
+    WORKERS - occupied.len()
+}
+
 fn assert_no_violation(emulator: &Emulator, seed: u64) {
     assert!(emulator.observer.violations.is_empty(), "seed {seed}: {:#?}", emulator.observer.violations);
 }
@@ -127,6 +135,28 @@
     }
 }
 
+/// Guards against a reserve that shrinks with each long-running run that fails, since a task that waits takes its room.
+#[test]
+fn long_running_runs_that_fail_use_up_the_reserve() {
+    for seed in 0..SEEDS {
+        let mut emulator = crowded(seed);
+        let vacant_before = count_vacant(&emulator);
+        assert!(vacant_before > 0, "seed {seed}: no worker is kept free");
+        // One run on each worker fails, since a worker on which runs of two jobs fail is suspected.
+        let tasks: Map<String, Name> = long_running_tasks()
+            .filter_map(|task| Some((emulator.observer.worker_of(task)?.to_owned(), task)))
+            .collect();
+        for task in tasks.into_values() {
+            let now = emulator.now;
+            emulator.workers.iter_mut().for_each(|worker| worker.fail_runs(task, now));
+            emulator.run_for(50 * MILLISECOND);
+        }
+        emulator.run_for(2 * SECOND);
+        assert_eq!(count_vacant(&emulator), vacant_before, "seed {seed}");
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Guards against a long-running task that waits for want of room while most of the workers' capacity is free.
 #[test]
 fn long_running_tasks_wait_on_idle_workers() {
