Pass on one request of a connection at a time

Cause: the HTTP library decodes all heads that it reads from a connection, also while an earlier request waits for its answer, and nothing bounds how many. Class: a queue before the place at which requests are admitted.

Change: the servers for callers run over a stream that finds the end of each head and passes on nothing beyond it until the handler asks for the body or has answered. HttpServer takes no such stream, so both servers are started through port::server from actix_server and actix_http, which are libraries of actix-web and in Cargo.lock already.

Requests that are sent together are all answered, in their order, in pieces of any size (tests/front.rs). No new setting: a client that waits for its answer, or pipelines, is served as before.

--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
-use actix_web::http::{ConnectionType, KeepAlive, Method, StatusCode, header};
+use actix_web::http::{ConnectionType, Method, StatusCode, header};
 use actix_web::web::{self, Data, Payload};
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer};
 use serde::Serialize;
@@ -20,6 +20,8 @@
 use crate::port::admission::{self, Gate, Refusal, Reservation};
 use crate::port::message::TIMEOUT;
 use crate::port::pending::Table;
+use crate::port::pipeline::Turn;
+use crate::port::server;
 
 /// Timeout of a request whose caller does not state one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -39,8 +41,8 @@
 /// Subtracted from the caller's timeout, so that the answer reaches the caller in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(50);
 
-/// Longest wait for open connections in a graceful shutdown, in seconds.
-const DRAIN_TIMEOUT_S: u64 = 3;
+/// Longest wait for open connections in a graceful shutdown.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Addresses of the servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,21 +92,17 @@
     let is_stopping = Arc::new(AtomicBool::new(false));
     let port = Port { gate: gate.clone(), pending, is_stopping: Arc::clone(&is_stopping) };
     let bind_error = |address| move |source| Error::io(format!("listening for callers on {address}"), source);
-    let callers = HttpServer::new(move || {
-        App::new().app_data(Data::new(port.clone())).default_service(web::to(handle))
+    let callers_setup = server::Setup {
+        address: setup.caller_address,
+        threads: 1,
+        head_timeout: HEAD_TIMEOUT,
+        keep_alive: KEEP_ALIVE,
+        drain_timeout: DRAIN_TIMEOUT,
+    };
+    let (callers, _) = server::start(callers_setup, gate, move |config| {
+        config.app_data(Data::new(port.clone())).default_service(web::to(handle));
     })
-    .workers(1)
-    .max_connections(gate.limits().max_connections)
-    .on_connect(move |stream, data| gate.count_connection(stream, data))
-    .client_request_timeout(HEAD_TIMEOUT)
-    .client_disconnect_timeout(DISCONNECT_TIMEOUT)
-    .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
-    .shutdown_timeout(DRAIN_TIMEOUT_S)
-    .h1_allow_half_closed(false)
-    .disable_signals()
-    .bind(setup.caller_address)
-    .map_err(bind_error(setup.caller_address))?
-    .run();
+    .map_err(bind_error(setup.caller_address))?;
     let readiness = HttpServer::new(move || {
         App::new().app_data(Data::from(Arc::clone(&ready))).default_service(web::to(check_readiness))
     })
@@ -112,7 +110,7 @@
     .max_connections(MAX_READINESS_CONNECTIONS)
     .client_request_timeout(HEAD_TIMEOUT)
     .client_disconnect_timeout(DISCONNECT_TIMEOUT)
-    .shutdown_timeout(DRAIN_TIMEOUT_S)
+    .shutdown_timeout(DRAIN_TIMEOUT.as_secs())
     .disable_signals()
     .bind(setup.readiness_address)
     .map_err(bind_error(setup.readiness_address))?
@@ -134,6 +132,7 @@
 }
 
 async fn handle(request: HttpRequest, mut payload: Payload, port: Data<Port>) -> HttpResponse {
+    let _answering = Turn::of(&request).map(Turn::until_answered);
     let mut response = match port.read_request(&request, &mut payload).await {
         Ok((accepted, _reservation)) => {
             let timeout = accepted.timeout.saturating_sub(ANSWER_MARGIN);
@@ -162,7 +161,7 @@
         self.gate.admit(request).map_err(refusal_response)?;
         let (verb, reservation) = match *request.method() {
             Method::POST => {
-                let body = self.gate.read(request.headers(), payload).await.map_err(refusal_response)?;
+                let body = self.gate.read(request, payload).await.map_err(refusal_response)?;
                 let spec = job::decode(&body.bytes)
                     .map_err(|reason| problem_response(StatusCode::BAD_REQUEST, reason))?;
                 (Verb::Submit(spec), Some(body.reservation))
--- a/src/port/admission.rs
+++ b/src/port/admission.rs
@@ -21,6 +21,7 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_stream::Stream;
 
+use super::pipeline::Turn;
 use crate::hash::Map;
 
 /// Largest body that may use the reserved part of the budget, in bytes.
@@ -254,12 +255,12 @@
     /// # Errors
     ///
     /// The reason why the request is refused, which has been counted.
-    pub async fn read(&self, headers: &HeaderMap, payload: &mut Payload) -> Result<Body, Refusal> {
-        self.read_reserved(headers, payload).await.map_err(|reason| self.refuse(reason))
+    pub async fn read(&self, request: &HttpRequest, payload: &mut Payload) -> Result<Body, Refusal> {
+        self.read_reserved(request, payload).await.map_err(|reason| self.refuse(reason))
     }
 
-    async fn read_reserved(&self, headers: &HeaderMap, payload: &mut Payload) -> Result<Body, Refusal> {
-        let limits = &self.shared.limits;
+    async fn read_reserved(&self, request: &HttpRequest, payload: &mut Payload) -> Result<Body, Refusal> {
+        let (limits, headers) = (&self.shared.limits, request.headers());
         let announced = announced_length(headers);
         if announced.is_some_and(|length| length > limits.max_body_bytes as u64) {
             return Err(Refusal::TooLarge);
@@ -267,6 +268,10 @@
         let announced = announced.unwrap_or_default() as usize;
         let mut reservation = Reservation::new(self.clone());
         reservation.grow_to(announced)?;
+        let turn = Turn::of(request);
+        if let Some(turn) = &turn {
+            turn.expect_body(headers);
+        }
         let mut bytes = Vec::with_capacity(announced);
         let started_at = Instant::now();
         // Number of pieces since the last wait, which the connection queued.
@@ -302,6 +307,9 @@
             bytes.reserve_exact(capacity - bytes.len());
             bytes.extend_from_slice(&piece);
         }
+        if let Some(turn) = &turn {
+            turn.end_body();
+        }
         Ok(Body { bytes: Bytes::from(bytes), reservation })
     }
 
--- a/src/port/caller.rs
+++ b/src/port/caller.rs
@@ -11,14 +11,16 @@
 
 use actix_web::dev::ServerHandle;
 use actix_web::http::header::{self, HeaderMap, HeaderValue};
-use actix_web::http::{ConnectionType, KeepAlive, Method, StatusCode};
+use actix_web::http::{ConnectionType, Method, StatusCode};
 use actix_web::web::{self, Data, Payload};
-use actix_web::{App, HttpRequest, HttpResponse, HttpResponseBuilder, HttpServer};
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
 
 use super::Inbox;
 use super::admission::{self, Gate, Refusal, Reservation};
 use super::body::{Guard, Table};
 use super::message::{self, Answer, Header, OUTCOME, REQUEST_ID, Request, TIMEOUT};
+use super::pipeline::Turn;
+use super::server;
 use crate::core::event::Event;
 use crate::core::exchange::{self, Completion, Refusal as NotRun};
 use crate::error::{Error, Result};
@@ -85,25 +87,18 @@
 /// The address cannot be bound.
 pub fn serve(address: SocketAddr, limits: Limits, gate: Gate, inbox: Inbox, bodies: Table) -> Result<Handle> {
     let is_stopping = Arc::new(AtomicBool::new(false));
-    let max_connections = gate.limits().max_connections.div_ceil(limits.threads.max(1));
     let port = Port { gate: gate.clone(), inbox, bodies, is_stopping: Arc::clone(&is_stopping) };
-    let server = HttpServer::new(move || {
-        App::new().app_data(Data::new(port.clone())).default_service(web::to(handle))
+    let setup = server::Setup {
+        address,
+        threads: limits.threads,
+        head_timeout: limits.header_timeout,
+        keep_alive: limits.keep_alive,
+        drain_timeout: limits.drain_timeout,
+    };
+    let (server, address) = server::start(setup, gate, move |config| {
+        config.app_data(Data::new(port.clone())).default_service(web::to(handle));
     })
-    .workers(limits.threads)
-    .max_connections(max_connections)
-    .on_connect(move |stream, data| gate.count_connection(stream, data))
-    .client_request_timeout(limits.header_timeout)
-    .client_disconnect_timeout(Duration::from_secs(1))
-    .keep_alive(KeepAlive::Timeout(limits.keep_alive))
-    .shutdown_timeout(limits.drain_timeout.as_secs())
-    // A caller that closes its side of the connection gets no answer, and the reducer is notified immediately.
-    .h1_allow_half_closed(false)
-    .disable_signals()
-    .bind(address)
     .map_err(|source| Error::io(format!("listening for callers on {address}"), source))?;
-    let address = server.addrs().first().copied().unwrap_or(address);
-    let server = server.run();
     let handle = Handle { server: server.handle(), address, is_stopping };
     actix_web::rt::spawn(async move {
         if let Err(error) = server.await {
@@ -114,6 +109,7 @@
 }
 
 async fn handle(request: HttpRequest, mut payload: Payload, port: Data<Port>) -> HttpResponse {
+    let _answering = Turn::of(&request).map(Turn::until_answered);
     let mut response = match port.submit(&request, &mut payload).await {
         Ok((guard, _reservation)) => port.wait_for_response(request.method(), guard).await,
         Err(error) => error.response(),
@@ -143,7 +139,7 @@
             return Err(RequestError::Malformed("the target is not /<service>/<path>"));
         };
         let timeout = parse_timeout(headers)?;
-        let body = self.gate.read(headers, payload).await.map_err(RequestError::Refused)?;
+        let body = self.gate.read(head, payload).await.map_err(RequestError::Refused)?;
         let request = Request {
             method: head.method().clone(),
             service: service.to_owned(),
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -14,6 +14,8 @@
 pub mod operator;
 pub mod peer;
 pub mod pending;
+pub mod pipeline;
+pub mod server;
 pub mod store;
 mod stream;
 pub mod traffic;
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -190,3 +190,56 @@
     assert!(text.contains("a list has over 256 items"), "{text}");
     server.handle.stop().await;
 }
+
+/// Sends `text` in pieces of `piece` bytes and returns all that is received until the server closes the connection.
+fn exchange_in_pieces(address: SocketAddr, text: &str, piece: usize) -> String {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.set_nodelay(true).expect("an option");
+    for part in text.as_bytes().chunks(piece) {
+        stream.write_all(part).expect("the requests are sent");
+    }
+    let mut answers = String::new();
+    stream.read_to_string(&mut answers).expect("the answers");
+    answers
+}
+
+/// Guards against requests that are sent together on one connection and get no answer, or answers in another order.
+#[actix_web::test]
+async fn requests_that_are_sent_together_are_all_answered() {
+    let server = serve(|verb| match verb {
+        Verb::Submit(_) => Answer::Accepted,
+        Verb::Read => Answer::Phase(Phase::Running),
+        Verb::Cancel => Answer::UnknownJob,
+    });
+    let address = server.setup.caller_address;
+    let head = |method: &str, framing: &str| {
+        format!("{method} /q/0000000000000001 HTTP/1.1\r\nHost: a\r\n{framing}\r\n")
+    };
+    let body = format!("{{\"spec\":\"{}\",\"steps\":[{{\"count\":1}}]}}", "s".repeat(3_000));
+    let (first, second) = body.split_at(1_000);
+    let text = [
+        head("GET", ""),
+        // Empty lines before a request are ignored (RFC 9112, section 2.2).
+        "\r\n".to_owned(),
+        head("POST", &format!("Content-Length: {}\r\n", body.len())),
+        body.clone(),
+        head("DELETE", ""),
+        head("POST", "Transfer-Encoding: chunked\r\n"),
+        format!("{:x}\r\n{first}\r\n{:x}\r\n{second}\r\n0\r\n\r\n", first.len(), second.len()),
+        head("GET", ""),
+        head("DELETE", "Connection: close\r\n"),
+    ]
+    .concat();
+    for piece in [1, 7, 1_000, text.len()] {
+        let text = text.clone();
+        let exchange = move || exchange_in_pieces(address, &text, piece);
+        let answers = rt::task::spawn_blocking(exchange).await.expect("no panic");
+        let statuses: Vec<&str> = answers.split("HTTP/1.1 ").skip(1).map(|answer| &answer[..3]).collect();
+        assert_eq!(
+            statuses,
+            ["200", "200", "410", "200", "200", "410"],
+            "pieces of {piece} bytes: {answers}"
+        );
+    }
+    server.handle.stop().await;
+}
