Limit the time of each head on a connection

A client kept its connection for good with a head after the first one that has no end: on it was open after 90 s. The HTTP library limits the time of the first head only. The stream below it now closes a connection whose head is incomplete after the time of the first, counted from its first byte.

The test a_later_head_without_an_end_stays_open failed before and passes.

--- a/src/port/pipeline.rs
+++ b/src/port/pipeline.rs
@@ -9,13 +9,15 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 
 use actix_web::HttpRequest;
 use actix_web::http::header::{self, HeaderMap};
 use actix_web::rt::net::TcpStream;
 use actix_web::web::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Sleep;
 
 /// Bytes that are read from the socket at a time.
 const READ_BYTES: usize = 4 << 10;
@@ -132,11 +134,15 @@
     has_ended: bool,
     /// Whether the next piece of a body waits until the previous one has been decoded.
     is_piece_passed: bool,
+    head_timeout: Duration,
+    /// Expires when a head after the first one takes too long; the HTTP library limits the first.
+    head_timer: Option<Pin<Box<Sleep>>>,
+    is_first_head: bool,
 }
 
 impl Stream {
-    /// Stream of a new connection.
-    pub fn new(io: TcpStream) -> Self {
+    /// Stream of a new connection, on which each head has to be complete within `head_timeout`.
+    pub fn new(io: TcpStream, head_timeout: Duration) -> Self {
         let state = State { phase: Phase::Head(Lines::default()), waker: None };
         Self {
             io,
@@ -144,6 +150,9 @@
             buffer: BytesMut::new(),
             has_ended: false,
             is_piece_passed: false,
+            head_timeout,
+            head_timer: None,
+            is_first_head: true,
         }
     }
 
@@ -183,6 +192,13 @@
         if self.has_ended && self.buffer.is_empty() { Poll::Ready(Ok(())) } else { Poll::Pending }
     }
 
+    /// Fails if the head that is being passed on takes too long.
+    fn poll_head_timer(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(timer) = &mut self.head_timer else { return Poll::Pending };
+        ready!(timer.as_mut().poll(context));
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "the head is incomplete")))
+    }
+
     /// Passes on what the phase allows of the buffer, which is not empty.
     fn pass_on(&mut self, phase: Phase, target: &mut ReadBuf<'_>) {
         let available = &self.buffer[..self.buffer.len().min(target.remaining())];
@@ -201,9 +217,23 @@
         };
         target.put_slice(&available[..count]);
         self.buffer.advance(count);
-        self.is_piece_passed = phase == Phase::Pieces;
+        self.note_progress(phase, next);
         self.turn.0.borrow_mut().phase = next;
     }
+
+    /// Sets or removes the timer of a head.
+    fn note_progress(&mut self, phase: Phase, next: Phase) {
+        self.is_piece_passed = phase == Phase::Pieces;
+        match (phase, next) {
+            (Phase::Head(_), Phase::Head(lines)) => {
+                if lines.has_text && self.head_timer.is_none() && !self.is_first_head {
+                    self.head_timer = Some(Box::pin(tokio::time::sleep(self.head_timeout)));
+                }
+            }
+            (Phase::Head(_), _) => (self.head_timer, self.is_first_head) = (None, false),
+            _ => {}
+        }
+    }
 }
 
 impl AsyncRead for Stream {
@@ -225,7 +255,8 @@
         if stream.buffer.is_empty() && !stream.has_ended {
             match stream.poll_fill(context) {
                 Poll::Ready(Ok(())) => {}
-                other => return other,
+                Poll::Pending => return stream.poll_head_timer(context),
+                failed => return failed,
             }
         }
         if !stream.buffer.is_empty() {
--- a/src/port/server.rs
+++ b/src/port/server.rs
@@ -67,7 +67,7 @@
             .h1(app);
         let accept = move |socket: TcpStream| async move {
             let peer = socket.peer_addr().ok();
-            Ok::<_, DispatchError>((Stream::new(socket), peer))
+            Ok::<_, DispatchError>((Stream::new(socket, head_timeout), peer))
         };
         fn_service(accept).and_then(http)
     };
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -335,3 +335,21 @@
     vm.check();
     drop(crowd);
 }
+
+/// Guards against a head after the first one on a connection that has no end and keeps its connection for good.
+#[test]
+fn a_later_head_without_an_end_stays_open() {
+    let mut vm = Vm::start("later");
+    let mut stream = TcpStream::connect(vm.caller).expect("a connection");
+    send_head(&mut stream, "GET", 1, "X-A: b").expect("the first head");
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).expect("the first answer");
+    write!(stream, "GET {JOB_PATH}{:016x} HTTP/1.1\r\nHost: jobs.example\r\nX-A: ", 1)
+        .expect("a part of a head");
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a timeout");
+    let end = stream.read_to_end(&mut Vec::new());
+    let is_closed = end.as_ref().is_ok()
+        || end.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::ConnectionReset);
+    assert!(is_closed, "the connection is open: {end:?}");
+    vm.check();
+}
