Refuse texts and names of jobs that are far over their limits

Cause: the reservation of a body ends with its answer, but the decoded text and names are kept for the retention of the job, and only their sum was limited, by the size of the body. Class: a limit on what arrives in place of one on what is kept.

Change: a text of over 8,000 bytes, or a name of over 255, is malformed; callers send texts of at most 4,000. What remains: the number of accepted jobs has no budget (docs/design/request-memory.md).

--- a/src/platform/job.rs
+++ b/src/platform/job.rs
@@ -9,6 +9,12 @@
 
 use crate::core::work::spec::{Resources, STEPS_MAX, Schedule, Spec, Step};
 
+/// Longest text of a job in bytes; callers send at most 4,000.
+const TEXT_BYTES_MAX: usize = 8_000;
+
+/// Longest name of an image, a label or a rack in bytes.
+const NAME_BYTES_MAX: usize = 255;
+
 #[derive(Deserialize)]
 struct Body {
     #[serde(default)]
@@ -86,6 +92,7 @@
 /// The reason why the body is malformed.
 pub(super) fn decode(bytes: &[u8]) -> Result<Spec, String> {
     let body: Body = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
+    check_length("spec", &body.spec, TEXT_BYTES_MAX)?;
     let schedule = (body.times > 0).then_some(Schedule {
         start_unix_ms: body.start_time_ms,
         interval_ms: body.interval_ms,
@@ -101,6 +108,10 @@
     fn try_from(body: StepBody) -> Result<Self, String> {
         let non_empty = |text: String| (!text.is_empty()).then_some(text);
         let target = duration_from_ms("target_ms", body.target_ms)?;
+        let names = [("requires", &body.requires), ("affinity", &body.affinity), ("image", &body.image)];
+        for (field, name) in names {
+            check_length(field, name, NAME_BYTES_MAX)?;
+        }
         Ok(Self {
             count: body.count,
             resources: Resources { cpu_millicores: body.cpu, memory_mb: body.mem_mb, gpu: body.gpu },
@@ -122,6 +133,12 @@
     }
 }
 
+/// Rejects a string that would take much memory for as long as its job is kept.
+fn check_length(field: &str, text: &str, max: usize) -> Result<(), String> {
+    let length = text.len();
+    if length > max { Err(format!("{field} has {length} bytes; at most {max} are allowed")) } else { Ok(()) }
+}
+
 fn duration_from_ms(field: &str, value: f64) -> Result<Duration, String> {
     Duration::try_from_secs_f64(value / 1_000.0).map_err(|error| format!("{field}: {error}"))
 }
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -218,6 +218,26 @@
     Ok(())
 }
 
+/// Submits jobs with a body one after the other, each on a connection of its own after the first, and reads the answers.
+fn submit_repeatedly(stream: &mut TcpStream, number: usize, body: &str) -> io::Result<()> {
+    /// Jobs that a client submits.
+    const JOBS: usize = 10;
+    let framing = format!("Content-Length: {}\r\nConnection: close", body.len());
+    let address = stream.peer_addr()?;
+    for job in 0..JOBS {
+        if job > 0 {
+            *stream = TcpStream::connect(address)?;
+            stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
+        }
+        stream.set_read_timeout(Some(WRITE_TIMEOUT))?;
+        send_head(stream, "POST", number * JOBS + job, &framing)?;
+        // A refusal may come before the end of the body, and the connection is closed then.
+        let _ = stream.write_all(body.as_bytes());
+        let _ = stream.read(&mut [0; 12]);
+    }
+    Ok(())
+}
+
 /// Guards against a process that runs out of memory when many announced bodies of legal size stop short of their end.
 #[test]
 fn announced_bodies_that_stop_short() {
@@ -353,3 +373,27 @@
     assert!(is_closed, "the connection is open: {end:?}");
     vm.check();
 }
+
+/// Guards against complete bodies of legal size whose jobs are kept in memory after they were answered.
+#[test]
+fn complete_bodies_with_large_texts() {
+    let mut vm = Vm::start("texts");
+    let text = "x".repeat(BODY_MAX - WITHHELD);
+    let body = format!(r#"{{"spec":"{text}","steps":[{{"count":1,"cpu":500,"mem_mb":100}}]}}"#);
+    let crowd = vm.crowd(SENDERS, |number, stream| submit_repeatedly(stream, number, &body));
+    vm.check();
+    drop(crowd);
+}
+
+/// Guards against complete bodies of legal size whose steps have large names, which are kept as well.
+#[test]
+fn complete_bodies_with_large_names() {
+    let mut vm = Vm::start("names");
+    let names = ["image", "requires", "affinity"].map(|key| format!(r#""{key}":"{}""#, "x".repeat(10_000)));
+    let step = format!(r#"{{"count":1,"cpu":500,"mem_mb":100,{}}}"#, names.join(","));
+    let body = format!(r#"{{"spec":"s","steps":[{}]}}"#, vec![step; 256].join(","));
+    assert!(body.len() < BODY_MAX);
+    let crowd = vm.crowd(SENDERS, |number, stream| submit_repeatedly(stream, number, &body));
+    vm.check();
+    drop(crowd);
+}
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -179,6 +179,23 @@
     server.handle.stop().await;
 }
 
+/// Guards against a text or a name that takes much memory for as long as its job is kept, and against the refusal of the longest
+/// text that callers may send.
+#[actix_web::test]
+async fn long_texts_and_names_are_refused() {
+    let server = serve(|_| Answer::Accepted);
+    let text = |bytes| format!("{{\"spec\":\"{}\",\"steps\":[{{\"count\":1}}]}}", "s".repeat(bytes));
+    let name =
+        |field: &str, bytes| format!("{{\"steps\":[{{\"count\":1,\"{field}\":\"{}\"}}]}}", "n".repeat(bytes));
+    assert_eq!(post(&server, text(4_000)).await.0, 200);
+    assert_eq!(post(&server, text(9_000)).await.0, 400);
+    for field in ["requires", "affinity", "image"] {
+        assert_eq!(post(&server, name(field, 255)).await.0, 200);
+        assert_eq!(post(&server, name(field, 256)).await.0, 400);
+    }
+    server.handle.stop().await;
+}
+
 /// Guards against the memory of lists that are far longer than those of a job.
 #[actix_web::test]
 async fn lists_longer_than_those_of_a_job_are_refused_while_they_are_read() {
