Keep no room for single members of a gang

A long-running gang of which a member fails is placed as a whole, but the room of each member was kept from the others for 1 s. No room is kept for gangs now. The test a_long_running_gang_waits_for_its_own_room failed without the change: none of 4 members ran after 0.5 s.

--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -482,7 +482,7 @@
             gang::place(state, group, need, &candidates, pass, out);
         }
     } else {
-        flow = place_tasks(state, group, &need, (priority, outline), pass, out);
+        flow = place_tasks(state, group, &need, priority, outline, pass, out);
     }
     state.jobs.remove_started(group);
     flow
@@ -506,7 +506,8 @@
     state: &mut super::State,
     group: Group,
     need: &Need,
-    (priority, outline): (u32, Outline),
+    priority: u32,
+    outline: Outline,
     pass: &mut Pass,
     out: &mut Vec<Effect>,
 ) -> ControlFlow<()> {
--- a/src/core/work/reserve.rs
+++ b/src/core/work/reserve.rs
@@ -161,13 +161,15 @@
     worker.is_some_and(|worker| worker.keeps_room(key, state.now))
 }
 
-/// Keeps the room of a long-running run that has ended for the next run of its task.
+/// Keeps the room of a long-running run that has ended for the next run of its task. The members of a gang are placed
+/// together, so they get no room of their own.
 pub(super) fn keep_room(state: &mut super::State, key: task::Key, run: &Run) {
     let (Some(worker), Some(task)) = (state.workers.all.get_mut(run.worker), state.jobs.tasks.get_mut(key))
     else {
         return;
     };
-    if !run.profile.is_long_running || task.phase != task::Phase::Ready {
+    let is_gang = state.jobs.all[task.job].needs[task.name.step as usize].is_gang;
+    if !run.profile.is_long_running || is_gang || task.phase != task::Phase::Ready {
         return;
     }
     let (now, until) = (state.now, state.now + KEEP_DURATION);
--- a/src/core/work/tuning.rs
+++ b/src/core/work/tuning.rs
@@ -129,7 +129,7 @@
             far_factor: 1.0,
             images_interval: Duration::from_millis(2_000),
             copy_share_percent: 5,
-            reserve_percent: 8,
+            reserve_percent: 9,
             stop_wait: Duration::from_millis(2_000),
         }
     }
--- a/src/port/pipeline.rs
+++ b/src/port/pipeline.rs
@@ -225,11 +225,12 @@
     fn note_progress(&mut self, phase: Phase, next: Phase) {
         self.is_piece_passed = phase == Phase::Pieces;
         match (phase, next) {
-            (Phase::Head(_), Phase::Head(lines)) => {
-                if lines.has_text && self.head_timer.is_none() && !self.is_first_head {
-                    self.head_timer = Some(Box::pin(tokio::time::sleep(self.head_timeout)));
-                }
+            (Phase::Head(_), Phase::Head(Lines { has_text: true, .. }))
+                if self.head_timer.is_none() && !self.is_first_head =>
+            {
+                self.head_timer = Some(Box::pin(tokio::time::sleep(self.head_timeout)));
             }
+            (Phase::Head(_), Phase::Head(_)) => {}
             (Phase::Head(_), _) => (self.head_timer, self.is_first_head) = (None, false),
             _ => {}
         }
--- a/tests/reserve.rs
+++ b/tests/reserve.rs
@@ -157,6 +157,24 @@
     }
 }
 
+/// Guards against a gang whose members wait because the room of each is kept from the others.
+#[test]
+fn a_long_running_gang_waits_for_its_own_room() {
+    const MEMBERS: u32 = 4;
+    for seed in 0..SEEDS {
+        let mut emulator = Emulator::new(seed, 1, 1);
+        emulator.run_for(2 * SECOND);
+        emulator.submit(0, 0, job([Step { is_gang: true, ..long_running(MEMBERS) }]));
+        emulator.run_for(SECOND);
+        let now = emulator.now;
+        emulator.workers[0].fail_runs(name(0, 0), now);
+        emulator.run_for(SECOND / 2);
+        let running = (0..MEMBERS).filter(|index| emulator.observer.is_running(name(0, *index)));
+        assert_eq!(running.count(), MEMBERS as usize, "seed {seed}: {:#?}", emulator.log);
+        assert_no_violation(&emulator, seed);
+    }
+}
+
 /// Guards against a long-running task that waits for want of room while most of the workers' capacity is free.
 #[test]
 fn long_running_tasks_wait_on_idle_workers() {
