--- a/src/port/pipeline.rs
+++ b/src/port/pipeline.rs
@@ -166,7 +166,7 @@
         self.turn.clone()
     }
 
-    /// Reads from the socket into the buffer, and returns whether anything has changed.
+    /// Reads from the socket into the buffer, or notices the end of the connection.
     fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut bytes = [0; READ_BYTES];
         let mut part = ReadBuf::new(&mut bytes);
