Keep the rest of an unread body apart from later heads

A chunked body over the limit got no 413, but 408 after the time of a head: the stream took the rest of the unread body as a head and closed the connection before the answer was sent.

Cause: after an answer the stream expected a head, whether or not the body had been read. Now it passes on the rest of an unread body without a limit on its time; the connection closes with that answer.

--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -132,7 +132,7 @@
 }
 
 async fn handle(request: HttpRequest, mut payload: Payload, port: Data<Port>) -> HttpResponse {
-    let _answering = Turn::of(&request).map(Turn::until_answered);
+    let _answering = Turn::of(&request).map(|turn| turn.until_answered(request.headers()));
     let mut response = match port.read_request(&request, &mut payload).await {
         Ok((accepted, _reservation)) => {
             let timeout = accepted.timeout.saturating_sub(ANSWER_MARGIN);
--- a/src/port/caller.rs
+++ b/src/port/caller.rs
@@ -109,7 +109,7 @@
 }
 
 async fn handle(request: HttpRequest, mut payload: Payload, port: Data<Port>) -> HttpResponse {
-    let _answering = Turn::of(&request).map(Turn::until_answered);
+    let _answering = Turn::of(&request).map(|turn| turn.until_answered(request.headers()));
     let mut response = match port.submit(&request, &mut payload).await {
         Ok((guard, _reservation)) => port.wait_for_response(request.method(), guard).await,
         Err(error) => error.response(),
--- a/src/port/pipeline.rs
+++ b/src/port/pipeline.rs
@@ -19,6 +19,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
+use super::admission::has_body;
+
 /// Bytes that are read from the socket at a time.
 const READ_BYTES: usize = 4 << 10;
 
@@ -36,6 +38,8 @@
     Pieces,
     /// Nothing, until the handler asks for the body or has answered.
     Hold,
+    /// The rest of a body that the handler has not read; the connection closes with the answer.
+    Rest,
 }
 
 /// Lines of a head that have been passed on.
@@ -65,6 +69,8 @@
 #[derive(Debug)]
 struct State {
     phase: Phase,
+    /// Whether the body of the current request has not been passed on completely.
+    has_unread_body: bool,
     /// Waker of the task that reads, if it waits for the handler.
     waker: Option<Waker>,
 }
@@ -88,13 +94,15 @@
         });
     }
 
-    /// Stops after a body of unknown length, which has been read.
+    /// Stops after a body, which has been read.
     pub fn end_body(&self) {
+        self.0.borrow_mut().has_unread_body = false;
         self.enter(Phase::Hold);
     }
 
     /// Guard that passes on the next request when it is dropped.
-    pub fn until_answered(self) -> Answering {
+    pub fn until_answered(self, headers: &HeaderMap) -> Answering {
+        self.0.borrow_mut().has_unread_body = has_body(headers);
         Answering(self)
     }
 
@@ -119,7 +127,8 @@
 
 impl Drop for Answering {
     fn drop(&mut self) {
-        self.0.enter(Phase::Head(Lines::default()));
+        let has_unread_body = self.0.0.borrow().has_unread_body;
+        self.0.enter(if has_unread_body { Phase::Rest } else { Phase::Head(Lines::default()) });
     }
 }
 
@@ -143,7 +152,7 @@
 impl Stream {
     /// Stream of a new connection, on which each head has to be complete within `head_timeout`.
     pub fn new(io: TcpStream, head_timeout: Duration) -> Self {
-        let state = State { phase: Phase::Head(Lines::default()), waker: None };
+        let state = State { phase: Phase::Head(Lines::default()), has_unread_body: false, waker: None };
         Self {
             io,
             turn: Turn(Rc::new(RefCell::new(state))),
@@ -212,7 +221,7 @@
                 let left = left - count as u64;
                 (count, if left == 0 { Phase::Hold } else { Phase::Body(left) })
             }
-            Phase::Pieces => (available.len(), Phase::Pieces),
+            Phase::Pieces | Phase::Rest => (available.len(), phase),
             Phase::Hold => (0, Phase::Hold),
         };
         target.put_slice(&available[..count]);
