--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -36,10 +36,13 @@
     let cluster = Cluster::start(record, 2, &config());
     match case {
         "late" => Some(late(cluster, has_trouble)),
-        "crash" => Some(crash(cluster, has_trouble)),
-        "starve" => Some(starve(cluster, has_trouble)),
+        "gate" => Some(gate(cluster, has_trouble)),
+        "big" => Some(big(cluster, has_trouble)),
         "gang" => Some(gang(cluster, has_trouble)),
         "pending" => Some(pending(cluster, has_trouble)),
+        "starve" => Some(starve(cluster, has_trouble)),
+        "reserve" => Some(reserve(cluster, has_trouble)),
+        "cancel" => Some(cancel(cluster, has_trouble)),
         _ => None,
     }
 }
@@ -92,7 +95,11 @@
     sleep(ms(4_000));
     cluster.state(&path);
     let count = |how: &str| cluster.lines_with(&id).iter().filter(|(.., line)| line.ends_with(how)).count();
-    cluster.note(&format!("the task was started {} times, and done {} times", starts(&cluster, &id), count(" done")));
+    cluster.note(&format!(
+        "the task was started {} times, and done {} times",
+        starts(&cluster, &id),
+        count(" done")
+    ));
     // The end as done was acknowledged before the job was shown as completed.
     let mut lines = cluster.lines_with("");
     lines.sort();
@@ -105,73 +112,102 @@
     acked.is_some_and(|acked| lines.iter().skip(acked).any(|(.., line)| is_start(line)))
 }
 
-/// A worker crashes three times, each time shortly after a start there. No run ends as failed.
-fn crash(mut cluster: Cluster, has_trouble: bool) -> bool {
-    let mut setups: Vec<_> = (0..7).map(|index| cluster.worker_setup(&format!("w{index}"))).collect();
-    setups[0].kind = "b".to_owned();
-    let mut workers: Vec<_> = setups.iter().map(|setup| cluster.start_worker(setup)).collect();
-    sleep(ms(5_000));
-    let bodies = [
-        ("completed", job("ms=1500", 1, 500, 1_500, ",\"requires\":\"b\"")),
-        ("running", job("daemon", 1, 500, 1_500, ",\"daemon\":true,\"requires\":\"b\"")),
-    ];
-    let mut is_broken = false;
-    for (expected, body) in bodies {
-        let id = cluster.next_id();
-        let path = format!("/bbbb222/{id}");
-        cluster.submit(&path, &body);
-        for crash in 1..=3 {
-            if !has_trouble || !wait_for(ms(15_000), || starts(&cluster, &id) == crash) {
-                break;
-            }
-            sleep(ms(250));
-            cluster.note("worker w0 crashes");
-            workers[0].kill();
-            sleep(ms(1_000));
-            workers[0] = cluster.start_worker(&setups[0]);
-        }
-        sleep(ms(10_000));
-        let state = cluster.state(&path);
-        let has_failed = cluster.lines_with(&id).iter().any(|(.., line)| line.ends_with("failed"));
-        cluster.note(&format!("job {id} is shown as {state}; a run of it ended as failed: {has_failed}"));
-        is_broken |= state == "failed" && !has_failed;
-        if state != "failed" && state != expected {
-            cluster.note("the job is in another state than expected");
-        }
+/// A worker is lost for good, and the leader is killed.
+fn gate(mut cluster: Cluster, has_trouble: bool) -> bool {
+    let mut workers: Vec<_> =
+        (0..7).map(|index| cluster.start_worker(&cluster.worker_setup(&format!("w{index}")))).collect();
+    sleep(ms(3_000));
+    let id = cluster.next_id();
+    cluster.submit(&format!("/aaaa111/{id}"), &job("daemon", 1, 500, 1_000, ",\"daemon\":true"));
+    wait_for(ms(5_000), || !cluster.lines_with(&id).is_empty());
+    sleep(ms(2_000));
+    let lines = cluster.lines_with(&id);
+    let Some((_, on, _)) = lines.first() else { fail("the task is not started") };
+    let index: usize = on[1..].parse().unwrap_or(0);
+    let Some(leader) = cluster.leader() else { fail("no leader is known") };
+    cluster.note(&format!("worker {on} is lost for good"));
+    workers[index].kill();
+    let lost = Instant::now();
+    if has_trouble {
+        cluster.note(&format!("vm {leader}, the leader, is killed"));
+        cluster.vms[leader].kill();
+        sleep(ms(500));
+        cluster.restart_vm(leader);
     }
-    is_broken
+    wait_for(ms(30_000), || starts(&cluster, &id) > 1);
+    let waited = lost.elapsed().as_millis();
+    cluster.note(&format!("the lasting task starts again after {waited} ms"));
+    // Calm for 4 s after the last disruption, and then for 3 s more; from 6 s after the last run.
+    waited > 500 + 1_000 + 4_000 + 3_000 && waited > 6_000 + 3_000
 }
 
-/// A worker crashes once, shortly after the start of a task that lasts; other tasks start there four times a second.
-fn starve(mut cluster: Cluster, has_trouble: bool) -> bool {
-    let mut setups: Vec<_> = (0..7).map(|index| cluster.worker_setup(&format!("w{index}"))).collect();
-    setups[0].kind = "b".to_owned();
-    let mut workers: Vec<_> = setups.iter().map(|setup| cluster.start_worker(setup)).collect();
-    sleep(ms(5_000));
-    let lasting = cluster.next_id();
-    let path = format!("/bbbb222/{lasting}");
-    cluster.submit(&path, &job("daemon", 1, 500, 1_500, ",\"daemon\":true,\"requires\":\"b\""));
-    wait_for(ms(5_000), || !cluster.lines_with(&lasting).is_empty());
-    sleep(ms(250));
-    if has_trouble {
-        cluster.note("worker w0 crashes");
-        workers[0].kill();
+/// Tasks at a time, and times, of the large job.
+const BIG_COUNT: u32 = 150;
+const BIG_TIMES: u32 = 850;
+const BIG_INTERVAL_MS: u64 = 50;
+
+/// A job of many tasks at many times, or ten jobs with the same number of tasks.
+fn big(mut cluster: Cluster, has_trouble: bool) -> bool {
+    let program = Instant::now();
+    cluster.count_only();
+    let _workers: Vec<_> =
+        (0..20).map(|index| cluster.start_worker(&cluster.worker_setup(&format!("w{index}")))).collect();
+    sleep(ms(2_000));
+    let lasting: Vec<String> = (0..4).map(|_| format!("/aaaa111/{}", cluster.next_id())).collect();
+    for path in &lasting {
+        cluster.submit(path, &job("daemon", 1, 500, 1_000, ",\"daemon\":true"));
+    }
+    let jobs = if has_trouble { 1 } else { 10 };
+    let (count, times) = (BIG_COUNT / jobs, BIG_TIMES);
+    for _ in 0..jobs {
+        let path = format!("/bbbb222/{}", cluster.next_id());
+        let text = job("ms=10", count, 100, 10, "");
+        let (start, interval) = (crate::worker::unix_ms(), BIG_INTERVAL_MS);
+        let schedule = format!(",\"start_time_ms\":{start},\"interval_ms\":{interval},\"times\":{times}}}");
+        cluster.submit(&path, &(text[..text.len() - 1].to_owned() + &schedule));
+    }
+    // Until all tasks are done, or for 5 s no job has been accepted.
+    let begin = Instant::now();
+    let mut accepted = Instant::now();
+    while begin.elapsed() < ms(80_000) && accepted.elapsed() < ms(5_000) {
         sleep(ms(1_000));
-        workers[0] = cluster.start_worker(&setups[0]);
+        let path = format!("/aaaa111/{}", cluster.next_id());
+        if cluster.call(0, "POST", &path, &job("ms=10", 1, 500, 10, "")).0 == 200 {
+            accepted = Instant::now();
+        }
+        let ends = cluster.ends();
+        cluster.note(&format!("{ends} tasks are done"));
+        if ends >= u64::from(BIG_COUNT * BIG_TIMES) {
+            break;
+        }
     }
-    let body = job("ms=400", 1, 500, 400, ",\"requires\":\"b\"");
-    let back = Instant::now();
-    while back.elapsed() < ms(40_000) {
-        let id = cluster.next_id();
-        cluster.submit(&format!("/aaaa111/{id}"), &body);
-        sleep(ms(245));
+    cluster.note("the lasting jobs are cancelled");
+    let mut open = lasting.clone();
+    let begin = Instant::now();
+    while begin.elapsed() < ms(6_000) && !open.is_empty() {
+        open.retain(|path| !(0..2).any(|vm| matches!(cluster.call(vm, "DELETE", path, "").0, 200 | 410)));
+        sleep(ms(200));
     }
-    let own = starts(&cluster, &lasting);
-    let others = cluster.lines_with("start").len() - own;
-    cluster.note(&format!("starts of the lasting task: {own}; starts of others: {others}"));
-    cluster.state(&path);
-    // Without the crash the first run goes on.
-    own < 1 + usize::from(has_trouble)
+    let (ends, waited) = (cluster.ends(), begin.elapsed().as_millis());
+    cluster.note(&format!(
+        "{ends} tasks are done; {} of 4 cancels have no answer after {waited} ms",
+        open.len()
+    ));
+    let key = cluster.store.too_large.lock().expect("no panic").clone();
+    cluster.note(&format!("the store has refused a value over value_bytes: {key:?}"));
+    if has_trouble && key.is_empty() && ends < u64::from(BIG_COUNT * BIG_TIMES) {
+        fail("the machine is too slow for the job");
+    }
+    if let Some(leader) = cluster.leader().filter(|_| !key.is_empty() && program.elapsed() < ms(90_000)) {
+        // This is only recorded: whether a new leader helps.
+        cluster.vms[leader].kill();
+        cluster.restart_vm(leader);
+        sleep(ms(15_000));
+        let path = format!("/aaaa111/{}", cluster.next_id());
+        cluster.call(1 - leader, "POST", &path, &job("ms=10", 1, 500, 10, ""));
+        cluster.call(1 - leader, "DELETE", &lasting[0], "");
+    }
+    open.len() >= 3 && waited >= 5_000
 }
 
 /// A gang on one worker, while the leader is in the worker's region and then in the other one.
@@ -242,14 +278,18 @@
         if accepted.elapsed() < ms(5_100) {
             continue;
         }
-        let waiting = |id: &&String| cluster.lines_with(id).iter().all(|(.., line)| !line.starts_with("start"));
+        let waiting =
+            |id: &&String| cluster.lines_with(id).iter().all(|(.., line)| !line.starts_with("start"));
         let before = jobs.iter().filter(waiting).count();
         for vm in 0..2 {
             let (status, body) = cluster.call(vm, "GET", "/bbbb222/", "");
             let pending = Json::parse(body.as_bytes()).and_then(|body| body.get("pending").number());
             let after = jobs.iter().filter(waiting).count();
-            cluster.note(&format!("pending {pending:?} at vm {vm}; jobs that no worker has begun: {before}, then {after}"));
-            is_broken |= status == 200 && pending.is_some_and(|pending| pending * 2 < before.min(after) as u64);
+            cluster.note(&format!(
+                "pending {pending:?} at vm {vm}; jobs that no worker has begun: {before}, then {after}"
+            ));
+            is_broken |=
+                status == 200 && pending.is_some_and(|pending| pending * 2 < before.min(after) as u64);
         }
     }
     if has_trouble {
@@ -261,3 +301,107 @@
     }
     is_broken
 }
+
+/// A worker crashes once, shortly after the start of a task that lasts; other tasks start there four times a second.
+fn starve(mut cluster: Cluster, has_trouble: bool) -> bool {
+    let mut setups: Vec<_> = (0..7).map(|index| cluster.worker_setup(&format!("w{index}"))).collect();
+    setups[0].kind = "b".to_owned();
+    let mut workers: Vec<_> = setups.iter().map(|setup| cluster.start_worker(setup)).collect();
+    sleep(ms(5_000));
+    let lasting = cluster.next_id();
+    let path = format!("/bbbb222/{lasting}");
+    cluster.submit(&path, &job("daemon", 1, 500, 1_500, ",\"daemon\":true,\"requires\":\"b\""));
+    wait_for(ms(5_000), || !cluster.lines_with(&lasting).is_empty());
+    sleep(ms(250));
+    if has_trouble {
+        cluster.note("worker w0 crashes");
+        workers[0].kill();
+        sleep(ms(1_000));
+        workers[0] = cluster.start_worker(&setups[0]);
+    }
+    let body = job("ms=400", 1, 500, 400, ",\"requires\":\"b\"");
+    let back = Instant::now();
+    while back.elapsed() < ms(40_000) {
+        let id = cluster.next_id();
+        cluster.submit(&format!("/aaaa111/{id}"), &body);
+        sleep(ms(245));
+    }
+    let own = starts(&cluster, &lasting);
+    let others = cluster.lines_with("start").len() - own;
+    cluster.note(&format!("starts of the lasting task: {own}; starts of others: {others}"));
+    cluster.state(&path);
+    // Without the crash the first run goes on.
+    own < 1 + usize::from(has_trouble)
+}
+
+/// A worker without runs is lost for good, and then a job of one task that lasts is submitted.
+fn reserve(mut cluster: Cluster, has_trouble: bool) -> bool {
+    let mut workers: Vec<_> =
+        (0..13).map(|index| cluster.start_worker(&cluster.worker_setup(&format!("w{index}")))).collect();
+    sleep(ms(3_000));
+    let first = format!("/aaaa111/{}", cluster.next_id());
+    let text = job("daemon", 11, 10_000, 1_000, ",\"daemon\":true,\"max_per_server\":1");
+    cluster.submit(&first, &text);
+    if !wait_for(ms(10_000), || cluster.lines_with("start").len() == 11) {
+        fail("the first job does not start");
+    }
+    let started = cluster.lines_with("start");
+    let idle = (0..13).find(|index| started.iter().all(|(_, id, _)| *id != format!("w{index}")));
+    let Some(idle) = idle else { fail("no worker is left free") };
+    if has_trouble {
+        cluster.note(&format!("worker w{idle}, which runs nothing, is lost for good"));
+        workers[idle].kill();
+    }
+    sleep(ms(8_000));
+    let id = cluster.next_id();
+    let path = format!("/aaaa111/{id}");
+    cluster.submit(&path, &job("daemon", 1, 7_000, 1_000, ",\"daemon\":true"));
+    sleep(ms(40_000));
+    cluster.state(&path);
+    let count = starts(&cluster, &id);
+    cluster.note(&format!("starts of the task in 40 s: {count}; one worker of 16 cores runs nothing"));
+    count == 0
+}
+
+/// Sends a signal to a process.
+fn signal(name: &str, pid: u32) {
+    let status = std::process::Command::new("sh").arg("-c").arg(format!("kill -{name} {pid}")).status();
+    if !status.is_ok_and(|status| status.success()) {
+        crate::cluster::fail("a signal could not be sent");
+    }
+}
+
+/// An entry VM freezes with a submission in its socket; the client gives up, and cancels the job.
+fn cancel(mut cluster: Cluster, has_trouble: bool) -> bool {
+    let _workers: Vec<_> =
+        (0..3).map(|index| cluster.start_worker(&cluster.worker_setup(&format!("w{index}")))).collect();
+    sleep(ms(3_000));
+    let Some(leader) = cluster.leader() else { fail("no leader is known") };
+    let other = 1 - leader;
+    let id = cluster.next_id();
+    let path = format!("/bbbb222/{id}");
+    let frozen = Instant::now();
+    if has_trouble {
+        cluster.note(&format!("vm {other} freezes"));
+        signal("STOP", cluster.vms[other].id());
+    }
+    cluster.call(other, "POST", &path, &job("daemon", 2, 500, 1_000, ",\"daemon\":true"));
+    let (status, _) = cluster.call(leader, "DELETE", &path, "");
+    let acked = Instant::now();
+    if has_trouble {
+        sleep(ms(3_500).saturating_sub(frozen.elapsed()));
+        signal("CONT", cluster.vms[other].id());
+        cluster.note(&format!("vm {other} wakes"));
+    }
+    sleep(ms(13_000));
+    cluster.state(&path);
+    let is_running = |task: &str| {
+        let lines = cluster.lines_with(task);
+        lines.last().is_some_and(|(.., line)| line.starts_with("start"))
+    };
+    let running = (0..2).filter(|index| is_running(&format!("{id}.0.0.{index} "))).count();
+    let waited = acked.elapsed().as_millis();
+    cluster
+        .note(&format!("{running} tasks run {waited} ms after the cancellation was answered with {status}"));
+    running > 0 && (status == 200 || status == 410)
+}
--- a/review/rig/cluster.rs
+++ b/review/rig/cluster.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -30,6 +31,10 @@
 }
 
 impl Process {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn new(child: Child) -> Self {
         STARTED.lock().expect("no panic").push(child.id());
         Self { child }
@@ -59,7 +64,7 @@
 type Lines = Arc<Mutex<Vec<(u64, String, String)>>>;
 
 pub struct Cluster {
-    store: Store,
+    pub store: Store,
     pub vms: Vec<Process>,
     fronts: Vec<SocketAddr>,
     ready: Vec<SocketAddr>,
@@ -69,6 +74,9 @@
     folder: PathBuf,
     record: Arc<Mutex<File>>,
     last_id: u64,
+    /// Whether the lines of the workers are only counted.
+    counts_only: Arc<AtomicBool>,
+    ends: Arc<AtomicU64>,
 }
 
 /// Address on loopback whose port is free now.
@@ -95,6 +103,8 @@
             folder,
             record: Arc::new(Mutex::new(record)),
             last_id: unix_ms() << 12,
+            counts_only: Arc::default(),
+            ends: Arc::default(),
         };
         for index in 0..vm_count {
             let [front, admin, peer, ready] = [(); 4].map(|()| free_address());
@@ -105,7 +115,8 @@
                  far_factor = 3\n\n[log]\nlevel = \"info\"\ntimeline = \"-\"\n",
                 cluster.store.address
             );
-            fs::write(cluster.settings(index), settings).expect("the folder for temporary files can be written");
+            fs::write(cluster.settings(index), settings)
+                .expect("the folder for temporary files can be written");
             cluster.fronts.push(front);
             cluster.ready.push(ready);
             let process = cluster.spawn_vm(index);
@@ -162,10 +173,15 @@
         let mut child = child.unwrap_or_else(|error| fail(&format!("a worker: {error}")));
         let output = child.stdout.take().expect("the output is piped");
         let (lines, id, record) = (Arc::clone(&self.lines), setup.id.clone(), Arc::clone(&self.record));
-        let began_ms = self.began_ms;
+        let (began_ms, counts_only, ends) =
+            (self.began_ms, Arc::clone(&self.counts_only), Arc::clone(&self.ends));
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 let Some((at, rest)) = line.split_once(' ') else { continue };
+                ends.fetch_add(u64::from(rest.ends_with(" done")), Ordering::Relaxed);
+                if counts_only.load(Ordering::Relaxed) {
+                    continue;
+                }
                 let at_ms = at.parse().unwrap_or(0u64);
                 let since = at_ms.saturating_sub(began_ms) as f64 / 1_000.0;
                 let _ = writeln!(record.lock().expect("no panic"), "{since:8.3} worker {id}: {rest}");
@@ -234,6 +250,16 @@
         String::new()
     }
 
+    /// From now on the lines of the workers are counted and not kept.
+    pub fn count_only(&self) {
+        self.counts_only.store(true, Ordering::Relaxed);
+    }
+
+    /// Number of runs that have ended as done.
+    pub fn ends(&self) -> u64 {
+        self.ends.load(Ordering::Relaxed)
+    }
+
     /// Lines of the workers that contain `part`.
     pub fn lines_with(&self, part: &str) -> Vec<(u64, String, String)> {
         let lines = self.lines.lock().expect("no panic");
--- a/review/rig/proxy.rs
+++ b/review/rig/proxy.rs
@@ -26,7 +26,8 @@
                 let Ok(server) = TcpStream::connect(target) else { continue };
                 let _ = client.set_nodelay(true);
                 let _ = server.set_nodelay(true);
-                let pairs = [(client.try_clone(), server.try_clone()), (server.try_clone(), client.try_clone())];
+                let pairs =
+                    [(client.try_clone(), server.try_clone()), (server.try_clone(), client.try_clone())];
                 for (from, to) in pairs {
                     let (Ok(from), Ok(to)) = (from, to) else { continue };
                     forward(from, to, Arc::clone(&delay));
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -37,6 +37,8 @@
 pub struct Store {
     pub address: SocketAddr,
     shared: Arc<(Mutex<State>, Condvar)>,
+    /// Key of the last value that was refused as too large; empty if there was none.
+    pub too_large: Arc<Mutex<String>>,
 }
 
 impl State {
@@ -86,6 +88,7 @@
         let store = Self {
             address,
             shared: Arc::new((Mutex::new(state), Condvar::new())),
+            too_large: Arc::default(),
         };
         let server = store.clone();
         http::serve(listener, move |request| server.answer(request));
@@ -201,7 +204,8 @@
         let end = Instant::now() + wait;
         let mut state = self.lock();
         loop {
-            let is_new = |event: &&(u64, String, Option<String>)| event.0 > after && event.1.starts_with(prefix);
+            let is_new =
+                |event: &&(u64, String, Option<String>)| event.0 > after && event.1.starts_with(prefix);
             let row = |(revision, key, value): &(u64, String, Option<String>)| match value {
                 Some(value) => object([
                     ("key", text(key.as_str())),
@@ -245,7 +249,7 @@
         }
         // Four characters of base64 text hold three bytes.
         if let Some(row) = puts.iter().find(|row| row.get("value").text().len() / 4 * 3 > VALUE_BYTES) {
-            println!("store: the value of {} is too large", row.get("key").text());
+            *self.too_large.lock().expect("no panic") = row.get("key").text().to_owned();
             return (400, "{}".to_owned());
         }
         state.revision += 1;
--- a/review/rig/worker.rs
+++ b/review/rig/worker.rs
@@ -159,8 +159,7 @@
 
     fn beat(&self) {
         let Setup { id, public, store, kind, cpu, heartbeat, .. } = &self.setup;
-        let capacity =
-            object([("cpu", number(*cpu)), ("mem_mb", number(64_000)), ("gpu", number(0))]);
+        let capacity = object([("cpu", number(*cpu)), ("mem_mb", number(64_000)), ("gpu", number(0))]);
         let entry = object([
             ("service", text("svc")),
             ("address", text(public.to_string())),
@@ -295,7 +294,8 @@
             let worked = run.working.map_or(Duration::ZERO, |at| at.elapsed());
             let length = word(&run.text, "ms").map_or(STARTUP, Duration::from_millis);
             let percent = (worked.as_millis() * 100 / length.as_millis().max(1)).min(100);
-            let cells = [text(task.as_str()), number(run.number), text(""), number(percent as u64), number(5)];
+            let cells =
+                [text(task.as_str()), number(run.number), text(""), number(percent as u64), number(5)];
             Json::List(cells.into())
         });
         let ended = state.ended.iter().take(500).map(|end| {
