--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -143,7 +143,7 @@
                     return;
                 }
                 let build = if has_trouble { number } else { number % FEW_IMAGES };
-                let image = format!("registry.example/desk/quote:build-{build:05}");
+                let image = format!("desk/quote:build-{build:05}");
                 let body = format!(
                     "{{\"spec\":\"quote {number}\",\"steps\":[{{\"count\":1,\"cpu\":500,\"mem_mb\":256,\
                      \"estimate_ms\":200,\"image\":\"{image}\"}}]}}"
