--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -44,6 +44,7 @@
         "times" => times(&mut rig),
         "closed" => closed(&mut rig),
         "kind" => kind(&mut rig),
+        "underway" => underway(&mut rig),
         "letters" => letters(&mut rig),
         "host" => host(&mut rig),
         "queues" => queues(&mut rig),
@@ -508,3 +509,58 @@
     let has_run = rig.log.all().iter().any(|event| event.what == "start" && event.spec == "second");
     if is_accepted && !has_run { Outcome::Broken } else { Outcome::Held }
 }
+
+/// An order to start a task is under way when the leader ends, and is carried out late, after its worker has restarted.
+fn underway(rig: &mut Rig) -> Outcome {
+    if !start_desk(rig, 6, &constant(Duration::from_millis(300))) {
+        return Outcome::NotRun;
+    }
+    let task = format!("{JOB}.0.0.0");
+    if rig.has_trouble {
+        rig.workers.iter().for_each(|worker| worker.delay_start(&task));
+    }
+    if !rig.submit(HOST, &format!("/quotes/{JOB}"), SMALL_JOB, 3) {
+        return Outcome::NotRun;
+    }
+    if rig.has_trouble {
+        let waits = |rig: &Rig| rig.workers.iter().find(|worker| worker.delay().is_some()).cloned();
+        rig.wait(Duration::from_secs(1), |rig| waits(rig).is_some());
+        let (Some(worker), Some(leader)) = (waits(rig), rig.leader()) else { return Outcome::NotRun };
+        rig.vms[leader].kill();
+        rig.workers.iter().for_each(|worker| worker.forget_delays());
+        let id = worker.profile.lock().expect("profile").id.clone();
+        rig.record.line(format!(
+            "the order to start {task} waits at {id}; {}, which leads, is killed",
+            rig.vms[leader].name
+        ));
+        thread::sleep(Duration::from_secs(1));
+        rig.vms[leader].spawn();
+        // The order is carried out 12 s after it arrived at the latest, and the worker needs a second to restart.
+        let left = Duration::from_secs(8).saturating_sub(worker.delay().unwrap_or_default());
+        let is_done = rig.wait(left, |rig| rig.log.count(&task, "done") > 0);
+        rig.record.line(format!("a run that the next leader has started is done: {is_done}"));
+        // The next leader calls a worker without runs every 2.5 s; the worker restarts between two calls.
+        rig.wait(Duration::from_millis(2_600), |_| worker.since_answer() < Duration::from_millis(30));
+        worker.crash();
+        thread::sleep(Duration::from_millis(400));
+        worker.restart();
+        worker.register();
+        let delay = worker.delay();
+        let answers = worker.carry_out();
+        rig.record.line(format!(
+            "{id} has crashed and is up again; {delay:?} after its arrival the order is carried out: {answers:?}"
+        ));
+    }
+    // The ends of both runs are acknowledged within 12 s.
+    thread::sleep(Duration::from_secs(if rig.has_trouble { 15 } else { 3 }));
+    rig.record_runs(JOB);
+    rig.state(0, HOST, &format!("/quotes/{JOB}"));
+    let events = rig.log.all();
+    let of_task = |what: &'static str| {
+        events.iter().filter(|event| event.task == task).filter(move |event| event.what == what)
+    };
+    let is_noted = |run: u64| of_task("noted").any(|event| event.run == run);
+    let is_again =
+        of_task("done").any(|done| is_noted(done.run) && of_task("start").any(|start| start.at > done.at));
+    if is_again { Outcome::Broken } else { Outcome::Held }
+}
--- a/review/rig-3/worker.rs
+++ b/review/rig-3/worker.rs
@@ -215,6 +215,11 @@
         self.to_delay.lock().expect("tasks").push(task.to_owned());
     }
 
+    /// All further orders are answered.
+    pub fn forget_delays(&self) {
+        self.to_delay.lock().expect("tasks").clear();
+    }
+
     /// Time since the arrival of the first delayed order; none without one.
     pub fn delay(&self) -> Option<Duration> {
         self.delayed.lock().expect("orders").first().map(|(at, _)| at.elapsed())
