--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -44,6 +44,7 @@
         "times" => times(&mut rig),
         "closed" => closed(&mut rig),
         "kind" => kind(&mut rig),
+        "crashes" => crashes(&mut rig),
         "underway" => underway(&mut rig),
         "letters" => letters(&mut rig),
         "host" => host(&mut rig),
@@ -564,3 +565,43 @@
         of_task("done").any(|done| is_noted(done.run) && of_task("start").any(|start| start.at > done.at));
     if is_again { Outcome::Broken } else { Outcome::Held }
 }
+
+/// Workers crash three times in a row shortly after a task that lasts was started on them.
+fn crashes(rig: &mut Rig) -> Outcome {
+    const CRASHES: usize = 3;
+    // One worker of eight is down at a time.
+    if !start_desk(rig, 8, &constant(Duration::from_secs(1_000))) {
+        return Outcome::NotRun;
+    }
+    let (task, path) = (format!("{JOB}.0.0.0"), format!("/quotes/{JOB}"));
+    if !rig.submit(HOST, &path, LASTING_JOB, 3) {
+        return Outcome::NotRun;
+    }
+    if rig.has_trouble {
+        for number in 1..=CRASHES {
+            let has_it = |rig: &Rig| rig.workers.iter().find(|worker| worker.has(&task)).cloned();
+            if !rig.wait(Duration::from_secs(20), |rig| has_it(rig).is_some()) {
+                return Outcome::NotRun;
+            }
+            let Some(worker) = has_it(rig) else { return Outcome::NotRun };
+            thread::sleep(Duration::from_millis(250));
+            let id = worker.profile.lock().expect("profile").id.clone();
+            worker.crash();
+            rig.record.line(format!("crash {number}: {id} crashes 0.25 s after the start of {task}"));
+            thread::sleep(Duration::from_secs(1));
+            worker.restart();
+            worker.register();
+            rig.record.line(format!("{id} is up again"));
+        }
+    }
+    let mut states = Vec::new();
+    for _ in 0..20 {
+        thread::sleep(Duration::from_secs(1));
+        states.push(rig.state(0, HOST, &path));
+    }
+    rig.record_runs(JOB);
+    let is_at_work = rig.workers.iter().any(|worker| worker.has(&task));
+    rig.record.line(format!("the task is at work: {is_at_work}, the job is shown as {:?}", states.last()));
+    let is_failed = states.iter().flatten().any(|state| state == "failed");
+    if is_failed || !is_at_work { Outcome::Broken } else { Outcome::Held }
+}
