Review stand-ins: runs show their progress

The stand-in of the workers reported 50 percent for each run, by which a run of 3 s was taken as stalled. It reports the share of its time now.

--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -44,6 +44,7 @@
         "times" => times(&mut rig),
         "closed" => closed(&mut rig),
         "kind" => kind(&mut rig),
+        "attempts" => attempts(&mut rig),
         "crashes" => crashes(&mut rig),
         "underway" => underway(&mut rig),
         "letters" => letters(&mut rig),
@@ -57,15 +58,20 @@
 type Route<'a> = (&'a str, &'a str, &'a str, &'a str);
 
 fn write_config(rig: &Rig, routes: &[Route]) {
+    write_version(rig, 1, 3, routes);
+}
+
+/// Writes a version of the configuration, in which all queues have this number of attempts.
+fn write_version(rig: &Rig, version: u32, attempts: u32, routes: &[Route]) {
     let route = |(name, host, prefix, service): &Route| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{host}\",\"prefix\":\"{prefix}\",\"service\":\"{service}\",\
-             \"priority\":1,\"max_attempts\":3,\"stretch\":2.0,\"slo_ms\":1000}}"
+             \"priority\":1,\"max_attempts\":{attempts},\"stretch\":2.0,\"slo_ms\":1000}}"
         )
     };
     let service = |(.., service): &Route| format!("{{\"name\":\"{service}\",\"enforces_capacity\":false}}");
     let text = format!(
-        "{{\"version\":1,\"routes\":[{}],\"services\":[{}],\"limits\":{{}}}}",
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{}}}}",
         routes.iter().map(route).collect::<Vec<_>>().join(","),
         routes.iter().map(service).collect::<Vec<_>>().join(",")
     );
@@ -605,3 +611,33 @@
     let is_failed = states.iter().flatten().any(|state| state == "failed");
     if is_failed || !is_at_work { Outcome::Broken } else { Outcome::Held }
 }
+
+/// A queue is removed while a job of it is at work, and the leader changes.
+fn attempts(rig: &mut Rig) -> Outcome {
+    const ATTEMPTS: u32 = 2;
+    let routes = [("quotes", HOST, "/quotes/", "desk"), ("ledger", OTHER_HOST, "/l/", "desk")];
+    write_version(rig, 1, ATTEMPTS, &routes);
+    let work: Work = Arc::new(|_| (Duration::from_millis(3_000), "failed"));
+    for index in 0..3 {
+        rig.add_worker(profile(index, "desk"), &work);
+    }
+    if !rig.start_vms(3) || !rig.submit(HOST, &format!("/quotes/{JOB}"), SMALL_JOB, 3) {
+        return Outcome::NotRun;
+    }
+    if rig.has_trouble {
+        write_version(rig, 2, ATTEMPTS, &routes[1..]);
+        thread::sleep(Duration::from_secs(1));
+        let Some(leader) = rig.leader() else { return Outcome::NotRun };
+        rig.record.line(format!("{}, which leads, is killed and started again", rig.vms[leader].name));
+        rig.vms[leader].kill();
+        thread::sleep(Duration::from_secs(1));
+        rig.vms[leader].spawn();
+    }
+    thread::sleep(Duration::from_secs(22));
+    rig.record_runs(JOB);
+    let events = rig.log.all();
+    let failed: Vec<_> = events.iter().filter(|event| event.what == "failed").collect();
+    let starts = events.iter().filter(|event| event.what == "start").count();
+    rig.record.line(format!("{starts} starts, {} ends as failed, {ATTEMPTS} attempts", failed.len()));
+    if starts as u32 > ATTEMPTS { Outcome::Broken } else { Outcome::Held }
+}
--- a/review/rig-3/worker.rs
+++ b/review/rig-3/worker.rs
@@ -11,6 +11,9 @@
 use crate::json::{self, Json, quote};
 use crate::store::Store;
 
+/// Run time from which on a task counts as one that lasts.
+const LASTING_MIN: Duration = Duration::from_secs(500);
+
 /// Most ends in one answer.
 const ENDS_PER_ANSWER: usize = 500;
 
@@ -75,6 +78,9 @@
 
 struct Run {
     number: u64,
+    begun: Instant,
+    /// Whether it lasts, so that it is at work at once.
+    lasts: bool,
     until: Instant,
     how: &'static str,
 }
@@ -108,6 +114,12 @@
         }
     }
 
+    /// Progress of a run in percent.
+    fn percent(run: &Run) -> u128 {
+        let time = (run.until - run.begun).as_millis().max(1);
+        if run.lasts { 100 } else { (run.begun.elapsed().as_millis() * 100 / time).min(99) }
+    }
+
     fn clock_ms(&self) -> u64 {
         self.begun.elapsed().as_millis() as u64
     }
@@ -376,7 +388,11 @@
                 return refuse("old");
             }
             let (time, how) = (self.work)(task);
-            state.running.insert(task.to_owned(), Run { number, until: Instant::now() + time, how });
+            let now = Instant::now();
+            state.running.insert(
+                task.to_owned(),
+                Run { number, begun: now, lasts: time >= LASTING_MIN, until: now + time, how },
+            );
             self.note(&state, task, number, "start", body.text("spec").unwrap_or_default());
             if time.is_zero() {
                 self.end_run(&mut state, task, how);
@@ -421,7 +437,7 @@
         let running: Vec<String> = state
             .running
             .iter()
-            .map(|(task, run)| format!("[{},{},\"\",50,0]", quote(task), run.number))
+            .map(|(task, run)| format!("[{},{},\"\",{},0]", quote(task), run.number, State::percent(run)))
             .collect();
         let ended: Vec<String> = state
             .ended
