--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -373,14 +373,7 @@
     }
     thread::sleep(Duration::from_secs(3));
     rig.record_runs(JOB);
-    let events = rig.log.all();
-    let is_of_task = |what: &str| events.iter().position(|event| event.task == task && event.what == what);
-    let starts: Vec<usize> = (0..events.len())
-        .filter(|index| events[*index].task == task && events[*index].what == "start")
-        .collect();
-    let is_again = is_of_task("done").is_some_and(|done| starts.iter().any(|start| *start > done));
-    let is_broken = is_again && is_of_task("noted").is_some();
-    if is_broken { Outcome::Broken } else { Outcome::Held }
+    judge_twice(rig)
 }
 
 /// A worker crashes and starts again under its id as one of another kind; its entry follows a heartbeat later.
@@ -517,29 +510,71 @@
     if is_accepted && !has_run { Outcome::Broken } else { Outcome::Held }
 }
 
+/// The rule TWICE, as far as it is about a start after an end as `done` that is taken note of.
+fn judge_twice(rig: &Rig) -> Outcome {
+    let events = rig.log.all();
+    let mut is_broken = false;
+    for done in rig.log.noted_ends("done") {
+        for start in events.iter().filter(|event| event.what == "start" && event.task == done.task) {
+            if start.at > done.at {
+                is_broken = true;
+                rig.record.line(format!(
+                    "TWICE: run {} of {} started on {} at {:.3}; run {} had ended done on {} at {:.3}, and that end is taken note of",
+                    start.run, start.task, start.worker, start.at.as_secs_f64(), done.run, done.worker, done.at.as_secs_f64()
+                ));
+            }
+        }
+    }
+    if is_broken { Outcome::Broken } else { Outcome::Held }
+}
+
 /// Orders to start tasks are under way when the leader ends, and are carried out late, one of them after its worker has
-/// restarted.
+/// restarted. The next leader starts the tasks on workers that have other work, so that their leases are renewed.
 fn underway(rig: &mut Rig) -> Outcome {
     const TASKS: usize = 3;
-    if !start_desk(rig, 8, &constant(Duration::from_millis(300))) {
+    const WORKERS: usize = 8;
+    const LASTING: &str = "00000000000000bb";
+    write_config(rig, &[("quotes", HOST, "/quotes/", "desk")]);
+    let work: Work = Arc::new(|task| {
+        let time = if task.starts_with(LASTING) { 1_000_000 } else { 300 };
+        (Duration::from_millis(time), "done")
+    });
+    for index in 0..WORKERS {
+        let mut profile = profile(index, "desk");
+        profile.labels[0] = if index < TASKS { "b" } else { "a" }.to_owned();
+        rig.add_worker(profile, &work);
+    }
+    if !rig.start_vms(3) {
         return Outcome::NotRun;
     }
+    let step = |count: usize, more: &str| {
+        format!(
+            "{{\"count\":{count},\"cpu\":500,\"mem_mb\":256,\"estimate_ms\":300,\"max_per_server\":1{more}}}"
+        )
+    };
+    // Short tasks on the workers of kind b, beside which the leader places the next ones.
+    let short = format!("{{\"spec\":\"short\",\"steps\":[{}]}}", step(TASKS, ",\"requires\":\"b\""));
+    let lasting = step(WORKERS - TASKS, ",\"requires\":\"a\",\"daemon\":true");
+    let lasting = format!("{{\"spec\":\"lasting\",\"steps\":[{lasting}]}}");
+    let three = format!("{{\"spec\":\"three\",\"steps\":[{}]}}", step(TASKS, ""));
     let tasks: Vec<String> = (0..TASKS).map(|index| format!("{JOB}.0.0.{index}")).collect();
     if rig.has_trouble {
         rig.workers.iter().for_each(|worker| tasks.iter().for_each(|task| worker.delay_start(task)));
     }
-    let body = format!(
-        "{{\"spec\":\"three\",\"steps\":[{{\"count\":{TASKS},\"cpu\":500,\"mem_mb\":256,\"estimate_ms\":300,\
-         \"max_per_server\":1}}]}}"
-    );
-    if !rig.submit(HOST, &format!("/quotes/{JOB}"), &body, 3) {
+    if !rig.submit(HOST, "/quotes/00000000000000cc", &short, 3)
+        || !rig.wait(Duration::from_secs(1), |rig| rig.log.count("00000000000000cc", "start") == TASKS)
+        || !rig.submit(HOST, &format!("/quotes/{JOB}"), &three, 3)
+    {
         return Outcome::NotRun;
     }
+    let waiting =
+        |rig: &Rig| rig.workers.iter().filter(|worker| worker.delay().is_some()).cloned().collect::<Vec<_>>();
+    if rig.has_trouble {
+        rig.wait(Duration::from_millis(300), |rig| waiting(rig).len() == TASKS);
+    }
+    rig.submit(HOST, &format!("/quotes/{LASTING}"), &lasting, 3);
+    rig.wait(Duration::from_millis(200), |rig| rig.log.count(LASTING, "start") == WORKERS - TASKS);
     if rig.has_trouble {
-        let waiting = |rig: &Rig| {
-            rig.workers.iter().filter(|worker| worker.delay().is_some()).cloned().collect::<Vec<_>>()
-        };
-        rig.wait(Duration::from_millis(500), |rig| waiting(rig).len() == TASKS);
         let (workers, Some(leader)) = (waiting(rig), rig.leader()) else { return Outcome::NotRun };
         rig.vms[leader].kill();
         rig.workers.iter().for_each(|worker| worker.forget_delays());
@@ -581,24 +616,9 @@
     }
     // The ends of all runs are acknowledged within 12 s.
     thread::sleep(Duration::from_secs(if rig.has_trouble { 15 } else { 3 }));
-    rig.record_runs(JOB);
+    rig.record_runs("");
     rig.state(0, HOST, &format!("/quotes/{JOB}"));
-    let events = rig.log.all();
-    let is_noted = |task: &str, run: u64| {
-        events.iter().any(|event| event.what == "noted" && event.task == task && event.run == run)
-    };
-    let done = events.iter().filter(|event| event.what == "done" && is_noted(&event.task, event.run));
-    let again: Vec<_> = done
-        .flat_map(|done| {
-            events
-                .iter()
-                .filter(|event| event.what == "start" && event.task == done.task && event.at > done.at)
-        })
-        .collect();
-    for event in &again {
-        rig.record.line(format!("run {} of {} started after the task was done", event.run, event.task));
-    }
-    if again.is_empty() { Outcome::Held } else { Outcome::Broken }
+    judge_twice(rig)
 }
 
 /// Workers crash three times in a row shortly after a task that lasts was started on them.
@@ -665,8 +685,15 @@
     thread::sleep(Duration::from_secs(22));
     rig.record_runs(JOB);
     let events = rig.log.all();
-    let failed: Vec<_> = events.iter().filter(|event| event.what == "failed").collect();
-    let starts = events.iter().filter(|event| event.what == "start").count();
-    rig.record.line(format!("{starts} starts, {} ends as failed, {ATTEMPTS} attempts", failed.len()));
-    if starts as u32 > ATTEMPTS { Outcome::Broken } else { Outcome::Held }
+    let mut failed: Vec<Duration> = rig.log.noted_ends("failed").iter().map(|end| end.at).collect();
+    failed.sort_unstable();
+    let last = failed.get(ATTEMPTS as usize - 1);
+    let after =
+        events.iter().filter(|event| event.what == "start" && last.is_some_and(|last| event.at > *last));
+    let after = after.count();
+    rig.record.line(format!(
+        "{} ends as failed are taken note of, {ATTEMPTS} attempts, {after} starts after the last of these",
+        failed.len()
+    ));
+    if after > 0 { Outcome::Broken } else { Outcome::Held }
 }
--- a/review/rig-3/worker.rs
+++ b/review/rig-3/worker.rs
@@ -27,6 +27,9 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
 
+/// Name of the event that the lease of a worker has lapsed.
+pub const LAPSE: &str = "lease lapsed";
+
 /// What a worker did.
 #[derive(Debug, Clone)]
 pub struct Event {
@@ -55,6 +58,25 @@
         self.events.lock().expect("log").clone()
     }
 
+    /// Runs that have ended in this way and whose ends are taken note of, with the times of their ends: `acked_upto` has reached them,
+    /// and the lease of their worker has not lapsed between the two.
+    pub fn noted_ends(&self, how: &str) -> Vec<Event> {
+        let events = self.all();
+        let is_same = |one: &Event, other: &Event| one.worker == other.worker && one.born == other.born;
+        let is_noted = |end: &&Event| {
+            let noted = events.iter().find(|event| {
+                event.what == "noted" && event.task == end.task && event.run == end.run && is_same(event, end)
+            });
+            let has_lapsed = |at: Duration| {
+                events.iter().any(|event| {
+                    event.what == LAPSE && is_same(event, end) && end.at <= event.at && event.at <= at
+                })
+            };
+            noted.is_some_and(|noted| !has_lapsed(noted.at))
+        };
+        events.iter().filter(|event| event.what == how).filter(is_noted).cloned().collect()
+    }
+
     /// Number of events of a kind for the tasks of a job.
     pub fn count(&self, job: &str, what: &str) -> usize {
         let events = self.events.lock().expect("log");
@@ -92,6 +114,8 @@
     acked: u64,
     last_end: u64,
     lease_ms: u64,
+    /// Whether the lapse of the present lease is in the log.
+    has_lapsed: bool,
     running: BTreeMap<String, Run>,
     /// Number, task, run, how.
     ended: Vec<(u64, String, u64, &'static str)>,
@@ -108,6 +132,7 @@
             acked: 0,
             last_end: 0,
             lease_ms: 0,
+            has_lapsed: true,
             running: BTreeMap::new(),
             ended: Vec::new(),
             past: BTreeMap::new(),
@@ -313,6 +338,10 @@
         let mut state = self.state.lock().expect("worker");
         let (now, clock_ms) = (Instant::now(), state.clock_ms());
         let has_lapsed = clock_ms > state.lease_ms;
+        if has_lapsed && !state.has_lapsed {
+            self.note(&state, "", 0, LAPSE, "");
+        }
+        state.has_lapsed = has_lapsed;
         let due: Vec<(String, &'static str)> = state
             .running
             .iter()
@@ -366,7 +395,10 @@
 
     fn extend(state: &mut State, body: &Json) {
         if let Some(deadline) = body.number("deadline_ms") {
-            state.lease_ms = state.lease_ms.max(deadline.min(state.clock_ms() + MAX_HOLD_MS));
+            // A lapse since the last tick comes into the log first.
+            let clock_ms = state.clock_ms();
+            state.has_lapsed &= deadline <= clock_ms;
+            state.lease_ms = state.lease_ms.max(deadline.min(clock_ms + MAX_HOLD_MS));
         }
     }
 
