--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -73,7 +73,13 @@
     let text = format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{}}}}",
         routes.iter().map(route).collect::<Vec<_>>().join(","),
-        routes.iter().map(service).collect::<Vec<_>>().join(",")
+        routes
+            .iter()
+            .map(service)
+            .collect::<std::collections::BTreeSet<_>>()
+            .into_iter()
+            .collect::<Vec<_>>()
+            .join(",")
     );
     rig.record.line(format!("op/config: {text}"));
     rig.store.write("op/config", &text);
