Keep late orders by the names of their tasks

Cause: an order to start that got no answer was noted on the task. A leader that loads the job closes an occurrence whose tasks are all done before it adds the stored notes, so the note was dropped with the task, the end was acknowledged at once, and the restarted worker carried the order out. The next write of the progress dropped the note from the store, too.

Change: the notes are in a table by the name of the task. It is filled when the records are loaded, and asked when an end is acknowledged, when a task is bound to its worker and when the progress is written, whether or not the occurrence is open. Notes are removed once the order is too old and the worker has listed its runs since.

The observer of the emulator took the end of a run in one process of a worker for that of the run of the same number in the next process, so it reported the acknowledgement of the second end as that of the first. The rule counts the end that is taken note of, and a restarted worker has none of the ends before. The observer now tells the processes apart.

--- a/src/core/work/job.rs
+++ b/src/core/work/job.rs
@@ -207,7 +207,6 @@
                     not_before,
                     lost_at: None,
                     last_exit: None,
-                    late_starts: Vec::new(),
                     is_inherited: term.is_some(),
                     may_have_unseen_run: term.is_some(),
                 }));
@@ -318,7 +317,7 @@
                     failed_runs: task.failed_runs,
                     crashed_runs: Vec::new(),
                     sole_crashes: Vec::new(),
-                    late_on: late::worker_ids(&task.late_starts),
+                    late_on: Vec::new(),
                 });
             }
         }
@@ -337,14 +336,15 @@
         self.ready.retain(|group, _| group.job != key);
     }
 
-    /// Progress of a job for the store; `None` if the job is not known.
-    pub fn progress(&self, key: Key) -> Option<Progress> {
+    /// Progress of a job for the store, with the orders to start its tasks that may still be carried out; `None` if the job is not
+    /// known.
+    pub fn progress(&self, key: Key, late: &late::Table) -> Option<Progress> {
         let job = self.all.get(key)?;
         let mut task_progress = job.task_progress.clone();
         for occurrence in job.open_occurrences.values() {
             for task in occurrence.tasks.iter().flatten().filter_map(|task| self.tasks.get(*task)) {
                 let done = task.phase == task::Phase::Done;
-                if done || !task.failed_runs.is_empty() || task.is_suspect() || !task.late_starts.is_empty() {
+                if done || !task.failed_runs.is_empty() || task.is_suspect() || late.contains(task.name) {
                     let Name { occurrence, step, index, .. } = task.name;
                     task_progress.push(TaskProgress {
                         occurrence,
@@ -354,11 +354,15 @@
                         failed_runs: task.failed_runs.clone(),
                         crashed_runs: task.crashed_runs.clone(),
                         sole_crashes: task.sole_crashes.clone(),
-                        late_on: late::worker_ids(&task.late_starts),
+                        late_on: Vec::new(),
                     });
                 }
             }
         }
+        for progress in &mut task_progress {
+            let TaskProgress { occurrence, step, index, .. } = *progress;
+            progress.late_on = late.worker_ids(Name { job: job.id, occurrence, step, index });
+        }
         let has_late_start = job.late_until > Instant::default();
         Some(Progress {
             phase: job.phase,
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -374,7 +374,7 @@
         }
         Change::Progress(key) => {
             let Some(job) = state.jobs.all.get(key) else { return };
-            let Some(progress) = state.jobs.progress(key) else { return };
+            let Some(progress) = state.jobs.progress(key, &state.late) else { return };
             if progress.phase.has_ended() {
                 transaction.put.retain(|(written, ..)| *written != Key::Job(job.id));
                 transaction.delete.push(Key::Job(job.id));
--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -17,7 +17,7 @@
 use super::timer::Timer;
 use super::tuning::Tuning;
 use super::worker::{self, Worker};
-use super::{handler, journal, load, relay, renewal};
+use super::{handler, journal, late, load, relay, renewal};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -297,6 +297,7 @@
         return;
     }
     journal::retire_vacated(state, out);
+    late::prune(state);
     state.call_store(Purpose::Renew, Request::Renew { lease }, out);
     if state.now.since(confirmed) >= state.tuning.leader_renewal {
         read_key(state, out);
@@ -365,6 +366,7 @@
     state.drop_term_calls();
     state.evacuations = Default::default();
     state.workers = Default::default();
+    state.late = Default::default();
     state.runs.clear();
     state.runtimes = Default::default();
     state.speculation = Default::default();
--- a/src/core/work/lifecycle.rs
+++ b/src/core/work/lifecycle.rs
@@ -72,7 +72,7 @@
             state.timers.set(state.now + wait, Timer::Release(key));
             break;
         }
-        late::release(state, key, Instant::default());
+        state.jobs.release(key, Instant::default(), state.now);
     }
     state.schedule_placement();
 }
@@ -83,7 +83,7 @@
     let Some(key) = state.jobs.find(name.job) else { return };
     while state.jobs.all.get(key).is_some_and(|job| job.released_count <= name.occurrence) {
         let Some(wait) = time_to_release(state, key) else { return };
-        late::release(state, key, state.now + wait);
+        state.jobs.release(key, state.now + wait, state.now);
     }
 }
 
@@ -112,11 +112,11 @@
 
 /// Ends a job, unless it has ended, and stops its runs.
 pub(super) fn end_job(state: &mut super::State, key: job::Key, phase: Phase, out: &mut Vec<Effect>) {
-    if state.jobs.all.get(key).is_none_or(|job| job.phase.has_ended()) {
+    let Some(id) = state.jobs.all.get(key).filter(|job| !job.phase.has_ended()).map(|job| job.id) else {
         return;
-    }
+    };
     let sequence = journal::enqueue(state, Change::Progress(key));
-    let late_until = late::latest_of_job(state, key);
+    let late_until = late::latest_of_job(state, id);
     let job = &mut state.jobs.all[key];
     job.late_until = late_until;
     job.phase = phase;
--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -8,7 +8,7 @@
 use super::state::{self, Purpose};
 use super::store::{Item, Key, Progress, Range, Record, Reply, Request, Roster, Value};
 use super::timer::Timer;
-use super::{gate, handler, journal, lifecycle, renewal, watch};
+use super::{gate, handler, journal, late, lifecycle, renewal, watch};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -191,6 +191,7 @@
 }
 
 fn restore_job(state: &mut super::State, id: Id, record: Record, progress: Progress) {
+    late::restore(state, id, &progress.task_progress);
     let age = std::time::Duration::from_millis(state.unix_ms.saturating_sub(record.accepted_unix_ms));
     let job = Job {
         phase: if progress.task_progress.is_empty() {
--- a/src/core/work/spec.rs
+++ b/src/core/work/spec.rs
@@ -175,6 +175,12 @@
 }
 
 impl Spec {
+    /// Names of the tasks of the gang that a task belongs to, or its own name if its step is no gang.
+    pub fn gang_of(&self, name: Name) -> Vec<Name> {
+        let gang = self.steps.get(name.step as usize).filter(|step| step.is_gang);
+        gang.map_or_else(|| vec![name], |step| (0..step.count).map(|index| Name { index, ..name }).collect())
+    }
+
     /// Reason why the specification is invalid; `None` if it is valid.
     pub fn validation_error(&self) -> Option<String> {
         if self.steps.is_empty() {
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -13,8 +13,8 @@
 use super::timer::Timer;
 use super::tuning::Tuning;
 use super::{
-    admission, backlog, confirm, evacuation, handler, image, job, journal, leadership, load, place, relay,
-    reserve, run, runtime, silence, speculate, worker,
+    admission, backlog, confirm, evacuation, handler, image, job, journal, late, leadership, load, place,
+    relay, reserve, run, runtime, silence, speculate, worker,
 };
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
@@ -147,6 +147,8 @@
     pub workers: worker::Table,
     /// Time until which an order of an earlier leader may be carried out.
     pub earlier_orders_until: Instant,
+    /// Orders to start that may still be carried out; empty unless this process leads.
+    pub late: late::Table,
     /// Runs; empty unless this process leads.
     pub runs: run::Table,
     /// Run times of the tasks of each queue; empty unless this process leads.
@@ -225,6 +227,7 @@
             evacuations: evacuation::Table::default(),
             workers: worker::Table::default(),
             earlier_orders_until: Instant::default(),
+            late: late::Table::default(),
             runs: run::Table::default(),
             runtimes: runtime::Table::default(),
             speculation: speculate::State::default(),
--- a/src/core/work/task.rs
+++ b/src/core/work/task.rs
@@ -3,7 +3,7 @@
 use slotmap::SlotMap;
 
 use super::spec::Name;
-use super::{job, late, run, worker};
+use super::{job, run, worker};
 use crate::core::time::Instant;
 
 slotmap::new_key_type! {
@@ -60,8 +60,6 @@
     pub lost_at: Option<Instant>,
     /// Number of the last run that is no longer at work, and why it is not; `None` if this leader has known no such run.
     pub last_exit: Option<(u32, run::Exit)>,
-    /// Orders to start that may still be carried out; some of them may be too old for that.
-    pub late_starts: Vec<late::Start>,
     /// Whether an earlier leader may have started the task.
     pub is_inherited: bool,
     /// Whether an earlier leader may have started a run that this leader has not seen.
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -139,10 +139,10 @@
     pub completed: Set<Name>,
     /// Tasks whose completion was acknowledged before the worker's lease expired.
     acknowledged: Set<Name>,
-    /// Numbers of the completed runs, by task.
-    completed_runs: Map<Name, Vec<u32>>,
+    /// Completed runs, by task.
+    completed_runs: Map<Name, Vec<Execution>>,
     /// Completed runs whose task was started again later.
-    repeated_runs: Set<(Name, u32)>,
+    repeated_runs: Set<(Name, Execution)>,
     failure_counts: Map<Name, u32>,
     /// Descriptions of all violated guarantees.
     pub violations: Vec<String>,
@@ -174,6 +174,20 @@
     pub longest_over_target: Duration,
 }
 
+/// A run in one process of a worker. The next process of the worker has no end of it, and may be ordered to start it again.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Execution {
+    worker: String,
+    incarnation: u64,
+    number: u32,
+}
+
+impl Execution {
+    fn new(worker: &str, incarnation: u64, number: u32) -> Self {
+        Self { worker: worker.to_owned(), incarnation, number }
+    }
+}
+
 impl Told {
     /// Whether every submission was refused.
     fn is_refused(&self) -> bool {
@@ -294,7 +308,7 @@
         }
         // A copy may start before the end of the other run is read; none may start after its acknowledgement.
         let before = self.completed_runs.get(&name).into_iter().flatten().filter(|_| !is_speculative);
-        self.repeated_runs.extend(before.map(|run| (name, *run)));
+        self.repeated_runs.extend(before.map(|run| (name, run.clone())));
         if self.failure_counts.get(&name).is_some_and(|count| *count >= self.max_attempts) {
             self.violations.push(format!(
                 "{name}: run {number} started on {worker} after {} failures",
@@ -328,16 +342,17 @@
         }
     }
 
-    fn record_end(&mut self, worker: &str, name: Name, number: u32, how: How) {
+    fn record_end(&mut self, execution: Execution, name: Name, how: How) {
+        let number = execution.number;
         if let Some(others) = self.running.get_mut(&name) {
-            others.remove(&(worker.to_owned(), number));
+            others.remove(&(execution.worker.clone(), number));
         }
         match how {
             // One such end represents all members of a gang.
             How::Done => {
                 for member in self.gang_of(name) {
                     self.completed.insert(member);
-                    self.completed_runs.entry(member).or_default().push(number);
+                    self.completed_runs.entry(member).or_default().push(execution.clone());
                 }
             }
             _ if self.step(name).is_some_and(|step| step.is_gang) => {
@@ -362,11 +377,12 @@
 
     /// Records the acknowledgement of an end. It does not count if the lease has expired since the end, because the
     /// task may then run again.
-    fn record_acknowledgement(&mut self, end: &Ended, has_lapsed: bool) {
+    fn record_acknowledgement(&mut self, execution: Execution, end: &Ended, has_lapsed: bool) {
         if end.how != How::Done || has_lapsed {
             return;
         }
-        if self.gang_of(end.name).into_iter().any(|member| self.repeated_runs.contains(&(member, end.run))) {
+        let is_repeated = |member| self.repeated_runs.contains(&(member, execution.clone()));
+        if self.gang_of(end.name).into_iter().any(is_repeated) {
             self.violations.push(format!(
                 "{}: run {} is acknowledged after the task was started again",
                 end.name, end.run
@@ -389,7 +405,10 @@
         let is_present = |member: Name| {
             let mut active = self.running.get(&member).into_iter().flatten();
             active.any(|(_, number)| *number == run.number)
-                || self.completed_runs.get(&member).is_some_and(|runs| runs.contains(&run.number))
+                || self
+                    .completed_runs
+                    .get(&member)
+                    .is_some_and(|runs| runs.iter().any(|other| other.number == run.number))
         };
         !run.is_gang || self.gang_of(run.name).into_iter().all(is_present)
     }
@@ -590,7 +609,8 @@
     /// lease.
     pub fn restart(&mut self, now: Instant, observer: &mut Observer) {
         for run in self.runs.drain(..) {
-            observer.record_end(&self.id, run.name, run.number, How::Lapsed);
+            let execution = Execution::new(&self.id, self.incarnation, run.number);
+            observer.record_end(execution, run.name, How::Lapsed);
         }
         (self.incarnation, self.started_at) = (self.incarnation + 1, now);
         (self.fence, self.lease_expiry_ms, self.last_end_number) = (0, 0, 0);
@@ -613,7 +633,8 @@
     /// Ends the worker process. It refuses connections for some seconds and then starts again under the same identity.
     pub fn crash(&mut self, now: Instant, observer: &mut Observer) {
         for run in self.runs.drain(..) {
-            observer.record_end(&self.id, run.name, run.number, How::Lapsed);
+            let execution = Execution::new(&self.id, self.incarnation, run.number);
+            observer.record_end(execution, run.name, How::Lapsed);
         }
         self.crash_at = None;
         self.crash_count += 1;
@@ -718,7 +739,7 @@
     }
 
     fn end(&mut self, run: Run, how: How, observer: &mut Observer) {
-        observer.record_end(&self.id, run.name, run.number, how);
+        observer.record_end(Execution::new(&self.id, self.incarnation, run.number), run.name, how);
         let cpu_millicores = observer.step(run.name).map_or(0, |step| step.charged().cpu_millicores);
         let duration_ms = run.counted_at.since(run.started_at).as_millis() as u64;
         observer.core_ms += duration_ms * u64::from(cpu_millicores) / 1_000;
@@ -810,7 +831,8 @@
     /// Discards the ends up to this number.
     fn acknowledge(&mut self, last: u64, observer: &mut Observer) {
         for (end, has_lapsed) in self.ends.extract_if(.., |(end, _)| end.number <= last) {
-            observer.record_acknowledgement(&end, has_lapsed);
+            let execution = Execution::new(&self.id, self.incarnation, end.run);
+            observer.record_acknowledgement(execution, &end, has_lapsed);
         }
     }
 
--- a/tests/late_starts.rs
+++ b/tests/late_starts.rs
@@ -7,7 +7,7 @@
 use emulator::{Emulator, job, step};
 use nutmegfold::core::time::Instant;
 use nutmegfold::core::work::request::{Answer, Phase};
-use nutmegfold::core::work::spec::{Id, Name, Resources, Step};
+use nutmegfold::core::work::spec::{Id, Name, Resources, Schedule, Spec, Step};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -34,9 +34,14 @@
 
 /// Submits a job of one task whose first order to start is carried out late. Returns the worker, and when it gets the order.
 fn start_late(emulator: &mut Emulator, task: Step, delay: Duration) -> (usize, Instant) {
+    submit_late(emulator, job([task]), delay)
+}
+
+/// Submits a job whose first order to start is carried out late. Returns the worker, and when it gets the order.
+fn submit_late(emulator: &mut Emulator, spec: Spec, delay: Duration) -> (usize, Instant) {
     emulator.workers.iter_mut().for_each(|worker| (worker.late_starts, worker.late_by) = (1, delay));
     let leader = emulator.leader().expect("a leader");
-    emulator.submit(leader, 1, job([task]));
+    emulator.submit(leader, 1, spec);
     while emulator.workers.iter().all(|worker| worker.late_starts > 0) {
         emulator.run_for(MILLISECOND);
     }
@@ -148,6 +153,33 @@
     }
 }
 
+/// A job of short tasks with two occurrences, of which the first is due now and the second long after the test.
+fn recurring(emulator: &Emulator, steps: impl IntoIterator<Item = Step>) -> Spec {
+    let schedule = Schedule { start_unix_ms: emulator.now.0 / 1_000, interval_ms: 60_000, times: 2 };
+    Spec { schedule: Some(schedule), ..job(steps) }
+}
+
+/// Guards against a leader that drops the note of a late order with the occurrence whose tasks are all done, and acknowledges
+/// their ends.
+#[test]
+fn a_done_task_of_a_closed_occurrence_runs_again_when_its_late_start_reaches_a_restarted_worker() {
+    for (seed, killed_after) in (0..SEEDS).flat_map(|seed| [None, Some(SECOND * 3)].map(|at| (seed, at))) {
+        let mut emulator = ready(seed, 2, 1);
+        // An end counts as acknowledged only while the lease of its worker lasts, as it does with another run.
+        emulator.submit(0, 2, job([Step { estimate: SECOND * 60, ..step(1) }]));
+        emulator.run_for(SECOND / 2);
+        let task = Step { estimate: SECOND * 3 / 10, ..step(1) };
+        let spec = recurring(&emulator, [task]);
+        let (worker, arrives_at) = submit_late(&mut emulator, spec, SECOND * 10);
+        if let Some(killed_after) = killed_after {
+            emulator.run_for(killed_after);
+            emulator.kill(emulator.leader().expect("a leader"));
+        }
+        restart_before(&mut emulator, worker, arrives_at);
+        assert_no_violation(&emulator, &format!("seed {seed}, leader killed after {killed_after:?}"));
+    }
+}
+
 /// Guards against an end that is never acknowledged, or a job that is shown as running until then.
 #[test]
 fn the_end_of_a_task_with_a_late_start_is_not_acknowledged_when_the_order_is_too_old() {
