Rest after a placement pass for its comparisons, too

Cause: the rest after a pass is counted in worker visits, and left out the comparisons with the needs of tasks without room. In the play of tests/overload.rs these are 4 to 6 million a second, a third of the time of placement. While other work kept the processor busy, late passes rested longer for that reason, so the gap did not show.

Change: eight comparisons count as a visit in the rest, as in the processor of the emulator.

--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -46,6 +46,9 @@
 /// Number of worker visits that a look at a group of waiting tasks takes as long as.
 const VISITS_PER_GROUP: u64 = 4;
 
+/// Number of comparisons with the needs of tasks without room that take as long as a worker visit.
+const NEEDS_PER_VISIT: u64 = 8;
+
 /// Work after which a pass stops, and leaves the other groups to the next one. The order of each start is encoded and sent
 /// before the next event is handled, which takes much longer than a look at a worker.
 const PASS_LIMIT: Limit = Limit { visits: 40_000, starts: 100 };
@@ -353,7 +356,8 @@
     state.placement_visits += pass.visits;
     state.meter.counts.unproven_workers += pass.unproven.len() as u64;
     // Events that wait while the process is behind are handled before the next pass.
-    let rest = state.tuning.place_rest_per_visit * pass.cost() as u32;
+    let comparisons = pass.tally.needs / NEEDS_PER_VISIT;
+    let rest = state.tuning.place_rest_per_visit * (pass.cost() + comparisons) as u32;
     state.placement_not_before = state.now + rest.max(lateness.min(LATE_REST_MAX));
     if !pass.unproven.is_empty() {
         seek_proof(state, &pass.unproven, out);
