Store the orders to start before they are sent

Cause: an order was stored only when its call had failed. The next leader knew nothing of an order under way and chose any worker for the task; it held back the acknowledgement of the end for 12 s, but the rule also counts a start after an end that is taken note of later, and a run beside a run.

Change: a run is planned first and reserves its room. The next commit writes task, worker and run number to the tip, which each commit writes anyway, and the order is sent once that commit has taken effect and the worker still takes it (core::work::dispatch). The next leader binds the tasks of these orders to their workers until a listing shows the run or the orders are too old, and writes them to its own tip, so a second change of the leader is covered, too. The wait of all ends of inherited tasks is removed.

--- a/src/core/work/control.rs
+++ b/src/core/work/control.rs
@@ -11,8 +11,8 @@
 use super::spec::{Id, Name, Resources};
 use super::worker::{HeldEnd, Release};
 use super::{
-    crash, health, journal, late, leadership, lifecycle, pace, place, reserve, speculate, state, symbol,
-    task, worker,
+    crash, dispatch, health, journal, late, leadership, lifecycle, pace, place, reserve, speculate, state,
+    symbol, task, worker,
 };
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
@@ -30,24 +30,24 @@
 /// Time for which a worker that reported itself unhealthy gets no new runs.
 const BUSY_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Starts a run of a task on a worker, and returns whether the order was sent. It is not sent while the worker's clock
-/// is unknown, since no lease can be computed then, and not for a second run of a task whose step allows none.
+/// Plans a run of a task on a worker, whose order to start is sent once the store has it. Returns whether it is planned: not
+/// while the worker's clock is unknown, since no lease can be computed then, not for a second run of a task whose step allows
+/// none, and not while too many orders are under way.
 pub(super) fn start(
     state: &mut super::State,
     task_key: task::Key,
     worker_key: worker::Key,
     number: u32,
-    out: &mut Vec<Effect>,
 ) -> bool {
     let now = state.now;
     let (is_copy, is_speculative) = copy_rules(state, task_key);
-    if is_copy && !is_speculative {
+    if (is_copy && !is_speculative) || !dispatch::has_room(state) {
         return false;
     }
-    let Some(worker) = state.workers.all.get_mut(worker_key) else { return false };
-    let Some(until_ms) = worker.grant_lease(now, &state.tuning) else { return false };
+    let worker = state.workers.all.get_mut(worker_key).filter(|worker| worker.clock_reading.is_some());
+    let Some(worker) = worker else { return false };
     let task = &mut state.jobs.tasks[task_key];
-    let job = &mut state.jobs.all[task.job];
+    let job = &state.jobs.all[task.job];
     let step = &job.spec.steps[task.name.step as usize];
     let charged = step.charged();
     let profile = step.share(&mut state.images);
@@ -59,9 +59,9 @@
         address: worker.address,
         charged,
         profile,
-        phase: Phase::Starting,
+        phase: Phase::Planned,
         is_confirmed: false,
-        has_open_start: true,
+        has_open_start: false,
         is_resent: false,
         has_survived: false,
         is_from_start: task.checkpoint.is_empty(),
@@ -90,25 +90,48 @@
     task.phase = task::Phase::Active;
     task.next_run = number + 1;
     task.runs.push(run);
-    let origin = match (task.is_inherited, task.may_have_unseen_run) {
-        (false, _) => "",
-        (true, true) => ", inherited from an earlier term",
-        (true, false) => ", inherited from an earlier term, a run was adopted",
-    };
-    let after = task.last_exit.map(|(run, exit)| format!(" (after run {run}: {})", exit.describe()));
-    let after = after.unwrap_or_default();
-    let reason = format!("run {number} of {}{after} on {}{origin}", task.name, worker.id);
-    state::record(out, Subject::Job(job.id), "start", reason);
-    send_start(state, run, until_ms, out);
+    dispatch::plan(state, run);
     if has_kept_room {
         reserve::release_room(state, task_key);
     }
     if is_speculative {
         speculate::watch(state, run);
     }
+    true
+}
+
+/// Sends the order to start a planned run, which the store has.
+pub(super) fn send_planned(state: &mut super::State, key: run::Key, out: &mut Vec<Effect>) {
+    let now = state.now;
+    let Some(run) = state.runs.get_mut(key) else { return };
+    let Some(worker) = state.workers.all.get_mut(run.worker) else { return };
+    let Some(until_ms) = worker.grant_lease(now, &state.tuning) else {
+        return dispatch::withdraw(state, key, "the clock of its worker is not known", out);
+    };
+    worker.last_start_at = now;
+    (run.phase, run.has_open_start, run.address) = (Phase::Starting, true, worker.address);
+    (run.started_at, run.progressed_at, run.pace_changed_at) = (now, now, now);
+    let worker_key = run.worker;
+    record_start(state, key, out);
+    send_start(state, key, until_ms, out);
     // A worker without runs is contacted at a long interval; from now on a long poll waits for the end of this run.
     super::renewal::schedule_now(state, worker_key);
-    true
+}
+
+/// Adds the start of a run to the timeline.
+fn record_start(state: &super::State, key: run::Key, out: &mut Vec<Effect>) {
+    let Some(run) = state.runs.get(key) else { return };
+    let Some(task) = run.task.and_then(|task| state.jobs.tasks.get(task)) else { return };
+    let origin = match (task.is_inherited, task.may_have_unseen_run) {
+        (false, _) => "",
+        (true, true) => ", inherited from an earlier term",
+        (true, false) => ", inherited from an earlier term, a run was adopted",
+    };
+    let after = task.last_exit.map(|(run, exit)| format!(" (after run {run}: {})", exit.describe()));
+    let after = after.unwrap_or_default();
+    let worker = &state.workers.all[run.worker].id;
+    let reason = format!("run {} of {}{after} on {worker}{origin}", run.number, run.name);
+    state::record(out, Subject::Job(run.name.job), "start", reason);
 }
 
 /// Sends the order to start a run.
@@ -153,6 +176,7 @@
     run.is_resent = true;
     run.has_open_start = true;
     (run.started_at, run.progressed_at) = (now, now);
+    late::note_repetition(state, key);
     send_start(state, key, until_ms, out);
     true
 }
@@ -163,12 +187,15 @@
     (!task.runs.is_empty(), step_of(state, task.name).is_some_and(speculate::allows))
 }
 
-/// Orders a worker to stop a run. The resources of the run stay reserved until the worker no longer has it.
+/// Orders a worker to stop a run. The resources of the run stay reserved until the worker no longer has it. A planned run is
+/// withdrawn.
 pub(super) fn stop(state: &mut super::State, key: run::Key, reason: &str, out: &mut Vec<Effect>) {
     let now = state.now;
     let Some(run) = state.runs.get_mut(key) else { return };
-    if matches!(run.phase, Phase::Stopping { .. }) {
-        return;
+    match run.phase {
+        Phase::Planned => return dispatch::withdraw(state, key, reason, out),
+        Phase::Stopping { .. } => return,
+        _ => {}
     }
     run.phase = Phase::Stopping { sent: now, confirmed: None };
     let (worker, name, number) = (run.worker, run.name, run.number);
@@ -339,7 +366,7 @@
 }
 
 /// Removes a run and releases its resources. Its task is queued again, from `not_before` on, if it has no other run.
-fn drop_run(state: &mut super::State, key: run::Key, exit: Exit, not_before: Instant) {
+pub(super) fn drop_run(state: &mut super::State, key: run::Key, exit: Exit, not_before: Instant) {
     if state.runs.get(key).is_some_and(|run| run.has_open_start) && matches!(exit, Exit::Lost(_)) {
         late::note(state, key);
     }
@@ -386,12 +413,12 @@
     out: &mut Vec<Effect>,
 ) {
     let now = state.now;
+    late::settle(state, worker, row.name, row.number);
     let Some(key) = find_run(state, worker, row.name, row.number) else {
         return adopt(state, worker, row, out);
     };
     crash::note_listed(state, key, sent);
     state.jobs.note_begun(row.name.job);
-    late::settle(state, key);
     let Some(run) = state.runs.get_mut(key) else { return };
     run.is_confirmed = true;
     run.address = state.workers.all[worker].renewal_address;
@@ -559,9 +586,7 @@
     let now = state.now;
     lifecycle::release_listed(state, end.name);
     let key = find_run(state, worker_key, end.name, end.run);
-    if let Some(key) = key {
-        late::settle(state, key);
-    }
+    late::settle(state, worker_key, end.name, end.run);
     hold_back(state, worker_key, end, out);
     state.jobs.note_begun(end.name.job);
     let run = key.and_then(|key| state.runs.get(key));
--- a/src/core/work/crash.rs
+++ b/src/core/work/crash.rs
@@ -70,7 +70,7 @@
     let run = state.runs.get(worker.trial_run?)?;
     let left = (run.started_at + SURVIVAL).since(state.now);
     match run.phase {
-        Phase::Starting => Some(left).filter(|left| !left.is_zero()),
+        Phase::Planned | Phase::Starting => Some(left).filter(|left| !left.is_zero()),
         Phase::Active { .. } => Some(left),
         Phase::Unconfirmed { .. } | Phase::Stopping { .. } => None,
     }
@@ -94,7 +94,7 @@
     };
     let runs = worker.runs.iter().filter_map(|run| state.runs.get(*run));
     runs.filter(is_possible)
-        .filter(|run| !matches!(run.phase, Phase::Starting) && !survives(run))
+        .filter(|run| !matches!(run.phase, Phase::Planned | Phase::Starting) && !survives(run))
         .filter_map(|run| run.task.map(|task| Start { task, number: run.number }))
         .collect()
 }
--- a/src/core/work/handler.rs
+++ b/src/core/work/handler.rs
@@ -405,6 +405,7 @@
     state.jobs.by_id.insert(id, key);
     let acceptance = journal::accept(state, key);
     state.jobs.all[key].acceptance = acceptance;
+    lifecycle::release_unstored(state, key);
     journal::answer_when_durable(state, acceptance, ticket, id, Answer::Accepted);
 }
 
--- a/src/core/work/journal.rs
+++ b/src/core/work/journal.rs
@@ -14,10 +14,10 @@
 use super::request::{Answer, Ticket};
 use super::spec::Id;
 use super::state::{self, Purpose};
-use super::store::{Key, Member, Reply, Request, Revision, Roster, Transaction, Value};
+use super::store::{Key, Member, Reply, Request, Revision, Roster, Tip, Transaction, Value};
 use super::timer::Timer;
 use super::worker::{self, Worker};
-use super::{job, leadership, lifecycle, renewal};
+use super::{dispatch, job, late, leadership, lifecycle, renewal, run};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -27,6 +27,9 @@
 /// Keys of a commit besides its changes: the two conditions and the write of the tip.
 const FIXED_KEYS: usize = 3;
 
+/// Time after the shortest interval between two placement passes in which the pass for a new job ends, unless the process is late.
+const PASS_TIME: Duration = Duration::from_millis(1);
+
 /// A change of the stored records. The value is encoded when the commit is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Change {
@@ -40,7 +43,8 @@
     Roster,
     /// Writes the image estimates.
     Images,
-    /// Writes nothing: its commit proves that this process still led when the commit was executed.
+    /// Writes nothing itself: its commit proves that this process still led when the commit was executed, and stores the orders of
+    /// planned runs.
     Confirm,
 }
 
@@ -107,6 +111,8 @@
     sent: Instant,
     /// Changes with their positions, in ascending order of each queue.
     changes: Vec<(Position, Change)>,
+    /// Planned runs whose orders it stores.
+    starts: Vec<run::Key>,
     transaction: Transaction,
     /// Whether a reply to the commit was lost, so that it may have taken effect.
     may_be_applied: bool,
@@ -154,6 +160,8 @@
     pub durable_sequence: u64,
     in_flight: Option<Commit>,
     waiting: Vec<Waiting>,
+    /// Number of orders to start in the stored tip.
+    stored_starts: usize,
     /// Earliest time of the next commit or of its repetition.
     next_commit: Instant,
     /// When the first commit since the last successful one was sent; `None` if none is outstanding.
@@ -244,6 +252,11 @@
         taken
     }
 
+    /// Whether a commit is in flight.
+    pub fn has_commit_in_flight(&self) -> bool {
+        self.in_flight.is_some()
+    }
+
     /// Whether no change is queued or in flight.
     pub fn is_idle(&self) -> bool {
         self.acceptances.is_empty() && self.queue.is_empty() && self.in_flight.is_none()
@@ -262,7 +275,8 @@
     sequence
 }
 
-/// Queues the acceptance of a job, and returns its position. It waits behind the removal of an ended job with the same identity,
+/// Queues the acceptance of a job, and returns its position. The commit waits for the next placement pass, so that it stores the
+/// first orders of the job, too, which a commit of their own would delay for longer. The acceptance waits behind the removal of an ended job with the same identity,
 /// whose progress a later leader would take for that of the new job.
 pub(super) fn accept(state: &mut super::State, key: job::Key) -> Position {
     let change = Change::Accept(key);
@@ -270,7 +284,11 @@
     if forget.is_some_and(|forget| state.journal.queued_sequences.contains_key(&forget)) {
         return Position::Change(queue_change(state, change));
     }
+    let first_pass_at = state.now + state.tuning.place_interval + PASS_TIME;
     let journal = &mut state.journal;
+    if journal.acceptances.is_empty() && journal.in_flight.is_none() {
+        journal.next_commit = journal.next_commit.max(first_pass_at);
+    }
     journal.last_acceptance += 1;
     journal.acceptances.push_back((journal.last_acceptance, change));
     let position = Position::Acceptance(journal.last_acceptance);
@@ -348,15 +366,18 @@
         }
         changes.push((position, change));
     }
-    if changes.is_empty() {
+    let starts = dispatch::take_queued(state);
+    if changes.is_empty() && starts.is_empty() {
         return;
     }
     let id = state.next_random();
-    transaction.put.push((Key::Tip, Value::Tip(id), None));
+    let tip = Tip { write: id, starts: late::under_way(state) };
+    transaction.put.push((Key::Tip, Value::Tip(tip), None));
     state.journal.in_flight = Some(Commit {
         id,
         sent: state.now,
         changes,
+        starts,
         transaction: transaction.clone(),
         may_be_applied: false,
     });
@@ -408,6 +429,13 @@
     workers.map(member).collect()
 }
 
+/// Queues a commit if the stored tip has orders that are not under way any more: the next leader waits for these.
+pub(super) fn review_tip(state: &mut super::State) {
+    if state.load.is_none() && late::under_way(state).len() < state.journal.stored_starts {
+        enqueue(state, Change::Confirm);
+    }
+}
+
 /// Handles the reply to a commit.
 pub(super) fn handle_reply(state: &mut super::State, reply: Reply, out: &mut Vec<Effect>) {
     let Some(commit) = state.journal.in_flight.take() else { return };
@@ -432,6 +460,7 @@
     state.journal.durable_sequence = state.journal.durable_sequence.max(change);
     state.journal.failing_since = None;
     state.journal.confirmed_at = commit.sent;
+    state.journal.stored_starts = commit.transaction.tip().map_or(0, |tip| tip.starts.len());
     state.meter.record_commit(commit.changes.len(), state.now.since(commit.sent));
     state.journal.next_commit = state.now + state.tuning.commit_interval;
     if !state.journal.is_idle() {
@@ -441,6 +470,7 @@
         apply_committed(state, change, &commit.transaction);
     }
     leadership::confirm(state, commit.sent, out);
+    dispatch::handle_stored(state, commit.starts, out);
     answer_durable(state, out);
     renewal::acknowledge_durable(state, out);
     state.schedule_placement();
@@ -456,9 +486,10 @@
         for (position, change) in commit.changes.into_iter().rev() {
             journal.put_back(position, change);
         }
+        dispatch::put_back(state, commit.starts);
     }
-    journal.next_commit = state.now + state.tuning.store_retry;
-    state.timers.set(journal.next_commit, Timer::Commit);
+    state.journal.next_commit = state.now + state.tuning.store_retry;
+    state.timers.set(state.journal.next_commit, Timer::Commit);
     answer_stalled(state, out);
 }
 
@@ -480,7 +511,7 @@
     for (position, key) in state.journal.take_acceptances() {
         withdrawn.push(position);
         record_withdrawal(state, key, position, out);
-        lifecycle::remove_unstored(state, key);
+        lifecycle::remove_unstored(state, key, out);
     }
     let reach = state.journal.reach_in_flight();
     for Waiting { position, ticket, job, answer } in std::mem::take(&mut state.journal.waiting) {
@@ -512,7 +543,8 @@
 /// Revision of the tip key if the commit with this number wrote it, so that the commit took effect.
 fn find_own_commit(current: &[(Key, Value, Revision)], id: u64) -> Option<Revision> {
     current.iter().find_map(|(key, value, revision)| {
-        (*key == Key::Tip && *value == Value::Tip(id)).then_some(*revision)
+        let is_own = matches!(value, Value::Tip(tip) if tip.write == id);
+        (*key == Key::Tip && is_own).then_some(*revision)
     })
 }
 
--- a/src/core/work/late.rs
+++ b/src/core/work/late.rs
@@ -10,17 +10,18 @@
 //! The orders are kept by the names of their tasks, since an order outlives its task in the memory of the leader: the occurrence
 //! may be closed, or the job may have ended.
 //!
-//! An order without an answer is stored before the task starts again, so that later leaders know of it. They do not know the
-//! orders that were under way when an earlier leader ended. So an end of a task of which that leader may have started a run, and
-//! none was found, is held back until these orders are too old.
+//! A later leader has to know of these orders, too. Each commit writes those under way to the tip, before they are sent
+//! ([`super::dispatch`]). One without an answer is stored with the progress of its job before the task starts again, so that the
+//! tip stays small while many orders get none.
 
 use super::journal::{self, Change};
 use super::order::{Ended, How};
+use super::run::{self, Phase, Run};
 use super::spec::{Id, Name};
 use super::store::TaskProgress;
 use super::task::{self, Task};
 use super::worker::{self, Worker};
-use super::{control, job, renewal, run, speculate};
+use super::{control, renewal, speculate, store};
 use crate::core::time::Instant;
 use crate::hash::Map;
 
@@ -31,18 +32,33 @@
     pub worker: worker::Key,
     /// Its identity.
     pub worker_id: String,
-    /// Number of the run.
+    /// Number of the run; 0 for any, if the order was noted by an earlier leader.
     pub number: u32,
     /// Time from which on it is not carried out any more.
     pub until: Instant,
     /// Whether the task starts on no other worker until then.
     pub binds_task: bool,
+    /// Whether the order was sent again, so that a listing of the run does not show that it was carried out for the last time.
+    pub is_repeated: bool,
+    /// What stores it.
+    pub stored_by: Record,
+}
+
+/// Record in the store by which a later leader knows an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Record {
+    /// Progress of its job, once the change with this sequence number is durable.
+    Progress(u64),
+    /// Only the tip.
+    Tip,
 }
 
 /// Orders that may still be carried out, by task. Some of them may be too old for that.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     starts: Map<Name, Vec<Start>>,
+    /// Runs whose orders are in the newest commits, and some of which may have been answered since.
+    followed: Vec<run::Key>,
 }
 
 impl Table {
@@ -61,6 +77,26 @@
         self.of(task).iter().map(|late| late.worker_id.clone()).collect()
     }
 
+    /// Number of runs whose orders may be under way, and which no answer has been noted for.
+    pub fn under_way_count(&self) -> usize {
+        self.followed.len()
+    }
+
+    /// Adds runs whose orders the next commit stores.
+    pub fn follow(&mut self, runs: Vec<run::Key>) {
+        self.followed.extend(runs);
+    }
+
+    /// Removes runs whose orders were not stored.
+    pub fn unfollow(&mut self, runs: &[run::Key]) {
+        self.followed.retain(|run| !runs.contains(run));
+    }
+
+    /// Whether an order to start a run is noted.
+    fn has_noted(&self, run: &Run) -> bool {
+        self.of(run.name).iter().any(|late| late.worker == run.worker && late.number == run.number)
+    }
+
     /// Adds an order, and removes an earlier one to start the same run.
     fn add(&mut self, task: Name, start: Start) {
         let starts = self.starts.entry(task).or_default();
@@ -86,14 +122,77 @@
     }
     let (worker, number, until) = (run.worker, run.number, run.started_at + state.tuning.order_delay_max);
     let worker_id = state.workers.all.get(worker).map(|worker| worker.id.clone()).unwrap_or_default();
-    let Some(task_key) = run.task.filter(|task| state.jobs.tasks.contains_key(*task)) else { return };
-    let start = Start { worker, worker_id, number, until, binds_task: true };
-    state.late.add(run.name, start);
-    let change = journal::enqueue(state, Change::Progress(state.jobs.tasks[task_key].job));
-    state.jobs.tasks[task_key].awaited_change = change;
+    let (name, is_repeated) = (run.name, run.is_resent);
+    let stored_by = match run.task.filter(|task| state.jobs.tasks.contains_key(*task)) {
+        Some(task) => {
+            let change = journal::enqueue(state, Change::Progress(state.jobs.tasks[task].job));
+            state.jobs.tasks[task].awaited_change = change;
+            Record::Progress(change)
+        }
+        None => Record::Tip,
+    };
+    let start = Start { worker, worker_id, number, until, binds_task: true, is_repeated, stored_by };
+    state.late.add(name, start);
     state.placement.wake_at([until]);
 }
 
+/// Notes that the order to start a run, which got no answer, is sent again.
+pub(super) fn note_repetition(state: &mut super::State, key: run::Key) {
+    let Some(run) = state.runs.get(key) else { return };
+    let starts = state.late.starts.get_mut(&run.name).into_iter().flatten();
+    let of_run = starts.filter(|late| late.worker == run.worker && late.number == run.number);
+    of_run.for_each(|late| late.is_repeated = true);
+}
+
+/// Orders to start that may be under way, or may still be carried out, and that no progress of a job has in the store.
+pub(super) fn under_way(state: &mut super::State) -> Vec<store::Start> {
+    let mut followed = std::mem::take(&mut state.late.followed);
+    let (runs, late) = (&state.runs, &state.late);
+    let is_open = |run: &Run| run.phase == Phase::Planned || (run.has_open_start && !late.has_noted(run));
+    followed.retain(|key| runs.get(*key).is_some_and(is_open));
+    let of_run = |run: &Run| {
+        let worker_id = state.workers.all.get(run.worker)?.id.clone();
+        Some(store::Start { task: run.name, worker_id, number: run.number })
+    };
+    let of_runs = followed.iter().filter_map(|key| of_run(runs.get(*key)?));
+    let durable = state.journal.durable_sequence;
+    let is_unstored = |late: &&Start| match late.stored_by {
+        Record::Progress(change) => change > durable,
+        Record::Tip => true,
+    };
+    let noted = late.starts.iter().flat_map(|(task, starts)| starts.iter().map(move |late| (*task, late)));
+    let noted = noted
+        .filter(|(_, late)| late.until > state.now && is_unstored(late))
+        .map(|(task, late)| store::Start { task, worker_id: late.worker_id.clone(), number: late.number });
+    let starts = of_runs.chain(noted).collect();
+    state.late.followed = followed;
+    starts
+}
+
+/// Notes the orders that may have been under way when the earlier leader ended.
+pub(super) fn inherit(state: &mut super::State, mut starts: Vec<store::Start>) {
+    // The newest order of a task decides on which worker it may start.
+    starts.sort_by_key(|start| start.number);
+    let until = state.earlier_orders_until;
+    if !starts.is_empty() {
+        state.placement.wake_at([until]);
+    }
+    for store::Start { task, worker_id, number } in starts {
+        // No worker is offered for a task that waits for one that is not known.
+        let worker = state.workers.by_id.get(&worker_id).copied().unwrap_or_default();
+        let (binds_task, is_repeated, stored_by) = (true, false, Record::Tip);
+        state.late.add(task, Start { worker, worker_id, number, until, binds_task, is_repeated, stored_by });
+    }
+}
+
+/// Time until which an order of an earlier leader may be carried out, at the begin of a term. That leader may still send orders
+/// until its proof ends.
+pub(super) fn earlier_orders_until(state: &super::State, begun: Instant) -> Instant {
+    let is_over = state.leadership.has_predecessor_ended;
+    let last_sent = if is_over { begun } else { begun + worker::PROOF_MAX };
+    last_sent + state.tuning.order_delay_max
+}
+
 /// Notes the orders that an earlier leader has stored with the progress of a job.
 pub(super) fn restore(state: &mut super::State, job: Id, progress: &[TaskProgress]) {
     let until = state.earlier_orders_until;
@@ -102,7 +201,9 @@
         for worker_id in late_on {
             let worker = state.workers.by_id.get(worker_id).copied();
             let (binds_task, worker) = (worker.is_some(), worker.unwrap_or_default());
-            let start = Start { worker, worker_id: worker_id.clone(), number: 0, until, binds_task };
+            let worker_id = worker_id.clone();
+            let (is_repeated, stored_by) = (true, Record::Progress(0));
+            let start = Start { worker, worker_id, number: 0, until, binds_task, is_repeated, stored_by };
             state.late.starts.entry(task).or_default().push(start);
         }
     }
@@ -133,11 +234,12 @@
 }
 
 /// Notes that a worker has carried out the order to start a run, unless another order to start it may follow.
-pub(super) fn settle(state: &mut super::State, key: run::Key) {
-    let Some(run) = state.runs.get_mut(key).filter(|run| !run.is_resent) else { return };
-    run.has_open_start = false;
-    let (worker, number) = (run.worker, run.number);
-    state.late.retain(run.name, |late| late.worker != worker || late.number != number);
+pub(super) fn settle(state: &mut super::State, worker: worker::Key, name: Name, number: u32) {
+    let run = control::find_run(state, worker, name, number).and_then(|key| state.runs.get_mut(key));
+    if let Some(run) = run {
+        run.has_open_start &= run.is_resent;
+    }
+    state.late.retain(name, |late| late.worker != worker || late.number != number || late.is_repeated);
 }
 
 /// Lets a task start on other workers than the ones that were sent late orders: the leases there have expired, whichever process
@@ -173,11 +275,8 @@
         return None;
     }
     let members = job.spec.gang_of(end.name);
-    let tasks = || members.iter().filter_map(|member| state.jobs.tasks.get(state.jobs.find_task(*member)?));
-    // A run that this leader has found is that of the order, so only its own runs can be others.
-    let is_own_run = job.inherited_in.is_some_and(|term| end.run >= job::first_run(Some(term)));
-    let may_be_under_way = is_own_run && tasks().any(|task| task.may_have_unseen_run);
-    let earlier = Some(state.earlier_orders_until).filter(|_| may_be_under_way);
     let late = members.iter().flat_map(|member| state.late.of(*member)).map(|late| late.until);
-    late.chain(earlier).chain([job.late_until]).max().filter(|until| *until > state.now)
+    // The steps of an ended job that was loaded are not known, and so neither are the members of a gang.
+    let of_job = job.phase.has_ended().then(|| latest_of_job(state, job.id));
+    late.chain(of_job).chain([job.late_until]).max().filter(|until| *until > state.now)
 }
--- a/src/core/work/leadership.rs
+++ b/src/core/work/leadership.rs
@@ -12,7 +12,7 @@
 
 use super::state::{self, Purpose};
 use super::store::{
-    Change, Item, Key, Leader, Removed, Reply, Request, Revision, Roster, Transaction, Value,
+    Change, Item, Key, Leader, Removed, Reply, Request, Revision, Roster, Tip, Transaction, Value,
 };
 use super::timer::Timer;
 use super::tuning::Tuning;
@@ -298,6 +298,7 @@
     }
     journal::retire_vacated(state, out);
     late::prune(state);
+    journal::review_tip(state);
     state.call_store(Purpose::Renew, Request::Renew { lease }, out);
     if state.now.since(confirmed) >= state.tuning.leader_renewal {
         read_key(state, out);
@@ -367,6 +368,7 @@
     state.evacuations = Default::default();
     state.workers = Default::default();
     state.late = Default::default();
+    state.dispatch = Default::default();
     state.runs.clear();
     state.runtimes = Default::default();
     state.speculation = Default::default();
@@ -394,6 +396,8 @@
         };
         let roster = Roster { members: journal::members(state, wait), resigned_in: term };
         transaction.put.push((Key::Roster, Value::Roster(roster), None));
+        let tip = Tip { write: state.next_random(), starts: late::under_way(state) };
+        transaction.put.push((Key::Tip, Value::Tip(tip), None));
     }
     state.leadership.is_resigning = true;
     state.call_store(Purpose::Resign, Request::Commit(transaction), out);
--- a/src/core/work/lifecycle.rs
+++ b/src/core/work/lifecycle.rs
@@ -9,7 +9,7 @@
 use super::spec::{Id, Name};
 use super::store::Record;
 use super::timer::Timer;
-use super::{control, late, state, task};
+use super::{control, late, run, state, task};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -67,6 +67,20 @@
 
 /// Releases the occurrences whose release time has come, and sets a timer for the next one.
 pub(super) fn release_due(state: &mut super::State, key: job::Key) {
+    release_until_now(state, key);
+    state.schedule_placement();
+}
+
+/// The same for a job whose acceptance is queued: its first runs are planned before that, so that the same commit stores their
+/// orders, too. A commit in flight ends with a placement pass, so that each submission does not cost one.
+pub(super) fn release_unstored(state: &mut super::State, key: job::Key) {
+    release_until_now(state, key);
+    if !state.journal.has_commit_in_flight() {
+        state.schedule_placement();
+    }
+}
+
+fn release_until_now(state: &mut super::State, key: job::Key) {
     while let Some(wait) = time_to_release(state, key) {
         if !wait.is_zero() {
             state.timers.set(state.now + wait, Timer::Release(key));
@@ -74,7 +88,6 @@
         }
         state.jobs.release(key, Instant::default(), state.now);
     }
-    state.schedule_placement();
 }
 
 /// Releases the occurrences up to one of which a worker lists a run. An earlier leader whose clock is ahead may have
@@ -100,16 +113,29 @@
     Some(Duration::from_millis(due.saturating_sub(state.unix_ms)))
 }
 
-/// Removes a job unless it is stored: the tasks of a stored job may have runs, and the next leader loads it again.
-pub(super) fn remove_unstored(state: &mut super::State, key: job::Key) {
+/// Removes a job unless it is stored: the tasks of a stored job may have runs, and the next leader loads it again. Those of others
+/// have only planned ones.
+pub(super) fn remove_unstored(state: &mut super::State, key: job::Key, out: &mut Vec<Effect>) {
     let Some(job) = state.jobs.all.get(key) else { return };
     if job.is_stored {
         return;
     }
-    state.jobs.by_id.remove(&job.id);
+    let (id, runs) = (job.id, runs_of(state, key));
+    for run in runs {
+        control::stop(state, run, "its job is not stored", out);
+    }
+    state.jobs.remove_tasks(key);
+    state.jobs.by_id.remove(&id);
     state.jobs.all.remove(key);
 }
 
+/// Runs of the tasks of a job.
+fn runs_of(state: &super::State, key: job::Key) -> Vec<run::Key> {
+    let occurrences = state.jobs.all.get(key).into_iter().flat_map(|job| job.open_occurrences.values());
+    let tasks = occurrences.flat_map(|occurrence| occurrence.tasks.iter().flatten());
+    tasks.filter_map(|task| state.jobs.tasks.get(*task)).flat_map(|task| task.runs.iter().copied()).collect()
+}
+
 /// Ends a job, unless it has ended, and stops its runs.
 pub(super) fn end_job(state: &mut super::State, key: job::Key, phase: Phase, out: &mut Vec<Effect>) {
     let Some(id) = state.jobs.all.get(key).filter(|job| !job.phase.has_ended()).map(|job| job.id) else {
@@ -122,17 +148,11 @@
     job.phase = phase;
     job.finished_unix_ms = state.unix_ms;
     state::record(out, Subject::Job(job.id), "end", format!("{phase:?}, change {sequence}"));
-    let tasks =
-        job.open_occurrences.values().flat_map(|occurrence| occurrence.tasks.iter().flatten().copied());
-    let runs: Vec<_> = tasks
-        .filter_map(|task| state.jobs.tasks.get(task))
-        .flat_map(|task| task.runs.iter().copied())
-        .collect();
-    for run in runs {
-        control::stop(state, run, "its job has ended", out);
-        if let Some(run) = state.runs.get_mut(run) {
+    for key in runs_of(state, key) {
+        if let Some(run) = state.runs.get_mut(key) {
             run.task = None;
         }
+        control::stop(state, key, "its job has ended", out);
     }
     state.jobs.remove_tasks(key);
     schedule_removal(state, key);
@@ -170,12 +190,11 @@
 fn finish_task(state: &mut super::State, key: task::Key, number: u32, out: &mut Vec<Effect>) {
     let Some(task) = state.jobs.tasks.get_mut(key) else { return };
     let (job, runs) = (task.job, std::mem::take(&mut task.runs));
-    for run in runs {
-        if state.runs.get(run).is_some_and(|run| run.number != number) {
-            control::stop(state, run, "another run of its task is done", out);
-        }
-        if let Some(run) = state.runs.get_mut(run) {
-            run.task = None;
+    for key in runs {
+        let Some(run) = state.runs.get_mut(key) else { continue };
+        run.task = None;
+        if run.number != number {
+            control::stop(state, key, "another run of its task is done", out);
         }
     }
     if state.jobs.finish_task(key, state.now) {
--- a/src/core/work/load.rs
+++ b/src/core/work/load.rs
@@ -6,7 +6,7 @@
 use super::request::Phase;
 use super::spec::Id;
 use super::state::{self, Purpose};
-use super::store::{Item, Key, Progress, Range, Record, Reply, Request, Roster, Value};
+use super::store::{Item, Key, Progress, Range, Record, Reply, Request, Roster, Start, Value};
 use super::timer::Timer;
 use super::{gate, handler, journal, late, lifecycle, renewal, watch};
 use crate::core::effect::Effect;
@@ -17,7 +17,7 @@
 /// A part of the records, which is read on its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Part {
-    /// Identity of the latest commit.
+    /// Identity of the latest commit, and the orders to start that may be under way.
     Tip,
     /// Workers that may run tasks.
     Roster,
@@ -45,6 +45,7 @@
     /// Ranges that have not been listed in this term.
     missing_ranges: Vec<Range>,
     tip_revision: u64,
+    starts: Vec<Start>,
     roster: Roster,
     jobs: Map<Id, Record>,
     progress: Map<Id, Progress>,
@@ -91,7 +92,9 @@
     match reply {
         Reply::Read(found) => {
             match found {
-                Some((Value::Tip(_), revision)) => load.tip_revision = revision,
+                Some((Value::Tip(tip), revision)) => {
+                    (load.tip_revision, load.starts) = (revision, tip.starts);
+                }
                 Some((Value::Roster(roster), _)) => load.roster = roster,
                 Some((Value::Images(knowledge), _)) => state.images.restore(&knowledge),
                 _ => {}
@@ -154,13 +157,17 @@
     let enrolled_count = load.roster.members.len();
     let job_count = load.jobs.len();
     let (begun, tuning) = (load.started_at, state.tuning);
-    state.earlier_orders_until = begun + tuning.order_delay_max;
+    state.earlier_orders_until = late::earlier_orders_until(state, begun);
+    let start_count = load.starts.len();
     restore(state, load.jobs, load.progress);
+    late::inherit(state, load.starts);
     if job_count > 0 {
         gate::close(state, &load.roster, begun, out);
     }
     let elapsed_ms = state.now.since(begun).as_millis();
-    let reason = format!("{job_count} jobs, {enrolled_count} known workers, read in {elapsed_ms} ms");
+    let reason = format!(
+        "{job_count} jobs, {enrolled_count} known workers, {start_count} orders under way, read in {elapsed_ms} ms"
+    );
     state::record(out, Subject::Process, "loaded", reason);
     journal::retire_vacated(state, out);
     journal::enroll(state, out);
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -11,6 +11,7 @@
 mod control;
 pub mod crash;
 mod discovery;
+pub mod dispatch;
 pub mod effect;
 pub mod evacuation;
 pub mod event;
--- a/src/core/work/place/copy.rs
+++ b/src/core/work/place/copy.rs
@@ -60,7 +60,7 @@
         return state.speculation.keep_candidate(key);
     }
     let reason = describe(state, &first, case, cause, worker);
-    if control::start(state, task_key, worker, number, out) {
+    if control::start(state, task_key, worker, number) {
         state::record(out, Subject::Job(first.name.job), "copy", reason);
         state.meter.counts.copies += 1;
         pass.memory.note(state, worker);
--- a/src/core/work/place/gang.rs
+++ b/src/core/work/place/gang.rs
@@ -51,9 +51,10 @@
         return;
     }
     let tenure = state.tenure();
-    let unproven = plan.iter().copied().filter(|key| !state.workers.all[*key].has_proof(tenure));
-    pass.unproven.extend(unproven);
-    if plan.iter().any(|key| pass.unproven.contains(key)) {
+    let is_unproven = |key: &Key| state.is_proof_late() && !state.workers.all[*key].has_proof(tenure);
+    let unproven: Vec<Key> = plan.iter().copied().filter(is_unproven).collect();
+    if !unproven.is_empty() {
+        pass.unproven.extend(unproven);
         return;
     }
     let number = tasks.iter().map(|task| state.jobs.tasks[*task].next_run).max().unwrap_or(1);
@@ -61,7 +62,7 @@
         tasks.iter().map(|task| state.jobs.tasks[*task].checkpoint.clone()).max().unwrap_or_default();
     for (key, worker) in tasks.iter().zip(plan) {
         state.jobs.tasks[*key].checkpoint.clone_from(&checkpoint);
-        if control::start(state, *key, worker, number, out) {
+        if control::start(state, *key, worker, number) {
             pass.memory.note(state, worker);
             pass.racks.forget(&state.workers.all[worker]);
         }
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -33,7 +33,7 @@
 use super::reserve::Outline;
 use super::spec::Resources;
 use super::worker::Key;
-use super::{backlog, control, gate, late, leadership, renewal, reserve, symbol, task, wait};
+use super::{backlog, control, dispatch, gate, late, leadership, renewal, reserve, symbol, task, wait};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::hash::{Map, Set};
@@ -339,8 +339,10 @@
         return;
     }
     gate::review(state, out);
+    let unproven = dispatch::send_stored(state, out);
     let waiting = sort_waiting(state);
     let mut pass = Pass::begin(state);
+    pass.unproven = unproven;
     pass.tally.groups += waiting.len() as u64;
     let resumed = pass.memory.resume_at.take();
     let resumed_index = resumed.map_or(0, |at| waiting.partition_point(|order| *order < at));
@@ -584,13 +586,13 @@
     if !is_near && need.only.is_none() && locality::waits(state, key, need, pass, out) {
         return ControlFlow::Continue(());
     }
-    if !state.workers.all[worker].has_proof(state.tenure()) {
+    if state.is_proof_late() && !state.workers.all[worker].has_proof(state.tenure()) {
         pass.unproven.insert(worker);
         // Nothing is reserved, so the same worker would be found for each later task that accepts it.
         let is_usual = !need.is_suspect && need.avoid.is_none() && need.only.is_none();
         return if is_usual { ControlFlow::Break(()) } else { ControlFlow::Continue(()) };
     }
-    if control::start(state, key, worker, number, out) {
+    if control::start(state, key, worker, number) {
         pass.memory.note(state, worker);
         pass.racks.forget(&state.workers.all[worker]);
         locality::record_start(state, key, is_near, pass);
--- a/src/core/work/renewal.rs
+++ b/src/core/work/renewal.rs
@@ -11,7 +11,7 @@
 use super::run::{self, Loss, Phase, Run};
 use super::timer::Timer;
 use super::worker::{Key, Release};
-use super::{control, crash, leadership, pace, state};
+use super::{control, crash, dispatch, leadership, pace, state};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::core::trace::Subject;
@@ -315,6 +315,7 @@
         state.meter.counts.silent_workers += 1;
     }
     worker.next_renewal_at = now + state.tuning.worker_retry;
+    dispatch::withdraw_from(state, key, out);
 }
 
 /// Drops the runs of a silent worker whose leases have expired, and removes a silent worker that the store does not
@@ -370,6 +371,7 @@
         let is_there = is_there(run);
         match run.phase {
             _ if is_there || listing.has_more_ends => {}
+            Phase::Planned => {}
             Phase::Active { since } if since < sent => {
                 control::drop_lost(state, run_key, Loss::Restarted, out);
             }
--- a/src/core/work/run.rs
+++ b/src/core/work/run.rs
@@ -17,6 +17,8 @@
 /// State of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
+    /// The order to start is sent once the store has it.
+    Planned,
     /// The order to start is in flight.
     Starting,
     /// The order to start got no answer, so the run may have been started, or may still be.
@@ -147,7 +149,7 @@
     pub is_from_start: bool,
     /// Whether it began as a speculative copy, beside another run of its task.
     pub is_copy: bool,
-    /// When the order to start was sent, or when the run was first listed.
+    /// When the run was planned, when the order to start was sent, or when the run was first listed.
     pub started_at: Instant,
     /// Progress in percent.
     pub progress_percent: u32,
@@ -173,6 +175,7 @@
     pub fn describe_phase(&self, now: Instant) -> String {
         let age_ms = |at: Instant| now.since(at).as_millis();
         match self.phase {
+            Phase::Planned => format!("planned {} ms ago", age_ms(self.started_at)),
             Phase::Starting => format!("start sent {} ms ago, not answered yet", age_ms(self.started_at)),
             Phase::Unconfirmed { since } => format!("start unconfirmed for {} ms", age_ms(since)),
             Phase::Active { since } => format!("active for {} ms", age_ms(since)),
--- a/src/core/work/state.rs
+++ b/src/core/work/state.rs
@@ -13,8 +13,8 @@
 use super::timer::Timer;
 use super::tuning::Tuning;
 use super::{
-    admission, backlog, confirm, evacuation, handler, image, job, journal, late, leadership, load, place,
-    relay, reserve, run, runtime, silence, speculate, worker,
+    admission, backlog, confirm, dispatch, evacuation, handler, image, job, journal, late, leadership, load,
+    place, relay, reserve, run, runtime, silence, speculate, worker,
 };
 use crate::core::effect::Effect as CoreEffect;
 use crate::core::time::Instant;
@@ -151,6 +151,8 @@
     pub late: late::Table,
     /// Runs; empty unless this process leads.
     pub runs: run::Table,
+    /// Planned runs; empty unless this process leads.
+    pub dispatch: dispatch::State,
     /// Run times of the tasks of each queue; empty unless this process leads.
     pub runtimes: runtime::Table,
     /// Runs that may get speculative copies, and the copies; empty unless this process leads.
@@ -229,6 +231,7 @@
             earlier_orders_until: Instant::default(),
             late: late::Table::default(),
             runs: run::Table::default(),
+            dispatch: dispatch::State::default(),
             runtimes: runtime::Table::default(),
             speculation: speculate::State::default(),
             images: image::Table::default(),
--- a/src/core/work/store.rs
+++ b/src/core/work/store.rs
@@ -45,8 +45,8 @@
     Leader(Leader),
     /// Value of [`Key::Relay`].
     Relay(Relay),
-    /// Value of [`Key::Tip`]: the random number of the commit that wrote it.
-    Tip(u64),
+    /// Value of [`Key::Tip`].
+    Tip(Tip),
     /// Value of [`Key::Roster`].
     Roster(Roster),
     /// Value of [`Key::Images`].
@@ -57,6 +57,26 @@
     Progress(Progress),
 }
 
+/// What each commit writes.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Tip {
+    /// Random number of the commit.
+    pub write: u64,
+    /// Orders to start that may be sent, or may be carried out, after the commit. Those in the progress of a job may be left out.
+    pub starts: Vec<Start>,
+}
+
+/// An order to start a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Start {
+    /// The task.
+    pub task: Name,
+    /// Identity of the worker.
+    pub worker_id: String,
+    /// Number of the run.
+    pub number: u32,
+}
+
 /// The leader of one term.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Leader {
@@ -219,6 +239,16 @@
     pub delete: Vec<Key>,
 }
 
+impl Transaction {
+    /// The tip that it writes, if it does.
+    pub fn tip(&self) -> Option<&Tip> {
+        self.put.iter().find_map(|(_, value, _)| match value {
+            Value::Tip(tip) => Some(tip),
+            _ => None,
+        })
+    }
+}
+
 /// An operation of the store.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Request {
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -41,6 +41,9 @@
 /// last for the longest lease, and are sent until the restart is noticed.
 const YOUNG_PROCESS_AGE_MS: u64 = 20_000;
 
+/// Longest time after the last proof of its leadership in which a leader sends an order to start.
+pub const PROOF_MAX: Duration = RESTART_MIN.saturating_add(LAG_ALLOWANCE_MAX);
+
 /// Time left for an order to start when it is issued, in which it is sent and arrives.
 const START_TRAVEL: Duration = Duration::from_millis(100);
 
@@ -432,7 +435,12 @@
     ///
     /// No commit of a leader that has been replaced takes effect, so one that was sent since the process is known shows that
     /// the process had not forgotten a later leader when it was first seen.
-    fn is_available(&self, Tenure { now, committed_at, .. }: Tenure) -> bool {
+    fn is_available(&self, tenure: Tenure) -> bool {
+        self.is_reachable(tenure) && self.trial_run.is_none()
+    }
+
+    /// The same whatever is on trial there.
+    fn is_reachable(&self, Tenure { now, committed_at, .. }: Tenure) -> bool {
         let is_ready = self.report.as_ref().is_some_and(|report| report.readiness == Readiness::Ready);
         is_ready
             && self.is_listed
@@ -443,7 +451,19 @@
             && self.silent_since.is_none()
             && self.process_known_at.is_some_and(|at| at <= committed_at)
             && self.paused_until <= now
-            && self.trial_run.is_none()
+    }
+
+    /// Whether the order to start a run that was planned for it may be sent, once [`Self::has_proof`] holds.
+    pub fn takes_planned(
+        &self,
+        run: run::Key,
+        service: symbol::Key,
+        label: Option<symbol::Key>,
+        tenure: Tenure,
+    ) -> bool {
+        self.is_reachable(tenure)
+            && self.suits(service, label)
+            && self.trial_run.is_none_or(|trial| trial == run)
     }
 
     /// Whether it takes new runs of a service with a label as far as its report tells, however it answers.
@@ -492,7 +512,7 @@
         }
         let runs = || self.runs.iter().filter_map(|run| runs.get(*run));
         let mut until = self.leases_expire_at.max(now);
-        if runs().any(|run| !run.is_confirmed) {
+        if runs().any(|run| !run.is_confirmed && run.phase != Phase::Planned) {
             until = until.max(self.unknown_leases_expire_at);
         }
         if runs().any(|run| run.phase == Phase::Starting) {
@@ -581,7 +601,7 @@
 
     /// Whether the lease of a run has expired. A run whose start got no answer may be in a process that is not known of.
     pub fn has_expired(&self, run: &Run, now: Instant) -> bool {
-        let is_in_flight = run.phase == Phase::Starting;
+        let is_in_flight = matches!(run.phase, Phase::Planned | Phase::Starting);
         let has_unknown_lease = !run.is_confirmed && now <= self.unknown_leases_expire_at;
         self.leases_expire_at < now && !is_in_flight && !has_unknown_lease
     }
--- a/src/wire/job.rs
+++ b/src/wire/job.rs
@@ -10,7 +10,9 @@
 use crate::core::work::image::{Estimates, Image, Pair};
 use crate::core::work::request::{Answer, Phase, Request, Verb};
 use crate::core::work::spec::{Id, Name, Resources, Schedule, Spec, Step};
-use crate::core::work::store::{Key, Leader, Member, Progress, Record, Relay, Roster, TaskProgress, Value};
+use crate::core::work::store::{
+    Key, Leader, Member, Progress, Record, Relay, Roster, Start, TaskProgress, Tip, Value,
+};
 use crate::declare::zone;
 use crate::error::Decode;
 
@@ -67,7 +69,7 @@
     match value {
         Value::Leader(leader) => envelope::seal(Kind::Leader, proto::Leader::from(leader).encode_to_vec()),
         Value::Relay(relay) => envelope::seal(Kind::Relay, proto::Relay::from(relay).encode_to_vec()),
-        Value::Tip(write) => envelope::seal(Kind::Tip, proto::Tip { write: *write }.encode_to_vec()),
+        Value::Tip(tip) => envelope::seal(Kind::Tip, proto::Tip::from(tip).encode_to_vec()),
         Value::Roster(roster) => envelope::seal(Kind::Roster, proto::Roster::from(roster).encode_to_vec()),
         Value::Images(estimates) => {
             envelope::seal(Kind::Images, proto::Images::from(estimates).encode_to_vec())
@@ -96,7 +98,7 @@
         }
         Key::Tip => {
             let body = envelope::open(Kind::Tip, bytes)?;
-            Ok(Value::Tip(proto::Tip::decode(body.as_slice())?.write))
+            Ok(Value::Tip(proto::Tip::decode(body.as_slice())?.try_into()?))
         }
         Key::Roster => {
             let body = envelope::open(Kind::Roster, bytes)?;
@@ -185,19 +187,49 @@
     }
 }
 
+impl From<&Name> for proto::Task {
+    fn from(name: &Name) -> Self {
+        Self { job: name.job.0, occurrence: name.occurrence, step: name.step, index: name.index }
+    }
+}
+
+impl From<proto::Task> for Name {
+    fn from(task: proto::Task) -> Self {
+        Self { job: Id(task.job), occurrence: task.occurrence, step: task.step, index: task.index }
+    }
+}
+
+impl From<&Tip> for proto::Tip {
+    fn from(tip: &Tip) -> Self {
+        let start = |start: &Start| proto::Start {
+            task: Some((&start.task).into()),
+            worker: start.worker_id.clone(),
+            number: start.number,
+        };
+        Self { write: tip.write, starts: tip.starts.iter().map(start).collect() }
+    }
+}
+
+impl TryFrom<proto::Tip> for Tip {
+    type Error = Decode;
+
+    fn try_from(tip: proto::Tip) -> Result<Self, Decode> {
+        let start = |start: proto::Start| {
+            let task = start.task.ok_or(Decode::Field("task"))?.into();
+            Ok(Start { task, worker_id: start.worker, number: start.number })
+        };
+        let starts = tip.starts.into_iter().map(start).collect::<Result<_, Decode>>()?;
+        Ok(Self { write: tip.write, starts })
+    }
+}
+
 impl From<&Member> for proto::Member {
     fn from(member: &Member) -> Self {
-        let task = |name: &Name| proto::Task {
-            job: name.job.0,
-            occurrence: name.occurrence,
-            step: name.step,
-            index: name.index,
-        };
         Self {
             id: member.id.clone(),
             address: member.address.to_string(),
             is_closed: member.remaining.is_some(),
-            remaining: member.remaining.iter().flatten().map(task).collect(),
+            remaining: member.remaining.iter().flatten().map(proto::Task::from).collect(),
             wait_ms: member.wait.map(|wait| wait.as_millis() as u64),
         }
     }
@@ -208,16 +240,10 @@
 
     fn try_from(member: proto::Member) -> Result<Self, Decode> {
         let address = member.address.parse().map_err(|_| Decode::Field("address"))?;
-        let name = |task: proto::Task| Name {
-            job: Id(task.job),
-            occurrence: task.occurrence,
-            step: task.step,
-            index: task.index,
-        };
         Ok(Self {
             id: member.id,
             address,
-            remaining: member.is_closed.then(|| member.remaining.into_iter().map(name).collect()),
+            remaining: member.is_closed.then(|| member.remaining.into_iter().map(Name::from).collect()),
             wait: member.wait_ms.map(Duration::from_millis),
         })
     }
--- a/tests/jobs_metrics.rs
+++ b/tests/jobs_metrics.rs
@@ -131,6 +131,8 @@
     let waiting = Step { resources: need(4_000), ..step(1) };
     for (id, step) in (1..).zip([long_running, ending, waiting]) {
         emulator.submit(0, id, job([step]));
+        // Jobs that are submitted together are placed in an order of their own.
+        emulator.run_for(Duration::from_millis(50));
     }
     emulator.run_for(Duration::from_secs(4));
     let cores = |kind: &str, state: &str| {
--- a/tests/late_starts.rs
+++ b/tests/late_starts.rs
@@ -180,6 +180,52 @@
     }
 }
 
+/// Kills the leader just after it has sent an order that is carried out late, and each further leader after the given times. The
+/// worker that was sent the order restarts just before it arrives there. Meanwhile another worker is fuller.
+fn change_leaders(seed: u64, tasks: Step, delay: Duration, killed_after: &[Duration]) -> Emulator {
+    let mut emulator = ready(seed, 3, 3);
+    fill_for_a_second(&mut emulator);
+    let (worker, arrives_at) = start_late(&mut emulator, tasks, delay);
+    for killed_after in [&[MILLISECOND * 5], killed_after].concat() {
+        emulator.run_for(killed_after);
+        emulator.kill(emulator.leader().expect("a leader"));
+    }
+    restart_before(&mut emulator, worker, arrives_at);
+    emulator
+}
+
+/// Plays [`change_leaders`] with one and with two changes of the leader.
+fn assert_no_violation_after_changes(tasks: &Step) {
+    for (seed, delay) in (0..SEEDS).flat_map(|seed| DELAYS.map(|delay| (seed, delay))) {
+        for killed_after in [&[][..], &[SECOND * 3][..]] {
+            let mut emulator = change_leaders(seed, tasks.clone(), delay, killed_after);
+            let case = format!("seed {seed}, late by {delay:?}, next leader killed after {killed_after:?}");
+            assert_no_violation(&emulator, &case);
+            let has_task = emulator.observer.is_running(TASK) || is_completed(&mut emulator);
+            assert!(has_task, "{case}: {:#?}", emulator.log);
+        }
+    }
+}
+
+/// Guards against a leader that starts a task on another worker than the leader before it, whose order was under way when it was
+/// killed: the order starts the done task again.
+#[test]
+fn a_done_task_runs_again_when_an_order_of_a_killed_leader_reaches_a_restarted_worker() {
+    assert_no_violation_after_changes(&Step { estimate: SECOND * 3 / 5, ..long_task() });
+}
+
+/// Guards against the same with a task that is still at work when the order arrives.
+#[test]
+fn a_task_runs_twice_at_once_when_an_order_of_a_killed_leader_reaches_a_restarted_worker() {
+    assert_no_violation_after_changes(&long_task());
+}
+
+/// Guards against the same with a task that runs until its job is cancelled.
+#[test]
+fn a_long_running_task_runs_twice_at_once_when_an_order_of_a_killed_leader_reaches_a_restarted_worker() {
+    assert_no_violation_after_changes(&Step { is_long_running: true, ..long_task() });
+}
+
 /// Guards against an end that is never acknowledged, or a job that is shown as running until then.
 #[test]
 fn the_end_of_a_task_with_a_late_start_is_not_acknowledged_when_the_order_is_too_old() {
