Start nothing on a worker by the report of another process

Cause: kind, service, zone, rack, capacity and readiness of a worker come from its entry in the store. A process that has restarted may be of another kind, and answers before its entry is written. The leader noticed the restart and went on by the old entry; nothing compared the start times that both name.

Change: a worker whose report and answers name different start times takes no new runs, keeps those that it has, and does not count for the reserve. That holds whichever of the two is newer, and for a leader that meets both for the first time. A report or an answer without a start time closes no worker. The report of waiting tasks names the reason.

--- a/src/core/work/reserve.rs
+++ b/src/core/work/reserve.rs
@@ -60,12 +60,14 @@
 
 impl Table {
     /// Counts the workers of each service. A worker that is only silent or suspected counts, so that the reserve does not
-    /// change with each of them; one that is about to leave, or whose availability zone is evacuated, does not.
+    /// change with each of them; one that is about to leave, whose availability zone is evacuated, or whose report is of an
+    /// earlier process, does not.
     pub fn survey(workers: &worker::Table, share_percent: u32) -> Self {
         let mut table = Self::default();
         for worker in workers.all.values() {
             let (Some(report), Some(service)) = (&worker.report, worker.service) else { continue };
-            if !worker.is_listed || worker.is_evacuated || report.readiness != Readiness::Ready {
+            let is_ready = report.readiness == Readiness::Ready && worker.has_current_report();
+            if !worker.is_listed || worker.is_evacuated || !is_ready {
                 continue;
             }
             let reserve = table.get_or_insert(service);
--- a/src/core/work/wait.rs
+++ b/src/core/work/wait.rs
@@ -63,6 +63,8 @@
 pub enum Exclusion {
     /// Its availability zone is evacuated.
     Evacuated,
+    /// Its report is of another process than the one that answers.
+    Outdated,
     /// The stored roster does not contain it at its current address.
     NotEnrolled,
     /// It does not answer.
@@ -86,8 +88,9 @@
 }
 
 /// Names of the exclusions, in the order of the variants.
-const EXCLUSION_NAMES: [&str; 11] = [
+const EXCLUSION_NAMES: [&str; 12] = [
     "zone evacuated",
+    "report of another process",
     "not enrolled",
     "silent",
     "no answer yet",
@@ -192,6 +195,8 @@
     let has_answered = worker.last_answer_at.is_some() && worker.clock_reading.is_some();
     Some(if worker.is_evacuated {
         Exclusion::Evacuated
+    } else if !worker.has_current_report() {
+        Exclusion::Outdated
     } else if !worker.is_enrolled {
         Exclusion::NotEnrolled
     } else if worker.silent_since.is_some() {
--- a/src/core/work/worker.rs
+++ b/src/core/work/worker.rs
@@ -443,6 +443,7 @@
     fn is_reachable(&self, Tenure { now, committed_at, .. }: Tenure) -> bool {
         let is_ready = self.report.as_ref().is_some_and(|report| report.readiness == Readiness::Ready);
         is_ready
+            && self.has_current_report()
             && self.is_listed
             && !self.is_evacuated
             && self.is_enrolled
@@ -469,7 +470,20 @@
     /// Whether it takes new runs of a service with a label as far as its report tells, however it answers.
     pub fn takes_runs(&self, service: symbol::Key, label: Option<symbol::Key>) -> bool {
         let is_ready = self.report.as_ref().is_some_and(|report| report.readiness == Readiness::Ready);
-        is_ready && self.is_listed && !self.is_evacuated && self.suits(service, label)
+        is_ready
+            && self.has_current_report()
+            && self.is_listed
+            && !self.is_evacuated
+            && self.suits(service, label)
+    }
+
+    /// Whether its report is of the process that answered last, as far as both tell when their process started.
+    ///
+    /// A process that has restarted may be of another kind, service, size or zone. It answers before its report is in the store,
+    /// and the report can arrive before its first answer.
+    pub fn has_current_report(&self) -> bool {
+        let reported = self.report.as_ref().and_then(|report| report.started_unix_ms);
+        reported.zip(self.started_unix_ms).is_none_or(|(reported, answered)| reported == answered)
     }
 
     /// Whether it takes no new runs, being about to leave or not listed.
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -502,6 +502,17 @@
         self.store.list_worker(&self.workers[worker]);
     }
 
+    /// Restarts a worker as one of another kind. Its report in the store stays that of the process before.
+    pub fn restart_worker_as(&mut self, worker: usize, kind: &str) {
+        self.workers[worker].restart(self.now, &mut self.observer);
+        self.workers[worker].kind = kind.to_owned();
+    }
+
+    /// Lets a worker write its report to the store.
+    pub fn report_worker(&mut self, worker: usize) {
+        self.store.list_worker(&self.workers[worker]);
+    }
+
     /// Sends a caller's request to an entry VM; its answer appears in `answers`.
     pub fn request(&mut self, vm: usize, path: &str, verb: Verb) -> Ticket {
         let ticket = Ticket(self.next_random());
--- a/tests/emulator/store.rs
+++ b/tests/emulator/store.rs
@@ -8,6 +8,7 @@
 use nutmegfold::core::work::store::{
     Call, Change, Item, Key, Member, Range, Removed, Reply, Request, Revision, Transaction, Value,
 };
+use nutmegfold::core::work::worker::Report;
 use nutmegfold::declare::zone;
 use nutmegfold::hash::{self, Map, Set};
 
@@ -184,8 +185,13 @@
 
     /// Writes a worker's report, as the worker itself does.
     pub fn list_worker(&mut self, worker: &Worker) {
-        let item = Item::Worker(worker.id.clone(), Some(worker.report()));
-        self.set(format!("servers/{}", worker.id), Range::Workers, item, None);
+        self.set_report(&worker.id, worker.report());
+    }
+
+    /// Writes a report of a worker.
+    pub fn set_report(&mut self, worker_id: &str, report: Report) {
+        let item = Item::Worker(worker_id.to_owned(), Some(report));
+        self.set(format!("servers/{worker_id}"), Range::Workers, item, None);
     }
 
     /// Removes a worker's report.
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -509,6 +509,8 @@
     pub lost_start_replies: u32,
     /// Whether the worker refuses start orders as unhealthy.
     pub is_busy: bool,
+    /// Kind in its report.
+    pub kind: String,
     /// Number of further start orders that are left without an answer, and carried out after `late_by`.
     pub late_starts: u32,
     /// Share of the orders that the worker leaves without an answer, and the time after which it carries these out.
@@ -561,6 +563,7 @@
             interferences: Vec::new(),
             lost_start_replies: 0,
             is_busy: false,
+            kind: "a".to_owned(),
             late_starts: 0,
             late_share: 0.0,
             late_by: Duration::ZERO,
@@ -590,7 +593,7 @@
             zone: self.zone.clone(),
             readiness: if self.is_draining { Readiness::Draining } else { Readiness::Ready },
             capacity: Some(Resources { cpu_millicores: self.cpu_millicores, memory_mb: 32_000, gpu: 0 }),
-            labels: vec!["a".into(), format!("r-{}", self.number / 3)],
+            labels: vec![self.kind.clone(), format!("r-{}", self.number / 3)],
             started_unix_ms: Some(self.incarnation),
         }
     }
