--- a/src/core/work/dispatch.rs
+++ b/src/core/work/dispatch.rs
@@ -1,4 +1,4 @@
-//! Planned runs: their orders to start are sent once the store has them.
+//! Starts of runs: a run is planned, and its order to start is sent once the store has it.
 //!
 //! An order that gets no answer may be carried out seconds later, by the next process of its worker. A leader that takes over in
 //! that time has to know of it, so no order is sent before a commit has written the task, the worker and the number of the run.
@@ -9,8 +9,9 @@
 
 use super::job::Group;
 use super::journal::{self, Change};
-use super::run::{self, Exit, Phase};
-use super::{control, speculate, state, worker};
+use super::order::Order;
+use super::run::{self, Exit, Phase, Run};
+use super::{control, late, renewal, reserve, speculate, state, task, worker};
 use crate::core::effect::Effect;
 use crate::core::trace::Subject;
 use crate::hash::{Map, Set};
@@ -42,13 +43,89 @@
     Withdraw,
 }
 
+/// Plans a run of a task on a worker, whose order to start is sent once the store has it. Returns whether it is planned: not
+/// while the worker's clock is unknown, since no lease can be computed then, not for a second run of a task whose step allows
+/// none, and not while too many orders are under way.
+pub(super) fn start(
+    state: &mut super::State,
+    task_key: task::Key,
+    worker_key: worker::Key,
+    number: u32,
+) -> bool {
+    let now = state.now;
+    let (is_copy, is_speculative) = copy_rules(state, task_key);
+    if (is_copy && !is_speculative) || !has_room(state) {
+        return false;
+    }
+    let worker = state.workers.all.get_mut(worker_key).filter(|worker| worker.clock_reading.is_some());
+    let Some(worker) = worker else { return false };
+    let task = &mut state.jobs.tasks[task_key];
+    let job = &state.jobs.all[task.job];
+    let step = &job.spec.steps[task.name.step as usize];
+    let charged = step.charged();
+    let profile = step.share(&mut state.images);
+    let run = state.runs.insert(Run {
+        task: Some(task_key),
+        name: task.name,
+        number,
+        worker: worker_key,
+        address: worker.address,
+        charged,
+        profile,
+        phase: Phase::Planned,
+        is_confirmed: false,
+        has_open_start: false,
+        is_resent: false,
+        has_survived: false,
+        is_from_start: task.checkpoint.is_empty(),
+        is_copy,
+        started_at: now,
+        progress_percent: 0,
+        progressed_at: now,
+        reading: None,
+        last_load: None,
+        own_load: None,
+        at_risk_since: None,
+        pace_percent: 100,
+        pace_changed_at: now,
+    });
+    if profile.is_long_running && worker.long_running_runs == 0 {
+        state.reserves.note_taken(worker.service);
+    }
+    worker.add_run(run, charged, profile);
+    worker.last_start_at = now;
+    let is_trial =
+        worker.suspicion.is_some_and(|suspicion| suspicion.until > now && !suspicion.has_passed_trial);
+    if task.is_suspect() || is_trial {
+        worker.trial_run = Some(run);
+    }
+    let has_kept_room = task.kept_on.is_some();
+    task.phase = task::Phase::Active;
+    task.next_run = number + 1;
+    task.runs.push(run);
+    plan(state, run);
+    if has_kept_room {
+        reserve::release_room(state, task_key);
+    }
+    if is_speculative {
+        speculate::watch(state, run);
+    }
+    true
+}
+
+/// Whether another run of a task would be a copy, and whether its step allows copies.
+fn copy_rules(state: &super::State, key: task::Key) -> (bool, bool) {
+    let Some(task) = state.jobs.tasks.get(key) else { return (false, false) };
+    (!task.runs.is_empty(), control::step_of(state, task.name).is_some_and(speculate::allows))
+}
+
 /// Whether another run may be planned.
-pub(super) fn has_room(state: &super::State) -> bool {
+fn has_room(state: &super::State) -> bool {
     state.dispatch.queued.len() + state.late.under_way_count() < UNDER_WAY_MAX
 }
 
 /// Lets the next commit store the order of a planned run.
-pub(super) fn plan(state: &mut super::State, key: run::Key) {
+fn plan(state: &mut super::State, key: run::Key) {
     state.dispatch.queued.push_back(key);
     journal::enqueue(state, Change::Confirm);
 }
@@ -96,7 +173,7 @@
     for (key, own) in keys.into_iter().zip(verdicts) {
         let of_gang = gang_of(state, key).and_then(|gang| of_gangs.get(&gang).copied());
         match of_gang.unwrap_or(own) {
-            Verdict::Send => control::send_planned(state, key, out),
+            Verdict::Send => send(state, key, out),
             Verdict::Wait => state.dispatch.stored.push(key),
             Verdict::Withdraw => withdraw(state, key, "its worker takes no new runs", out),
         }
@@ -163,6 +240,87 @@
     runs.filter(|run| is_planned(state, **run)).count()
 }
 
+/// Sends the order to start a planned run, which the store has.
+fn send(state: &mut super::State, key: run::Key, out: &mut Vec<Effect>) {
+    let now = state.now;
+    let Some(run) = state.runs.get_mut(key) else { return };
+    let Some(worker) = state.workers.all.get_mut(run.worker) else { return };
+    let Some(until_ms) = worker.grant_lease(now, &state.tuning) else {
+        return withdraw(state, key, "the clock of its worker is not known", out);
+    };
+    worker.last_start_at = now;
+    (run.phase, run.has_open_start, run.address) = (Phase::Starting, true, worker.address);
+    (run.started_at, run.progressed_at, run.pace_changed_at) = (now, now, now);
+    let worker_key = run.worker;
+    record_start(state, key, out);
+    send_start(state, key, until_ms, out);
+    // A worker without runs is contacted at a long interval; from now on a long poll waits for the end of this run.
+    renewal::schedule_now(state, worker_key);
+}
+
+/// Adds the start of a run to the timeline.
+fn record_start(state: &super::State, key: run::Key, out: &mut Vec<Effect>) {
+    let Some(run) = state.runs.get(key) else { return };
+    let Some(task) = run.task.and_then(|task| state.jobs.tasks.get(task)) else { return };
+    let origin = match (task.is_inherited, task.may_have_unseen_run) {
+        (false, _) => "",
+        (true, true) => ", inherited from an earlier term",
+        (true, false) => ", inherited from an earlier term, a run was adopted",
+    };
+    let after = task.last_exit.map(|(run, exit)| format!(" (after run {run}: {})", exit.describe()));
+    let after = after.unwrap_or_default();
+    let worker = &state.workers.all[run.worker].id;
+    let reason = format!("run {} of {}{after} on {worker}{origin}", run.number, run.name);
+    state::record(out, Subject::Job(run.name.job), "start", reason);
+}
+
+/// Sends the order to start a run.
+fn send_start(state: &mut super::State, key: run::Key, until_ms: u64, out: &mut Vec<Effect>) {
+    let Some(run) = state.runs.get(key) else { return };
+    let Some(task) = run.task.and_then(|task| state.jobs.tasks.get(task)) else { return };
+    let order = Order::Start {
+        run: key,
+        name: run.name,
+        number: run.number,
+        job_text: state.jobs.all[task.job].spec.text.clone(),
+        until_ms,
+        checkpoint: task.checkpoint.clone(),
+    };
+    let worker = run.worker;
+    state.send_order(worker, order, out);
+}
+
+/// Sends the order to start a run again that got no answer and that its worker does not list. Returns whether the run is kept: the
+/// worker has to take the task as before, and to be the same process, so that the order is carried out once.
+pub(super) fn resend(state: &mut super::State, key: run::Key, out: &mut Vec<Effect>) -> bool {
+    let (now, tenure) = (state.now, state.tenure());
+    let Some(run) = state.runs.get(key) else { return false };
+    let Some(task) = run.task.and_then(|task| state.jobs.tasks.get(task)) else { return false };
+    let need = &state.jobs.all[task.job].needs[run.name.step as usize];
+    let Some(worker) = state.workers.all.get_mut(run.worker) else { return false };
+    let takes_task = worker.takes_runs(need.service, need.required_label);
+    // A later leader has to know of the order without an answer.
+    if task.awaited_change > state.journal.durable_sequence {
+        return true;
+    }
+    if !takes_task || worker.precedes_process(run.started_at) || !worker.has_proof(tenure) {
+        return false;
+    }
+    let Some(until_ms) = worker.grant_lease(now, &state.tuning) else { return false };
+    worker.last_start_at = now;
+    let reason = format!("run {} of {} on {}", run.number, run.name, worker.id);
+    state::record(out, Subject::Job(run.name.job), "start-again", reason);
+    state.meter.counts.resent_starts += 1;
+    let run = &mut state.runs[key];
+    run.phase = Phase::Starting;
+    run.is_resent = true;
+    run.has_open_start = true;
+    (run.started_at, run.progressed_at) = (now, now);
+    late::note_repetition(state, key);
+    send_start(state, key, until_ms, out);
+    true
+}
+
 /// Drops a planned run, whose order was not sent. Its task waits for placement again.
 pub(super) fn withdraw(state: &mut super::State, key: run::Key, reason: &str, out: &mut Vec<Effect>) {
     let Some(run) = state.runs.get(key) else { return };
--- a/src/core/work/place/copy.rs
+++ b/src/core/work/place/copy.rs
@@ -10,7 +10,7 @@
 use crate::core::trace::Subject;
 use crate::core::work::speculate::{self, Case, Cause};
 use crate::core::work::state::State;
-use crate::core::work::{control, run, state, worker};
+use crate::core::work::{dispatch, run, state, worker};
 
 /// Starts copies of the runs that need one, as far as workers have room.
 pub(super) fn place(state: &mut State, pass: &mut Pass, out: &mut Vec<Effect>) {
@@ -60,7 +60,7 @@
         return state.speculation.keep_candidate(key);
     }
     let reason = describe(state, &first, case, cause, worker);
-    if control::start(state, task_key, worker, number) {
+    if dispatch::start(state, task_key, worker, number) {
         state::record(out, Subject::Job(first.name.job), "copy", reason);
         state.meter.counts.copies += 1;
         pass.memory.note(state, worker);
--- a/src/core/work/place/gang.rs
+++ b/src/core/work/place/gang.rs
@@ -2,7 +2,7 @@
 
 use super::need::Need;
 use super::search::{self, Plan, Scope, Siblings};
-use super::{Pass, control, late, locality};
+use super::{Pass, dispatch, late, locality};
 use crate::core::effect::Effect;
 use crate::core::work::job::Group;
 use crate::core::work::state::State;
@@ -62,7 +62,7 @@
         tasks.iter().map(|task| state.jobs.tasks[*task].checkpoint.clone()).max().unwrap_or_default();
     for (key, worker) in tasks.iter().zip(plan) {
         state.jobs.tasks[*key].checkpoint.clone_from(&checkpoint);
-        if control::start(state, *key, worker, number) {
+        if dispatch::start(state, *key, worker, number) {
             pass.memory.note(state, worker);
             pass.racks.forget(&state.workers.all[worker]);
         }
--- a/src/core/work/place/mod.rs
+++ b/src/core/work/place/mod.rs
@@ -33,7 +33,7 @@
 use super::reserve::Outline;
 use super::spec::Resources;
 use super::worker::Key;
-use super::{backlog, control, dispatch, gate, late, leadership, renewal, reserve, symbol, task, wait};
+use super::{backlog, dispatch, gate, late, leadership, renewal, reserve, symbol, task, wait};
 use crate::core::effect::Effect;
 use crate::core::time::Instant;
 use crate::hash::{Map, Set};
@@ -592,7 +592,7 @@
         let is_usual = !need.is_suspect && need.avoid.is_none() && need.only.is_none();
         return if is_usual { ControlFlow::Break(()) } else { ControlFlow::Continue(()) };
     }
-    if control::start(state, key, worker, number) {
+    if dispatch::start(state, key, worker, number) {
         pass.memory.note(state, worker);
         pass.racks.forget(&state.workers.all[worker]);
         locality::record_start(state, key, is_near, pass);
