Call a worker at once when its report is of a new process

Cause: since a worker takes no new runs while its report and its answers name different processes. Where the report of a restarted process arrives first, that lasted until the next call of an idle worker, up to 2.5 s.

Change: such a report causes a call at once. The report of waiting tasks names an outdated report after a process that is not confirmed, as work_log expects.

Tests: the emulator now writes the report of a worker that is back after a crash; it kept that of the process before for ever, which the platform's page does not allow.

--- a/src/core/work/discovery.rs
+++ b/src/core/work/discovery.rs
@@ -83,7 +83,9 @@
     if begins_draining {
         control::stop_long_running(state, key, out);
     }
-    if is_new && state.load.is_none() {
+    // A new process is called at once: it gets no runs before it has answered, and its runs of before are gone.
+    let is_unmet = !state.workers.all[key].has_current_report();
+    if (is_new || is_unmet) && state.load.is_none() {
         renewal::schedule_now(state, key);
         renewal::send_if_due(state, key, out);
     }
--- a/src/core/work/wait.rs
+++ b/src/core/work/wait.rs
@@ -63,8 +63,6 @@
 pub enum Exclusion {
     /// Its availability zone is evacuated.
     Evacuated,
-    /// Its report is of another process than the one that answers.
-    Outdated,
     /// The stored roster does not contain it at its current address.
     NotEnrolled,
     /// It does not answer.
@@ -73,6 +71,8 @@
     Unanswered,
     /// No commit has taken effect that was sent after its process was known.
     Unconfirmed,
+    /// Its report is of another process than the one that answers.
+    Outdated,
     /// It is paused after a start that was refused or not sent.
     Paused,
     /// It is suspected after failed runs.
@@ -90,11 +90,11 @@
 /// Names of the exclusions, in the order of the variants.
 const EXCLUSION_NAMES: [&str; 12] = [
     "zone evacuated",
-    "report of another process",
     "not enrolled",
     "silent",
     "no answer yet",
     "process not confirmed",
+    "report of another process",
     "paused",
     "suspected",
     "trial",
@@ -195,8 +195,6 @@
     let has_answered = worker.last_answer_at.is_some() && worker.clock_reading.is_some();
     Some(if worker.is_evacuated {
         Exclusion::Evacuated
-    } else if !worker.has_current_report() {
-        Exclusion::Outdated
     } else if !worker.is_enrolled {
         Exclusion::NotEnrolled
     } else if worker.silent_since.is_some() {
@@ -205,6 +203,8 @@
         Exclusion::Unanswered
     } else if worker.process_known_at.is_none_or(|at| at > committed_at) {
         Exclusion::Unconfirmed
+    } else if !worker.has_current_report() {
+        Exclusion::Outdated
     } else if worker.paused_until > now {
         Exclusion::Paused
     } else if worker.trial_run.is_some() {
--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -511,6 +511,8 @@
     pub is_busy: bool,
     /// Kind in its report.
     pub kind: String,
+    /// Whether it is about to write its report, being back after a crash.
+    pub has_new_report: bool,
     /// Number of further start orders that are left without an answer, and carried out after `late_by`.
     pub late_starts: u32,
     /// Share of the orders that the worker leaves without an answer, and the time after which it carries these out.
@@ -564,6 +566,7 @@
             lost_start_replies: 0,
             is_busy: false,
             kind: "a".to_owned(),
+            has_new_report: false,
             late_starts: 0,
             late_share: 0.0,
             late_by: Duration::ZERO,
@@ -672,6 +675,7 @@
         }
         if self.back_at.take_if(|at| *at <= now).is_some() {
             self.restart(now, observer);
+            self.has_new_report = true;
         }
         let clock_ms = self.clock_ms(now);
         let has_lapsed = clock_ms >= self.lease_expiry_ms && !self.ignores_lease;
