--- a/tests/emulator/worker.rs
+++ b/tests/emulator/worker.rs
@@ -675,7 +675,7 @@
         }
         if self.back_at.take_if(|at| *at <= now).is_some() {
             self.restart(now, observer);
-            self.has_new_report = true;
+            self.has_new_report = !self.is_refusing;
         }
         let clock_ms = self.clock_ms(now);
         let has_lapsed = clock_ms >= self.lease_expiry_ms && !self.ignores_lease;
